--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,1 @@
+//! Administration interface: configuration, keys, status, reports and health.
--- /dev/null
+++ b/src/burn.rs
@@ -0,0 +1,1 @@
+//! Service-level burn per class and customer, joined over hosts.
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,1 @@
+//! Callers' interface: authentication, routing and streaming.
--- /dev/null
+++ b/src/estimate.rs
@@ -0,0 +1,1 @@
+//! Estimates of output length, learnt per customer and route.
--- /dev/null
+++ b/src/lease.rs
@@ -0,0 +1,1 @@
+//! Leases with fencing numbers: who holds one, and until when for certain.
--- /dev/null
+++ b/src/limit.rs
@@ -0,0 +1,1 @@
+//! Limits per customer on requests, tokens and concurrency.
--- /dev/null
+++ b/src/logs.rs
@@ -0,0 +1,1 @@
+//! Structured logs of changes of state.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon of every entry host.
+
+fn main() {}
--- /dev/null
+++ b/src/member.rs
@@ -0,0 +1,1 @@
+//! Membership: which hosts are alive, by heartbeats and incarnations.
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,1 @@
+//! Counters and gauges of a host.
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,1 @@
+//! Choice of an upstream for a request.
--- /dev/null
+++ b/src/pool.rs
@@ -0,0 +1,1 @@
+//! Task of one pool: runs the dispatcher on the host that owns the role.
--- /dev/null
+++ b/src/quarantine.rs
@@ -0,0 +1,1 @@
+//! Requests that crash their upstreams and are refused for a period.
--- /dev/null
+++ b/src/reporter.rs
@@ -0,0 +1,1 @@
+//! Task of the usage reporter: seals and reports usage windows.
--- /dev/null
+++ b/src/scale.rs
@@ -0,0 +1,1 @@
+//! Decisions on how many upstreams each pool needs.
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,1 @@
+//! Settings from flags and environment variables.
--- /dev/null
+++ b/src/sse.rs
@@ -0,0 +1,1 @@
+//! Scanning of server-sent events and completion chunks.
--- /dev/null
+++ b/src/upstream.rs
@@ -0,0 +1,1 @@
+//! Requests to upstreams.
--- /dev/null
+++ b/src/usage.rs
@@ -0,0 +1,1 @@
+//! Usage of customers: batches, windows and their seals.
--- /dev/null
+++ b/src/watcher.rs
@@ -0,0 +1,1 @@
+//! Task that keeps the configuration of a host up to date.
