Add the peer service between hosts

Hosts had no way to talk to each other. Messages are typed in wire.rs and carried by tarpc over TCP with bincode; peer.rs owns the connections and passes each call to the mailbox of the task that answers it. The TCP connectors of tarpc leave Nagle's algorithm on, so the transports are built from streams with it off. No behaviour is attached yet.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,1 +1,351 @@
-//! Connections between hosts: the server and the clients of the peer service.
+//! Connections between hosts: the clients and the server of the peer service.
+
+use std::{
+    collections::BTreeMap,
+    fmt,
+    net::SocketAddr,
+    pin::pin,
+    time::{Duration, Instant},
+};
+
+use futures::{Stream, StreamExt as _};
+use tarpc::{
+    client, context, serde_transport,
+    server::{self, BaseChannel, Channel as _},
+    tokio_serde::formats::Bincode,
+    tokio_util::codec::length_delimited::{self, LengthDelimitedCodec},
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, oneshot},
+};
+
+use crate::{
+    error::{Error, Kind},
+    wire::{self, Peer as _, PeerClient},
+};
+
+/// Time to connect to a peer, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 500;
+
+/// Pause after a failed connection before the next one, in milliseconds.
+const RECONNECT_PAUSE_MS: u64 = 200;
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Calls in flight on one connection.
+const MAX_IN_FLIGHT: usize = 65_536;
+
+/// Calls or answers that wait to be written to one connection.
+const PENDING: usize = 4_096;
+
+/// Largest message, in bytes; a snapshot of the configuration must fit.
+const MAX_FRAME_BYTES: usize = 64 << 20;
+
+/// Connection requests that may wait at the connector.
+const QUEUE: usize = 1_024;
+
+/// Why a call to a peer failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection could be made; the peer did not get the message.
+    Connect,
+    /// The connection broke or the deadline passed; the peer may have got the message.
+    Unknown,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::Connect => f.write_str("the peer cannot be reached"),
+            Failure::Unknown => f.write_str("the peer did not answer"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// Handle to the task that owns the connections to peers.
+#[derive(Debug, Clone)]
+pub struct Peers {
+    requests: mpsc::Sender<Request>,
+}
+
+#[derive(Debug)]
+struct Request {
+    address: SocketAddr,
+    answer: oneshot::Sender<Option<PeerClient>>,
+}
+
+#[derive(Debug)]
+enum Link {
+    Open(PeerClient),
+    Failed(Instant),
+}
+
+impl Peers {
+    /// Spawns the task that owns the connections.
+    pub fn spawn() -> Peers {
+        let (requests, mailbox) = mpsc::channel(QUEUE);
+        tokio::spawn(run(mailbox));
+        Peers { requests }
+    }
+
+    /// A connected client for the peer at an address.
+    ///
+    /// # Errors
+    /// `Connect` if there is no connection and none can be made.
+    pub async fn client(&self, address: SocketAddr) -> Result<PeerClient, Failure> {
+        let (answer, client) = oneshot::channel();
+        let request = Request { address, answer };
+        self.requests.send(request).await.map_err(|_| Failure::Connect)?;
+        client.await.ok().flatten().ok_or(Failure::Connect)
+    }
+}
+
+/// Context of a call that must be answered within a time.
+pub fn within(timeout: Duration) -> context::Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + timeout;
+    context
+}
+
+async fn run(mut mailbox: mpsc::Receiver<Request>) {
+    let mut links: BTreeMap<SocketAddr, Link> = BTreeMap::new();
+    let mut waiting: BTreeMap<SocketAddr, Vec<oneshot::Sender<Option<PeerClient>>>> =
+        BTreeMap::new();
+    let (opened, mut connections) = mpsc::channel::<(SocketAddr, Option<PeerClient>)>(QUEUE);
+    let (closed, mut closures) = mpsc::channel::<SocketAddr>(QUEUE);
+    loop {
+        tokio::select! {
+            request = mailbox.recv() => {
+                let Some(Request { address, answer }) = request else { return };
+                match links.get(&address) {
+                    Some(Link::Open(client)) => {
+                        let _ = answer.send(Some(client.clone()));
+                    }
+                    Some(Link::Failed(at)) if at.elapsed().as_millis() < u128::from(RECONNECT_PAUSE_MS) => {
+                        let _ = answer.send(None);
+                    }
+                    Some(Link::Failed(_)) | None => {
+                        let queue = waiting.entry(address).or_default();
+                        queue.push(answer);
+                        if queue.len() == 1 {
+                            tokio::spawn(connect(address, opened.clone(), closed.clone()));
+                        }
+                    }
+                }
+            }
+            Some((address, client)) = connections.recv() => {
+                for answer in waiting.remove(&address).unwrap_or_default() {
+                    let _ = answer.send(client.clone());
+                }
+                let link = client.map_or_else(|| Link::Failed(Instant::now()), Link::Open);
+                links.insert(address, link);
+            }
+            Some(address) = closures.recv() => {
+                links.remove(&address);
+            }
+        }
+    }
+}
+
+async fn connect(
+    address: SocketAddr,
+    opened: mpsc::Sender<(SocketAddr, Option<PeerClient>)>,
+    closed: mpsc::Sender<SocketAddr>,
+) {
+    let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
+    let Ok(Ok(stream)) = tokio::time::timeout(timeout, TcpStream::connect(address)).await else {
+        let _ = opened.send((address, None)).await;
+        return;
+    };
+    // Small messages must not wait for acknowledgements of earlier ones.
+    let _ = stream.set_nodelay(true);
+    let transport = serde_transport::new(frames().new_framed(stream), Bincode::default());
+    let mut config = client::Config::default();
+    config.max_in_flight_requests = MAX_IN_FLIGHT;
+    config.pending_request_buffer = PENDING;
+    let client::NewClient { client, dispatch } = PeerClient::new(config, transport);
+    let _ = opened.send((address, Some(client))).await;
+    let _ = dispatch.await;
+    let _ = closed.send(address).await;
+}
+
+/// Framing of messages between hosts.
+fn frames() -> length_delimited::Builder {
+    let mut builder = LengthDelimitedCodec::builder();
+    builder.max_frame_length(MAX_FRAME_BYTES);
+    builder
+}
+
+/// A call to the dispatchers of this host.
+#[derive(Debug)]
+pub enum DispatchCall {
+    /// A ticket asks for a grant. The ticket is withdrawn when the receiver of the answer is dropped.
+    Submit(wire::Ticket, oneshot::Sender<wire::Decision>),
+    /// Attempts of a pool went on.
+    Progress(String, Vec<wire::Progress>),
+}
+
+/// A call to the attempts of this host.
+#[derive(Debug)]
+pub enum AttemptCall {
+    /// A new dispatcher asks for the attempts in its pool.
+    Handover {
+        /// Pool of the dispatcher.
+        pool: String,
+        /// Host of the dispatcher.
+        dispatcher: String,
+        /// Incarnation of that host.
+        incarnation: u64,
+        /// Takes the attempts.
+        answer: oneshot::Sender<wire::Held>,
+    },
+    /// A dispatcher stops an attempt.
+    Preempt {
+        /// Incarnation of the dispatcher.
+        dispatcher: u64,
+        /// Attempt that its grant named.
+        attempt: u64,
+    },
+}
+
+/// A call to the membership of this host.
+#[derive(Debug)]
+pub enum MemberCall {
+    /// Another host tells its membership and asks for this host's.
+    Gossip(wire::Gossip, oneshot::Sender<wire::Gossip>),
+    /// Another host asks to probe a third one.
+    Probe(SocketAddr, oneshot::Sender<bool>),
+}
+
+/// A call to the configuration of this host.
+#[derive(Debug)]
+pub enum ConfigCall {
+    /// Asks for the configuration if it is newer than a revision.
+    Snapshot(u64, oneshot::Sender<Option<wire::Snapshot>>),
+}
+
+/// A call to the usage copies of this host.
+#[derive(Debug)]
+pub enum UsageCall {
+    /// Holds a batch until it is written.
+    Hold(wire::Copy, oneshot::Sender<bool>),
+}
+
+/// A call to the limiters of this host.
+#[derive(Debug)]
+pub enum LimitCall {
+    /// Asks to admit a request.
+    Admit(wire::Admission, oneshot::Sender<Result<(), Error>>),
+    /// A request ended.
+    Settle(wire::Admission),
+}
+
+/// Mailboxes of the tasks that answer peers.
+#[derive(Debug, Clone)]
+pub struct Mailboxes {
+    /// Dispatchers.
+    pub dispatch: mpsc::Sender<DispatchCall>,
+    /// Attempts in progress.
+    pub attempts: mpsc::Sender<AttemptCall>,
+    /// Membership.
+    pub members: mpsc::Sender<MemberCall>,
+    /// Configuration.
+    pub config: mpsc::Sender<ConfigCall>,
+    /// Copies of usage batches.
+    pub usage: mpsc::Sender<UsageCall>,
+    /// Limits of customers.
+    pub limits: mpsc::Sender<LimitCall>,
+}
+
+/// Accepts connections of peers and passes their calls to the mailboxes, until the task is aborted.
+pub async fn serve(listener: TcpListener, mailboxes: Mailboxes) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of file descriptors: connections that end make room.
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let transport = serde_transport::new(frames().new_framed(stream), Bincode::default());
+        let config = server::Config { pending_response_buffer: PENDING };
+        let channel = BaseChannel::new(config, transport);
+        tokio::spawn(answer(channel.execute(mailboxes.clone().serve())));
+    }
+}
+
+async fn answer<F>(requests: impl Stream<Item = F>)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let mut requests = pin!(requests);
+    while let Some(request) = requests.next().await {
+        tokio::spawn(request);
+    }
+}
+
+/// Sends a call with an answer channel and waits for the answer; `None` if the task has ended.
+async fn ask<C, A>(
+    mailbox: &mpsc::Sender<C>,
+    call: impl FnOnce(oneshot::Sender<A>) -> C,
+) -> Option<A> {
+    let (sender, answer) = oneshot::channel();
+    mailbox.send(call(sender)).await.ok()?;
+    answer.await.ok()
+}
+
+impl wire::Peer for Mailboxes {
+    async fn submit(self, _: context::Context, ticket: wire::Ticket) -> wire::Decision {
+        let call = |answer| DispatchCall::Submit(ticket, answer);
+        ask(&self.dispatch, call).await.unwrap_or(wire::Decision::NotDispatcher)
+    }
+
+    async fn progress(self, _: context::Context, pool: String, batch: Vec<wire::Progress>) {
+        let _ = self.dispatch.send(DispatchCall::Progress(pool, batch)).await;
+    }
+
+    async fn handover(
+        self,
+        _: context::Context,
+        pool: String,
+        dispatcher: String,
+        incarnation: u64,
+    ) -> wire::Held {
+        let call = |answer| AttemptCall::Handover { pool, dispatcher, incarnation, answer };
+        let refused = wire::Held { accepted: false, running: Vec::new() };
+        ask(&self.attempts, call).await.unwrap_or(refused)
+    }
+
+    async fn preempt(self, _: context::Context, dispatcher: u64, attempt: u64) {
+        let _ = self.attempts.send(AttemptCall::Preempt { dispatcher, attempt }).await;
+    }
+
+    async fn gossip(self, _: context::Context, message: wire::Gossip) -> Option<wire::Gossip> {
+        ask(&self.members, |answer| MemberCall::Gossip(message, answer)).await
+    }
+
+    async fn probe(self, _: context::Context, target: SocketAddr) -> bool {
+        ask(&self.members, |answer| MemberCall::Probe(target, answer)).await.unwrap_or(false)
+    }
+
+    async fn snapshot(self, _: context::Context, newer_than: u64) -> Option<wire::Snapshot> {
+        ask(&self.config, |answer| ConfigCall::Snapshot(newer_than, answer)).await.flatten()
+    }
+
+    async fn hold(self, _: context::Context, batch: wire::Copy) -> bool {
+        ask(&self.usage, |answer| UsageCall::Hold(batch, answer)).await.unwrap_or(false)
+    }
+
+    async fn admit(self, _: context::Context, request: wire::Admission) -> Result<(), Error> {
+        let stopped = || Err(Error::new(Kind::Draining, "the customer's limiter is stopping"));
+        let call = |answer| LimitCall::Admit(request, answer);
+        ask(&self.limits, call).await.unwrap_or_else(stopped)
+    }
+
+    async fn settle(self, _: context::Context, request: wire::Admission) {
+        let _ = self.limits.send(LimitCall::Settle(request)).await;
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,8 +1,10 @@
 //! Messages between the hosts and the service that carries them.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
-use crate::error::Error;
+use crate::{error::Error, member::Member, platform::Entry};
 
 /// Identifies one ticket of an entry host: host, incarnation and sequence number.
 ///
@@ -138,3 +140,80 @@
     /// Attempts in progress in the pool.
     pub running: Vec<Running>,
 }
+
+/// One exchange of membership, configuration revision and quarantine between two hosts.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// The sending process.
+    pub from: Member,
+    /// Revision of the configuration in force at the sender.
+    pub revision: u64,
+    /// Members that changed recently at the sender.
+    pub changes: Vec<Member>,
+    /// Quarantined fingerprints with the time left, in milliseconds.
+    pub quarantine: Vec<(u64, u64)>,
+    /// Whether the receiver is asked for all members.
+    pub full: bool,
+}
+
+/// Configuration records of one revision, as they stand in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Revision up to which changes are contained.
+    pub revision: u64,
+    /// All entries under the configuration prefix, in key order.
+    pub entries: Vec<Entry>,
+}
+
+/// A usage batch that a peer holds until it is written.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Copy {
+    /// Host that counted the usage.
+    pub host: String,
+    /// Incarnation of that host.
+    pub incarnation: u64,
+    /// Sequence number of the batch within the incarnation.
+    pub sequence: u64,
+    /// The batch as it is written to the store; empty when it was written and the copy can go.
+    pub content: Vec<u8>,
+}
+
+/// A request for a customer's limits.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Admission {
+    /// Customer that the request runs for.
+    pub customer: String,
+    /// Host that holds the caller's connection.
+    pub host: String,
+    /// Incarnation of that host.
+    pub incarnation: u64,
+    /// Number of the request at that host.
+    pub request: u64,
+    /// Tokens that the request is estimated to use.
+    pub tokens: u64,
+}
+
+/// Service between the hosts.
+#[tarpc::service]
+pub trait Peer {
+    /// Asks the dispatcher for a grant; answered when the ticket is granted or refused.
+    async fn submit(ticket: Ticket) -> Decision;
+    /// Tells the dispatcher of a pool how attempts go on.
+    async fn progress(pool: String, batch: Vec<Progress>);
+    /// A new dispatcher asks an entry host for its attempts in a pool.
+    async fn handover(pool: String, dispatcher: String, incarnation: u64) -> Held;
+    /// The dispatcher stops a running attempt.
+    async fn preempt(dispatcher: u64, attempt: u64);
+    /// Exchanges membership, revision and quarantine.
+    async fn gossip(message: Gossip) -> Option<Gossip>;
+    /// Asks another host to probe a third one; true if it answered.
+    async fn probe(target: SocketAddr) -> bool;
+    /// Configuration of the host if it is newer than a revision.
+    async fn snapshot(newer_than: u64) -> Option<Snapshot>;
+    /// Holds a copy of a usage batch; true if it is held.
+    async fn hold(batch: Copy) -> bool;
+    /// Asks a customer's limiter to admit a request.
+    async fn admit(request: Admission) -> Result<(), Error>;
+    /// Tells a customer's limiter that a request ended and the tokens that it used.
+    async fn settle(request: Admission);
+}
