--- a/src/config.rs
+++ b/src/config.rs
@@ -90,6 +90,15 @@
         if stored.matches(&digest) && !key.withdrawn && in_time { Ok(key) } else { Err(invalid()) }
     }
 
+    /// Whether the key with a digest is valid at a wall-clock time.
+    pub fn valid(&self, digest: &Digest, wall_ms: u64) -> bool {
+        let found = self.keys.binary_search_by(|(stored, _)| stored.cmp(digest));
+        found.is_ok_and(|at| {
+            let key = &self.keys[at].1;
+            !key.withdrawn && key.expires_ms.is_none_or(|end| wall_ms < end)
+        })
+    }
+
     /// Route of a model.
     pub fn model(&self, model: &str) -> Option<RouteIndex> {
         let found = self.models.binary_search_by(|(name, _)| name.as_str().cmp(model)).ok()?;
--- a/src/credential.rs
+++ b/src/credential.rs
@@ -51,3 +51,18 @@
     let token = token.trim();
     (scheme.eq_ignore_ascii_case("bearer") && !token.is_empty()).then_some(token)
 }
+
+/// Start of every secret that the administration interface issues.
+pub const SECRET_PREFIX: &str = "almk_";
+
+/// Digits after the prefix of a secret.
+pub const SECRET_DIGITS: usize = 43;
+
+/// Start of the first text in the form of a secret.
+pub fn find(bytes: &[u8]) -> Option<usize> {
+    let prefix = SECRET_PREFIX.as_bytes();
+    let is_digit = |byte: &u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_');
+    bytes.windows(prefix.len() + SECRET_DIGITS).position(|window| {
+        window.strip_prefix(prefix).is_some_and(|digits| digits.iter().all(is_digit))
+    })
+}
--- /dev/null
+++ b/src/dispatchers.rs
@@ -0,0 +1,139 @@
+//! Task that passes calls to the dispatchers of this host and starts and ends them with the role.
+
+use std::sync::Arc;
+
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::{
+    config::Snapshot,
+    fleet::Fleet,
+    lane,
+    member::View,
+    peer::{DispatchCall, Peers},
+    pool,
+    time::Time,
+    wire::{Decision, Ticket},
+};
+
+/// Numbers of attempts for one start of a dispatcher.
+const ATTEMPTS_PER_START: u64 = 1 << 40;
+
+/// Inputs of the task.
+#[derive(Debug)]
+pub struct Options {
+    /// Id of this host.
+    pub host: String,
+    /// Incarnation of this host.
+    pub incarnation: u64,
+    /// Availability zone of this host.
+    pub zone: String,
+    /// Configuration in force.
+    pub snapshot: watch::Receiver<Arc<Snapshot>>,
+    /// The hosts as this host sees them.
+    pub view: watch::Receiver<Arc<View>>,
+    /// The zone's upstreams.
+    pub fleet: watch::Receiver<Arc<Fleet>>,
+    /// Whether this host dispatches a pool.
+    pub dispatching: watch::Sender<bool>,
+    /// Connections to other hosts.
+    pub peers: Peers,
+    /// Takes fingerprints that a dispatcher quarantines.
+    pub quarantine: mpsc::Sender<(u64, Time)>,
+    /// Fingerprints that are quarantined elsewhere.
+    pub quarantined: mpsc::Receiver<(u64, Time)>,
+    /// Calls of entry hosts, this one among them.
+    pub calls: mpsc::Receiver<DispatchCall>,
+}
+
+#[derive(Debug)]
+struct Task {
+    options: Options,
+    /// Sorted by pool.
+    lanes: Vec<(String, mpsc::Sender<lane::Call>)>,
+    starts: u64,
+}
+
+/// Spawns the task; it ends when the mailbox is closed.
+pub fn spawn(options: Options) {
+    tokio::spawn(Task { options, lanes: Vec::new(), starts: 0 }.run());
+}
+
+impl Task {
+    async fn run(mut self) {
+        let mut view = self.options.view.clone();
+        loop {
+            tokio::select! {
+                call = self.options.calls.recv() => match call {
+                    Some(DispatchCall::Submit(ticket, answer)) => self.submit(ticket, answer).await,
+                    Some(DispatchCall::Progress(pool, batch)) => {
+                        if let Some(lane) = self.lane(&pool) {
+                            let _ = lane.send(lane::Call::Progress(batch)).await;
+                        }
+                    }
+                    None => return,
+                },
+                Ok(()) = view.changed() => self.review(),
+                Some((fingerprint, until)) = self.options.quarantined.recv() => {
+                    for (_, lane) in &self.lanes {
+                        let _ = lane.send(lane::Call::Quarantine(fingerprint, until)).await;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn submit(&mut self, ticket: Ticket, answer: oneshot::Sender<Decision>) {
+        if !self.owns(&ticket.pool) {
+            let _ = answer.send(Decision::NotDispatcher);
+            return;
+        }
+        let lane = match self.lane(&ticket.pool) {
+            Some(lane) => lane,
+            None => self.start(&ticket.pool),
+        };
+        let _ = lane.send(lane::Call::Submit(Box::new(ticket), answer)).await;
+    }
+
+    fn owns(&self, pool: &str) -> bool {
+        let owner = pool::owner(&self.options.view.borrow(), &self.options.zone, pool);
+        owner.is_some_and(|it| it.host == self.options.host)
+    }
+
+    fn lane(&self, pool: &str) -> Option<mpsc::Sender<lane::Call>> {
+        let found = self.lanes.binary_search_by(|it| it.0.as_str().cmp(pool)).ok()?;
+        Some(self.lanes[found].1.clone())
+    }
+
+    fn start(&mut self, pool: &str) -> mpsc::Sender<lane::Call> {
+        let lane = lane::spawn(lane::Options {
+            host: self.options.host.clone(),
+            incarnation: self.options.incarnation,
+            pool: pool.to_owned(),
+            snapshot: self.options.snapshot.clone(),
+            view: self.options.view.clone(),
+            fleet: self.options.fleet.clone(),
+            peers: self.options.peers.clone(),
+            quarantine: self.options.quarantine.clone(),
+            first_attempt: self.starts * ATTEMPTS_PER_START,
+        });
+        self.starts += 1;
+        let at = self.lanes.partition_point(|it| it.0.as_str() < pool);
+        self.lanes.insert(at, (pool.to_owned(), lane.clone()));
+        self.note_dispatching();
+        lane
+    }
+
+    /// Ends the dispatchers whose role went to another host.
+    fn review(&mut self) {
+        let lanes = std::mem::take(&mut self.lanes);
+        self.lanes = lanes.into_iter().filter(|(pool, _)| self.owns(pool)).collect();
+        self.note_dispatching();
+    }
+
+    fn note_dispatching(&self) {
+        let dispatching = !self.lanes.is_empty();
+        self.options
+            .dispatching
+            .send_if_modified(|it| std::mem::replace(it, dispatching) != dispatching);
+    }
+}
--- /dev/null
+++ b/src/load.rs
@@ -0,0 +1,92 @@
+//! Task that reads the load reports of upstreams.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{StreamExt as _, stream};
+use http::Request;
+use http_body_util::{BodyExt as _, Full, Limited};
+use serde::Deserialize;
+use tokio::{
+    sync::{mpsc, watch},
+    time::MissedTickBehavior,
+};
+
+use crate::{
+    dispatch::Load,
+    time::{Span, Time},
+    upstream::{Client, Reuse},
+};
+
+/// Interval of reads of one upstream.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time for one read.
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Largest report, in bytes.
+const MAX_REPORT_BYTES: usize = 64 << 10;
+
+/// Reads in progress at once.
+const CONCURRENCY: usize = 32;
+
+/// Reports that may wait at the receiver.
+const QUEUE: usize = 1_024;
+
+#[derive(Debug, Deserialize)]
+struct Report {
+    running: u32,
+    #[serde(default)]
+    waiting: u32,
+    #[serde(default)]
+    kv_used: u64,
+    #[serde(default)]
+    age_ms: u64,
+}
+
+/// Spawns the task for upstreams of which id and address are given; it ends with the receiver.
+pub fn spawn(upstreams: watch::Receiver<Vec<(String, String)>>) -> mpsc::Receiver<(String, Load)> {
+    let (reports, receiver) = mpsc::channel(QUEUE);
+    tokio::spawn(run(upstreams, reports));
+    receiver
+}
+
+async fn run(
+    upstreams: watch::Receiver<Vec<(String, String)>>,
+    reports: mpsc::Sender<(String, Load)>,
+) {
+    let client = Client::open(TIMEOUT);
+    let mut interval = tokio::time::interval(INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    while !reports.is_closed() {
+        interval.tick().await;
+        let targets = upstreams.borrow().clone();
+        let reads = stream::iter(targets).map(|(id, address)| {
+            let client = client.clone();
+            async move {
+                let load = tokio::time::timeout(TIMEOUT, read(&client, &address)).await;
+                Some((id, load.ok()??))
+            }
+        });
+        let mut reads = reads.buffer_unordered(CONCURRENCY);
+        while let Some(report) = reads.next().await {
+            let Some(report) = report else { continue };
+            if reports.send(report).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+async fn read(client: &Client, address: &str) -> Option<Load> {
+    let request = Request::get(format!("http://{address}/load")).body(Full::<Bytes>::default());
+    let answer = client.send(request.ok()?, Reuse::Allowed).await.ok()?;
+    let body = Limited::new(answer.into_body(), MAX_REPORT_BYTES).collect().await.ok()?;
+    let report: Report = serde_json::from_slice(&body.to_bytes()).ok()?;
+    Some(Load {
+        running: report.running,
+        waiting: report.waiting,
+        kv_used: report.kv_used,
+        at: Time::now() - Span::from_ms(report.age_ms),
+    })
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,1 +1,116 @@
 //! Counters and gauges of a host.
+
+use std::time::Duration;
+
+use eyre::Result;
+use prometheus::{
+    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+use crate::error::Kind;
+
+/// Upper bounds of the buckets of the time to the first token, in seconds.
+const FIRST_TOKEN_BUCKETS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.61, 1.0, 3.0, 10.0, 30.0, 120.0];
+
+/// Counters of a host; clones share them.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    in_time: IntCounterVec,
+    tokens: IntCounterVec,
+    wasted: IntCounterVec,
+    first_token: HistogramVec,
+    /// Requests accepted and not ended.
+    pub in_flight: IntGauge,
+    /// Revision of the configuration in force.
+    pub revision: IntGauge,
+}
+
+impl Metrics {
+    /// Registers all counters.
+    ///
+    /// # Errors
+    /// If two counters share a name.
+    pub fn open() -> Result<Metrics> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| -> Result<IntCounterVec> {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let requests = counter(
+            "almondrack_requests_total",
+            "Requests that ended, by class and outcome.",
+            &["class", "outcome"],
+        )?;
+        let in_time = counter(
+            "almondrack_in_time_total",
+            "Requests that met their class's targets.",
+            &["class"],
+        )?;
+        let tokens =
+            counter("almondrack_tokens_total", "Tokens delivered to callers.", &["class"])?;
+        let wasted = counter(
+            "almondrack_wasted_tokens_total",
+            "Tokens generated and not delivered.",
+            &["class"],
+        )?;
+        let opts = HistogramOpts::new(
+            "almondrack_first_token_seconds",
+            "Time from acceptance to the first token or byte.",
+        );
+        let opts = opts.buckets(FIRST_TOKEN_BUCKETS.to_vec());
+        let first_token = HistogramVec::new(opts, &["class"])?;
+        registry.register(Box::new(first_token.clone()))?;
+        let in_flight = gauge("almondrack_in_flight", "Requests accepted and not ended.")?;
+        let revision =
+            gauge("almondrack_config_revision", "Revision of the configuration in force.")?;
+        Ok(Metrics {
+            registry,
+            requests,
+            in_time,
+            tokens,
+            wasted,
+            first_token,
+            in_flight,
+            revision,
+        })
+    }
+
+    /// Counts a request that ended; `None` stands for a whole answer.
+    pub fn ended(&self, class: &str, failure: Option<Kind>, in_time: bool, tokens: u32) {
+        let outcome = failure.map_or("ok", |kind| kind.answer().name);
+        self.requests.with_label_values(&[class, outcome]).inc();
+        if in_time {
+            self.in_time.with_label_values(&[class]).inc();
+        }
+        self.tokens.with_label_values(&[class]).inc_by(u64::from(tokens));
+    }
+
+    /// Counts tokens of an attempt that was given up.
+    pub fn wasted(&self, class: &str, tokens: u32) {
+        self.wasted.with_label_values(&[class]).inc_by(u64::from(tokens));
+    }
+
+    /// Observes the time to the first token.
+    pub fn first_token(&self, class: &str, elapsed: Duration) {
+        self.first_token.with_label_values(&[class]).observe(elapsed.as_secs_f64());
+    }
+
+    /// All counters in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        let mut out = Vec::new();
+        let families = self.registry.gather();
+        match TextEncoder::new().encode(&families, &mut out) {
+            Ok(()) => String::from_utf8_lossy(&out).into_owned(),
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+}
