Stand-ins of the platform, the engine and the plain service

The whole path needs processes to talk to before anything else can be shown. One server underneath can cut a connection, refuse new ones and record every byte received.

--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -1,1 +1,9 @@
-//! x
+//! Small stand-ins for the platform, the engines, plain services and their callers (docs/PLATFORM.md).
+
+mod clock;
+pub mod engine;
+mod owner;
+mod patch;
+pub mod platform;
+pub mod server;
+pub mod service;
