--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 pub mod engine;
+pub mod load;
 mod owner;
 mod patch;
 pub mod platform;
