--- a/src/host.rs
+++ b/src/host.rs
@@ -198,7 +198,7 @@
 }
 
 fn poll_config(platform: platform::Client) -> watch::Receiver<Arc<Snapshot>> {
-    let (sender, receiver) = watch::channel(Arc::default());
+    let (sender, receiver) = watch::channel(Arc::new(Snapshot::default()));
     tokio::spawn(async move {
         while !sender.is_closed() {
             if let Ok(listing) = platform.list(Cause::Config, "config/", "", 10_000).await
