--- a/src/entry.rs
+++ b/src/entry.rs
@@ -116,7 +116,7 @@
         let mut server = App::new()
             .with_async_state(state)
             .at("/", handler_service(handle))
-            .at("/*path", handler_service(handle))
+            .at("/{*path}", handler_service(handle))
             .serve()
             .worker_threads(workers)
             .request_head_timeout(read_timeout)
--- /dev/null
+++ b/tests/processes/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the whole system as separate processes: the platform, upstreams and hosts.
+
+mod bad_input;
+mod credentials;
+mod stops;
+mod support;
+mod whole_path;
