--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     attempt::{Answering, Attempt, Granted, Loss, Sent},
+    attempts::{Attempts, Guard, Start, Stop},
     credential::Digest,
     error::{Error, Kind, Run},
     metrics::Metrics,
@@ -26,7 +27,6 @@
     record::{Class, Protocol},
     relay::{Relay, Source, Times},
     request,
-    running::{Attempts, Guard, Start, Stop},
     upstream::{self, Failure, Reuse},
     wire::{Decision, Ending, Grant, Progress, Running, Ticket, TicketId},
 };
--- a/src/host.rs
+++ b/src/host.rs
@@ -15,6 +15,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::{
+    attempts::{self, Attempts},
     config::Snapshot,
     dispatchers,
     entry::{self, Entry},
@@ -25,7 +26,6 @@
     platform::{self, Cause},
     pool,
     record::Record,
-    running::{self, Attempts},
     settings::Settings,
     time::wall_ms,
 };
@@ -111,7 +111,7 @@
         });
         let dispatchers =
             pool::Client { host: settings.host.as_str().into(), view, peers, local: dispatch };
-        let attempts = Attempts::spawn(running::Options {
+        let attempts = Attempts::spawn(attempts::Options {
             dispatchers: dispatchers.clone(),
             snapshot: snapshot.clone(),
             calls: attempt_calls,
--- a/src/lane.rs
+++ b/src/lane.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    attempts::Key,
     config::Snapshot,
     dispatch::{
         Action, Adopted, AttemptKey, Class, ClassKey, CustomerKey, Dispatcher, Ending, Event, Load,
@@ -20,7 +21,6 @@
     member::View,
     peer::{self, Peers},
     platform::State,
-    running::Key,
     time::{Span, Time},
     wire::{self, Decision, Grant, Held, Progress},
 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod admin;
 pub mod attempt;
+pub mod attempts;
 pub mod burn;
 pub mod config;
 pub mod controller;
@@ -42,7 +43,6 @@
 pub mod rendezvous;
 pub mod reporter;
 pub mod request;
-pub mod running;
 pub mod scale;
 pub mod settings;
 pub mod sse;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     attempt::{Answering, Attempt, Loss},
+    attempts::{Guard, Stop},
     error::Kind,
-    running::{Guard, Stop},
     sse::{self, Meaning, Usage},
     upstream::{Client, Reuse},
     wire::Ending,
