Decide tiers, fair shares, placement, retries and quarantine in the dispatcher

Cause: the first-come core knew neither tiers, customers nor memory. Change: one lane per class with fair queueing by customer and a floor; ordered groups of upstreams by price and pace; ejection with slow re-entry; retry budgets; quarantine after the second crash; early refusal from the backlog of the own and higher tiers alone. Found by the fuzzing and mended: a search for an attempt to stop looked at eight attempts only, so with eight on cheap upstreams a non-repeatable request stopped a higher tier; shedding compared with the class of the newest ticket instead of the victim's.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -1,8 +1,22 @@
 //! The dispatcher of one pool in one availability zone: queue, slots and placement.
 //!
 //! The core does no input or output. It takes events with the time at which they happened and appends actions.
+//! Each call costs a logarithm of the queue's length and of the number of upstreams; only changes of configuration and
+//! a quarantine look at all of them.
 
-use crate::{error::Kind, time::Time};
+use std::collections::BTreeSet;
+
+use crate::{
+    error::Kind,
+    estimate::Estimator,
+    health::Fault,
+    placement::{Demand, Placement, Status},
+    quarantine::Quarantine,
+    queue::{Alarm, Candidate, Queue, Waiting},
+    retry::Budget,
+    running::{Attempt, Running},
+    time::{Span, Time},
+};
 
 /// Key of a customer in the dispatcher's arena.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -186,64 +200,593 @@
     Quarantine(u64, Time),
 }
 
+/// Largest number of tickets that wait by default; about 10 MB.
+const MAX_WAITING: usize = 20_000;
+
+/// Prompt tokens that take as long as one output token.
+const PROMPT_PER_WORK: u64 = 16;
+
+/// Time before an upstream stops at which its repeatable attempts are moved.
+const EVACUATION: Span = Span::from_ms(2_000);
+
+/// Part of the queue time that the forecast may fill, in thousandths. The rest covers floors and errors.
+const FORECAST_PER_MILLE: u64 = 900;
+
+/// Smallest share of the capacity that a forecast counts on.
+const MIN_SHARE: f64 = 0.01;
+
+/// Bounds of the delay that a refusal states, in milliseconds.
+const RETRY_AFTER_MS: (u64, u64) = (100, 120_000);
+
+/// Delay stated when the retry budget is used up, in milliseconds.
+const RETRY_BUDGET_AFTER_MS: u64 = 1_000;
+
+/// Work of a request in work units: the time of one output token.
+fn work_of(prompt_tokens: u32, output_tokens: u32) -> u64 {
+    u64::from(prompt_tokens) / PROMPT_PER_WORK + u64::from(output_tokens).max(1)
+}
+
+/// Tokens that were generated, by what became of them.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Output {
+    /// Tokens of whole answers and of answers that their callers left.
+    pub used: u64,
+    /// Tokens of attempts that failed or were stopped.
+    pub wasted: u64,
+}
+
 /// State of the dispatcher.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Dispatcher {
-    queue: std::collections::VecDeque<Ticket>,
-    upstreams: Vec<(UpstreamKey, Upstream, u32)>,
-    running: Vec<(AttemptKey, UpstreamKey)>,
+    /// Largest number of tickets that wait.
+    max_waiting: usize,
+    queue: Queue,
+    placement: Placement,
+    running: Running,
+    estimator: Estimator,
+    quarantine: Quarantine,
+    budget: Budget,
+    /// Number of the newest attempt.
     attempts: u64,
+    /// When the attempts of leaving upstreams are moved at the latest.
+    evacuations: BTreeSet<(Time, UpstreamKey)>,
+    output: Output,
+    /// Tickets that became urgent during this call.
+    urgent: Vec<TicketKey>,
+    /// Kept between calls to save its allocation.
+    candidates: Vec<Candidate>,
+}
+
+impl Default for Dispatcher {
+    fn default() -> Dispatcher {
+        Dispatcher::bounded(MAX_WAITING)
+    }
 }
 
 impl Dispatcher {
+    /// A dispatcher that sheds beyond `max_waiting` tickets.
+    pub fn bounded(max_waiting: usize) -> Dispatcher {
+        Dispatcher {
+            max_waiting,
+            queue: Queue::default(),
+            placement: Placement::default(),
+            running: Running::default(),
+            estimator: Estimator::default(),
+            quarantine: Quarantine::default(),
+            budget: Budget::default(),
+            attempts: 0,
+            evacuations: BTreeSet::new(),
+            output: Output::default(),
+            urgent: Vec::new(),
+            candidates: Vec::new(),
+        }
+    }
+
     /// Handles one event and appends the actions that follow from it.
-    pub fn handle(&mut self, _now: Time, event: Event, actions: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        self.placement.advance(now);
         match event {
-            Event::Upstream(key, upstream) => {
-                match self.upstreams.binary_search_by_key(&key, |it| it.0) {
-                    Ok(found) => self.upstreams[found].1 = upstream,
-                    Err(at) => self.upstreams.insert(at, (key, upstream, 0)),
+            Event::Class(key, class) => self.set_class(now, key, class),
+            Event::Customer(key, weight) => self.queue.set_weight(key, weight),
+            Event::Upstream(key, upstream) => self.set_upstream(now, key, upstream, actions),
+            Event::Gone(key) => {
+                self.placement.remove(key);
+                self.quarantine.forget(key);
+            }
+            Event::Load(key, load) => self.placement.report(now, key, load),
+            Event::Cache(key, prefix, kept) => self.placement.cache(now, key, prefix, kept),
+            Event::Submit(ticket) => self.submit(now, ticket, actions),
+            Event::Cancel(key) => {
+                self.queue.remove(key);
+            }
+            Event::Adopt(adopted) => self.adopt(now, adopted),
+            Event::FirstToken(attempt, us) => self.first_token(now, attempt, us),
+            Event::Tokens(attempt, tokens) => self.tokens(now, attempt, tokens),
+            Event::Ended(attempt, ending) => self.end(now, attempt, ending, actions),
+            Event::Quarantine(fingerprint, until) => {
+                self.quarantine.insert(now, fingerprint, until);
+                self.refuse_fingerprint(now, fingerprint, actions);
+            }
+            Event::Tick => {}
+        }
+        self.evacuate_due(now, actions);
+        self.expire(now, actions);
+        self.fill(now, actions);
+        self.relieve_urgent(actions);
+    }
+
+    /// Number of tickets that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Number of tickets of a class that wait.
+    pub fn queued_of(&self, class: ClassKey) -> usize {
+        self.queue.len_of(class)
+    }
+
+    /// Longest queue time of a class. Its tickets are granted or refused by then, given a [`Event::Tick`] in time.
+    pub fn wait_bound(&self, class: ClassKey) -> Span {
+        Span::from_ms(self.queue.class(class).max_wait_ms)
+    }
+
+    /// Attempts of a class that are safe from being stopped for a higher tier: its floor in slots.
+    pub fn protected(&self, class: ClassKey) -> u64 {
+        let floor = u64::from(self.queue.class(class).floor_per_mille);
+        (self.placement.slots() * floor).div_ceil(1_000)
+    }
+
+    /// Next time at which [`Event::Tick`] has an effect.
+    pub fn next_alarm(&self) -> Option<Time> {
+        let queue = self.queue.next_alarm(self.lead_ms());
+        let evacuation = self.evacuations.first().map(|it| it.0);
+        [queue, evacuation, self.placement.next_alarm()].into_iter().flatten().min()
+    }
+
+    /// Attempts that run, on upstreams that are gone too.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Slots of the upstreams that serve.
+    pub fn slots(&self) -> u64 {
+        self.placement.slots()
+    }
+
+    /// Slots in use.
+    pub fn busy(&self) -> u64 {
+        self.placement.busy()
+    }
+
+    /// Slots that the work of the last seconds and the backlog call for, at the measured work rate.
+    ///
+    /// `None` before there is an upstream to measure.
+    pub fn demand(&self, now: Time) -> Option<f64> {
+        if self.placement.slots() == 0 {
+            return None;
+        }
+        let per_slot = self.placement.capacity() / self.placement.slots() as f64;
+        let arriving = self.queue.arrival_rate(now) / per_slot;
+        Some(arriving.max(self.placement.busy() as f64) + self.queue.len() as f64)
+    }
+
+    /// State of each upstream, in the order of keys.
+    pub fn upstreams(&self) -> impl Iterator<Item = Status> {
+        self.placement.iter()
+    }
+
+    /// Fingerprints that are refused at `now` and until when.
+    pub fn quarantined(&self, now: Time) -> impl Iterator<Item = (u64, Time)> {
+        self.quarantine.iter().filter(move |it| now < it.1)
+    }
+
+    /// Tokens that were generated so far.
+    pub fn output(&self) -> Output {
+        self.output
+    }
+
+    fn set_class(&mut self, now: Time, key: ClassKey, class: Class) {
+        self.queue.set_class(key, class);
+        let targets = self.queue.classes().map(|it| it.1.first_token_ms).collect();
+        self.placement.set_targets(now, targets);
+    }
+
+    fn set_upstream(
+        &mut self,
+        now: Time,
+        key: UpstreamKey,
+        upstream: Upstream,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.placement.set(now, key, upstream) {
+            self.count_running(now, key);
+        }
+        if let Some(stop) = upstream.leaving {
+            self.evacuations.insert((stop - EVACUATION, key));
+            self.evacuate(now, key, stop.since(now), actions);
+        }
+    }
+
+    /// Counts attempts that were adopted before their upstream was known.
+    fn count_running(&mut self, now: Time, key: UpstreamKey) {
+        for attempt in self.running.on(key) {
+            if let Some(attempt) = self.running.get(attempt) {
+                self.placement.start(now, key, attempt.need, attempt.suspect);
+            }
+        }
+    }
+
+    fn submit(&mut self, now: Time, ticket: Ticket, actions: &mut Vec<Action>) {
+        if self.queue.get(ticket.key).is_some() {
+            return;
+        }
+        if self.quarantine.end_of(now, ticket.fingerprint).is_some() {
+            refuse(ticket.key, Kind::Quarantined, None, actions);
+            return;
+        }
+        if ticket.retry && !self.budget.take(ticket.customer) {
+            let after = Some(RETRY_BUDGET_AFTER_MS);
+            refuse(ticket.key, Kind::RetryBudget, after, actions);
+            return;
+        }
+        let Some(waiting) = self.measure(now, ticket, actions) else { return };
+        if !self.has_time(now, &waiting) && !self.relieve(&waiting.ticket, actions) {
+            let ticket = &waiting.ticket;
+            let after = self.retry_after(now, ticket);
+            refuse(ticket.key, Kind::DeadlineUnmeetable, Some(after), actions);
+            return;
+        }
+        self.queue.push(now, waiting);
+        if self.queue.len() > self.max_waiting {
+            self.shed(now, actions);
+        }
+    }
+
+    /// Estimates a ticket's work and memory. Refuses a prompt that no upstream can hold.
+    fn measure(&mut self, now: Time, ticket: Ticket, actions: &mut Vec<Action>) -> Option<Waiting> {
+        let memory = self.placement.largest_memory().unwrap_or(u64::MAX);
+        let prompt = u64::from(ticket.prompt_tokens);
+        if prompt >= memory {
+            refuse(ticket.key, Kind::NoUpstream, None, actions);
+            return None;
+        }
+        let estimate = self.estimator.get(ticket.customer, ticket.route);
+        let reserve = estimate.reserve(0, ticket.max_tokens);
+        let need = (prompt + u64::from(reserve)).min(memory);
+        let work = work_of(ticket.prompt_tokens, estimate.total(0, ticket.max_tokens));
+        let since = if ticket.retry { now } else { ticket.accepted.min(now) };
+        Some(Waiting { ticket, need, work, since })
+    }
+
+    /// Whether the backlog of the own and higher tiers leaves time to grant a ticket.
+    fn has_time(&self, now: Time, waiting: &Waiting) -> bool {
+        let ticket = &waiting.ticket;
+        let class = self.queue.class(ticket.class);
+        let room = self.placement.room(Demand::of(&class, ticket.repeatable));
+        if room.is_some_and(|free| waiting.need <= free) {
+            return true;
+        }
+        let bound_ms = class.max_wait_ms * FORECAST_PER_MILLE / 1_000;
+        now.since(waiting.since).as_ms() + self.forecast_ms(now, ticket) <= bound_ms
+    }
+
+    /// Expected queue time of a new ticket, in milliseconds.
+    ///
+    /// Counts the backlog of the own and higher tiers alone, so that no lower tier ever causes a refusal.
+    fn forecast_ms(&self, now: Time, ticket: &Ticket) -> u64 {
+        let capacity = self.placement.capacity();
+        if capacity <= 0.0 {
+            return 0;
+        }
+        let backlog = self.queue.backlog(now, ticket.class, ticket.customer);
+        let floor = f64::from(backlog.floor_per_mille) / 1_000.0;
+        let share = (1.0 - backlog.higher_rate / capacity).max(floor).max(MIN_SHARE);
+        let work = (backlog.higher + backlog.own) as f64;
+        (work * 1_000.0 / (capacity * share)) as u64
+    }
+
+    /// Delay after which the backlog will have left time, in milliseconds.
+    fn retry_after(&self, now: Time, ticket: &Ticket) -> u64 {
+        let bound_ms = self.queue.class(ticket.class).max_wait_ms * FORECAST_PER_MILLE / 1_000;
+        let excess = self.forecast_ms(now, ticket).saturating_sub(bound_ms);
+        excess.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1)
+    }
+
+    /// Gives up a ticket of the lowest tier that waits, unless work of a lower tier than that can be stopped.
+    fn shed(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let victim = self.queue.victim().and_then(|it| self.queue.get(it));
+        let Some(ticket) = victim.map(|it| it.ticket.clone()) else { return };
+        let excess = self.queue.len() - self.max_waiting;
+        if excess <= self.running.stopping() + 1 && self.relieve(&ticket, actions) {
+            return;
+        }
+        self.queue.remove(ticket.key);
+        let after = self.retry_after(now, &ticket);
+        refuse(ticket.key, Kind::Shed, Some(after), actions);
+    }
+
+    /// Stops the newest attempt of the lowest tier below the ticket's that runs more than its floor.
+    ///
+    /// Returns whether one was stopped. Attempts that may not be repeated are never stopped.
+    fn relieve(&mut self, ticket: &Ticket, actions: &mut Vec<Action>) -> bool {
+        let class = self.queue.class(ticket.class);
+        let demand = Demand::of(&class, ticket.repeatable);
+        let mut lower: Vec<_> =
+            self.queue.classes().filter(|(_, it)| it.tier > class.tier).collect();
+        lower.sort_by_key(|(_, it)| std::cmp::Reverse(it.tier));
+        let victim = lower.into_iter().find_map(|(key, _)| self.victim(key, demand));
+        let Some(victim) = victim else { return false };
+        self.stop(victim, actions);
+        true
+    }
+
+    /// The newest attempt of a class that may be stopped and whose slot serves a demand.
+    fn victim(&self, class: ClassKey, demand: Demand) -> Option<AttemptKey> {
+        if self.running.active(class) as u64 <= self.protected(class) {
+            return None;
+        }
+        let prices =
+            [false, true].into_iter().filter(|it| self.placement.permits_price(*it, demand));
+        let newest = prices.filter_map(|cheap| {
+            // Looks past attempts on stragglers, which are few.
+            self.running.victims(class, cheap).find(|it| self.serves(it.1, demand))
+        });
+        newest.max().map(|it| it.1)
+    }
+
+    /// Whether the slot of an attempt serves a demand.
+    fn serves(&self, attempt: AttemptKey, demand: Demand) -> bool {
+        let attempt = self.running.get(attempt);
+        attempt.is_some_and(|it| self.placement.permits(it.upstream, demand))
+    }
+
+    fn stop(&mut self, attempt: AttemptKey, actions: &mut Vec<Action>) {
+        if self.running.stop(attempt) {
+            actions.push(Action::Preempt(attempt));
+        }
+    }
+
+    fn adopt(&mut self, now: Time, adopted: Adopted) {
+        let Adopted { attempt: key, ticket, upstream, tokens } = adopted;
+        if self.running.get(key).is_some() {
+            return;
+        }
+        self.attempts = self.attempts.max(key.0);
+        let estimate = self.estimator.get(ticket.customer, ticket.route);
+        let reserve = estimate.reserve(tokens, ticket.max_tokens);
+        let need = u64::from(ticket.prompt_tokens) + u64::from(reserve);
+        let work = work_of(ticket.prompt_tokens, estimate.total(tokens, ticket.max_tokens));
+        let suspect = self.quarantine.is_suspect(ticket.fingerprint);
+        self.placement.start(now, upstream, need, suspect);
+        let attempt = Attempt {
+            ticket,
+            upstream,
+            cheap: self.placement.is_cheap(upstream),
+            granted: now,
+            adopted: true,
+            need,
+            work,
+            tokens,
+            stopping: false,
+            suspect,
+        };
+        self.running.insert(key, attempt);
+    }
+
+    fn first_token(&mut self, now: Time, attempt: AttemptKey, us: u64) {
+        if let Some(attempt) = self.running.get(attempt) {
+            self.placement.first_token(now, attempt.upstream, us);
+        }
+    }
+
+    /// Corrects the estimates of an attempt that outgrows them.
+    fn tokens(&mut self, now: Time, attempt: AttemptKey, tokens: u32) {
+        let Some(attempt) = self.running.get_mut(attempt) else { return };
+        attempt.tokens = attempt.tokens.max(tokens);
+        let ticket = &attempt.ticket;
+        let (class, customer) = (ticket.class, ticket.customer);
+        let used = u64::from(ticket.prompt_tokens) + u64::from(attempt.tokens);
+        let work = work_of(ticket.prompt_tokens, attempt.tokens);
+        if used <= attempt.need && work <= attempt.work {
+            return;
+        }
+        let estimate = self.estimator.get(customer, ticket.route);
+        let reserve = estimate.reserve(attempt.tokens, ticket.max_tokens).max(attempt.tokens);
+        let total = estimate.total(attempt.tokens, ticket.max_tokens).max(attempt.tokens);
+        let need = (u64::from(ticket.prompt_tokens) + u64::from(reserve)).max(attempt.need);
+        let work = work_of(ticket.prompt_tokens, total).max(attempt.work);
+        let charge = work - attempt.work;
+        self.placement.grow(now, attempt.upstream, attempt.need, need);
+        attempt.need = need;
+        attempt.work = work;
+        self.queue.charge(class, customer, charge);
+    }
+
+    fn end(&mut self, now: Time, key: AttemptKey, ending: Ending, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.running.remove(key) else { return };
+        let Attempt { ticket, upstream, granted, .. } = &attempt;
+        self.placement.finish(now, *upstream, attempt.need, attempt.suspect);
+        let actual = work_of(ticket.prompt_tokens, attempt.tokens);
+        let tokens = u64::from(attempt.tokens);
+        match ending {
+            Ending::Done => self.complete(now, &attempt, actual),
+            Ending::Cancelled => {
+                self.settle(&attempt, actual);
+                self.output.used += tokens;
+            }
+            Ending::Refused => {
+                self.settle(&attempt, 0);
+                self.placement.fail(now, *upstream, *granted, Fault::Hard);
+            }
+            Ending::Failed => {
+                self.settle(&attempt, actual);
+                self.output.wasted += tokens;
+                self.placement.fail(now, *upstream, *granted, Fault::Hard);
+                self.crash(now, &attempt, actions);
+            }
+            Ending::TimedOut => {
+                self.settle(&attempt, actual);
+                self.output.wasted += tokens;
+                self.placement.fail(now, *upstream, *granted, Fault::Timeout);
+            }
+            Ending::Preempted => {
+                self.settle(&attempt, 0);
+                self.output.wasted += tokens;
+                self.budget.refund(ticket.customer);
+            }
+        }
+    }
+
+    fn complete(&mut self, now: Time, attempt: &Attempt, actual: u64) {
+        let ticket = &attempt.ticket;
+        self.settle(attempt, actual);
+        self.output.used += u64::from(attempt.tokens);
+        self.estimator.observe(ticket.customer, ticket.route, attempt.tokens);
+        self.quarantine.complete(ticket.fingerprint);
+        self.budget.succeed(ticket.customer);
+        let duration = (!attempt.adopted).then(|| now.since(attempt.granted));
+        self.placement.succeed(now, attempt.upstream, actual, duration);
+    }
+
+    /// Replaces the work that was charged for an attempt by the work that it took.
+    fn settle(&mut self, attempt: &Attempt, actual: u64) {
+        let (class, customer) = (attempt.ticket.class, attempt.ticket.customer);
+        let charged = if attempt.adopted { 0 } else { attempt.work };
+        if actual > charged {
+            self.queue.charge(class, customer, actual - charged);
+        } else {
+            self.queue.credit(class, customer, charged - actual);
+        }
+    }
+
+    fn crash(&mut self, now: Time, attempt: &Attempt, actions: &mut Vec<Action>) {
+        let fingerprint = attempt.ticket.fingerprint;
+        let until = self.quarantine.crash(now, attempt.upstream, attempt.granted, fingerprint);
+        let Some(until) = until else { return };
+        actions.push(Action::Quarantine(fingerprint, until));
+        self.refuse_fingerprint(now, fingerprint, actions);
+    }
+
+    fn refuse_fingerprint(&mut self, now: Time, fingerprint: u64, actions: &mut Vec<Action>) {
+        if self.quarantine.end_of(now, fingerprint).is_none() {
+            return;
+        }
+        for key in self.queue.of_fingerprint(fingerprint) {
+            self.queue.remove(key);
+            refuse(key, Kind::Quarantined, None, actions);
+        }
+    }
+
+    fn evacuate_due(&mut self, now: Time, actions: &mut Vec<Action>) {
+        while let Some((due, key)) = self.evacuations.first().copied()
+            && due <= now
+        {
+            self.evacuations.pop_first();
+            if self.placement.leaving(key).is_some_and(|stop| stop - EVACUATION <= now) {
+                self.evacuate(now, key, Span(0), actions);
+            }
+        }
+    }
+
+    /// Moves the repeatable attempts that an upstream will not finish within `left`, highest tier first.
+    fn evacuate(&mut self, now: Time, key: UpstreamKey, left: Span, actions: &mut Vec<Action>) {
+        let rate = self.placement.rate_of(key);
+        let mut moved = Vec::new();
+        for attempt_key in self.running.on(key) {
+            let Some(attempt) = self.running.get(attempt_key) else { continue };
+            let spent = now.since(attempt.granted).0 as f64 / 1e6;
+            let total = attempt.work as f64 / rate;
+            let unfinished = (total - spent).max(0.0) * 1e6 >= left.0 as f64;
+            if attempt.ticket.repeatable && unfinished {
+                moved.push((self.queue.class(attempt.ticket.class).tier, attempt_key));
+            }
+        }
+        moved.sort_unstable();
+        for (_, attempt) in moved {
+            self.stop(attempt, actions);
+        }
+    }
+
+    /// Refuses tickets whose queue time has reached its bound and marks the urgent ones.
+    fn expire(&mut self, now: Time, actions: &mut Vec<Action>) {
+        while let Some(alarm) = self.queue.due(now, self.lead_ms()) {
+            match alarm {
+                Alarm::Urgent(key) => self.urgent.push(key),
+                Alarm::Expired(key) => {
+                    let Some(waiting) = self.queue.remove(key) else { continue };
+                    let after = self.retry_after(now, &waiting.ticket);
+                    refuse(key, Kind::QueueTimeout, Some(after), actions);
                 }
             }
-            Event::Gone(key) => self.upstreams.retain(|it| it.0 != key),
-            Event::Submit(ticket) => self.queue.push_back(ticket),
-            Event::Cancel(key) => self.queue.retain(|it| it.key != key),
-            Event::Ended(attempt, _) => self.end(attempt),
-            Event::Adopt(it) => self.running.push((it.attempt, it.upstream)),
-            Event::Class(..)
-            | Event::Customer(..)
-            | Event::Load(..)
-            | Event::Cache(..)
-            | Event::FirstToken(..)
-            | Event::Tokens(..)
-            | Event::Quarantine(..)
-            | Event::Tick => {}
-        }
-        self.grant(actions);
-    }
-
-    fn end(&mut self, attempt: AttemptKey) {
-        let Some(found) = self.running.iter().position(|it| it.0 == attempt) else { return };
-        let (_, upstream) = self.running.swap_remove(found);
-        if let Some(it) = self.upstreams.iter_mut().find(|it| it.0 == upstream) {
-            it.2 = it.2.saturating_sub(1);
-        }
-    }
-
-    fn grant(&mut self, actions: &mut Vec<Action>) {
-        while let Some(ticket) = self.queue.front() {
-            let free = self
-                .upstreams
-                .iter_mut()
-                .filter(|it| it.1.leaving.is_none() && it.2 < it.1.slots)
-                .min_by_key(|it| it.2);
-            let Some(free) = free else { return };
-            free.2 += 1;
-            self.attempts += 1;
-            let attempt = AttemptKey(self.attempts);
-            self.running.push((attempt, free.0));
-            actions.push(Action::Grant { ticket: ticket.key, attempt, upstream: free.0 });
-            self.queue.pop_front();
         }
     }
+
+    /// Stops an attempt of a lower tier for each newly urgent ticket that found no slot.
+    fn relieve_urgent(&mut self, actions: &mut Vec<Action>) {
+        while let Some(key) = self.urgent.pop() {
+            let Some(waiting) = self.queue.get(key) else { continue };
+            let ticket = waiting.ticket.clone();
+            let tier = self.queue.class(ticket.class).tier;
+            if self.running.stopping() < self.queue.urgent(tier) {
+                self.relieve(&ticket, actions);
+            }
+        }
+    }
+
+    /// Grants tickets while one fits a free slot.
+    fn fill(&mut self, now: Time, actions: &mut Vec<Action>) {
+        while self.placement.is_open() && !self.queue.is_empty() {
+            let mut candidates = std::mem::take(&mut self.candidates);
+            self.queue.candidates(now, &mut candidates);
+            let found = candidates.iter().find_map(|it| self.pick(it.class));
+            self.candidates = candidates;
+            let Some((ticket, upstream)) = found else { return };
+            self.grant(now, ticket, upstream, actions);
+        }
+    }
+
+    /// The next ticket of a class that fits a free slot, and the slot's upstream.
+    fn pick(&self, class: ClassKey) -> Option<(TicketKey, UpstreamKey)> {
+        let spec = self.queue.class(class);
+        let room = [false, true].map(|it| self.placement.room(Demand::of(&spec, it)));
+        let waiting = self.queue.next(class, room)?;
+        let ticket = &waiting.ticket;
+        let demand = Demand::of(&spec, ticket.repeatable);
+        let suspect = self.quarantine.is_suspect(ticket.fingerprint);
+        let upstream = self.placement.choose(ticket, demand, waiting.need, suspect)?;
+        Some((ticket.key, upstream))
+    }
+
+    fn grant(&mut self, now: Time, key: TicketKey, upstream: UpstreamKey, out: &mut Vec<Action>) {
+        let Some(waiting) = self.queue.grant(key) else { return };
+        let Waiting { ticket, need, work, .. } = waiting;
+        let suspect = self.quarantine.is_suspect(ticket.fingerprint);
+        self.attempts += 1;
+        let attempt = AttemptKey(self.attempts);
+        self.placement.start(now, upstream, need, suspect);
+        self.placement.assign(now, upstream, ticket.prefix);
+        out.push(Action::Grant { ticket: key, attempt, upstream });
+        let granted = Attempt {
+            ticket,
+            upstream,
+            cheap: self.placement.is_cheap(upstream),
+            granted: now,
+            adopted: false,
+            need,
+            work,
+            tokens: 0,
+            stopping: false,
+            suspect,
+        };
+        self.running.insert(attempt, granted);
+    }
+
+    /// How long before its target a ticket must be granted, in milliseconds.
+    fn lead_ms(&self) -> u64 {
+        (self.placement.first_token_us() / 1_000.0) as u64
+    }
+}
+
+fn refuse(ticket: TicketKey, kind: Kind, retry_after_ms: Option<u64>, actions: &mut Vec<Action>) {
+    actions.push(Action::Refuse { ticket, kind, retry_after_ms });
 }
--- /dev/null
+++ b/tests/dispatch.rs
@@ -0,0 +1,568 @@
+//! Stateful fuzzing of the dispatcher against an oracle that states its rules, and snapshots of single rules.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use almondrack::{
+    dispatch::{
+        Action, Adopted, AttemptKey, Class, ClassKey, CustomerKey, Dispatcher, Ending, Event, Load,
+        RouteKey, Ticket, TicketKey, Upstream, UpstreamKey,
+    },
+    error::Kind,
+    time::{Span, Time},
+};
+use expect_test::expect;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const START: Time = Time(1_000_000_000);
+
+const CLASSES: [(ClassKey, Class); 3] = [
+    (ClassKey(1), class(1, 600, 50, 1_000)),
+    (ClassKey(2), class(2, 3_000, 50, 4_000)),
+    (ClassKey(3), class(3, 30_000, 100, 30_000)),
+];
+
+const fn class(tier: u8, first_token_ms: u64, floor_per_mille: u32, max_wait_ms: u64) -> Class {
+    Class { tier, first_token_ms, floor_per_mille, max_wait_ms }
+}
+
+fn spec(key: ClassKey) -> Class {
+    CLASSES.iter().find(|it| it.0 == key).expect("class").1
+}
+
+/// Upstreams with these keys answer slowly.
+fn is_slow(key: UpstreamKey) -> bool {
+    key.0 % 4 == 3
+}
+
+#[derive(Debug, Clone)]
+enum Op {
+    Submit { customer: u32, class: u32, sizes: (u32, u32), flags: u8, prefix: u64, body: u64 },
+    End { pick: usize, ending: Ending },
+    FirstToken { pick: usize },
+    Tokens { pick: usize, tokens: u32 },
+    Cancel { pick: usize },
+    Add { slots: u32, kv_tokens: u64, cheap: bool },
+    Leave { pick: usize, notice_ms: u64 },
+    Gone { pick: usize },
+    Load { pick: usize, running: u32, age_ms: u64 },
+    Cache { pick: usize, prefix: u64, kept: bool },
+    Adopt { pick: usize, class: u32, flags: u8 },
+    Quarantine { body: u64 },
+    Weight { customer: u32, weight: u32 },
+    Tick,
+}
+
+#[derive(Debug, Clone)]
+struct Step {
+    after_us: u64,
+    op: Op,
+}
+
+fn below(gen_: &mut Gen, bound: u64) -> u64 {
+    u64::arbitrary(gen_) % bound
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let pick = below(g, 64) as usize;
+        let op = match below(g, 100) {
+            0..50 => Op::Submit {
+                customer: below(g, 5) as u32,
+                class: 1 + below(g, 3) as u32,
+                sizes: (below(g, 300) as u32, below(g, 4) as u32 * 100),
+                flags: below(g, 16) as u8,
+                prefix: below(g, 4),
+                body: below(g, 400),
+            },
+            50..72 => Op::End { pick, ending: ending(g) },
+            72..77 => Op::FirstToken { pick },
+            77..81 => Op::Tokens { pick, tokens: below(g, 500) as u32 },
+            81..83 => Op::Cancel { pick },
+            83..86 => Op::Add {
+                slots: 1 + below(g, 4) as u32,
+                kv_tokens: below(g, 3) * 800,
+                cheap: below(g, 3) == 0,
+            },
+            86 => Op::Leave { pick, notice_ms: below(g, 10_000) },
+            87 => Op::Gone { pick },
+            88..90 => Op::Load { pick, running: below(g, 9) as u32, age_ms: below(g, 6_000) },
+            90..92 => Op::Cache { pick, prefix: below(g, 4), kept: bool::arbitrary(g) },
+            92 => Op::Adopt { pick, class: 1 + below(g, 3) as u32, flags: below(g, 2) as u8 },
+            93 => Op::Quarantine { body: below(g, 400) },
+            94 => Op::Weight { customer: below(g, 5) as u32, weight: 1 + below(g, 9) as u32 },
+            _ => Op::Tick,
+        };
+        let long = below(g, 20) == 0;
+        Step { after_us: below(g, if long { 3_000_000 } else { 100_000 }), op }
+    }
+}
+
+fn ending(g: &mut Gen) -> Ending {
+    match below(g, 40) {
+        0 => Ending::Cancelled,
+        1 => Ending::Refused,
+        2 | 3 => Ending::Failed,
+        4 => Ending::TimedOut,
+        _ => Ending::Done,
+    }
+}
+
+#[derive(Debug)]
+struct Run {
+    ticket: Ticket,
+    upstream: UpstreamKey,
+    tokens: u32,
+    stopping: bool,
+}
+
+#[derive(Debug)]
+struct Site {
+    upstream: Upstream,
+    /// Whether an attempt failed there, so that it may be ejected.
+    failed: bool,
+}
+
+/// The rules, and as much of the world as it takes to check them.
+#[derive(Debug, Default)]
+struct Oracle {
+    now: Time,
+    sites: BTreeMap<UpstreamKey, Site>,
+    waiting: BTreeMap<TicketKey, (Ticket, Time)>,
+    running: BTreeMap<AttemptKey, Run>,
+    answered: BTreeSet<TicketKey>,
+    quarantined: BTreeMap<u64, Time>,
+    /// Grants per class that passed over a higher tier.
+    passes: BTreeMap<ClassKey, u64>,
+    grants: u64,
+    preempts: u64,
+    refusals: BTreeMap<Kind, u64>,
+}
+
+impl Oracle {
+    fn check(&mut self, action: &Action) {
+        match action {
+            Action::Grant { ticket, attempt, upstream } => {
+                self.granted(*ticket, *attempt, *upstream)
+            }
+            Action::Refuse { ticket, kind, retry_after_ms } => {
+                assert_eq!(
+                    retry_after_ms.is_some(),
+                    kind.answer().later && *kind != Kind::NoUpstream,
+                    "a delay is stated where it helps: {kind:?}"
+                );
+                self.refused(*ticket, *kind);
+            }
+            Action::Preempt(attempt) => self.preempted(*attempt),
+            Action::Quarantine(fingerprint, until) => {
+                self.quarantined.insert(*fingerprint, *until);
+            }
+        }
+    }
+
+    fn granted(&mut self, key: TicketKey, attempt: AttemptKey, upstream: UpstreamKey) {
+        let (ticket, since) = self.waiting.remove(&key).expect("only waiting tickets are granted");
+        let site = self.sites.get(&upstream).expect("only known upstreams are used");
+        let wait = Span::from_ms(spec(ticket.class).max_wait_ms);
+        assert!(self.now.since(since) < wait, "granted beyond the wait bound");
+        assert_eq!(site.upstream.leaving, None, "nothing new on a leaving upstream");
+        assert!(self.busy(upstream) < site.upstream.slots, "slots overrun on {upstream:?}");
+        let kv = self.used(upstream) + u64::from(ticket.prompt_tokens);
+        assert!(site.upstream.kv_tokens == 0 || kv <= site.upstream.kv_tokens, "memory overrun");
+        assert!(!self.is_quarantined(ticket.fingerprint), "a quarantined request was granted");
+        if !ticket.repeatable && site.upstream.cheap {
+            let paid = self.sites.values().any(|it| self.serves(it) && !it.upstream.cheap);
+            assert!(!paid, "a request that may not be repeated runs on a cheap upstream");
+        }
+        self.grants += 1;
+        let tier = spec(ticket.class).tier;
+        if self
+            .waiting
+            .values()
+            .any(|(it, _)| spec(it.class).tier < tier && self.fits(it, upstream))
+        {
+            *self.passes.entry(ticket.class).or_default() += 1;
+            let share = u64::from(spec(ticket.class).floor_per_mille) * self.grants / 1_000;
+            let passes = self.passes[&ticket.class];
+            assert!(passes <= share + 5, "tier {tier} passed a higher one {passes} times");
+        }
+        let run = Run { ticket, upstream, tokens: 0, stopping: false };
+        assert!(self.running.insert(attempt, run).is_none(), "attempt number given twice");
+        assert!(self.answered.insert(key), "second answer to {key:?}");
+    }
+
+    fn refused(&mut self, key: TicketKey, kind: Kind) {
+        let (ticket, since) = self.waiting.remove(&key).expect("only waiting tickets are refused");
+        assert!(self.answered.insert(key), "second answer to {key:?}");
+        *self.refusals.entry(kind).or_default() += 1;
+        let spec_ = spec(ticket.class);
+        match kind {
+            Kind::QueueTimeout => {
+                assert!(self.now.since(since) >= Span::from_ms(spec_.max_wait_ms), "too early");
+            }
+            Kind::Shed => {
+                let lower = self.waiting.values().any(|it| spec(it.0.class).tier > spec_.tier);
+                assert!(!lower, "shed while a lower tier waits");
+                self.no_lower_to_stop(&ticket, spec_.tier);
+            }
+            Kind::DeadlineUnmeetable => self.no_lower_to_stop(&ticket, spec_.tier),
+            Kind::Quarantined => assert!(self.is_quarantined(ticket.fingerprint)),
+            Kind::RetryBudget => assert!(ticket.retry),
+            Kind::NoUpstream => {
+                let prompt = u64::from(ticket.prompt_tokens);
+                let small =
+                    |it: &Site| it.upstream.kv_tokens != 0 && it.upstream.kv_tokens <= prompt;
+                assert!(self.sites.values().all(small));
+            }
+            other => panic!("unexpected refusal {other:?}"),
+        }
+    }
+
+    fn preempted(&mut self, key: AttemptKey) {
+        let run = self.running.get(&key).expect("only running attempts are stopped");
+        assert!(run.ticket.repeatable, "stopped what may not be repeated");
+        assert!(!run.stopping, "stopped twice");
+        let site = self.sites.get(&run.upstream);
+        if site.is_none_or(|it| it.upstream.leaving.is_none()) {
+            let victim = spec(run.ticket.class).tier;
+            let class = run.ticket.class;
+            let higher = self.waiting.values().filter(|it| spec(it.0.class).tier < victim);
+            let higher: Vec<_> = higher.map(|it| it.0.repeatable).collect();
+            assert!(!higher.is_empty(), "stopped for nobody");
+            // A request that may not be repeated gains nothing from a slot on a cheap upstream.
+            let cheap_too = higher.into_iter().all(|it| it);
+            let lower = CLASSES.iter().filter(|it| it.1.tier > victim);
+            let lower = lower.filter(|it| self.stoppable(it.0, cheap_too) > 0).count();
+            assert_eq!(lower, 0, "stopped tier {victim} while a lower one runs");
+            assert!(self.active(class) > 0);
+            self.preempts += 1;
+        }
+        self.running.get_mut(&key).expect("running").stopping = true;
+    }
+
+    fn no_lower_to_stop(&self, ticket: &Ticket, tier: u8) {
+        for (class, _) in CLASSES.iter().filter(|it| it.1.tier > tier) {
+            let count = self.stoppable(*class, ticket.repeatable);
+            assert_eq!(count, 0, "tier {tier} refused while {class:?} could be stopped");
+        }
+    }
+
+    /// Attempts of a class that may be stopped: repeatable, beyond the floor, on upstreams that any class may use.
+    fn stoppable(&self, class: ClassKey, cheap_too: bool) -> usize {
+        let slots = self.sites.values().filter(|it| it.upstream.leaving.is_none());
+        let slots: u64 = slots.map(|it| u64::from(it.upstream.slots)).sum();
+        let floor = (slots * u64::from(spec(class).floor_per_mille)).div_ceil(1_000);
+        if self.active(class) as u64 <= floor {
+            return 0;
+        }
+        let mine = self.running.values().filter(|it| it.ticket.class == class && !it.stopping);
+        let useful = mine.filter(|it| {
+            let site = self.sites.get(&it.upstream);
+            let useful = site.is_some_and(|site| {
+                self.serves(site) && !is_slow(it.upstream) && (cheap_too || !site.upstream.cheap)
+            });
+            it.ticket.repeatable && useful
+        });
+        useful.count()
+    }
+
+    fn active(&self, class: ClassKey) -> usize {
+        self.running.values().filter(|it| it.ticket.class == class && !it.stopping).count()
+    }
+
+    fn serves(&self, site: &Site) -> bool {
+        site.upstream.leaving.is_none() && !site.failed
+    }
+
+    fn busy(&self, upstream: UpstreamKey) -> u32 {
+        self.running.values().filter(|it| it.upstream == upstream).count() as u32
+    }
+
+    fn used(&self, upstream: UpstreamKey) -> u64 {
+        let here = self.running.values().filter(|it| it.upstream == upstream);
+        here.map(|it| u64::from(it.ticket.prompt_tokens) + u64::from(it.tokens)).sum()
+    }
+
+    /// Most that an estimate can reserve on an upstream, `None` if an output has no stated end.
+    fn reserved(&self, upstream: UpstreamKey) -> Option<u64> {
+        let here = self.running.values().filter(|it| it.upstream == upstream);
+        here.map(|it| Some(size(&it.ticket)?.max(u64::from(it.ticket.prompt_tokens + it.tokens))))
+            .sum()
+    }
+
+    /// Whether a ticket certainly fits a free slot of an upstream that any class may use.
+    fn fits(&self, ticket: &Ticket, key: UpstreamKey) -> bool {
+        let site = &self.sites[&key];
+        let open = self.serves(site) && !is_slow(key) && self.busy(key) < site.upstream.slots;
+        if !open || (site.upstream.cheap && !ticket.repeatable) {
+            return false;
+        }
+        if site.upstream.kv_tokens == 0 {
+            return true;
+        }
+        let (Some(size), Some(reserved)) = (size(ticket), self.reserved(key)) else { return false };
+        size + reserved <= site.upstream.kv_tokens
+    }
+
+    fn is_quarantined(&self, fingerprint: u64) -> bool {
+        self.quarantined.get(&fingerprint).is_some_and(|end| self.now < *end)
+    }
+
+    /// What holds between any two events.
+    fn rest(&self) {
+        for (ticket, since) in self.waiting.values() {
+            let bound = Span::from_ms(spec(ticket.class).max_wait_ms);
+            assert!(self.now.since(*since) < bound, "{:?} waits beyond its bound", ticket.key);
+            let idle = self.sites.keys().find(|key| self.fits(ticket, **key));
+            assert_eq!(idle, None, "an upstream is idle while {ticket:?} waits");
+        }
+    }
+}
+
+/// Memory of a request whose output has a stated end.
+fn size(ticket: &Ticket) -> Option<u64> {
+    (ticket.max_tokens > 0).then(|| u64::from(ticket.prompt_tokens + ticket.max_tokens))
+}
+
+#[derive(Debug, Default)]
+struct World {
+    dispatcher: Dispatcher,
+    oracle: Oracle,
+    next_upstream: u32,
+    next_ticket: u64,
+}
+
+impl World {
+    fn open() -> World {
+        let mut world = World { dispatcher: Dispatcher::bounded(16), ..World::default() };
+        world.oracle.now = START;
+        for (key, class) in CLASSES {
+            world.handle(Event::Class(key, class));
+        }
+        for (slots, kv_tokens, cheap) in
+            [(2, 0, false), (3, 2_000, false), (2, 0, true), (1, 0, false)]
+        {
+            world.apply(Op::Add { slots, kv_tokens, cheap });
+        }
+        world
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.dispatcher.handle(self.oracle.now, event, &mut actions);
+        for action in &actions {
+            self.oracle.check(action);
+        }
+        self.oracle.rest();
+        assert_eq!(self.dispatcher.queued(), self.oracle.waiting.len());
+        assert_eq!(self.dispatcher.running(), self.oracle.running.len());
+    }
+
+    /// Lets time pass and wakes the dispatcher whenever it asked for it.
+    fn wait(&mut self, span: Span) {
+        let end = self.oracle.now + span;
+        while let Some(alarm) = self.dispatcher.next_alarm()
+            && alarm <= end
+        {
+            assert!(
+                alarm > self.oracle.now || self.oracle.now == START,
+                "the alarm is not in the past"
+            );
+            self.oracle.now = alarm.max(self.oracle.now);
+            self.handle(Event::Tick);
+        }
+        self.oracle.now = end;
+    }
+
+    fn step(&mut self, step: Step) {
+        self.wait(Span(step.after_us));
+        self.apply(step.op);
+    }
+
+    fn apply(&mut self, op: Op) {
+        match op {
+            Op::Submit { customer, class, sizes, flags, prefix, body } => {
+                let ticket = Ticket {
+                    prefix,
+                    fingerprint: body,
+                    retry: flags & 14 == 14,
+                    ..self.ticket(customer, class, sizes, flags & 1 == 0)
+                };
+                self.submit(ticket);
+            }
+            Op::End { pick, ending } => self.end(pick, ending),
+            Op::FirstToken { pick } => {
+                let Some((attempt, run)) = picked(&self.oracle.running, pick) else { return };
+                let us = if is_slow(run.upstream) { 5_000_000 } else { 100_000 };
+                self.handle(Event::FirstToken(attempt, us));
+            }
+            Op::Tokens { pick, tokens } => self.tokens(pick, tokens),
+            Op::Cancel { pick } => {
+                let Some((key, _)) = picked(&self.oracle.waiting, pick) else { return };
+                self.oracle.waiting.remove(&key);
+                self.handle(Event::Cancel(key));
+            }
+            Op::Add { slots, kv_tokens, cheap } => {
+                self.next_upstream += 1;
+                let upstream = Upstream { slots, kv_tokens, cheap, leaving: None };
+                let key = UpstreamKey(self.next_upstream);
+                self.oracle.sites.insert(key, Site { upstream, failed: false });
+                self.handle(Event::Upstream(key, upstream));
+            }
+            Op::Leave { pick, notice_ms } => {
+                let Some((key, site)) = picked(&self.oracle.sites, pick) else { return };
+                let leaving = Some(self.oracle.now + Span::from_ms(notice_ms));
+                let upstream = Upstream { leaving, ..site.upstream };
+                self.oracle.sites.get_mut(&key).expect("known").upstream = upstream;
+                self.handle(Event::Upstream(key, upstream));
+            }
+            Op::Gone { pick } => {
+                let Some((key, _)) = picked(&self.oracle.sites, pick) else { return };
+                self.oracle.sites.remove(&key);
+                self.handle(Event::Gone(key));
+            }
+            Op::Load { pick, running, age_ms } => {
+                let Some((key, _)) = picked(&self.oracle.sites, pick) else { return };
+                let at = self.oracle.now - Span::from_ms(age_ms);
+                let load = Load { running, waiting: running / 2, kv_used: 100, at };
+                self.handle(Event::Load(key, load));
+            }
+            Op::Cache { pick, prefix, kept } => {
+                let Some((key, _)) = picked(&self.oracle.sites, pick) else { return };
+                self.handle(Event::Cache(key, prefix, kept));
+            }
+            Op::Adopt { pick, class, flags } => self.adopt(pick, class, flags & 1 == 0),
+            Op::Quarantine { body } => {
+                let until = self.oracle.now + Span::from_ms(5_000);
+                let end = self.oracle.quarantined.entry(body).or_insert(until);
+                *end = until.max(*end);
+                self.handle(Event::Quarantine(body, until));
+            }
+            Op::Weight { customer, weight } => {
+                self.handle(Event::Customer(CustomerKey(customer), weight));
+            }
+            Op::Tick => self.handle(Event::Tick),
+        }
+    }
+
+    fn ticket(&mut self, customer: u32, class: u32, sizes: (u32, u32), repeatable: bool) -> Ticket {
+        self.next_ticket += 1;
+        Ticket {
+            key: TicketKey(self.next_ticket),
+            customer: CustomerKey(customer),
+            class: ClassKey(class),
+            route: RouteKey(class),
+            prompt_tokens: sizes.0,
+            max_tokens: sizes.1,
+            accepted: self.oracle.now,
+            repeatable,
+            retry: false,
+            prefix: 0,
+            fingerprint: 1_000_000 + self.next_ticket,
+            avoid: Vec::new(),
+        }
+    }
+
+    fn submit(&mut self, ticket: Ticket) {
+        self.oracle.waiting.insert(ticket.key, (ticket.clone(), self.oracle.now));
+        self.handle(Event::Submit(ticket));
+    }
+
+    fn end(&mut self, pick: usize, ending: Ending) {
+        let Some((attempt, run)) = picked(&self.oracle.running, pick) else { return };
+        let ending = if run.stopping { Ending::Preempted } else { ending };
+        let upstream = run.upstream;
+        let failed = matches!(ending, Ending::Failed | Ending::Refused | Ending::TimedOut);
+        self.oracle.running.remove(&attempt);
+        if let Some(site) = self.oracle.sites.get_mut(&upstream) {
+            site.failed |= failed;
+        }
+        self.handle(Event::Ended(attempt, ending));
+    }
+
+    fn tokens(&mut self, pick: usize, tokens: u32) {
+        let Some((attempt, run)) = picked(&self.oracle.running, pick) else { return };
+        let cap = if run.ticket.max_tokens == 0 { u32::MAX } else { run.ticket.max_tokens };
+        let tokens = run.tokens.max(tokens.min(cap));
+        self.oracle.running.get_mut(&attempt).expect("running").tokens = tokens;
+        self.handle(Event::Tokens(attempt, tokens));
+    }
+
+    fn adopt(&mut self, pick: usize, class: u32, repeatable: bool) {
+        let Some((upstream, _)) = picked(&self.oracle.sites, pick) else { return };
+        let ticket = self.ticket(0, class, (50, 100), repeatable);
+        // Grants of this dispatcher count up from one, those of a former one are far above.
+        let last = self.oracle.running.keys().next_back().map_or(0, |it| it.0);
+        let attempt = AttemptKey(last.max(self.next_ticket * 1_000_000));
+        let run = Run { ticket: ticket.clone(), upstream, tokens: 10, stopping: false };
+        if self.oracle.running.contains_key(&attempt) {
+            return;
+        }
+        self.oracle.running.insert(attempt, run);
+        self.handle(Event::Adopt(Adopted { attempt, ticket, upstream, tokens: 10 }));
+    }
+
+    /// Ends what runs until nothing is left; every ticket must have had its answer.
+    fn drain(&mut self) {
+        for _ in 0..1_000 {
+            self.wait(Span::from_ms(500));
+            while !self.oracle.running.is_empty() {
+                self.end(0, Ending::Done);
+            }
+            if self.oracle.waiting.is_empty() && self.oracle.running.is_empty() {
+                assert_eq!(self.dispatcher.busy(), 0);
+                let reserved = self.dispatcher.upstreams().map(|it| it.kv_reserved).sum::<u64>();
+                assert_eq!(reserved, 0);
+                return;
+            }
+        }
+        panic!("tickets are left: {:?}", self.oracle.waiting);
+    }
+}
+
+fn picked<K: Copy + Ord, V>(map: &BTreeMap<K, V>, pick: usize) -> Option<(K, &V)> {
+    let at = pick.checked_rem(map.len())?;
+    map.iter().nth(at).map(|(key, value)| (*key, value))
+}
+
+fn holds(steps: Vec<Step>) -> bool {
+    let mut world = World::open();
+    for step in steps {
+        world.step(step);
+    }
+    world.drain();
+    true
+}
+
+#[test]
+fn rules_hold_in_any_history() {
+    for seed in [1, 2, 3] {
+        let gen_ = Gen::from_size_and_seed(400, seed);
+        QuickCheck::new().rng(gen_).tests(60).quickcheck(holds as fn(Vec<Step>) -> bool);
+    }
+}
+
+#[test]
+fn histories_reach_every_rule() {
+    let mut gen_ = Gen::from_size_and_seed(100, 7);
+    let mut world = World::open();
+    for _ in 0..10_000 {
+        world.step(Step::arbitrary(&mut gen_));
+    }
+    let reached = format!(
+        "grants {}\npreempts {}\npasses {:?}\nrefusals {:#?}\n",
+        world.oracle.grants, world.oracle.preempts, world.oracle.passes, world.oracle.refusals
+    );
+    world.drain();
+    expect![[r#"
+        grants 2276
+        preempts 418
+        passes {ClassKey(3): 18}
+        refusals {
+            Shed: 415,
+            DeadlineUnmeetable: 860,
+            QueueTimeout: 1494,
+            Quarantined: 18,
+            RetryBudget: 236,
+        }
+    "#]].assert_eq(&reached);
+}
