Add the bench of policies under load

Cause: the share of each tier in time was not measured. Change: a discrete-event model of 12 upstreams runs the same arrivals through the dispatcher and through hosts that decide alone by power of two choices on reports that are one second old.

--- /dev/null
+++ b/benches/dispatch/main.rs
@@ -0,0 +1,152 @@
+//! Compares the dispatcher with hosts that decide alone, and measures the cost of its decisions.
+//!
+//! `cargo bench -p almondrack --bench dispatch` prints all tables; an argument of `policy` or `cost` prints one part.
+
+mod baseline;
+mod load;
+mod ours;
+
+use std::io::{self, Write};
+
+use load::{CUSTOMERS, RUN_S, Request, Run, WARM_UP_S};
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+const LOADS: [f64; 4] = [0.7, 1.0, 1.5, 3.0];
+
+/// Figures of one policy at one load, over all seeds.
+#[derive(Debug, Default)]
+struct Row {
+    requests: [u64; 3],
+    in_time: [u64; 3],
+    longest_wait_s: [f64; 3],
+    tokens: u64,
+    good_tokens: u64,
+    stopped_tokens: u64,
+    busy: f64,
+    paid: f64,
+    /// Worst ratio of a customer's requests in time to those that it gets alone.
+    worst: f64,
+}
+
+impl Row {
+    fn add(&mut self, requests: &[Request], run: &Run) {
+        for (request, outcome) in requests.iter().zip(&run.outcomes) {
+            if request.at < WARM_UP_S {
+                continue;
+            }
+            let tier = request.tier;
+            let in_time = request.is_in_time(outcome);
+            self.requests[tier] += 1;
+            self.in_time[tier] += u64::from(in_time);
+            self.longest_wait_s[tier] = self.longest_wait_s[tier].max(outcome.wait);
+            self.stopped_tokens += u64::from(outcome.stopped);
+            self.tokens += u64::from(outcome.stopped);
+            if outcome.first_token.is_some() {
+                self.tokens += u64::from(request.output);
+            }
+            if in_time {
+                self.good_tokens += u64::from(request.output);
+            }
+        }
+        self.busy += run.busy;
+        self.paid += run.paid;
+    }
+
+    fn print(&self, out: &mut impl Write, load: f64, name: &str) -> io::Result<()> {
+        let share = |tier: usize| self.in_time[tier] as f64 / self.requests[tier].max(1) as f64;
+        let tokens = self.tokens.max(1) as f64;
+        let wasted = self.tokens - self.good_tokens;
+        let busy = if self.paid > 0.0 { self.busy / self.paid } else { f64::NAN };
+        let goodput = self.good_tokens as f64 / ((RUN_S - WARM_UP_S) * SEEDS.len() as f64);
+        writeln!(
+            out,
+            "| {load:.1} | {name} | {:.4} | {:.4} | {:.4} | {:.3} | {:.1} | {:.3} | {:.2}% | {:.2}% | {:.0} |",
+            share(0),
+            share(1),
+            share(2),
+            self.worst,
+            self.longest_wait_s[2],
+            busy,
+            100.0 * self.stopped_tokens as f64 / tokens,
+            100.0 * wasted as f64 / tokens,
+            goodput,
+        )
+    }
+}
+
+/// Requests in time of a customer and tier.
+fn in_time(requests: &[Request], run: &Run, customer: usize, tier: usize) -> f64 {
+    let pairs = requests.iter().zip(&run.outcomes);
+    let mine =
+        pairs.filter(|(it, _)| it.customer == customer && it.tier == tier && it.at >= WARM_UP_S);
+    mine.filter(|(it, outcome)| it.is_in_time(outcome)).count() as f64
+}
+
+/// Customers and tiers whose demand is within a fair share of what higher tiers leave.
+fn within_share(requests: &[Request], rate: f64) -> Vec<(usize, usize)> {
+    let mut left = rate * RUN_S;
+    let mut pairs = Vec::new();
+    for tier in 0..3 {
+        let demand: Vec<_> = (0..CUSTOMERS)
+            .map(|customer| {
+                let mine = |it: &&Request| it.customer == customer && it.tier == tier;
+                requests.iter().filter(mine).count() as f64
+            })
+            .collect();
+        let share = left / CUSTOMERS as f64;
+        pairs.extend((0..CUSTOMERS).filter(|it| demand[*it] <= share).map(|it| (it, tier)));
+        left = (left - demand.iter().sum::<f64>()).max(0.0);
+    }
+    pairs
+}
+
+fn worst(requests: &[Request], rate: f64, shared: &Run, alone: impl Fn(&[Request]) -> Run) -> f64 {
+    let mut worst = f64::INFINITY;
+    let pairs = within_share(requests, rate);
+    for customer in 0..CUSTOMERS {
+        if !pairs.iter().any(|it| it.0 == customer) {
+            continue;
+        }
+        let own: Vec<_> = requests.iter().filter(|it| it.customer == customer).copied().collect();
+        let run = alone(&own);
+        for (_, tier) in pairs.iter().filter(|it| it.0 == customer) {
+            let best = in_time(&own, &run, customer, *tier);
+            if best > 0.0 {
+                worst = worst.min(in_time(requests, shared, customer, *tier) / best);
+            }
+        }
+    }
+    worst
+}
+
+fn policies(out: &mut impl Write) -> io::Result<()> {
+    writeln!(
+        out,
+        "| load | policy | tier 1 | tier 2 | tier 3 | worst customer | longest wait of tier 3, s | busy | stopped | wasted | good tokens/s |"
+    )?;
+    writeln!(out, "|---|---|---|---|---|---|---|---|---|---|---|")?;
+    let rate = load::capacity(&load::arrivals(0, 1_000.0, 100.0));
+    for load in LOADS {
+        let mut ours = Row { worst: f64::INFINITY, ..Row::default() };
+        let mut other = Row { worst: f64::INFINITY, ..Row::default() };
+        for seed in SEEDS {
+            let requests = load::arrivals(seed, load * rate, RUN_S);
+            let run = ours::run(&requests);
+            ours.add(&requests, &run);
+            ours.worst = ours.worst.min(worst(&requests, rate, &run, ours::run));
+            let run = baseline::run(seed, &requests);
+            other.add(&requests, &run);
+            let alone = |own: &[Request]| baseline::run(seed, own);
+            other.worst = other.worst.min(worst(&requests, rate, &run, alone));
+        }
+        ours.print(out, load, "dispatcher")?;
+        other.print(out, load, "each host alone")?;
+    }
+    Ok(())
+}
+
+fn main() -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    policies(&mut out)
+}
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -564,5 +564,6 @@
             Quarantined: 18,
             RetryBudget: 236,
         }
-    "#]].assert_eq(&reached);
+    "#]]
+    .assert_eq(&reached);
 }
