--- a/benches/dispatch/baseline.rs
+++ b/benches/dispatch/baseline.rs
@@ -9,7 +9,7 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::load::{Outcome, RUN_S, Request, Run, SLOTS, TARGETS_MS, UPSTREAMS};
+use crate::load::{BOUNDS_MS, Outcome, RUN_S, Request, Run, SLOTS, UPSTREAMS};
 
 /// Hosts that decide.
 const HOSTS: usize = 6;
@@ -83,11 +83,12 @@
             let request = requests[index];
             let wait = now as f64 / 1e6 - request.at;
             run.outcomes[index].wait = wait;
-            if wait * 1_000.0 > TARGETS_MS[tier] as f64 {
+            if wait * 1_000.0 > BOUNDS_MS[tier] as f64 {
                 continue;
             }
             let start = now as f64 / 1e6;
             run.outcomes[index].first_token = Some(start + request.prefill_s(changed));
+            run.outcomes[index].done = start + request.service_s(changed);
             engine.running += 1;
             let done = now + micros(request.service_s(changed));
             steps.push(Reverse((done, Step::Done(changed))));
--- a/benches/dispatch/load.rs
+++ b/benches/dispatch/load.rs
@@ -26,9 +26,12 @@
 /// Seconds between two tokens.
 const TOKEN_GAP_S: f64 = 0.034;
 
-/// Targets for the first token and bounds of the queue time per tier, in milliseconds.
+/// Targets for the first token per tier, in milliseconds.
 pub(crate) const TARGETS_MS: [u64; 3] = [600, 3_000, 30_000];
 
+/// Bounds of the queue time per tier, in milliseconds. They leave time for a usual prompt.
+pub(crate) const BOUNDS_MS: [u64; 3] = [450, 2_850, 29_850];
+
 /// Shares of the tiers in the arrivals, cumulated.
 const TIERS: [f64; 2] = [0.3, 0.7];
 
@@ -49,6 +52,8 @@
 pub(crate) struct Outcome {
     /// First token of the attempt that completed, in seconds.
     pub(crate) first_token: Option<f64>,
+    /// End of that attempt, in seconds.
+    pub(crate) done: f64,
     /// Longest time in a queue, in seconds.
     pub(crate) wait: f64,
     /// Tokens of attempts that were stopped.
--- a/benches/dispatch/main.rs
+++ b/benches/dispatch/main.rs
@@ -40,13 +40,17 @@
             self.requests[tier] += 1;
             self.in_time[tier] += u64::from(in_time);
             self.longest_wait_s[tier] = self.longest_wait_s[tier].max(outcome.wait);
+        }
+        for (request, outcome) in requests.iter().zip(&run.outcomes) {
+            let output = u64::from(request.output);
             self.stopped_tokens += u64::from(outcome.stopped);
             self.tokens += u64::from(outcome.stopped);
-            if outcome.first_token.is_some() {
-                self.tokens += u64::from(request.output);
+            if outcome.first_token.is_none() || !(WARM_UP_S..RUN_S).contains(&outcome.done) {
+                continue;
             }
-            if in_time {
-                self.good_tokens += u64::from(request.output);
+            self.tokens += output;
+            if request.is_in_time(outcome) {
+                self.good_tokens += output;
             }
         }
         self.busy += run.busy;
@@ -148,5 +152,27 @@
 
 fn main() -> io::Result<()> {
     let mut out = io::stdout().lock();
+    if std::env::var("DBG").is_ok() {
+        let rate = load::capacity(&load::arrivals(0, 1_000.0, 100.0));
+        let l: f64 = std::env::var("DBG").unwrap().parse().unwrap();
+        let requests = load::arrivals(1, l * rate, RUN_S);
+        let run = ours::run(&requests);
+        for (r, o) in requests.iter().zip(&run.outcomes) {
+            if r.at > WARM_UP_S && !r.is_in_time(o) {
+                eprintln!(
+                    "miss at {:.2} tier {} cust {} prompt {} out {} first {:?} wait {:.3} stopped {}",
+                    r.at,
+                    r.tier,
+                    r.customer,
+                    r.prompt,
+                    r.output,
+                    o.first_token.map(|f| f - r.at),
+                    o.wait,
+                    o.stopped
+                );
+            }
+        }
+        return Ok(());
+    }
     policies(&mut out)
 }
--- a/benches/dispatch/ours.rs
+++ b/benches/dispatch/ours.rs
@@ -13,7 +13,7 @@
     time::Time,
 };
 
-use crate::load::{Outcome, Request, Run, SLOTS, TARGETS_MS, UPSTREAMS};
+use crate::load::{BOUNDS_MS, Outcome, Request, Run, SLOTS, TARGETS_MS, UPSTREAMS};
 
 /// Time between a grant and the start on the upstream, and back, in seconds.
 const HOP_S: f64 = 0.002;
@@ -90,7 +90,7 @@
                 tier: tier as u8 + 1,
                 first_token_ms: *target,
                 floor_per_mille: FLOOR_PER_MILLE,
-                max_wait_ms: *target,
+                max_wait_ms: BOUNDS_MS[tier],
             };
             self.handle(Event::Class(ClassKey(tier as u32), class));
         }
@@ -165,7 +165,17 @@
                 self.plan(start + PROGRESS_S, Step::Progress(attempt));
                 self.plan(start + spec.service_s(upstream) + HOP_S, Step::Done(attempt));
             }
-            Action::Refuse { ticket, .. } => {
+            Action::Refuse { ticket, kind, .. } => {
+                if std::env::var("DBG").is_ok() {
+                    eprintln!(
+                        "refuse {now:.3} tier {} cust {} {kind:?} waited {:.3} retry {}",
+                        self.requests[self.tickets[ticket.0 as usize].0].tier,
+                        self.requests[self.tickets[ticket.0 as usize].0].customer,
+                        now - self.tickets[ticket.0 as usize].1,
+                        self.requests[self.tickets[ticket.0 as usize].0].at
+                            < self.tickets[ticket.0 as usize].1 - 0.001
+                    );
+                }
                 let (request, since) = self.tickets[ticket.0 as usize];
                 let outcome = &mut self.run.outcomes[request];
                 outcome.wait = outcome.wait.max(now - since);
@@ -213,7 +223,10 @@
 
     fn done(&mut self, key: AttemptKey) {
         let Some(attempt) = self.attempts.remove(&key) else { return };
-        self.run.outcomes[attempt.request].first_token = attempt.first_token;
+        let now = self.seconds();
+        let outcome = &mut self.run.outcomes[attempt.request];
+        outcome.first_token = attempt.first_token;
+        outcome.done = now;
         let output = self.requests[attempt.request].output;
         self.handle(Event::Tokens(key, output));
         self.handle(Event::Ended(key, Ending::Done));
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,7 +12,8 @@
     health::Fault,
     placement::{Demand, Placement, Status},
     quarantine::Quarantine,
-    queue::{Alarm, Candidate, Queue, Waiting},
+    queue::{Candidate, Queue, Waiting},
+    rate::Rate,
     retry::Budget,
     running::{Attempt, Running},
     time::{Span, Time},
@@ -204,7 +205,7 @@
 const MAX_WAITING: usize = 20_000;
 
 /// Prompt tokens that take as long as one output token.
-const PROMPT_PER_WORK: u64 = 16;
+const PROMPT_PER_WORK: u64 = 256;
 
 /// Time before an upstream stops at which its repeatable attempts are moved.
 const EVACUATION: Span = Span::from_ms(2_000);
@@ -251,8 +252,8 @@
     /// When the attempts of leaving upstreams are moved at the latest.
     evacuations: BTreeSet<(Time, UpstreamKey)>,
     output: Output,
-    /// Tickets that became urgent during this call.
-    urgent: Vec<TicketKey>,
+    /// Attempts that end.
+    endings: Rate,
     /// Kept between calls to save its allocation.
     candidates: Vec<Candidate>,
 }
@@ -277,7 +278,7 @@
             attempts: 0,
             evacuations: BTreeSet::new(),
             output: Output::default(),
-            urgent: Vec::new(),
+            endings: Rate::default(),
             candidates: Vec::new(),
         }
     }
@@ -310,9 +311,10 @@
             Event::Tick => {}
         }
         self.evacuate_due(now, actions);
+        self.queue.advance(now, self.lead_ms());
         self.expire(now, actions);
         self.fill(now, actions);
-        self.relieve_urgent(actions);
+        self.relieve_urgent(now, actions);
     }
 
     /// Number of tickets that wait.
@@ -575,7 +577,8 @@
 
     fn first_token(&mut self, now: Time, attempt: AttemptKey, us: u64) {
         if let Some(attempt) = self.running.get(attempt) {
-            self.placement.first_token(now, attempt.upstream, us);
+            let prompt_tokens = attempt.ticket.prompt_tokens;
+            self.placement.first_token(now, attempt.upstream, us, prompt_tokens);
         }
     }
 
@@ -604,6 +607,7 @@
 
     fn end(&mut self, now: Time, key: AttemptKey, ending: Ending, actions: &mut Vec<Action>) {
         let Some(attempt) = self.running.remove(key) else { return };
+        self.endings.add(now, 1.0);
         let Attempt { ticket, upstream, granted, .. } = &attempt;
         self.placement.finish(now, *upstream, attempt.need, attempt.suspect);
         let actual = work_of(ticket.prompt_tokens, attempt.tokens);
@@ -707,29 +711,24 @@
         }
     }
 
-    /// Refuses tickets whose queue time has reached its bound and marks the urgent ones.
+    /// Refuses tickets whose queue time has reached its bound.
     fn expire(&mut self, now: Time, actions: &mut Vec<Action>) {
-        while let Some(alarm) = self.queue.due(now, self.lead_ms()) {
-            match alarm {
-                Alarm::Urgent(key) => self.urgent.push(key),
-                Alarm::Expired(key) => {
-                    let Some(waiting) = self.queue.remove(key) else { continue };
-                    let after = self.retry_after(now, &waiting.ticket);
-                    refuse(key, Kind::QueueTimeout, Some(after), actions);
-                }
-            }
+        while let Some(key) = self.queue.expired(now) {
+            let Some(waiting) = self.queue.remove(key) else { return };
+            let after = self.retry_after(now, &waiting.ticket);
+            refuse(key, Kind::QueueTimeout, Some(after), actions);
         }
     }
 
-    /// Stops an attempt of a lower tier for each newly urgent ticket that found no slot.
-    fn relieve_urgent(&mut self, actions: &mut Vec<Action>) {
-        while let Some(key) = self.urgent.pop() {
+    /// Stops attempts of lower tiers for urgent tickets that the usual endings will not serve in time.
+    fn relieve_urgent(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let heads: Vec<_> = self.queue.urgent_heads(now, self.lead_ms()).collect();
+        for (key, left_s) in heads {
             let Some(waiting) = self.queue.get(key) else { continue };
             let ticket = waiting.ticket.clone();
-            let tier = self.queue.class(ticket.class).tier;
-            if self.running.stopping() < self.queue.urgent(tier) {
-                self.relieve(&ticket, actions);
-            }
+            let urgent = self.queue.urgent(self.queue.class(ticket.class).tier);
+            let endings = (self.endings.get(now) * left_s) as usize;
+            while self.running.stopping() + endings < urgent && self.relieve(&ticket, actions) {}
         }
     }
 
--- a/src/health.rs
+++ b/src/health.rs
@@ -11,21 +11,37 @@
 /// Consecutive timeouts that eject an upstream.
 const MAX_TIMEOUTS: u32 = 3;
 
-/// Share of a new sample in a moving mean.
-const GAIN: f64 = 0.125;
+/// Share of a new sample in the moving mean of an upstream.
+const GAIN: f64 = 0.0625;
+
+/// Share of a new sample in the moving mean of a pool.
+const POOL_GAIN: f64 = 0.004;
 
 /// Samples before a mean is used.
 const MIN_SAMPLES: u32 = 8;
 
 /// Moving mean and deviation.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct Mean {
+    /// Smallest share of a new sample.
+    gain: f64,
     value: f64,
     deviation: f64,
     samples: u32,
 }
 
+impl Default for Mean {
+    fn default() -> Mean {
+        Mean { gain: GAIN, value: 0.0, deviation: 0.0, samples: 0 }
+    }
+}
+
 impl Mean {
+    /// A mean over many upstreams.
+    pub fn of_pool() -> Mean {
+        Mean { gain: POOL_GAIN, ..Mean::default() }
+    }
+
     /// Takes in a sample.
     pub fn observe(&mut self, sample: f64) {
         self.samples = self.samples.saturating_add(1);
@@ -35,7 +51,7 @@
             return;
         }
         let error = sample - self.value;
-        let gain = GAIN.max(f64::from(self.samples).recip());
+        let gain = self.gain.max(f64::from(self.samples).recip());
         self.value += gain * error;
         self.deviation += gain * (error.abs() - self.deviation);
     }
@@ -51,6 +67,31 @@
     }
 }
 
+/// Work rate of a slot, as the ratio of two moving means, so that short requests do not count for more than they are.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Pace {
+    work: Mean,
+    seconds: Mean,
+}
+
+impl Pace {
+    /// A rate over many upstreams.
+    pub fn of_pool() -> Pace {
+        Pace { work: Mean::of_pool(), seconds: Mean::of_pool() }
+    }
+
+    /// Takes in a request's work and its time in the slot.
+    pub fn observe(&mut self, work: u64, duration: Span) {
+        self.work.observe(work as f64);
+        self.seconds.observe(duration.0.max(1) as f64 / 1e6);
+    }
+
+    /// Work units per second, once enough samples have come.
+    pub fn rate(&self) -> Option<f64> {
+        Some(self.work.get()? / self.seconds.get()?)
+    }
+}
+
 /// Why an upstream is struck.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod prefix;
 pub mod quarantine;
 pub mod queue;
+pub mod rate;
 pub mod record;
 pub mod rendezvous;
 pub mod reporter;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     dispatch::{Class, Load, Ticket, Upstream, UpstreamKey},
-    health::{Fault, Health, Mean},
+    health::{Fault, Health, Mean, Pace},
     prefix::Table,
     time::{Span, Time},
 };
@@ -22,6 +22,9 @@
 /// Largest load of an upstream chosen for its cache, in thousandths of the mean load.
 const AFFINITY_LOAD_PER_MILLE: u64 = 1_250;
 
+/// Prompt tokens that take as long as the fixed part of the time to the first token.
+const PREFILL_OVERHEAD_TOKENS: f64 = 256.0;
+
 /// Ratio to the pool's mean time to the first token beyond which an upstream is a straggler.
 const STRAGGLER_RATIO: f64 = 2.0;
 
@@ -46,8 +49,9 @@
     suspects: u32,
     /// Time to the first token, in microseconds.
     first_token: Mean,
-    /// Work rate of one slot, in work units per second.
-    rate: Mean,
+    /// The same for each token of the prompt, so that long prompts do not make an upstream a straggler.
+    prefill: Mean,
+    pace: Pace,
     health: Health,
     load: Option<Load>,
     /// Where the site stands in the indices.
@@ -118,7 +122,7 @@
 }
 
 /// The upstreams of a pool and the indices over them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Placement {
     /// Sorted by key.
     sites: Vec<(UpstreamKey, Site)>,
@@ -130,8 +134,10 @@
     returns: BTreeSet<(Time, UpstreamKey)>,
     /// Time to the first token over all upstreams, in microseconds.
     first_token: Mean,
+    /// The same for each token of the prompt.
+    prefill: Mean,
     /// Work rate per slot over all upstreams.
-    rate: Mean,
+    pace: Pace,
     prefixes: Table,
     /// Attempts on all upstreams.
     busy: u64,
@@ -143,6 +149,25 @@
     open: usize,
 }
 
+impl Default for Placement {
+    fn default() -> Placement {
+        Placement {
+            sites: Vec::new(),
+            groups: Vec::new(),
+            targets: Vec::new(),
+            returns: BTreeSet::new(),
+            first_token: Mean::of_pool(),
+            prefill: Mean::of_pool(),
+            pace: Pace::of_pool(),
+            prefixes: Table::default(),
+            busy: 0,
+            slots: 0,
+            capacity: 0,
+            open: 0,
+        }
+    }
+}
+
 impl Placement {
     /// Sets the targets of the classes in milliseconds.
     pub fn set_targets(&mut self, now: Time, mut targets: Vec<u64>) {
@@ -294,13 +319,18 @@
         self.update(now, key, |site| site.kv = site.kv + to - from);
     }
 
-    /// Takes in a measured time to the first token, in microseconds.
-    pub fn first_token(&mut self, now: Time, key: UpstreamKey, us: u64) {
+    /// Takes in a measured time to the first token, in microseconds, after a prompt of so many tokens.
+    pub fn first_token(&mut self, now: Time, key: UpstreamKey, us: u64, prompt_tokens: u32) {
         if self.find(key).is_err() {
             return;
         }
+        let per_token = us as f64 / (f64::from(prompt_tokens) + PREFILL_OVERHEAD_TOKENS);
         self.first_token.observe(us as f64);
-        self.update(now, key, |site| site.first_token.observe(us as f64));
+        self.prefill.observe(per_token);
+        self.update(now, key, |site| {
+            site.first_token.observe(us as f64);
+            site.prefill.observe(per_token);
+        });
     }
 
     /// Takes in a success with its work and, where known, its duration.
@@ -308,10 +338,9 @@
         if self.find(key).is_err() {
             return;
         }
-        let rate = duration.map(|it| work as f64 * 1e6 / it.0.max(1_000) as f64);
-        rate.inspect(|it| self.rate.observe(*it));
+        duration.inspect(|it| self.pace.observe(work, *it));
         self.update(now, key, |site| {
-            rate.inspect(|it| site.rate.observe(*it));
+            duration.inspect(|it| site.pace.observe(work, *it));
             site.health.succeed(site.upstream.slots);
         });
     }
@@ -377,8 +406,8 @@
 
     /// Work rate of one slot of an upstream, in work units per second.
     pub fn rate_of(&self, key: UpstreamKey) -> f64 {
-        let own = self.site(key).and_then(|it| it.rate.get());
-        own.or(self.rate.get()).unwrap_or(FIRST_RATE as f64 / 1_000.0)
+        let own = self.site(key).and_then(|it| it.pace.rate());
+        own.or(self.pace.rate()).unwrap_or(FIRST_RATE as f64 / 1_000.0)
     }
 
     /// State of each upstream, in the order of keys.
@@ -389,7 +418,7 @@
             limit: site.health.limit(site.upstream.slots),
             kv_reserved: site.kv,
             first_token_us: site.first_token.get(),
-            rate: site.rate.get(),
+            rate: site.pace.rate(),
             slow_for: self.slow_for(site),
             ejected_until: site.health.ejected_until(),
             leaving: site.upstream.leaving,
@@ -448,13 +477,11 @@
     }
 
     fn slow_for(&self, site: &Site) -> usize {
-        let (Some(mean), Some(pool)) = (site.first_token.get(), self.first_token.get()) else {
-            return 0;
-        };
-        if mean < pool * STRAGGLER_RATIO {
+        let (Some(own), Some(pool)) = (site.prefill.get(), self.prefill.get()) else { return 0 };
+        if own < pool * STRAGGLER_RATIO {
             return 0;
         }
-        let upper = site.first_token.upper().unwrap_or(mean);
+        let upper = site.first_token.upper().unwrap_or_default();
         self.targets.partition_point(|target| (*target as f64) * 1_000.0 < upper)
     }
 
@@ -520,7 +547,8 @@
             kv: 0,
             suspects: 0,
             first_token: Mean::default(),
-            rate: Mean::default(),
+            prefill: Mean::default(),
+            pace: Pace::default(),
             health: Health::default(),
             load: None,
             place: Place::default(),
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     dispatch::{Class, ClassKey, CustomerKey, Ticket, TicketKey},
+    rate::Rate,
     time::{Span, Time},
 };
 
@@ -19,12 +20,12 @@
 /// Most credit that a class can hold, so that a suspended floor does not pile up.
 const MAX_FLOOR_CREDIT: u32 = 4 * FLOOR_COST;
 
+/// Part of the time to be granted in which a ticket is urgent, as a divisor.
+const URGENT_PART: u64 = 4;
+
 /// Customers of a lane that a search looks at before it goes by need alone.
 const CANDIDATES: usize = 8;
 
-/// Time over which the arrival rate is averaged, in seconds.
-const RATE_WINDOW_S: f64 = 10.0;
-
 /// Service level of tickets whose class is not known.
 const UNKNOWN_CLASS: Class =
     Class { tier: u8::MAX, first_token_ms: 30_000, floor_per_mille: 0, max_wait_ms: 30_000 };
@@ -42,26 +43,6 @@
     pub since: Time,
 }
 
-/// Work that arrives, averaged over time.
-#[derive(Debug, Default)]
-struct Rate {
-    /// Work units per second at `at`.
-    value: f64,
-    at: Time,
-}
-
-impl Rate {
-    fn add(&mut self, now: Time, work: u64) {
-        self.value = self.get(now) + work as f64 / RATE_WINDOW_S;
-        self.at = now;
-    }
-
-    fn get(&self, now: Time) -> f64 {
-        let age_s = now.since(self.at).0 as f64 / 1e6;
-        self.value * (-age_s / RATE_WINDOW_S).exp()
-    }
-}
-
 /// One customer's tickets in a lane.
 #[derive(Debug)]
 struct Flow {
@@ -99,6 +80,7 @@
     work: u64,
     /// Weights of the customers that wait.
     weight: u64,
+    /// Work that arrives, in work units.
     arrivals: Rate,
 }
 
@@ -115,15 +97,6 @@
     pub floor_per_mille: u32,
 }
 
-/// A point in a ticket's wait at which something is to be decided.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Alarm {
-    /// The queue time has reached its bound.
-    Expired(TicketKey),
-    /// The target will be missed unless a slot becomes free soon.
-    Urgent(TicketKey),
-}
-
 /// A class that may be granted next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate {
@@ -174,7 +147,7 @@
         let weight = self.weight(waiting.ticket.customer);
         let (class, work) = (waiting.ticket.class, waiting.work);
         let lane = self.lane_mut(class);
-        lane.arrivals.add(now, work);
+        lane.arrivals.add(now, work as f64);
         lane.add(&waiting, weight);
         self.waiting.insert(waiting.ticket.key, waiting);
     }
@@ -252,33 +225,37 @@
         smallest.filter_map(|(_, key)| self.waiting.get(key)).find(fits)
     }
 
-    /// Next decision about a waiting ticket that is due.
+    /// A ticket whose queue time has reached its bound.
+    pub fn expired(&self, now: Time) -> Option<TicketKey> {
+        self.lanes.iter().find_map(|(_, lane)| {
+            let (since, key) = lane.ages.first()?;
+            let bound = Span::from_ms(lane.class.max_wait_ms);
+            (now.since(*since) >= bound).then_some(*key)
+        })
+    }
+
+    /// Marks tickets that would soon miss their target as urgent, and forgets those that have missed it.
     ///
-    /// `lead_ms` is how long before its target a ticket becomes urgent.
-    pub fn due(&mut self, now: Time, lead_ms: u64) -> Option<Alarm> {
+    /// `lead_ms` is how long before its target a ticket must be granted.
+    pub fn advance(&mut self, now: Time, lead_ms: u64) {
         for (_, lane) in &mut self.lanes {
-            if let Some((since, key)) = lane.ages.first().copied()
-                && now.since(since) >= Span::from_ms(lane.class.max_wait_ms)
+            let urgent_after = urgent_after(&lane.class, lead_ms);
+            while let Some((accepted, key)) = lane.calm.first().copied()
+                && now.since(accepted) >= urgent_after
             {
-                return Some(Alarm::Expired(key));
+                lane.calm.pop_first();
+                lane.urgent.insert((accepted, key));
             }
+            let target = Span::from_ms(lane.class.first_token_ms);
             while let Some((accepted, _)) = lane.urgent.first()
-                && now.since(*accepted) >= Span::from_ms(lane.class.first_token_ms)
+                && now.since(*accepted) >= target
             {
                 lane.urgent.pop_first();
             }
-            if let Some((accepted, key)) = lane.calm.first().copied()
-                && now.since(accepted) >= urgent_after(&lane.class, lead_ms)
-            {
-                lane.calm.pop_first();
-                lane.urgent.insert((accepted, key));
-                return Some(Alarm::Urgent(key));
-            }
         }
-        None
     }
 
-    /// Next time at which [`Queue::due`] has something to do.
+    /// Next time at which [`Queue::advance`] or [`Queue::expired`] has something to do.
     pub fn next_alarm(&self, lead_ms: u64) -> Option<Time> {
         let alarms = self.lanes.iter().flat_map(|(_, lane)| {
             let class = &lane.class;
@@ -290,6 +267,15 @@
         alarms.flatten().min()
     }
 
+    /// The oldest urgent ticket of each class with the time that it has left, in seconds.
+    pub fn urgent_heads(&self, now: Time, lead_ms: u64) -> impl Iterator<Item = (TicketKey, f64)> {
+        self.lanes.iter().filter_map(move |(_, lane)| {
+            let (accepted, key) = lane.urgent.first()?;
+            let latest = *accepted + Span::from_ms(latest_ms(&lane.class, lead_ms));
+            Some((*key, latest.since(now).0 as f64 / 1e6))
+        })
+    }
+
     /// Tickets of a tier and above that would soon miss their target.
     pub fn urgent(&self, tier: u8) -> usize {
         let lanes = self.lanes.iter().filter(|(_, lane)| lane.class.tier <= tier);
@@ -542,9 +528,15 @@
     }
 }
 
+/// Time from acceptance until which a ticket of a class must be granted, in milliseconds.
+fn latest_ms(class: &Class, lead_ms: u64) -> u64 {
+    class.first_token_ms.saturating_sub(lead_ms).min(class.max_wait_ms)
+}
+
 /// Time from acceptance after which a ticket of a class is urgent.
 fn urgent_after(class: &Class, lead_ms: u64) -> Span {
-    Span::from_ms(class.first_token_ms.saturating_sub(lead_ms + class.first_token_ms / 8))
+    let latest_ms = latest_ms(class, lead_ms);
+    Span::from_ms(latest_ms - latest_ms / URGENT_PART)
 }
 
 fn work_over(work: u64, weight: u32) -> u64 {
