--- a/src/entry.rs
+++ b/src/entry.rs
@@ -25,6 +25,7 @@
 };
 
 use crate::{
+    attempts::Attempts,
     config::{Snapshot, permitted},
     credential::{self, Digest},
     error::{Error, Kind},
@@ -33,7 +34,6 @@
     pool,
     record::{Key, Protocol, Role, Route},
     request,
-    running::Attempts,
     time::wall_ms,
     upstream,
 };
