--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -124,6 +124,7 @@
 fn ending(kind: Kind) -> Ending {
     match kind {
         Kind::UpstreamTimeout => Ending::TimedOut,
+        Kind::UpstreamInvalid => Ending::Invalid,
         Kind::Preempted => Ending::Preempted,
         Kind::InvalidKey | Kind::Draining => Ending::Cancelled,
         _ => Ending::Failed,
--- a/src/lane.rs
+++ b/src/lane.rs
@@ -570,7 +570,8 @@
         wire::Ending::Cancelled | wire::Ending::Unused => Ending::Cancelled,
         wire::Ending::Refused => Ending::Refused,
         wire::Ending::Failed => Ending::Failed,
-        wire::Ending::TimedOut => Ending::TimedOut,
+        // An invalid answer speaks against the upstream, but it is no crash of the upstream.
+        wire::Ending::TimedOut | wire::Ending::Invalid => Ending::TimedOut,
         wire::Ending::Preempted => Ending::Preempted,
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -98,8 +98,10 @@
     Unused,
     /// The upstream refused the connection.
     Refused,
-    /// The upstream failed after bytes were sent.
+    /// The upstream cut the connection after bytes were sent.
     Failed,
+    /// The upstream answered something that is not valid.
+    Invalid,
     /// The upstream exceeded the deadline.
     TimedOut,
     /// The attempt was stopped for a higher tier.
