--- a/stand-ins/src/engine.rs
+++ b/stand-ins/src/engine.rs
@@ -170,8 +170,6 @@
 struct Link {
     owner: Owner<Engine>,
     recorder: Recorder,
-    /// Wakes the ticker when the batch was empty.
-    work: Arc<Notify>,
 }
 
 /// Starts an engine.
@@ -183,10 +181,10 @@
     let (fatal, crashed) = watch::channel(false);
     let (listen, control) = (options.listen, options.control);
     let lag = Duration::from_millis(options.load_lag_ms);
+    let started = Arc::new(Notify::new());
     let link = Link {
-        owner: Owner::spawn(Engine::new(options, open, fatal)),
+        owner: Owner::spawn(Engine::new(options, started.clone(), open, fatal)),
         recorder: Recorder::spawn(),
-        work: Arc::new(Notify::new()),
     };
     let door = Door { listen, open: opened, recorder: Some(link.recorder.clone()) };
     let to_requests = link.clone();
@@ -195,7 +193,7 @@
     let door = Door { listen: control, open, recorder: None };
     let to_control = link.clone();
     let control = server::spawn(door, move |request| answer(to_control.clone(), request))?;
-    let ticker = tick(link.owner.clone(), link.work.clone());
+    let ticker = tick(link.owner.clone(), started);
     tokio::spawn(requests.stopped().run_until_cancelled_owned(ticker));
     if !lag.is_zero() {
         let reports = report(link.owner, lag);
@@ -205,14 +203,17 @@
 }
 
 /// Advances the batch while streams run.
-async fn tick(owner: Owner<Engine>, work: Arc<Notify>) {
+async fn tick(owner: Owner<Engine>, started: Arc<Notify>) {
     loop {
         let Ok(wait) = owner.ask(Engine::advance).await else {
             return;
         };
         match wait {
-            Some(wait) => tokio::time::sleep(wait.max(TICK)).await,
-            None => work.notified().await,
+            Some(wait) => {
+                // Over time means that something is due.
+                let _ = tokio::time::timeout(wait.max(TICK), started.notified()).await;
+            }
+            None => started.notified().await,
         }
     }
 }
@@ -240,9 +241,7 @@
         _ => {
             let query = head.uri.query().unwrap_or_default().to_owned();
             let method = head.method;
-            let answer = link.owner.ask(move |it| it.route(&method, &path, &query, &body)).await?;
-            link.work.notify_one();
-            Ok(answer)
+            link.owner.ask(move |it| it.route(&method, &path, &query, &body)).await
         }
     }
 }
@@ -260,7 +259,6 @@
         Ok(stream) => stream,
         Err(refusal) => return Ok(refusal.answer()),
     };
-    link.work.notify_one();
     let guard = Guard::new(link.owner.clone(), stream.key);
     if faults.no_answer {
         std::future::pending::<()>().await;
--- a/stand-ins/src/engine/state.rs
+++ b/stand-ins/src/engine/state.rs
@@ -10,11 +10,11 @@
 use http::{Method, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::{
     Faults, Options,
-    batch::{Batch, Left, Pace, Progress, Work},
+    batch::{Batch, End, Left, Pace, Progress, Work},
     cache::Cache,
     stream::Stream,
     text::{Ask, Form},
@@ -108,6 +108,8 @@
     orders: Vec<Fenced<Order>>,
     load: Option<(Load, Instant)>,
     start: Instant,
+    /// Wakes the ticker when a stream starts.
+    started: Arc<Notify>,
     open: watch::Sender<bool>,
     fatal: watch::Sender<bool>,
 }
@@ -115,6 +117,7 @@
 impl Engine {
     pub(super) fn new(
         options: Options,
+        started: Arc<Notify>,
         open: watch::Sender<bool>,
         fatal: watch::Sender<bool>,
     ) -> Engine {
@@ -130,6 +133,7 @@
             orders: Vec::new(),
             load: None,
             start,
+            started,
             open,
             fatal,
             options,
@@ -220,6 +224,9 @@
     /// Starts what fits; a marked prompt crashes the engine.
     fn admit(&mut self) {
         let started = self.batch.admit(self.now_us(), self.pace());
+        if !started.is_empty() {
+            self.started.notify_one();
+        }
         let mut poisoned = false;
         for key in started {
             self.history[key].started_ms = Some(wall_ms());
@@ -249,22 +256,30 @@
         entry.ended_ms = Some(wall_ms());
         entry.tokens = left.produced;
         entry.end = left.end.as_str();
-        if let Some(kept) = self.streams.get_mut(&left.key) {
+        if left.end != End::Done {
+            self.drop_stream(left.key);
+        } else if let Some(kept) = self.streams.get_mut(&left.key) {
             kept.ended = Some(Instant::now());
         }
     }
 
+    fn drop_stream(&mut self, key: usize) {
+        let Some(kept) = self.streams.remove(&key) else {
+            return;
+        };
+        if self.ids.get(&kept.stream.id) == Some(&key) {
+            self.ids.remove(&kept.stream.id);
+        }
+    }
+
     /// Drops streams that ended long ago.
     fn forget(&mut self) {
         let keep = Duration::from_millis(self.options.keep_ms);
-        while let Some(first) = self.streams.first_entry() {
-            if first.get().ended.is_none_or(|it| it.elapsed() < keep) {
+        while let Some((key, kept)) = self.streams.first_key_value() {
+            if kept.ended.is_none_or(|it| it.elapsed() < keep) {
                 return;
             }
-            let kept = first.remove();
-            if self.ids.get(&kept.stream.id) == Some(&kept.stream.key) {
-                self.ids.remove(&kept.stream.id);
-            }
+            self.drop_stream(*key);
         }
     }
 
@@ -321,8 +336,6 @@
             self.note(left);
         }
         self.cache.clear();
-        self.streams.clear();
-        self.ids.clear();
         self.open.send_replace(false);
     }
 
@@ -385,12 +398,19 @@
             ("GET", "/v1/models") => self.list_models(),
             ("POST", "/orders") => self.order(body),
             ("POST", "/test/faults") => self.set_faults(body),
-            ("GET", "/test/history") => server::json(StatusCode::OK, &self.history),
+            ("GET", "/test/history") => self.show_history(),
             ("GET", "/test/orders") => server::json(StatusCode::OK, &self.orders),
             _ => server::raw(StatusCode::NOT_FOUND, "no such path"),
         }
     }
 
+    fn show_history(&mut self) -> Response<Body> {
+        for (key, kept) in &self.streams {
+            self.history[*key].tokens = kept.stream.progress.borrow().produced;
+        }
+        server::json(StatusCode::OK, &self.history)
+    }
+
     fn cache_events(&self, query: &str) -> Response<Body> {
         let after = server::query(query, "after").and_then(|it| it.parse().ok()).unwrap_or(0);
         let until_ms = wall_ms().saturating_sub(self.options.cache_lag_ms);
--- a/stand-ins/src/engine/stream.rs
+++ b/stand-ins/src/engine/stream.rs
@@ -97,7 +97,7 @@
     let state = reader.progress.wait_for(|it| it.produced > next || it.end.is_some()).await;
     let Ok(state) = state.map(|it| *it) else {
         reader.closed = true;
-        return Some((Err(Cut), reader));
+        return Some((server::cut().await, reader));
     };
     let mut ready = if state.end == Some(End::Done) { events } else { state.produced };
     if reader.cut > 0 {
@@ -105,7 +105,7 @@
     }
     if ready <= next {
         reader.closed = true;
-        return Some((Err(Cut), reader));
+        return Some((server::cut().await, reader));
     }
     let until = ready.min(next + MAX_EVENTS_PER_WRITE);
     let mut out = Vec::with_capacity(256 * (until - next) as usize);
--- a/stand-ins/src/load/summary.rs
+++ b/stand-ins/src/load/summary.rs
@@ -24,7 +24,7 @@
     pub kinds: BTreeMap<String, u64>,
     /// Tokens received.
     pub tokens: u64,
-    /// Planned start to the first byte, of whole answers.
+    /// Planned start to the first byte, of whole streamed answers.
     pub first_us: Histogram<u32>,
     /// Between events of streams.
     pub gap_us: Histogram<u32>,
@@ -69,7 +69,9 @@
             *self.kinds.entry(record.kind.clone()).or_default() += 1;
             return;
         }
-        note(&mut self.first_us, record.first_us.unwrap_or(record.end_us));
+        if record.stream {
+            note(&mut self.first_us, record.first_us.unwrap_or(record.end_us));
+        }
         note(&mut self.total_us, record.end_us);
     }
 }
@@ -119,9 +121,9 @@
 
 impl fmt::Display for Summary {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        line(f, "all", &self.all)?;
-        if self.direct.total() > 0 {
-            line(f, "direct", &self.direct)?;
+        let wholes = [("all", &self.all), ("direct", &self.direct)];
+        for (name, group) in wholes.into_iter().filter(|it| it.1.total() > 0) {
+            line(f, name, group)?;
         }
         for (model, group) in &self.models {
             line(f, &format!("model {model}"), group)?;
--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -58,10 +58,10 @@
     pub down_for_zones: Vec<String>,
     /// Answers nonsense with status 200; effects are taken.
     pub garbage: bool,
-    /// Reads in any one second before 429, zero for no limit.
-    pub reads_per_s: u32,
-    /// Writes in any one second before 429, zero for no limit.
-    pub writes_per_s: u32,
+    /// Reads in any one second before 429, absent for no limit.
+    pub reads_per_s: Option<u32>,
+    /// Writes in any one second before 429, absent for no limit.
+    pub writes_per_s: Option<u32>,
     /// Age of the host list, in milliseconds.
     pub hosts_lag_ms: u64,
     /// Time from an order to a running upstream, in milliseconds.
@@ -85,8 +85,8 @@
             down_for_hosts: Vec::new(),
             down_for_zones: Vec::new(),
             garbage: false,
-            reads_per_s: 0,
-            writes_per_s: 0,
+            reads_per_s: None,
+            writes_per_s: None,
             hosts_lag_ms: 0,
             start_ms: 200,
             stop_ms: 200,
@@ -109,6 +109,8 @@
     pub upstreams: Vec<(String, Upstream)>,
     /// Addresses for ordered upstreams.
     pub spares: Vec<Spare>,
+    /// Changes kept for watches.
+    pub history: usize,
     /// Seed of the choice of lost answers.
     pub seed: u64,
 }
@@ -122,6 +124,7 @@
             hosts: Vec::new(),
             upstreams: Vec::new(),
             spares: Vec::new(),
+            history: 10_000,
             seed: 1,
         }
     }
@@ -155,6 +158,8 @@
 #[derive(Debug, Clone, Copy)]
 enum Ending {
     Sent,
+    /// An outage began since the call came.
+    Down,
     Garbled,
     Withheld,
 }
@@ -177,7 +182,7 @@
     }
     let owner = Owner::spawn(Platform {
         faults: options.faults,
-        store: Store::default(),
+        store: Store::new(options.history),
         fleet,
         calls: Calls::default(),
         random: SmallRng::seed_from_u64(options.seed),
@@ -215,6 +220,7 @@
     let status = answer.status().as_u16();
     match link.owner.ask(move |it| it.end(place, &host, status)).await? {
         Ending::Sent => Ok(answer),
+        Ending::Down => Ok(server::raw(StatusCode::SERVICE_UNAVAILABLE, "")),
         Ending::Garbled => Ok(server::raw(StatusCode::OK, GARBAGE)),
         Ending::Withheld => future::pending().await,
     }
@@ -244,7 +250,8 @@
         let now = Instant::now();
         let limit =
             if call.is_write() { self.faults.writes_per_s } else { self.faults.reads_per_s };
-        let within = self.calls.count(&call, now) <= limit || limit == 0;
+        let count = self.calls.count(&call, now);
+        let within = limit.is_none_or(|it| count <= it);
         let verdict = if self.faults.hang || self.is_cut(&call.host) {
             Verdict::Withhold
         } else if self.faults.down {
@@ -272,8 +279,14 @@
         if self.faults.hang || self.is_cut(host) {
             return Ending::Withheld;
         }
-        self.calls.get(place).status = Some(status);
-        if self.faults.garbage { Ending::Garbled } else { Ending::Sent }
+        let down = self.faults.down;
+        let sent = if down { StatusCode::SERVICE_UNAVAILABLE.as_u16() } else { status };
+        self.calls.get(place).status = Some(sent);
+        match (down, self.faults.garbage) {
+            (true, _) => Ending::Down,
+            (false, true) => Ending::Garbled,
+            (false, false) => Ending::Sent,
+        }
     }
 
     /// Takes a call's effect; the answer may be lost.
--- a/stand-ins/src/platform/store.rs
+++ b/stand-ins/src/platform/store.rs
@@ -8,9 +8,6 @@
 use almondrack::platform::{Changes, Entry, Listing, MAX_VALUE_BYTES, Value};
 use bytes::Bytes;
 
-/// Number of changes kept for watches.
-const HISTORY: usize = 10_000;
-
 /// Outcome of a write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Write {
@@ -39,6 +36,8 @@
 pub(super) struct Store {
     revision: u64,
     keys: BTreeMap<String, Value>,
+    /// Number of changes kept.
+    history: usize,
     /// Revision and key of each kept change, oldest first.
     changes: VecDeque<(u64, String)>,
     /// Revision of the newest change that is no longer kept.
@@ -49,6 +48,11 @@
 }
 
 impl Store {
+    /// An empty store that keeps a number of changes for watches.
+    pub(super) fn new(history: usize) -> Store {
+        Store { history, ..Store::default() }
+    }
+
     pub(super) fn revision(&self) -> u64 {
         self.revision
     }
@@ -88,7 +92,7 @@
     fn change(&mut self, key: &str) -> u64 {
         self.revision += 1;
         self.changes.push_back((self.revision, key.to_owned()));
-        if self.changes.len() > HISTORY
+        if self.changes.len() > self.history
             && let Some((revision, _)) = self.changes.pop_front()
         {
             self.forgotten = revision;
--- a/stand-ins/src/server.rs
+++ b/stand-ins/src/server.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, fmt, future::Future, io, net::SocketAddr};
 
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt as _, stream};
 use http::{Request, Response, StatusCode};
 use http_body::Frame;
 use http_body_util::{BodyExt as _, Full, StreamBody, combinators::UnsyncBoxBody};
@@ -246,12 +246,19 @@
 pub(crate) fn half(body: impl Into<Bytes>) -> Response<Body> {
     let whole = body.into();
     let first = whole.slice(..whole.len() / 2);
-    let frames = stream::iter([Ok(Frame::data(first)), Err(Cut)]);
+    let frames = stream::once(async { Ok(Frame::data(first)) }).chain(stream::once(cut()));
     let mut answer = Response::new(StreamBody::new(frames).boxed_unsync());
     answer.headers_mut().insert(http::header::CONTENT_LENGTH, whole.len().into());
     answer
 }
 
+/// Ends a body after what was written before is sent.
+pub(crate) async fn cut<T>() -> Result<T, Cut> {
+    // A body that has nothing for a moment is flushed.
+    tokio::task::yield_now().await;
+    Err(Cut)
+}
+
 /// The whole body of a request.
 pub(crate) async fn read(body: Incoming) -> Result<Bytes, Cut> {
     Ok(body.collect().await.map_err(|_| Cut)?.to_bytes())
