--- a/src/wire.rs
+++ b/src/wire.rs
@@ -152,10 +152,47 @@
     pub changes: Vec<Member>,
     /// Quarantined fingerprints with the time left, in milliseconds.
     pub quarantine: Vec<(u64, u64)>,
-    /// Whether the receiver is asked for all members.
+    /// In a request: whether all members are asked for. In an answer: whether `changes` holds all members.
     pub full: bool,
 }
 
+impl Gossip {
+    /// Size of the message in the encoding of the peer service, in bytes.
+    pub fn encoded_len(&self) -> u64 {
+        let changes: u64 = self.changes.iter().map(member_len).sum();
+        let pair = |it: &(u64, u64)| integer_len(it.0) + integer_len(it.1);
+        let quarantine: u64 = self.quarantine.iter().map(pair).sum();
+        let lengths =
+            integer_len(self.changes.len() as u64) + integer_len(self.quarantine.len() as u64);
+        member_len(&self.from) + integer_len(self.revision) + lengths + changes + quarantine + 1
+    }
+}
+
+fn member_len(member: &Member) -> u64 {
+    let names = text_len(&member.id) + text_len(&member.region) + text_len(&member.zone);
+    let addresses = address_len(&member.peer) + address_len(&member.admin);
+    names + addresses + integer_len(member.incarnation) + integer_len(member.version) + 1
+}
+
+fn text_len(text: &str) -> u64 {
+    integer_len(text.len() as u64) + text.len() as u64
+}
+
+fn address_len(address: &SocketAddr) -> u64 {
+    let ip = if address.is_ipv4() { 4 } else { 16 };
+    1 + ip + integer_len(address.port().into())
+}
+
+/// Length of an integer in the variable-length encoding.
+fn integer_len(value: u64) -> u64 {
+    match value {
+        0..251 => 1,
+        251..0x1_0000 => 3,
+        0x1_0000..0x1_0000_0000 => 5,
+        0x1_0000_0000.. => 9,
+    }
+}
+
 /// Configuration records of one revision, as they stand in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
