Guard the platform port by budgets and a circuit, and read writes back

Cause: a lost answer left callers to guess, an outage was met by every call with a full timeout, and nothing bounded the calls of a host or a zone. Change: circuit.rs decides without I/O (budget, circuit breaker, pauses with jitter), gate.rs is the task that owns them and tries by itself while nobody calls, confirm.rs writes, reads back on doubt and decides by content. Answers are bounded in size, keys that would change the call are refused before it is sent. A 503 that names its reason is an answer and no outage. Busy(0) says that a call was not made. Signatures of the port are unchanged.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,9 @@
 pub mod admin;
 pub mod attempt;
 pub mod burn;
+pub mod circuit;
 pub mod config;
+pub mod confirm;
 pub mod controller;
 pub mod credential;
 pub mod dispatch;
@@ -23,6 +25,7 @@
 pub mod estimate;
 pub mod exchange;
 pub mod fleet;
+pub mod gate;
 pub mod gossip;
 pub mod host;
 pub mod lane;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -3,19 +3,35 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use futures::future::FutureExt as _;
 use http::{Method, Request, StatusCode, header::HeaderMap};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper_util::{
     client::legacy::{Client as Http, connect::HttpConnector},
     rt::TokioExecutor,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::sync::watch;
+
+use crate::{
+    circuit::{Health, Outcome},
+    gate::{Counts, Gate},
+};
 
 /// Largest value in the store, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
-/// Largest answer that is read, in bytes.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Largest listing or list of changes that is read, in bytes.
+const MAX_LIST_BYTES: usize = 64 << 20;
+
+/// Largest other answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = MAX_VALUE_BYTES;
+
+/// Longest key or prefix, in bytes.
+const MAX_KEY_BYTES: usize = 1_024;
+
+/// Key that is read to see whether the platform answers.
+const TRIAL_KEY: &str = "almondrack/trial";
 
 /// Time for one call other than a watch, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 2_000;
@@ -44,6 +60,24 @@
 }
 
 impl Cause {
+    /// All causes, in the order of declaration.
+    pub const ALL: [Cause; 9] = [
+        Cause::Config,
+        Cause::Watch,
+        Cause::Lease,
+        Cause::Usage,
+        Cause::Claim,
+        Cause::Hosts,
+        Cause::Upstreams,
+        Cause::Order,
+        Cause::Report,
+    ];
+
+    /// Position in `ALL`.
+    pub(crate) fn index(self) -> usize {
+        self as usize
+    }
+
     /// Value of the `x-cause` header.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -222,7 +256,8 @@
 pub enum Failure {
     /// No answer, or an answer without meaning. A write may have taken effect.
     Unknown(String),
-    /// The platform refused without effect, for the moment.
+    /// Refused without effect, for the moment. The status is zero if the call was not made, for want of budget or
+    /// because the platform did not answer earlier calls.
     Busy(u16),
     /// The platform refused without effect, for good.
     Refused(u16, String),
@@ -234,6 +269,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Failure::Unknown(why) => write!(f, "no answer from the platform: {why}"),
+            Failure::Busy(0) => f.write_str("the call to the platform was not made"),
             Failure::Busy(status) => write!(f, "the platform is unavailable (status {status})"),
             Failure::Refused(status, why) => write!(f, "the platform refused ({status}): {why}"),
             Failure::Invalid(why) => write!(f, "invalid answer from the platform: {why}"),
@@ -243,14 +279,47 @@
 
 impl std::error::Error for Failure {}
 
-/// Handle to the platform's HTTP interface; clones share connections.
+/// Handle to the platform's HTTP interface; clones share connections, budgets and the circuit.
 #[derive(Debug, Clone)]
 pub struct Client {
+    adapter: Adapter,
+    gate: Gate,
+}
+
+/// Makes calls without asking whether they may be made.
+#[derive(Debug, Clone)]
+struct Adapter {
     http: Http<HttpConnector, Full<Bytes>>,
     address: SocketAddr,
     host: String,
 }
 
+/// One call.
+#[derive(Debug)]
+struct Call<'a> {
+    cause: Cause,
+    method: Method,
+    path: String,
+    headers: Vec<(&'a str, &'a str)>,
+    body: Bytes,
+    timeout_ms: u64,
+    max_bytes: usize,
+}
+
+impl Call<'_> {
+    fn new(cause: Cause, method: Method, path: String) -> Call<'static> {
+        Call {
+            cause,
+            method,
+            path,
+            headers: Vec::new(),
+            body: Bytes::new(),
+            timeout_ms: CALL_TIMEOUT_MS,
+            max_bytes: MAX_ANSWER_BYTES,
+        }
+    }
+}
+
 struct Answer {
     status: StatusCode,
     headers: HeaderMap,
@@ -258,7 +327,7 @@
 }
 
 impl Client {
-    /// Opens a client for the platform at an address; connections are made on use.
+    /// Opens a client for the platform at an address; connections are made on use. Must be called in a runtime.
     pub fn open(address: SocketAddr, host: &str) -> Client {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
@@ -267,7 +336,28 @@
             .retry_canceled_requests(false)
             .pool_idle_timeout(Duration::from_secs(20))
             .build(connector);
-        Client { http, address, host: host.to_owned() }
+        let adapter = Adapter { http, address, host: host.to_owned() };
+        let trial = adapter.clone();
+        let gate = Gate::spawn(move || {
+            let adapter = trial.clone();
+            async move { outcome(&adapter.get(Cause::Config, TRIAL_KEY).await) }.boxed()
+        });
+        Client { adapter, gate }
+    }
+
+    /// Whether the platform answers.
+    pub fn health(&self) -> watch::Receiver<Health> {
+        self.gate.health()
+    }
+
+    /// Calls by cause.
+    pub fn counts(&self) -> watch::Receiver<Counts> {
+        self.gate.counts()
+    }
+
+    /// Sets the number of hosts that share the zone's budgets.
+    pub async fn set_zone_hosts(&self, hosts: usize) {
+        self.gate.set_hosts(hosts as u64).await;
     }
 
     /// Reads a key.
@@ -275,21 +365,13 @@
     /// # Errors
     /// Any `Failure`.
     pub async fn get(&self, cause: Cause, key: &str) -> Result<Option<Value>, Failure> {
-        let answer = self.call(cause, Method::GET, &format!("/v1/kv/{key}"), &[], None).await?;
-        match answer.status {
-            StatusCode::OK => {
-                let version = version(&answer.headers)?;
-                Ok(Some(Value { version, bytes: answer.body }))
-            }
-            StatusCode::NOT_FOUND => Ok(None),
-            status => Err(refusal(status, &answer.body)),
-        }
+        self.guarded(cause, self.adapter.get(cause, key)).await
     }
 
     /// Writes a key if it stands at a version; zero means that it must not exist, `None` writes in any case.
     ///
     /// # Errors
-    /// Any `Failure`. After `Unknown` the write may have taken effect.
+    /// Any `Failure`. After `Unknown` or `Invalid` the write may have taken effect.
     pub async fn put(
         &self,
         cause: Cause,
@@ -297,39 +379,26 @@
         value: Bytes,
         if_version: Option<u64>,
     ) -> Result<Write, Failure> {
-        self.write(cause, Method::PUT, key, Some(value), if_version).await
+        if value.len() > MAX_VALUE_BYTES {
+            let why = format!("{} bytes, at most {MAX_VALUE_BYTES} are kept", value.len());
+            return Err(Failure::Refused(413, why));
+        }
+        let call = self.adapter.write(cause, Method::PUT, key, value, if_version);
+        self.guarded(cause, call).await
     }
 
     /// Deletes a key if it stands at a version.
     ///
     /// # Errors
-    /// Any `Failure`. After `Unknown` the deletion may have taken effect.
+    /// Any `Failure`. After `Unknown` or `Invalid` the deletion may have taken effect.
     pub async fn delete(
         &self,
         cause: Cause,
         key: &str,
         if_version: Option<u64>,
     ) -> Result<Write, Failure> {
-        self.write(cause, Method::DELETE, key, None, if_version).await
-    }
-
-    async fn write(
-        &self,
-        cause: Cause,
-        method: Method,
-        key: &str,
-        value: Option<Bytes>,
-        if_version: Option<u64>,
-    ) -> Result<Write, Failure> {
-        let condition = if_version.map(|it| it.to_string());
-        let headers: Vec<_> = condition.iter().map(|it| ("if-version", it.as_str())).collect();
-        let answer = self.call(cause, method, &format!("/v1/kv/{key}"), &headers, value).await?;
-        match answer.status {
-            StatusCode::OK => Ok(Write::Written(version(&answer.headers)?)),
-            StatusCode::CONFLICT => Ok(Write::Conflict(version(&answer.headers)?)),
-            StatusCode::NOT_FOUND => Ok(Write::Conflict(0)),
-            status => Err(refusal(status, &answer.body)),
-        }
+        let call = self.adapter.write(cause, Method::DELETE, key, Bytes::new(), if_version);
+        self.guarded(cause, call).await
     }
 
     /// Lists keys under a prefix, one page.
@@ -343,8 +412,12 @@
         after: &str,
         limit: u32,
     ) -> Result<Listing, Failure> {
+        check(prefix)?;
+        check(after)?;
         let path = format!("/v1/list?prefix={prefix}&after={after}&limit={limit}");
-        self.json(cause, Method::GET, &path, None).await
+        let mut call = Call::new(cause, Method::GET, path);
+        call.max_bytes = MAX_LIST_BYTES;
+        self.guarded(cause, self.adapter.json(call)).await
     }
 
     /// Waits for changes under a prefix after a revision.
@@ -352,41 +425,20 @@
     /// # Errors
     /// Any `Failure`.
     pub async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<Changes, Failure> {
+        check(prefix)?;
         let path = format!("/v1/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
-        let timeout = Duration::from_millis(wait_ms + CALL_TIMEOUT_MS);
-        let answer = self.send(Cause::Watch, Method::GET, &path, &[], None, timeout).await?;
-        parse(answer)
+        let mut call = Call::new(Cause::Watch, Method::GET, path);
+        call.timeout_ms = wait_ms.saturating_add(CALL_TIMEOUT_MS);
+        call.max_bytes = MAX_LIST_BYTES;
+        self.guarded(Cause::Watch, self.adapter.json(call)).await
     }
 
     /// Acquires or renews a lease.
     ///
     /// # Errors
-    /// Any `Failure`. After `Unknown` the lease may be held.
+    /// Any `Failure`. After `Unknown` or `Invalid` the lease may be held.
     pub async fn acquire(&self, name: &str, holder: &str, ttl_ms: u64) -> Result<Lease, Failure> {
-        #[derive(Serialize)]
-        struct Body<'a> {
-            holder: &'a str,
-            ttl_ms: u64,
-        }
-        #[derive(Deserialize)]
-        struct Held {
-            number: u64,
-        }
-        #[derive(Deserialize)]
-        struct Taken {
-            holder: String,
-            number: u64,
-            remaining_ms: u64,
-        }
-        let path = format!("/v1/lease/{name}");
-        let body = encode(&Body { holder, ttl_ms });
-        let answer = self.call(Cause::Lease, Method::POST, &path, &[], Some(body)).await?;
-        if answer.status != StatusCode::CONFLICT {
-            let Held { number } = parse(answer)?;
-            return Ok(Lease::Held { number });
-        }
-        let Taken { holder, number, remaining_ms } = decode(&answer.body)?;
-        Ok(Lease::Taken { holder, number, remaining_ms })
+        self.guarded(Cause::Lease, self.adapter.acquire(name, holder, ttl_ms)).await
     }
 
     /// Gives a lease up.
@@ -394,12 +446,15 @@
     /// # Errors
     /// Any `Failure`.
     pub async fn release(&self, name: &str, holder: &str) -> Result<(), Failure> {
+        check(name)?;
+        check(holder)?;
         let path = format!("/v1/lease/{name}?holder={holder}");
-        let answer = self.call(Cause::Lease, Method::DELETE, &path, &[], None).await?;
-        match answer.status {
-            StatusCode::OK | StatusCode::NOT_FOUND | StatusCode::CONFLICT => Ok(()),
-            status => Err(refusal(status, &answer.body)),
-        }
+        let call = self.adapter.send(Call::new(Cause::Lease, Method::DELETE, path));
+        let call = call.map(|answer| match answer?.ok() {
+            Ok(_) | Err(Failure::Refused(404 | 409, _)) => Ok(()),
+            Err(failure) => Err(failure),
+        });
+        self.guarded(Cause::Lease, call).await
     }
 
     /// Reads the lagging list of hosts.
@@ -411,7 +466,8 @@
         struct Body {
             hosts: Vec<Host>,
         }
-        let Body { hosts } = self.json(Cause::Hosts, Method::GET, "/v1/hosts", None).await?;
+        let call = Call::new(Cause::Hosts, Method::GET, "/v1/hosts".to_owned());
+        let Body { hosts } = self.guarded(Cause::Hosts, self.adapter.json(call)).await?;
         Ok(hosts)
     }
 
@@ -424,24 +480,33 @@
         struct Body {
             upstreams: Vec<Upstream>,
         }
+        check(zone)?;
         let path = format!("/v1/zones/{zone}/upstreams");
-        let Body { upstreams } = self.json(Cause::Upstreams, Method::GET, &path, None).await?;
+        let call = Call::new(Cause::Upstreams, Method::GET, path);
+        let Body { upstreams } = self.guarded(Cause::Upstreams, self.adapter.json(call)).await?;
         Ok(upstreams)
     }
 
     /// Orders a start or stop in a zone and returns the upstream's name.
     ///
     /// # Errors
-    /// Any `Failure`. After `Unknown` the order may have taken effect; it may be sent again under its id.
+    /// Any `Failure`. After `Unknown` the order may have taken effect; it may be sent again under its id. `Busy` with 503
+    /// if the zone has no such upstream at the moment.
     pub async fn order(&self, zone: &str, order: &Fenced<Order>) -> Result<String, Failure> {
         #[derive(Deserialize)]
         struct Body {
             upstream: String,
         }
+        check(zone)?;
         let path = format!("/v1/zones/{zone}/orders");
-        let body = Some(encode(order));
-        let Body { upstream } = self.json(Cause::Order, Method::POST, &path, body).await?;
-        Ok(upstream)
+        let mut call = Call::new(Cause::Order, Method::POST, path);
+        call.body = encode(order);
+        let call = self.adapter.send(call).map(|answer| match answer? {
+            // The platform answers; the zone has none to give.
+            answer if answer.names_reason() => Ok(Err(Failure::Busy(answer.status.as_u16()))),
+            answer => Ok(Ok(decode::<Body>(&answer.ok()?.body)?.upstream)),
+        });
+        self.guarded(Cause::Order, call).await?
     }
 
     /// Reports the usage of a window.
@@ -455,75 +520,172 @@
         number: u64,
         content: Bytes,
     ) -> Result<(), Failure> {
+        check(window)?;
         let number = number.to_string();
-        let headers = [("x-lease", lease), ("x-number", number.as_str())];
         let path = format!("/v1/usage/{window}");
-        let answer = self.call(Cause::Report, Method::POST, &path, &headers, Some(content)).await?;
-        match answer.status {
-            StatusCode::OK => Ok(()),
-            status => Err(refusal(status, &answer.body)),
-        }
+        let mut call = Call::new(Cause::Report, Method::POST, path);
+        call.headers = vec![("x-lease", lease), ("x-number", number.as_str())];
+        call.body = content;
+        let call = self.adapter.send(call).map(|answer| answer?.ok().map(|_| ()));
+        self.guarded(Cause::Report, call).await
     }
 
-    async fn json<T: DeserializeOwned>(
+    /// Makes a call if budget and circuit admit it, and notes how it ended.
+    async fn guarded<T>(
         &self,
         cause: Cause,
-        method: Method,
-        path: &str,
-        body: Option<Bytes>,
+        call: impl Future<Output = Result<T, Failure>>,
     ) -> Result<T, Failure> {
-        parse(self.call(cause, method, path, &[], body).await?)
+        let Some(ended) = self.gate.enter(cause).await else { return Err(Failure::Busy(0)) };
+        let result = call.await;
+        let _ = ended.send(outcome(&result));
+        result
     }
+}
 
-    async fn call(
-        &self,
-        cause: Cause,
-        method: Method,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: Option<Bytes>,
-    ) -> Result<Answer, Failure> {
-        let timeout = Duration::from_millis(CALL_TIMEOUT_MS);
-        self.send(cause, method, path, headers, body, timeout).await
+fn outcome<T>(result: &Result<T, Failure>) -> Outcome {
+    match result {
+        Ok(_) | Err(Failure::Refused(..)) => Outcome::Answered,
+        Err(Failure::Busy(429)) => Outcome::Throttled,
+        Err(Failure::Busy(_) | Failure::Unknown(_) | Failure::Invalid(_)) => Outcome::Failed,
+    }
+}
+
+impl Adapter {
+    async fn get(&self, cause: Cause, key: &str) -> Result<Option<Value>, Failure> {
+        check(key)?;
+        let call = Call::new(cause, Method::GET, format!("/v1/kv/{key}"));
+        match self.send(call).await?.ok() {
+            Ok(answer) => {
+                let version = version(&answer.headers)?;
+                Ok(Some(Value { version, bytes: answer.body }))
+            }
+            Err(Failure::Refused(404, _)) => Ok(None),
+            Err(failure) => Err(failure),
+        }
     }
 
-    async fn send(
+    async fn write(
         &self,
         cause: Cause,
         method: Method,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: Option<Bytes>,
-        timeout: Duration,
-    ) -> Result<Answer, Failure> {
+        key: &str,
+        value: Bytes,
+        if_version: Option<u64>,
+    ) -> Result<Write, Failure> {
+        check(key)?;
+        let condition = if_version.map(|it| it.to_string());
+        let mut call = Call::new(cause, method, format!("/v1/kv/{key}"));
+        call.headers = condition.iter().map(|it| ("if-version", it.as_str())).collect();
+        call.body = value;
+        let answer = self.send(call).await?;
+        match answer.status {
+            StatusCode::OK => Ok(Write::Written(version(&answer.headers)?)),
+            StatusCode::CONFLICT => Ok(Write::Conflict(version(&answer.headers)?)),
+            StatusCode::NOT_FOUND => Ok(Write::Conflict(0)),
+            status => Err(refusal(status, &answer.body)),
+        }
+    }
+
+    async fn acquire(&self, name: &str, holder: &str, ttl_ms: u64) -> Result<Lease, Failure> {
+        #[derive(Serialize)]
+        struct Body<'a> {
+            holder: &'a str,
+            ttl_ms: u64,
+        }
+        #[derive(Deserialize)]
+        struct Held {
+            number: u64,
+        }
+        #[derive(Deserialize)]
+        struct Taken {
+            holder: String,
+            number: u64,
+            remaining_ms: u64,
+        }
+        check(name)?;
+        let mut call = Call::new(Cause::Lease, Method::POST, format!("/v1/lease/{name}"));
+        call.body = encode(&Body { holder, ttl_ms });
+        let answer = self.send(call).await?;
+        if answer.status != StatusCode::CONFLICT {
+            let Held { number } = decode(&answer.ok()?.body)?;
+            return Ok(Lease::Held { number });
+        }
+        let Taken { holder, number, remaining_ms } = decode(&answer.body)?;
+        Ok(Lease::Taken { holder, number, remaining_ms })
+    }
+
+    async fn json<T: DeserializeOwned>(&self, call: Call<'_>) -> Result<T, Failure> {
+        decode(&self.send(call).await?.ok()?.body)
+    }
+
+    async fn send(&self, call: Call<'_>) -> Result<Answer, Failure> {
         let mut request = Request::builder()
-            .method(method)
-            .uri(format!("http://{}{path}", self.address))
-            .header("x-cause", cause.as_str())
+            .method(call.method)
+            .uri(format!("http://{}{}", self.address, call.path))
+            .header("x-cause", call.cause.as_str())
             .header("x-host", &self.host);
-        for (name, value) in headers {
-            request = request.header(*name, *value);
+        for (name, value) in call.headers {
+            request = request.header(name, value);
         }
         let request = request
-            .body(Full::new(body.unwrap_or_default()))
+            .body(Full::new(call.body))
             .map_err(|error| Failure::Refused(400, error.to_string()))?;
-        tokio::time::timeout(timeout, self.exchange(request))
+        let timeout = Duration::from_millis(call.timeout_ms);
+        tokio::time::timeout(timeout, self.exchange(request, call.max_bytes))
             .await
             .map_err(|_| Failure::Unknown("timeout".to_owned()))?
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, Failure> {
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+    ) -> Result<Answer, Failure> {
         let answer =
             self.http.request(request).await.map_err(|error| Failure::Unknown(chain(&error)))?;
         let (head, body) = answer.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES)
-            .collect()
-            .await
-            .map_err(|error| Failure::Unknown(error.to_string()))?;
+        let body = Limited::new(body, max_bytes).collect().await.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                Failure::Invalid(format!("the answer has more than {max_bytes} bytes"))
+            } else {
+                Failure::Unknown(error.to_string())
+            }
+        })?;
         Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
     }
 }
 
+impl Answer {
+    /// The answer if its status is 200.
+    fn ok(self) -> Result<Answer, Failure> {
+        match self.status {
+            StatusCode::OK => Ok(self),
+            status => Err(refusal(status, &self.body)),
+        }
+    }
+
+    /// Whether this is a refusal for the moment that names its reason, as opposed to an outage.
+    fn names_reason(&self) -> bool {
+        #[derive(Deserialize)]
+        struct Body {
+            reason: String,
+        }
+        let reason = decode::<Body>(&self.body).is_ok_and(|it| !it.reason.is_empty());
+        self.status == StatusCode::SERVICE_UNAVAILABLE && reason
+    }
+}
+
+/// Checks that text stands for itself in a path or a query.
+fn check(text: &str) -> Result<(), Failure> {
+    let plain = |it: u8| it.is_ascii_alphanumeric() || b"-_.~/:@=,".contains(&it);
+    if text.len() <= MAX_KEY_BYTES && text.bytes().all(plain) {
+        return Ok(());
+    }
+    let why = format!("keys and names have at most {MAX_KEY_BYTES} letters, digits and -_.~/:@=,");
+    Err(Failure::Refused(400, why))
+}
+
 fn chain(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut cause = error.source();
@@ -550,13 +712,6 @@
     }
 }
 
-fn parse<T: DeserializeOwned>(answer: Answer) -> Result<T, Failure> {
-    match answer.status {
-        StatusCode::OK => decode(&answer.body),
-        status => Err(refusal(status, &answer.body)),
-    }
-}
-
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Failure> {
     serde_json::from_slice(body).map_err(|error| Failure::Invalid(error.to_string()))
 }
