Configuration core, watcher and administration interface

Hosts had no way to get a configuration, and operators none to change it. Records are read by schema.rs with every fault named by record and field, in schema 1 and 2. content.rs holds the store's entries at one revision and only moves forward; resolve.rs validates them as a whole, and what is not valid gives way to its last good version. watcher.rs keeps a host up to date from the store and from peers; admin.rs, operate.rs, change.rs, writer.rs and audit.rs are the interface of operators.

Found by the fuzzing on the way: a host that had jumped from listing to listing answered peers with changes that lacked the deletions in between, so deltas are now answered only from the last listing on; a valid record with a new digest and withdrawn=true also withdrew the digest before it, which made plans invalid part-way.

The watcher and the interface have no tests yet.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration in force: a validated set of records, compiled for look-ups.
 
 use crate::{
+    content::Aside,
     credential::Digest,
     error::{Error, Kind},
     record::{Class, Customer, Key, Pool, Protocol, Record, Role, Route, Target},
@@ -25,7 +26,7 @@
 /// A consistent configuration at one revision of the store.
 #[derive(Debug, Default)]
 pub struct Snapshot {
-    /// Store revision up to which changes are contained. Never falls on a host.
+    /// Store revision of the last change that is contained. Never falls on a host.
     pub revision: u64,
     /// Sorted by name.
     pub customers: Vec<Customer>,
@@ -37,6 +38,8 @@
     pub routes: Vec<Route>,
     /// Sorted by digest.
     pub keys: Vec<(Digest, Key)>,
+    /// Records whose newest version is not in force, sorted by record.
+    pub aside: Vec<Aside>,
     /// Routes by model, sorted by model.
     models: Vec<(String, RouteIndex)>,
     /// Routes by path prefix, sorted by prefix.
@@ -77,7 +80,7 @@
         it
     }
 
-    /// Finds the key of a secret.
+    /// Finds the key of a secret. The digest is compared in constant time.
     ///
     /// # Errors
     /// `InvalidKey` if the key is unknown, withdrawn or past its end at `wall_ms`.
@@ -98,8 +101,18 @@
 
     /// Route of the longest prefix of a path.
     pub fn path(&self, path: &str) -> Option<RouteIndex> {
-        let candidates = self.prefixes.iter().filter(|(prefix, _)| path.starts_with(prefix));
-        candidates.max_by_key(|(prefix, _)| prefix.len()).map(|(_, index)| *index)
+        let mut path = path.as_bytes();
+        loop {
+            // Every prefix of the path sorts at or before it, longer ones later.
+            let later = self.prefixes.partition_point(|(prefix, _)| prefix.as_bytes() <= path);
+            let (prefix, index) = self.prefixes.get(later.checked_sub(1)?)?;
+            let prefix = prefix.as_bytes();
+            let common = prefix.iter().zip(path).take_while(|(a, b)| a == b).count();
+            if common == prefix.len() {
+                return Some(*index);
+            }
+            path = &path[..common];
+        }
     }
 
     /// Route at an index.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -156,12 +156,15 @@
     pub full: bool,
 }
 
-/// Configuration records of one revision, as they stand in the store.
+/// Configuration records of one revision, or the changes that lead to it, as they stand in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
+    /// Revision after which the entries changed; zero if the entries are all there are.
+    pub after: u64,
     /// Revision up to which changes are contained.
     pub revision: u64,
-    /// All entries under the configuration prefix, in key order.
+    /// Entries under the configuration prefix by key and version. Where the newest version of a key is
+    /// not valid, the last valid version stands before it.
     pub entries: Vec<Entry>,
 }
 
