--- a/tests/config.rs
+++ b/tests/config.rs
@@ -62,7 +62,12 @@
         }
         (_, "key") => {
             let customer = if odd == 0 { "a" } else { "b" };
-            key(name, customer, &format!("secret{}", variant / 8 % 3), variant / 32 % 4 == 0)
+            key(
+                name,
+                customer,
+                &format!("secret{}", variant / 8 % 3),
+                (variant / 32).is_multiple_of(4),
+            )
         }
         (_, "pool") => POOL.replace("\"slots\":8", &format!("\"slots\":{}", variant / 2 + 1)),
         _ => ROUTE
@@ -329,7 +334,7 @@
                 let upto = newest - pick(upto) / 4;
                 // Mostly after the host's own revision, as a watcher asks.
                 let own = hosts[usize::from(host) % 3].content.revision();
-                let after = if after % 4 == 0 { pick(after) } else { own };
+                let after = if after.is_multiple_of(4) { pick(after) } else { own };
                 (after <= upto).then(|| (host, oracle.changes(after, upto)))
             }
             Op::Listing { host, revision } => Some((host, oracle.listing(pick(revision)))),
