Hold leases by the host's own clock

A holder that trusted the store's word, or the time at which an answer came, could act after the store had given the lease away. The core computes the end of a term from the boot clock read before the renewal was sent, a new holder waits out the whole former term, and a term that has passed is never believed again. Ruled out: shortening the wait by the remaining time that the store states, since the store may forget a lease.

Fuzzed with delays, losses, duplicates, pauses, a forgetful store and clock steps: 1,500 histories, no two certain holders.

--- /dev/null
+++ b/tests/lease.rs
@@ -0,0 +1,444 @@
+//! The lease core against a store that loses answers, delays calls and forgets, and hosts whose clocks step.
+
+use almondrack::{
+    lease::{Call, Clock, Core, Permit, Terms},
+    platform::{Failure, Lease},
+    time::{Span, Time},
+};
+use expect_test::expect;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const TTL_MS: u64 = 3_000;
+const HOSTS: usize = 3;
+const SEED: u64 = 41;
+const TERMS: Terms = Terms::new(Span::from_ms(TTL_MS));
+
+/// What happens next; hosts are taken modulo their number.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    /// Time passes, in steps of 50 ms.
+    Pass(u8),
+    /// A host is not scheduled for twice this many steps.
+    Pause(usize, u8),
+    /// The wall clock of a host jumps by this many seconds, then it sends an order if it is certain.
+    Step(usize, i8),
+    /// The next call of a host reaches the store after this many steps, its answer after as many again.
+    Delay(usize, u8),
+    /// The answer to the next call of a host is lost after the call took effect.
+    Lose(usize),
+    /// The next call of a host never arrives.
+    Drop(usize),
+    /// The next call of a host arrives a second time after this many steps.
+    Duplicate(usize, u8),
+    /// The store forgets who holds the lease.
+    Forget,
+    /// A host gives the lease up.
+    Resign(usize),
+    /// A certain host sends an order that arrives after twice this many steps.
+    Order(usize, u8),
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Event {
+        let host = usize::arbitrary(g) % HOSTS;
+        let steps = u8::arbitrary(g) % 100;
+        match u8::arbitrary(g) % 48 {
+            0..=27 => Event::Pass(steps % 25),
+            28..=30 => Event::Pause(host, steps),
+            31 => Event::Step(host, i8::arbitrary(g)),
+            32..=33 => Event::Delay(host, steps),
+            34..=35 => Event::Lose(host),
+            36 => Event::Drop(host),
+            37 => Event::Duplicate(host, steps),
+            38 => Event::Forget,
+            39 => Event::Resign(host),
+            _ => Event::Order(host, steps),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    holder: Option<(usize, u64)>,
+    number: u64,
+}
+
+impl Store {
+    fn acquire(&mut self, host: usize, now: u64) -> Lease {
+        match self.holder {
+            Some((holder, end)) if end > now && holder != host => Lease::Taken {
+                holder: holder.to_string(),
+                number: self.number,
+                remaining_ms: end - now,
+            },
+            Some((holder, end)) if end > now && holder == host => {
+                self.holder = Some((host, now + TTL_MS));
+                Lease::Held { number: self.number }
+            }
+            _ => {
+                self.number += 1;
+                self.holder = Some((host, now + TTL_MS));
+                Lease::Held { number: self.number }
+            }
+        }
+    }
+
+    fn release(&mut self, host: usize) {
+        if self.holder.is_some_and(|(holder, _)| holder == host) {
+            self.holder = None;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Host {
+    core: Core,
+    /// Boot-clock ticks per thousand true ones, and the boot time at zero.
+    rate: u64,
+    boot: u64,
+    /// Error of the wall clock, in milliseconds.
+    error: i64,
+    term: u64,
+    paused_until: u64,
+    /// A call on its way: arrival at the store, arrival of the answer, the call and its answer.
+    calls: Vec<Flight>,
+    waiting: bool,
+    delay: u64,
+    lose: bool,
+    drop: bool,
+    duplicate: Option<u64>,
+}
+
+#[derive(Debug, Clone)]
+struct Flight {
+    arrives: u64,
+    answered: u64,
+    call: Call,
+    answer: Option<Lease>,
+    heard: bool,
+}
+
+#[derive(Debug)]
+struct World {
+    now: u64,
+    store: Store,
+    hosts: Vec<Host>,
+    /// Orders on their way: arrival, number, deadline.
+    orders: Vec<(u64, u64, u64)>,
+    /// Highest number of an order that took effect.
+    accepted: u64,
+    sent: u64,
+    terms: u64,
+    faults: Vec<String>,
+}
+
+impl World {
+    fn new() -> World {
+        let host = |index: usize| Host {
+            core: Core::new(TERMS),
+            rate: 995 + 5 * index as u64,
+            boot: 1_000 + 7_777 * index as u64,
+            error: 0,
+            term: 0,
+            paused_until: 0,
+            calls: Vec::new(),
+            waiting: false,
+            delay: 0,
+            lose: false,
+            drop: false,
+            duplicate: None,
+        };
+        World {
+            now: 1_000_000,
+            store: Store::default(),
+            hosts: (0..HOSTS).map(host).collect(),
+            orders: Vec::new(),
+            accepted: 0,
+            sent: 0,
+            terms: 0,
+            faults: Vec::new(),
+        }
+    }
+
+    fn clock(&self, host: usize) -> Clock {
+        let it = &self.hosts[host];
+        let boot = Time((it.boot * 1_000) + self.now * it.rate);
+        Clock { boot, wall_ms: (self.now as i64 + it.error) as u64 }
+    }
+
+    fn permit(&self, host: usize) -> Option<Permit> {
+        self.hosts[host].core.holding()?.certain(self.clock(host))
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Pass(steps) => (0..steps).for_each(|_| self.pass()),
+            Event::Pause(host, steps) => {
+                self.hosts[host].paused_until = self.now + 100 * u64::from(steps);
+            }
+            Event::Step(host, seconds) => {
+                self.hosts[host].error = i64::from(seconds) * 1_000;
+                self.order(host, 8_000);
+            }
+            Event::Delay(host, steps) => self.hosts[host].delay = 50 * u64::from(steps),
+            Event::Lose(host) => self.hosts[host].lose = true,
+            Event::Drop(host) => self.hosts[host].drop = true,
+            Event::Duplicate(host, steps) => {
+                self.hosts[host].duplicate = Some(50 * u64::from(steps));
+            }
+            Event::Forget => self.store.holder = None,
+            Event::Resign(host) => {
+                let clock = self.clock(host);
+                self.hosts[host].core.resign(clock);
+            }
+            Event::Order(host, steps) => self.order(host, 100 * u64::from(steps)),
+        }
+        self.check();
+    }
+
+    fn order(&mut self, host: usize, delay: u64) {
+        if let Some(permit) = self.permit(host) {
+            self.orders.push((self.now + delay, permit.number, permit.deadline_ms));
+            self.sent += 1;
+        }
+    }
+
+    fn pass(&mut self) {
+        self.now += 50;
+        for host in 0..HOSTS {
+            self.arrive(host);
+            if self.hosts[host].paused_until <= self.now {
+                self.hear(host);
+                self.poll(host);
+            }
+        }
+        // A receiver without fencing, whose wall clock is right.
+        let now = self.now;
+        for (_, number, deadline) in self.orders.extract_if(.., |it| it.0 <= now) {
+            if now >= deadline {
+                continue;
+            }
+            if number < self.accepted {
+                self.faults.push(format!("order of {number} after one of {}", self.accepted));
+            }
+            self.accepted = self.accepted.max(number);
+        }
+        self.check();
+    }
+
+    /// Calls reach the store.
+    fn arrive(&mut self, host: usize) {
+        let now = self.now;
+        for flight in &mut self.hosts[host].calls {
+            if flight.arrives > now || flight.answer.is_some() {
+                continue;
+            }
+            flight.answer = Some(match flight.call {
+                Call::Acquire(_) => self.store.acquire(host, now),
+                Call::Release => {
+                    self.store.release(host);
+                    Lease::Held { number: 0 }
+                }
+            });
+        }
+    }
+
+    /// Answers reach a host that runs.
+    fn hear(&mut self, host: usize) {
+        let clock = self.clock(host);
+        let now = self.now;
+        let it = &mut self.hosts[host];
+        let due: Vec<_> = it.calls.extract_if(.., |it| it.answered <= now).collect();
+        for flight in due.into_iter().filter(|it| it.heard) {
+            it.waiting = false;
+            let lost = || Failure::Unknown("lost".to_owned());
+            let answer = if it.lose { None } else { flight.answer };
+            it.lose = false;
+            match flight.call {
+                Call::Acquire(attempt) => {
+                    it.core.answered(attempt, &answer.ok_or_else(lost), clock);
+                }
+                Call::Release => it.core.released(&answer.map(drop).ok_or_else(lost), clock),
+            }
+            let number = it.core.holding().map_or(0, |it| it.number);
+            if number > it.term {
+                it.term = number;
+                self.terms += 1;
+                // Time synchronisation puts a wrong clock right before a later term.
+                it.error = 0;
+            }
+        }
+    }
+
+    fn poll(&mut self, host: usize) {
+        if self.hosts[host].waiting {
+            return;
+        }
+        let clock = self.clock(host);
+        let now = self.now;
+        let it = &mut self.hosts[host];
+        let Some(call) = it.core.poll(clock) else { return };
+        it.waiting = true;
+        let delay = std::mem::take(&mut it.delay);
+        let dropped = std::mem::take(&mut it.drop);
+        let arrives = if dropped { u64::MAX } else { now + delay };
+        // The host gives up on a call without an answer after half a time to live.
+        let answered = (now + 2 * delay).min(now + TTL_MS / 2);
+        it.calls.push(Flight { arrives, answered, call, answer: None, heard: true });
+        if arrives > answered && !dropped {
+            it.calls.push(Flight { arrives, answered: u64::MAX, call, answer: None, heard: false });
+        }
+        if let Some(later) = it.duplicate.take() {
+            let arrives = now + later;
+            it.calls.push(Flight { arrives, answered: u64::MAX, call, answer: None, heard: false });
+        }
+    }
+
+    fn check(&mut self) {
+        let certain: Vec<_> = (0..HOSTS).filter(|host| self.permit(*host).is_some()).collect();
+        if certain.len() > 1 {
+            self.faults.push(format!("certain at {}: {certain:?}", self.now));
+        }
+    }
+}
+
+fn run(script: &[Event]) -> World {
+    let mut world = World::new();
+    for event in script {
+        world.handle(*event);
+    }
+    world
+}
+
+#[test]
+fn never_two_certain_holders() {
+    fn holds(script: Vec<Event>) -> bool {
+        let world = run(&script);
+        if !world.faults.is_empty() {
+            eprintln!("{}", world.faults[0]);
+        }
+        world.faults.is_empty()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(600, SEED))
+        .tests(1_500)
+        .quickcheck(holds as fn(Vec<Event>) -> bool);
+}
+
+#[test]
+fn fuzzed_histories_reach_what_they_check() {
+    let mut g = Gen::from_size_and_seed(600, SEED);
+    let mut terms = 0;
+    let mut sent = 0;
+    for _ in 0..200 {
+        let world = run(&Vec::arbitrary(&mut g));
+        terms += world.terms;
+        sent += world.sent;
+    }
+    expect!["2697 terms, 1917 orders"].assert_eq(&format!("{terms} terms, {sent} orders"));
+}
+
+/// Reading of both clocks with the wall clock at a fixed difference.
+fn at(ms: u64) -> Clock {
+    Clock { boot: Time(ms * 1_000), wall_ms: 1_000_000 + ms }
+}
+
+fn attempt(core: &mut Core, ms: u64) -> almondrack::lease::Attempt {
+    match core.poll(at(ms)) {
+        Some(Call::Acquire(attempt)) => attempt,
+        call => panic!("no attempt but {call:?}"),
+    }
+}
+
+fn describe(core: &Core, ms: u64) -> String {
+    match core.holding() {
+        None => "out".to_owned(),
+        Some(holding) => match holding.certain(at(ms)) {
+            None => format!("waiting under {}", holding.number),
+            Some(it) => {
+                let left_ms = it.left.as_ms();
+                format!("certain under {}, order within {left_ms} ms", it.number)
+            }
+        },
+    }
+}
+
+/// Renews every second from `from` to `to`.
+fn renew(core: &mut Core, number: u64, from: u64, to: u64) {
+    for ms in (from..=to).step_by(1_000) {
+        let attempt = attempt(core, ms);
+        core.answered(attempt, &Ok(Lease::Held { number }), at(ms));
+    }
+}
+
+#[test]
+fn holder_waits_then_lapses_without_renewal() {
+    let mut core = Core::new(TERMS);
+    renew(&mut core, 7, 10_000, 14_000);
+    let lines: Vec<_> = [13_899, 13_900, 16_000, 16_699, 16_700]
+        .iter()
+        .map(|ms| format!("{ms}: {}", describe(&core, *ms)))
+        .collect();
+    expect![[r#"
+        13899: waiting under 7
+        13900: certain under 7, order within 600 ms
+        16000: certain under 7, order within 600 ms
+        16699: certain under 7, order within 1 ms
+        16700: waiting under 7"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn lost_answer_does_not_extend() {
+    let mut core = Core::new(TERMS);
+    renew(&mut core, 7, 10_000, 14_000);
+    let lost = attempt(&mut core, 15_000);
+    core.answered(lost, &Err(Failure::Unknown("lost".to_owned())), at(15_500));
+    expect!["out"].assert_eq(&describe_after(&mut core, 16_700));
+}
+
+fn describe_after(core: &mut Core, ms: u64) -> String {
+    core.poll(at(ms));
+    describe(core, ms)
+}
+
+#[test]
+fn store_is_not_believed_for_a_term_that_passed() {
+    let mut core = Core::new(TERMS);
+    renew(&mut core, 7, 10_000, 14_000);
+    let late = attempt(&mut core, 15_000);
+    core.answered(late, &Ok(Lease::Held { number: 7 }), at(17_800));
+    let first = describe(&core, 17_800);
+    let again = attempt(&mut core, 18_000);
+    core.answered(again, &Ok(Lease::Held { number: 7 }), at(18_000));
+    let second = describe(&core, 18_000);
+    let call = core.poll(at(18_001));
+    expect!["out, out, Some(Release)"].assert_eq(&format!("{first}, {second}, {call:?}"));
+}
+
+#[test]
+fn store_is_not_believed_for_a_lower_number() {
+    let mut core = Core::new(TERMS);
+    let first = attempt(&mut core, 10_000);
+    let taken = Lease::Taken { holder: "b".to_owned(), number: 9, remaining_ms: 100 };
+    core.answered(first, &Ok(taken), at(10_000));
+    let second = attempt(&mut core, 11_000);
+    core.answered(second, &Ok(Lease::Held { number: 8 }), at(11_000));
+    let call = core.poll(at(11_001));
+    expect!["out, Some(Release)"].assert_eq(&format!("{}, {call:?}", describe(&core, 11_000)));
+}
+
+#[test]
+fn forward_step_of_the_wall_clock_does_not_move_deadlines() {
+    let mut core = Core::new(TERMS);
+    renew(&mut core, 7, 10_000, 14_000);
+    let stepped = Clock { wall_ms: 9_000_000, ..at(14_500) };
+    let holding = core.holding().expect("held");
+    let permit = holding.certain(stepped).expect("certain");
+    core.poll(stepped);
+    expect!["deadline 1015100, out"].assert_eq(&format!(
+        "deadline {}, {}",
+        permit.deadline_ms,
+        describe(&core, 14_500)
+    ));
+}
