--- a/src/lease.rs
+++ b/src/lease.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     platform::{self, Failure},
+    rendezvous,
     time::{Span, Time, wall_ms},
 };
 
@@ -22,6 +23,14 @@
 /// Longest sleep of the task between looks at the clock, in milliseconds.
 const MAX_SLEEP_MS: u64 = 1_000;
 
+/// Hosts that ask for one lease; with all of them the store's load would grow with the number of hosts.
+const CANDIDATES: usize = 3;
+
+/// Whether a host is among the few that ask for a lease.
+pub fn is_candidate<'a>(name: &str, host: &str, hosts: impl IntoIterator<Item = &'a str>) -> bool {
+    rendezvous::owners(name, hosts, CANDIDATES).contains(&host)
+}
+
 /// Lengths of a lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Terms {
--- a/src/scale.rs
+++ b/src/scale.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     platform::{State, Upstream},
-    record,
+    record::{self, Protocol},
     time::{Span, Time},
 };
 
@@ -39,7 +39,10 @@
 impl Policy {
     /// The policy of a pool record.
     pub fn new(pool: &record::Pool) -> Policy {
-        let mut models = pool.models.clone();
+        let mut models = match pool.protocol {
+            Protocol::Engine => pool.models.clone(),
+            Protocol::Plain => Vec::new(),
+        };
         models.sort();
         models.dedup();
         Policy {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -348,7 +348,61 @@
             *counts.entry(name).or_insert(0) += count;
         }
     }
-    expect![[r#"{"drain": 808, "start": 1516, "stop": 690, "unavailable": 145}"#]].assert_eq(&format!("{counts:?}"));
+    expect![[r#"{"drain": 808, "start": 1516, "stop": 690, "unavailable": 145}"#]]
+        .assert_eq(&format!("{counts:?}"));
+}
+
+#[test]
+fn noise_gives_no_orders() {
+    // Two levels that alternate, and how long each lasts in seconds.
+    let cases = [(9, 11, 90), (4, 11, 20), (0, 24, 50), (16, 19, 120)];
+    let mut lines = Vec::new();
+    for (low, high, seconds) in cases {
+        let mut zone = Zone::new(policy(1, 8, 500));
+        let mut before = 0;
+        for round in 0..60 {
+            before = if round == 20 { zone.orders() } else { before };
+            zone.level = if round % 2 == 0 { low } else { high };
+            (0..seconds).for_each(|_| zone.pass());
+        }
+        lines.push(format!("{low} and {high}: {} orders", zone.orders() - before));
+    }
+    expect![[r#"
+        9 and 11: 0 orders
+        4 and 11: 0 orders
+        0 and 24: 0 orders
+        16 and 19: 0 orders"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn upstream_is_not_idle_once_another_dispatcher_uses_it() {
+    let mut core = Core::new(Settings::default());
+    core.configure(vec![policy(0, 2, 0)]);
+    let upstream = Upstream {
+        id: "a".to_owned(),
+        pool: "p".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        state: State::Running,
+        cheap: true,
+        cost_per_hour: 1.0,
+        reclaim_ms: Some(5_000),
+    };
+    let report = |running, leaving| Demand {
+        pool: "p".to_owned(),
+        upstreams: vec![Load { upstream: "a".to_owned(), running, leaving }],
+        ..Demand::default()
+    };
+    let mut actions = Vec::new();
+    core.step(Time(1), std::slice::from_ref(&upstream), &mut actions);
+    core.demand(Time(2), report(0, true));
+    core.demand(Time(3), report(1, false));
+    core.step(Time(4), std::slice::from_ref(&upstream), &mut actions);
+    let before = actions.len();
+    core.demand(Time(5), report(0, true));
+    core.step(Time(6), &[upstream], &mut actions);
+    expect![[r#"1 before, [Drain { upstream: "a" }, Stop { upstream: "a" }]"#]]
+        .assert_eq(&format!("{before} before, {actions:?}"));
 }
 
 /// Upstreams by minute: ready, of them cheap, starting, draining.
@@ -387,7 +441,8 @@
         1: 6 ready, 3 cheap, 0 starting, 0 draining
         2: 3 ready, 1 cheap, 0 starting, 2 draining
         3: 2 ready, 1 cheap, 0 starting, 0 draining
-        4: 1 ready, 0 cheap, 0 starting, 0 draining"#]].assert_eq(&lines.join("\n"));
+        4: 1 ready, 0 cheap, 0 starting, 0 draining"#]]
+    .assert_eq(&lines.join("\n"));
 }
 
 #[test]
@@ -416,7 +471,8 @@
         10: 4 ready, 2 cheap, 0 starting, 0 draining
         11: 4 ready, 2 cheap, 0 starting, 0 draining
         12: 4 ready, 2 cheap, 0 starting, 0 draining
-        13: 4 ready, 2 cheap, 0 starting, 0 draining"#]].assert_eq(&lines.join("\n"));
+        13: 4 ready, 2 cheap, 0 starting, 0 draining"#]]
+    .assert_eq(&lines.join("\n"));
 }
 
 #[test]
@@ -432,7 +488,8 @@
         1: 4 ready, 2 cheap, 0 starting, 0 draining
         0: 2 ready, 0 cheap, 2 starting, 2 draining
         1: 4 ready, 0 cheap, 1 starting, 0 draining
-        2: 4 ready, 1 cheap, 0 starting, 0 draining"#]].assert_eq(&lines.join("\n"));
+        2: 4 ready, 1 cheap, 0 starting, 0 draining"#]]
+    .assert_eq(&lines.join("\n"));
 }
 
 #[test]
@@ -466,5 +523,6 @@
         120: Load { upstream: "b", model: "m1" }
         130: Load { upstream: "b", model: "m2" }
         140: Unload { upstream: "a", model: "m1" }
-        140: Unload { upstream: "b", model: "m1" }"#]].assert_eq(&lines.join("\n"));
+        140: Unload { upstream: "b", model: "m1" }"#]]
+    .assert_eq(&lines.join("\n"));
 }
