--- a/src/controller.rs
+++ b/src/controller.rs
@@ -428,8 +428,8 @@
                 self.core.started(&pool, cheap, &upstream);
             }
             (Ok(_), platform::Order::Stop { .. }) => {}
-            (Err(Failure::Busy(503)), platform::Order::Start { pool, cheap: true }) => {
-                self.core.refused(Time::now(), &pool, true);
+            (Err(Failure::Busy(503)), platform::Order::Start { pool, cheap }) => {
+                self.core.refused(Time::now(), &pool, cheap);
                 return Ok(Mark::Remove);
             }
             (Err(failure), order) => return self.failed(failure, &order).await,
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -231,7 +231,7 @@
 /// A call to the usage copies of this host.
 #[derive(Debug)]
 pub enum UsageCall {
-    /// Holds a batch until it is written.
+    /// Holds a batch until it is written, or says whether it was written if the content is empty.
     Hold(wire::Copy, oneshot::Sender<bool>),
 }
 
--- a/src/scale.rs
+++ b/src/scale.rs
@@ -13,8 +13,8 @@
     time::{Span, Time},
 };
 
-/// Longest pause between attempts to start a cheap upstream, as a multiple of the first.
-const MAX_CHEAP_PAUSES: u64 = 16;
+/// Longest pause after a refused start, as a multiple of the first.
+const MAX_PAUSES: u64 = 16;
 
 /// Most starts of one pool in one step.
 const MAX_STARTS: u32 = 8;
@@ -116,8 +116,10 @@
     pub start_timeout: Span,
     /// Time after which an upstream that is not idle is stopped all the same.
     pub drain_timeout: Span,
-    /// Pause after cheap upstreams were unavailable or reclaimed; doubled with each failure.
+    /// Pause after cheap upstreams were unavailable or reclaimed; doubled with each refusal.
     pub cheap_pause: Span,
+    /// Pause after the start of a regular upstream was refused; doubled with each refusal.
+    pub regular_pause: Span,
     /// Age at which a report of demand no longer counts.
     pub demand_ttl: Span,
     /// Models that the weight store can serve per minute.
@@ -135,6 +137,7 @@
             start_timeout: Span::from_ms(120_000),
             drain_timeout: Span::from_ms(600_000),
             cheap_pause: Span::from_ms(30_000),
+            regular_pause: Span::from_ms(2_000),
             demand_ttl: Span::from_ms(15_000),
             loads_per_minute: 30,
         }
@@ -207,8 +210,24 @@
     starts: Vec<Start>,
     /// Last change of the target or of the upstreams.
     changed: Time,
-    cheap_retry: Time,
-    cheap_failures: u32,
+    cheap: Pause,
+    regular: Pause,
+}
+
+/// A pause in the starts of one kind of upstream.
+#[derive(Debug, Clone, Copy, Default)]
+struct Pause {
+    until: Time,
+    /// Refusals in a row.
+    refusals: u32,
+}
+
+impl Pause {
+    fn extend(&mut self, now: Time, first: Span) {
+        let factor = (1 << self.refusals.min(8)).min(MAX_PAUSES);
+        self.refusals += 1;
+        self.until = now + Span(first.0 * factor);
+    }
 }
 
 /// An upstream on which nothing more is granted.
@@ -334,18 +353,17 @@
     pub fn started(&mut self, pool: &str, cheap: bool, upstream: &str) {
         let Ok(found) = self.pool_index(pool) else { return };
         let pool = &mut self.pools[found];
-        if cheap {
-            pool.cheap_failures = 0;
-        }
+        let pause = if cheap { &mut pool.cheap } else { &mut pool.regular };
+        pause.refusals = 0;
         let start = pool.starts.iter_mut().find(|it| it.cheap == cheap && it.upstream.is_none());
         if let Some(start) = start {
             start.upstream = Some(upstream.to_owned());
         }
     }
 
-    /// The platform refused a start. Cheap ones are asked for again after a pause.
+    /// The platform refused a start. It is asked for such upstreams again after a pause.
     pub fn refused(&mut self, now: Time, pool: &str, cheap: bool) {
-        let cheap_pause = self.settings.cheap_pause;
+        let Settings { cheap_pause, regular_pause, .. } = self.settings;
         let Ok(found) = self.pool_index(pool) else { return };
         let pool = &mut self.pools[found];
         let start = pool.starts.iter().position(|it| it.cheap == cheap && it.upstream.is_none());
@@ -353,9 +371,9 @@
             pool.starts.remove(start);
         }
         if cheap {
-            let pauses = (1 << pool.cheap_failures.min(8)).min(MAX_CHEAP_PAUSES);
-            pool.cheap_failures += 1;
-            pool.cheap_retry = now + Span(cheap_pause.0 * pauses);
+            pool.cheap.extend(now, cheap_pause);
+        } else {
+            pool.regular.extend(now, regular_pause);
         }
     }
 
@@ -447,7 +465,7 @@
 
     /// Drains upstreams that the platform reclaims or that do not become ready.
     fn drain_lost(&mut self, now: Time, upstreams: &[Upstream], actions: &mut Vec<Action>) {
-        for upstream in upstreams.iter().filter(|it| it.state != State::Leaving) {
+        for upstream in upstreams {
             if self.pool_index(&upstream.pool).is_err() {
                 continue;
             }
@@ -470,7 +488,7 @@
     /// Reclaims come many at once, so that no pool asks for cheap upstreams for a while.
     fn pause_cheap(&mut self, now: Time) {
         for pool in &mut self.pools {
-            pool.cheap_retry = pool.cheap_retry.max(now + self.settings.cheap_pause);
+            pool.cheap.until = pool.cheap.until.max(now + self.settings.cheap_pause);
         }
     }
 
@@ -601,8 +619,8 @@
             target: None,
             starts: Vec::new(),
             changed: Time(0),
-            cheap_retry: Time(0),
-            cheap_failures: 0,
+            cheap: Pause::default(),
+            regular: Pause::default(),
         }
     }
 
@@ -690,15 +708,18 @@
         let lacking = target.saturating_sub(count.available()).min(room).min(MAX_STARTS);
         let mut cheap = count.cheap;
         for _ in 0..lacking {
-            let wanted = cheap < self.policy.cheap_limit(target) && self.cheap_retry <= now;
+            let wanted = cheap < self.policy.cheap_limit(target) && self.cheap.until <= now;
+            if !wanted && now < self.regular.until {
+                return true;
+            }
             cheap += u32::from(wanted);
             self.order(now, wanted, actions);
         }
         if lacking == 0 && room > 0 && self.is_steady(settings, now, target, count) {
             let limit = self.policy.cheap_limit(target);
-            if count.cheap > limit {
+            if count.cheap > limit && self.regular.until <= now {
                 self.order(now, false, actions);
-            } else if count.cheap < limit && self.cheap_retry <= now {
+            } else if count.cheap < limit && self.cheap.until <= now {
                 self.order(now, true, actions);
             } else {
                 return false;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -174,7 +174,7 @@
     pub incarnation: u64,
     /// Sequence number of the batch within the incarnation.
     pub sequence: u64,
-    /// The batch as it is written to the store; empty when it was written and the copy can go.
+    /// The batch as it is written to the store; empty to ask whether it was written.
     pub content: Vec<u8>,
 }
 
@@ -210,7 +210,7 @@
     async fn probe(target: SocketAddr) -> bool;
     /// Configuration of the host if it is newer than a revision.
     async fn snapshot(newer_than: u64) -> Option<Snapshot>;
-    /// Holds a copy of a usage batch; true if it is held.
+    /// Holds a usage batch, true if it is held; or says whether it was written, if the content is empty.
     async fn hold(batch: Copy) -> bool;
     /// Asks a customer's limiter to admit a request.
     async fn admit(request: Admission) -> Result<(), Error>;
