Wire membership, configuration, upstream control and usage into the host

The host polled the platform for hosts and records. It now joins the membership before it takes roles, keeps its configuration by the watcher, reports each pool's demand to the zone's controller, bills what was delivered through the usage task, and serves the administration interface. Streams ask engines for their token counts, by which whole answers are billed, and leave them out of the answer of a caller that did not ask. A planned stop announces the leaving, gives leases up, drains, writes the usage and departs.

Found by the process tests: the HTTP server owns a runtime that panicked when dropped within another one at the end of a planned stop; both servers now run on threads of their own. The test records named models that their pool does not have, which the validation rightly set aside.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -5,6 +5,7 @@
     net::{SocketAddr, TcpListener},
     pin::Pin,
     sync::Arc,
+    thread,
 };
 
 use futures::future::BoxFuture;
@@ -172,7 +173,8 @@
         .run();
     let handle = server.handle()?;
     let (stop, stopped) = oneshot::channel();
-    tokio::spawn(server);
+    // The server owns a runtime, which must not be dropped within another one.
+    thread::Builder::new().name("administration".to_owned()).spawn(move || server.wait())?;
     tokio::spawn(async move {
         let _ = stopped.await;
         handle.stop(false);
--- a/src/dispatchers.rs
+++ b/src/dispatchers.rs
@@ -8,10 +8,10 @@
     config::Snapshot,
     fleet::Fleet,
     lane,
-    member::View,
+    member::{Presence, View},
     peer::{DispatchCall, Peers},
     pool,
-    time::Time,
+    time::{Span, Time},
     wire::{Decision, Ticket},
 };
 
@@ -37,10 +37,12 @@
     pub dispatching: watch::Sender<bool>,
     /// Connections to other hosts.
     pub peers: Peers,
-    /// Takes fingerprints that a dispatcher quarantines.
-    pub quarantine: mpsc::Sender<(u64, Time)>,
-    /// Fingerprints that are quarantined elsewhere.
-    pub quarantined: mpsc::Receiver<(u64, Time)>,
+    /// Takes fingerprints that a dispatcher quarantines, with the time left in milliseconds.
+    pub quarantine: mpsc::Sender<Vec<(u64, u64)>>,
+    /// Fingerprints that are quarantined elsewhere, with the time left in milliseconds.
+    pub quarantined: mpsc::Receiver<Vec<(u64, u64)>>,
+    /// How this host stands to the others; it dispatches only while it has joined.
+    pub presence: watch::Receiver<Presence>,
     /// Calls of entry hosts, this one among them.
     pub calls: mpsc::Receiver<DispatchCall>,
 }
@@ -50,17 +52,21 @@
     options: Options,
     /// Sorted by pool.
     lanes: Vec<(String, mpsc::Sender<lane::Call>)>,
+    /// Fingerprints in quarantine and its end, for dispatchers that start later.
+    quarantined: Vec<(u64, Time)>,
     starts: u64,
 }
 
 /// Spawns the task; it ends when the mailbox is closed.
 pub fn spawn(options: Options) {
-    tokio::spawn(Task { options, lanes: Vec::new(), starts: 0 }.run());
+    let task = Task { options, lanes: Vec::new(), quarantined: Vec::new(), starts: 0 };
+    tokio::spawn(task.run());
 }
 
 impl Task {
     async fn run(mut self) {
         let mut view = self.options.view.clone();
+        let mut presence = self.options.presence.clone();
         loop {
             tokio::select! {
                 call = self.options.calls.recv() => match call {
@@ -73,11 +79,8 @@
                     None => return,
                 },
                 Ok(()) = view.changed() => self.review(),
-                Some((fingerprint, until)) = self.options.quarantined.recv() => {
-                    for (_, lane) in &self.lanes {
-                        let _ = lane.send(lane::Call::Quarantine(fingerprint, until)).await;
-                    }
-                }
+                Ok(()) = presence.changed() => self.review(),
+                Some(batch) = self.options.quarantined.recv() => self.quarantine(batch).await,
             }
         }
     }
@@ -94,7 +97,23 @@
         let _ = lane.send(lane::Call::Submit(Box::new(ticket), answer)).await;
     }
 
+    async fn quarantine(&mut self, batch: Vec<(u64, u64)>) {
+        let now = Time::now();
+        self.quarantined.retain(|(_, until)| now < *until);
+        for (fingerprint, left_ms) in batch {
+            let until = now + Span::from_ms(left_ms);
+            self.quarantined.retain(|it| it.0 != fingerprint);
+            self.quarantined.push((fingerprint, until));
+            for (_, lane) in &self.lanes {
+                let _ = lane.send(lane::Call::Quarantine(fingerprint, until)).await;
+            }
+        }
+    }
+
     fn owns(&self, pool: &str) -> bool {
+        if *self.options.presence.borrow() != Presence::Joined {
+            return false;
+        }
         let owner = pool::owner(&self.options.view.borrow(), &self.options.zone, pool);
         owner.is_some_and(|it| it.host == self.options.host)
     }
@@ -115,6 +134,8 @@
             peers: self.options.peers.clone(),
             quarantine: self.options.quarantine.clone(),
             first_attempt: self.starts * ATTEMPTS_PER_START,
+            zone: self.options.zone.clone(),
+            quarantined: self.quarantined.clone(),
         });
         self.starts += 1;
         let at = self.lanes.partition_point(|it| it.0.as_str() < pool);
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,12 +9,16 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
+    thread,
     time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::{mpsc, watch},
+    time::Instant,
+};
 use tokio_util::task::TaskTracker;
 use xitca_server::ServerHandle;
 use xitca_web::{
@@ -30,6 +34,7 @@
     credential::{self, Digest},
     error::{Error, Kind},
     exchange::{self, Exchange, Job, Reply},
+    ledger::Served,
     metrics::Metrics,
     pool,
     record::{Key, Protocol, Role, Route},
@@ -68,6 +73,8 @@
     pub tracker: TaskTracker,
     /// Counters.
     pub metrics: Metrics,
+    /// Takes what is billed.
+    pub served: mpsc::Sender<Served>,
     /// Time for a caller to send its request.
     pub read_timeout: Duration,
     /// Longest silence of an upstream.
@@ -124,7 +131,8 @@
             .listen(listener)?
             .run();
         let handle = server.handle()?;
-        tokio::spawn(server);
+        // The server owns a runtime, which must not be dropped within another one.
+        thread::Builder::new().name("callers".to_owned()).spawn(move || server.wait())?;
         Ok(Entry { address, server: handle })
     }
 
@@ -145,6 +153,7 @@
             upstreams: upstream::Client::open(options.connect_timeout),
             idle_timeout: options.idle_timeout,
             metrics: options.metrics.clone(),
+            served: options.served.clone(),
             numbers: options.numbers.clone(),
         };
         Worker { options, exchange }
@@ -347,7 +356,8 @@
         max_tokens: completion.max_tokens,
         prefix: completion.prefix,
         stream: completion.stream,
-        has_priority: completion.has_priority,
+        overrides: completion.overrides,
+        model: completion.model,
         ..job
     })
 }
@@ -421,7 +431,8 @@
         max_tokens: 0,
         prefix: 0,
         stream: false,
-        has_priority: false,
+        overrides: request::Overrides::default(),
+        model: String::new(),
         body,
         accepted,
         deadline: accepted + Duration::from_millis(route.timeout_ms),
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -13,20 +13,22 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use tokio::{
-    sync::oneshot,
+    sync::{mpsc, oneshot},
     time::{Instant, sleep, timeout_at},
 };
 
 use crate::{
+    account::Account,
     attempt::{Answering, Attempt, Granted, Loss, Sent},
     attempts::{Attempts, Guard, Start, Stop},
     credential::Digest,
     error::{Error, Kind, Run},
-    metrics::Metrics,
+    ledger::Served,
+    metrics::{Metrics, Outcome},
     pool::{self, Owner},
     record::{Class, Protocol},
     relay::{Relay, Source, Times},
-    request,
+    request::{self, Overrides},
     upstream::{self, Failure, Reuse},
     wire::{Decision, Ending, Grant, Progress, Running, Ticket, TicketId},
 };
@@ -93,8 +95,10 @@
     pub fingerprint: u64,
     /// Whether the answer is to be streamed.
     pub stream: bool,
-    /// Whether the body states a priority of its own.
-    pub has_priority: bool,
+    /// Fields of the body that the router sets itself.
+    pub overrides: Overrides,
+    /// Model that the caller named, empty for plain services.
+    pub model: String,
     /// When the request was accepted.
     pub accepted: Instant,
     /// When the request must have ended.
@@ -132,15 +136,6 @@
     account: Account,
 }
 
-/// Counts a request when it ends, also when its future is dropped.
-#[derive(Debug)]
-struct Account {
-    metrics: Metrics,
-    class: Class,
-    accepted: Instant,
-    closed: bool,
-}
-
 /// Runs requests; one for each worker.
 #[derive(Debug)]
 pub struct Exchange {
@@ -160,6 +155,8 @@
     pub idle_timeout: Duration,
     /// Counters.
     pub metrics: Metrics,
+    /// Takes what is billed.
+    pub served: mpsc::Sender<Served>,
     /// Numbers of requests and tickets.
     pub numbers: Arc<AtomicU64>,
 }
@@ -196,13 +193,7 @@
     /// # Errors
     /// Why the request has no answer, and whether it ran.
     pub async fn run(&self, job: Job) -> Result<Reply, Error> {
-        self.metrics.in_flight.inc();
-        let mut account = Account {
-            metrics: self.metrics.clone(),
-            class: job.class.clone(),
-            accepted: job.accepted,
-            closed: false,
-        };
+        let mut account = Account::open(self.metrics.clone(), self.served.clone(), &job);
         let mut course =
             Course { run: Run::No, zone: None, avoid: Vec::new(), attempts: 0, retry: false };
         loop {
@@ -387,6 +378,7 @@
             client: self.upstreams.clone(),
             address: grant.address.as_str().into(),
             id: upstream_id(job, grant),
+            wants_usage: job.overrides.wants_usage,
         };
         let (head, body) = answer.into_parts();
         let times = Times { sent, idle: self.idle_timeout, deadline: job.deadline };
@@ -394,7 +386,9 @@
         let mut relay = Relay::open(source, body, attempt, guard, stop, times);
         // Until the first event is there the request can still run elsewhere.
         let first = relay.next().await?;
-        let account = account.hand_on();
+        let mut account = account.hand_on();
+        let summary = relay.summary();
+        account.answered(summary.first_token.unwrap_or(sent), summary.tokens, summary.usage);
         let stream = Stream { relay, first, account };
         Ok(Reply {
             status: head.status,
@@ -431,7 +425,12 @@
         let usage = crate::sse::whole_usage(&bytes);
         let tokens = usage.map_or(0, |it| it.completion_tokens as u32);
         guard.end(attempt.done(), tokens);
-        account.close(None, Instant::now(), tokens);
+        account.answered(Instant::now(), tokens, usage);
+        if head.status.is_success() {
+            account.close(Outcome::Whole);
+        } else {
+            account.close_unbilled();
+        }
         let body = Body::Whole(bytes);
         let headers = answer_headers(&head.headers);
         Ok(Reply { status: head.status, headers, body, run: Run::Yes })
@@ -462,9 +461,7 @@
 
 fn outgoing(job: &Job, grant: &Grant) -> Option<Request<Full<Bytes>>> {
     let body = match job.protocol {
-        Protocol::Engine => {
-            request::with_priority(&job.body, job.has_priority, grant.priority).into()
-        }
+        Protocol::Engine => request::outgoing_body(&job.body, job.overrides, grant.priority).into(),
         Protocol::Plain => job.body.clone(),
     };
     let mut request = Request::new(Full::new(body));
@@ -565,56 +562,17 @@
         let next = self.relay.next().await;
         let summary = self.relay.summary();
         let first_token = summary.first_token.unwrap_or_else(Instant::now);
+        self.account.answered(first_token, summary.tokens, summary.usage);
         match next {
             Ok(Some(bytes)) => Ok(Some(bytes)),
             Ok(None) => {
-                self.account.close(None, first_token, summary.tokens);
+                self.account.close(Outcome::Whole);
                 Ok(None)
             }
             Err(loss) => {
-                self.account.close(Some(loss.kind), first_token, summary.tokens);
+                self.account.close(Outcome::Failed(loss.kind));
                 Err(loss.kind)
             }
         }
     }
 }
-
-impl Account {
-    /// Takes the account over from the request's first part.
-    fn hand_on(&mut self) -> Account {
-        let account = Account {
-            metrics: self.metrics.clone(),
-            class: self.class.clone(),
-            accepted: self.accepted,
-            closed: self.closed,
-        };
-        self.closed = true;
-        account
-    }
-
-    fn fail(&mut self, error: Error) -> Error {
-        self.close(Some(error.kind), Instant::now(), 0);
-        error
-    }
-
-    fn close(&mut self, failure: Option<Kind>, first_token: Instant, tokens: u32) {
-        if std::mem::replace(&mut self.closed, true) {
-            return;
-        }
-        let elapsed = first_token.saturating_duration_since(self.accepted);
-        let in_time =
-            failure.is_none() && elapsed <= Duration::from_millis(self.class.first_token_ms);
-        self.metrics.ended(&self.class.name, failure, in_time, tokens);
-        if failure.is_none() {
-            self.metrics.first_token(&self.class.name, elapsed);
-        }
-        self.metrics.in_flight.dec();
-    }
-}
-
-impl Drop for Account {
-    fn drop(&mut self) {
-        // The caller left.
-        self.close(Some(Kind::BadRequest), Instant::now(), 0);
-    }
-}
--- a/src/host.rs
+++ b/src/host.rs
@@ -7,6 +7,7 @@
 };
 
 use eyre::{Result, WrapErr as _};
+use serde_json::json;
 use tokio::{
     net::TcpListener,
     sync::{mpsc, watch},
@@ -15,19 +16,26 @@
 use tokio_util::task::TaskTracker;
 
 use crate::{
+    admin::{self, Admin, Section},
     attempts::{self, Attempts},
     config::Snapshot,
+    controller::{self, Controller},
     dispatchers,
     entry::{self, Entry},
     fleet,
-    member::{Member, State, View},
+    gossip::{self, Directory},
+    lease,
+    member::{Member, Presence, State},
     metrics::Metrics,
     peer::{self, Mailboxes, Peers},
-    platform::{self, Cause},
-    pool,
-    record::Record,
+    platform, pool,
+    reporter::{self, Reporter},
+    scale,
     settings::Settings,
-    time::wall_ms,
+    time::{Span, wall_ms},
+    usage::{self, Usage},
+    watcher::{self, Watcher},
+    window,
 };
 
 /// Calls of peers that may wait at one task.
@@ -39,6 +47,15 @@
 /// Time for answers that have ended to leave the sockets.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for a role to be given up at a planned stop.
+const RESIGN_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Interval of the steps of the zone controller and of the usage reporter.
+const ROLE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Windows for which the counted numbers of a silent incarnation are kept.
+const RETAINED_WINDOWS: u64 = 12;
+
 /// Handle to a running host.
 #[derive(Debug)]
 pub struct Host {
@@ -46,22 +63,62 @@
     pub callers: SocketAddr,
     /// Bound address for peers.
     pub peers: SocketAddr,
+    /// Bound administration address.
+    pub admin: SocketAddr,
     /// Counters.
     pub metrics: Metrics,
     entry: Entry,
     draining: watch::Sender<bool>,
+    ready: watch::Sender<bool>,
     tracker: TaskTracker,
     drain_timeout: Duration,
+    directory: Directory,
+    usage: Usage,
+    controller: Controller,
+    reporter: Reporter,
     server: JoinHandle<()>,
+    _admin: Admin,
+    _watcher: Watcher,
+}
+
+/// Receiving ends of the peer service's mailboxes.
+struct Calls {
+    dispatch: mpsc::Receiver<peer::DispatchCall>,
+    attempts: mpsc::Receiver<peer::AttemptCall>,
+    members: mpsc::Receiver<peer::MemberCall>,
+    config: mpsc::Receiver<peer::ConfigCall>,
+    usage: mpsc::Receiver<peer::UsageCall>,
+    _limits: mpsc::Receiver<peer::LimitCall>,
+    controller: mpsc::Receiver<controller::Call>,
+}
+
+fn mailboxes() -> (Mailboxes, Calls) {
+    let (dispatch, dispatch_calls) = mpsc::channel(QUEUE);
+    let (attempts, attempt_calls) = mpsc::channel(QUEUE);
+    let (members, member_calls) = mpsc::channel(QUEUE);
+    let (config, config_calls) = mpsc::channel(QUEUE);
+    let (usage, usage_calls) = mpsc::channel(QUEUE);
+    let (limits, limit_calls) = mpsc::channel(QUEUE);
+    let (controller, controller_calls) = mpsc::channel(QUEUE);
+    let mailboxes = Mailboxes { dispatch, attempts, members, config, usage, limits, controller };
+    let calls = Calls {
+        dispatch: dispatch_calls,
+        attempts: attempt_calls,
+        members: member_calls,
+        config: config_calls,
+        usage: usage_calls,
+        _limits: limit_calls,
+        controller: controller_calls,
+    };
+    (mailboxes, calls)
 }
 
 impl Host {
-    /// Opens every task of a host.
+    /// Opens every task of a host and waits until it has joined the others and has the configuration.
     ///
     /// # Errors
     /// If an address cannot be bound.
     pub async fn spawn(settings: Settings) -> Result<Host> {
-        let incarnation = wall_ms();
         let metrics = Metrics::open()?;
         let listener = TcpListener::bind(settings.peers)
             .await
@@ -69,33 +126,39 @@
         let peer_address = listener.local_addr()?;
         let platform = platform::Client::open(settings.platform, &settings.host);
         let peers = Peers::spawn();
-
-        let (dispatch, dispatch_calls) = mpsc::channel(QUEUE);
-        let (attempts, attempt_calls) = mpsc::channel(QUEUE);
-        let (members, _member_calls) = mpsc::channel(QUEUE);
-        let (config, _config_calls) = mpsc::channel(QUEUE);
-        let (usage, _usage_calls) = mpsc::channel(QUEUE);
-        let (limits, _limit_calls) = mpsc::channel(QUEUE);
-        let mailboxes =
-            Mailboxes { dispatch: dispatch.clone(), attempts, members, config, usage, limits };
+        let (mailboxes, calls) = mailboxes();
+        let local = mailboxes.dispatch.clone();
         let server = tokio::spawn(peer::serve(listener, mailboxes));
 
-        let own = Member {
-            id: settings.host.clone(),
-            region: settings.region.clone(),
+        let (revision, revisions) = watch::channel(0);
+        let (quarantine, quarantines) = mpsc::channel(QUEUE);
+        let (quarantined_sender, quarantined) = mpsc::channel(QUEUE);
+        let directory = gossip::spawn(gossip::Options {
+            own: own_member(&settings, peer_address),
+            seeds: Vec::new(),
+            platform: platform.clone(),
+            peers: peers.clone(),
+            inbound: calls.members,
+            revision: revisions,
+            quarantine: quarantines,
+            quarantined: quarantined_sender,
+        });
+        let watcher = watcher::spawn(watcher::Options {
+            platform: platform.clone(),
+            peers: peers.clone(),
+            view: directory.view.clone(),
+            host: settings.host.clone(),
             zone: settings.zone.clone(),
-            peer: peer_address,
-            admin: settings.admin,
-            incarnation,
-            version: 0,
-            state: State::Alive,
-        };
-        let view = poll_hosts(platform.clone(), own);
-        let snapshot = poll_config(platform.clone());
+            mailbox: calls.config,
+        });
+        let snapshot = watcher.snapshot.clone();
+        tokio::spawn(publish_revision(snapshot.clone(), revision, metrics.clone()));
+        directory.joined().await;
+        let incarnation = directory.own.borrow().incarnation;
+        let view = directory.view.clone();
+
         let (dispatching, dispatching_seen) = watch::channel(false);
         let fleet = fleet::spawn(platform.clone(), settings.zone.clone(), dispatching_seen);
-        let (quarantine, _quarantine_out) = mpsc::channel(QUEUE);
-        let (_quarantine_in, quarantined) = mpsc::channel(QUEUE);
         dispatchers::spawn(dispatchers::Options {
             host: settings.host.clone(),
             incarnation,
@@ -107,15 +170,78 @@
             peers: peers.clone(),
             quarantine,
             quarantined,
-            calls: dispatch_calls,
+            presence: directory.presence.clone(),
+            calls: calls.dispatch,
         });
-        let dispatchers =
-            pool::Client { host: settings.host.as_str().into(), view, peers, local: dispatch };
+        let dispatchers = pool::Client {
+            host: settings.host.as_str().into(),
+            view: view.clone(),
+            peers: peers.clone(),
+            local,
+        };
         let attempts = Attempts::spawn(attempts::Options {
             dispatchers: dispatchers.clone(),
             snapshot: snapshot.clone(),
-            calls: attempt_calls,
+            calls: calls.attempts,
+        });
+        let usage = usage::spawn(usage::Options {
+            client: platform.clone(),
+            peers,
+            view: view.clone(),
+            inbound: calls.usage,
+            zone: settings.zone.clone(),
+            host: settings.host.clone(),
+            incarnation,
+            cut: settings.usage_interval,
+            merge: settings.usage_interval,
         });
+        let controller = controller::spawn(controller::Options {
+            client: platform.clone(),
+            zone: settings.zone.clone(),
+            host: settings.host.clone(),
+            incarnation,
+            terms: terms(&settings),
+            interval: ROLE_INTERVAL,
+            settings: scale::Settings::default(),
+            config: snapshot.clone(),
+            view: view.clone(),
+        });
+        tokio::spawn(forward(calls.controller, controller.mailbox.clone()));
+        let reporter = reporter::spawn(reporter::Options {
+            client: platform.clone(),
+            host: settings.host.clone(),
+            incarnation,
+            terms: terms(&settings),
+            windows: window::Terms {
+                window_ms: settings.usage_window.as_millis() as u64,
+                retained: RETAINED_WINDOWS,
+            },
+            grace_ms: 2 * settings.usage_interval.as_millis() as u64,
+            interval: ROLE_INTERVAL,
+            view: view.clone(),
+        });
+
+        let (ready, ready_seen) = watch::channel(false);
+        let rendered = metrics.clone();
+        let admin = admin::bind(admin::Options {
+            listen: settings.admin,
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            platform,
+            snapshot: snapshot.clone(),
+            content: watcher.content.clone(),
+            watcher: watcher.status.clone(),
+            view,
+            ready: ready_seen,
+            bootstrap_digest: settings.bootstrap_digest,
+            sections: sections(&directory, &usage, &controller, &reporter),
+            pages: Vec::new(),
+            metrics: Arc::new(move || rendered.render()),
+        })
+        .wrap_err_with(|| format!("cannot listen for operators on {}", settings.admin))?;
+
+        let mut status = watcher.status.clone();
+        status.wait_for(|it| it.serving).await?;
         let (draining, draining_seen) = watch::channel(false);
         let tracker = TaskTracker::new();
         let options = entry::Options {
@@ -128,6 +254,7 @@
             draining: draining_seen,
             tracker: tracker.clone(),
             metrics: metrics.clone(),
+            served: usage.served.clone(),
             read_timeout: settings.read_timeout,
             idle_timeout: settings.idle_timeout,
             connect_timeout: settings.connect_timeout,
@@ -135,81 +262,148 @@
         };
         let entry = Entry::bind(settings.callers, settings.workers, options)
             .wrap_err_with(|| format!("cannot listen for callers on {}", settings.callers))?;
+        ready.send_replace(true);
         log::info!("host {} serves callers on {}", settings.host, entry.address);
         Ok(Host {
             callers: entry.address,
             peers: peer_address,
+            admin: admin.address(),
             metrics,
             entry,
             draining,
+            ready,
             tracker,
             drain_timeout: settings.drain_timeout,
+            directory,
+            usage,
+            controller,
+            reporter,
             server,
+            _admin: admin,
+            _watcher: watcher,
         })
     }
 
+    /// Waits until another process has taken this host's id.
+    pub async fn replaced(&self) {
+        let mut presence = self.directory.presence.clone();
+        let replaced = presence.wait_for(|it| *it == Presence::Replaced).await.is_ok();
+        if !replaced {
+            std::future::pending().await
+        }
+    }
+
     /// Stops the host after its requests have ended, or after the drain timeout. True if all ended.
     pub async fn drain(self) -> bool {
         log::info!("draining");
+        self.ready.send_replace(false);
+        self.directory.leave().await;
+        let resigning = async {
+            tokio::join!(self.controller.stop(), self.reporter.stop());
+        };
+        let _ = tokio::time::timeout(RESIGN_TIMEOUT, resigning).await;
         tokio::time::sleep(NOT_READY_NOTICE).await;
         self.draining.send_replace(true);
         self.tracker.close();
         let ended = tokio::time::timeout(self.drain_timeout, self.tracker.wait()).await.is_ok();
         self.entry.stop();
-        tokio::time::sleep(FLUSH_TIMEOUT).await;
+        tokio::join!(self.usage.flush(), tokio::time::sleep(FLUSH_TIMEOUT));
+        self.directory.depart().await;
         self.server.abort();
         log::info!("drained, all requests ended: {ended}");
         ended
     }
 }
 
-fn poll_hosts(platform: platform::Client, own: Member) -> watch::Receiver<Arc<View>> {
-    let (sender, receiver) = watch::channel(Arc::new(View { members: vec![own.clone()] }));
-    tokio::spawn(async move {
-        while !sender.is_closed() {
-            if let Ok(hosts) = platform.hosts().await {
-                let others = hosts.into_iter().filter(|it| it.id != own.id && !it.leaving);
-                let mut members: Vec<_> = others
-                    .map(|it| Member {
-                        id: it.id,
-                        region: it.region,
-                        zone: it.zone,
-                        peer: it.peer,
-                        admin: it.admin,
-                        incarnation: 0,
-                        version: 0,
-                        state: State::Alive,
-                    })
-                    .collect();
-                members.push(own.clone());
-                members.sort_by(|a, b| a.id.cmp(&b.id));
-                let view = Arc::new(View { members });
-                sender.send_if_modified(|it| {
-                    *it != view && {
-                        *it = view;
-                        true
-                    }
-                });
-            }
-            tokio::time::sleep(Duration::from_millis(500)).await;
+fn own_member(settings: &Settings, peer: SocketAddr) -> Member {
+    Member {
+        id: settings.host.clone(),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        peer,
+        admin: settings.admin,
+        incarnation: wall_ms(),
+        version: 0,
+        state: State::Alive,
+    }
+}
+
+fn terms(settings: &Settings) -> lease::Terms {
+    lease::Terms::new(Span::from_ms(settings.lease_ttl.as_millis() as u64))
+}
+
+/// Members of the status beside the configuration.
+fn sections(
+    directory: &Directory,
+    usage: &Usage,
+    controller: &Controller,
+    reporter: &Reporter,
+) -> Vec<Section> {
+    let (presence, gossip) = (directory.presence.clone(), directory.counters.clone());
+    let (usage, controller) = (usage.status.clone(), controller.status.clone());
+    let reporter = reporter.status.clone();
+    vec![
+        section("presence", move || json!(format!("{:?}", *presence.borrow()).to_lowercase())),
+        section("gossip", move || {
+            let it = *gossip.borrow();
+            json!({
+                "sent": it.sent, "sent_bytes": it.sent_bytes, "received": it.received,
+                "received_bytes": it.received_bytes, "failed": it.failed, "listed": it.listed,
+                "stalled": it.stalled,
+            })
+        }),
+        section("usage", move || {
+            let it = usage.borrow();
+            json!({
+                "unwritten": it.unwritten, "held": it.held, "batches": it.batches,
+                "records": it.records, "refused": it.refused, "degraded": it.degraded,
+            })
+        }),
+        section("controller", move || {
+            let it = controller.borrow();
+            json!({
+                "number": it.number, "degraded": it.degraded, "orders": it.orders,
+                "open": it.open, "refused": it.refused, "unreadable": it.unreadable,
+                "targets": it.targets,
+            })
+        }),
+        section("reporter", move || {
+            let it = reporter.borrow();
+            json!({
+                "number": it.number, "sealed": it.sealed, "reported": it.reported,
+                "conflicts": it.conflicts, "unreadable": it.unreadable, "degraded": it.degraded,
+            })
+        }),
+    ]
+}
+
+fn section(
+    name: &'static str,
+    value: impl Fn() -> serde_json::Value + Send + Sync + 'static,
+) -> Section {
+    Section { name, value: Arc::new(value) }
+}
+
+/// Passes on the revision in force.
+async fn publish_revision(
+    mut snapshot: watch::Receiver<Arc<Snapshot>>,
+    revision: watch::Sender<u64>,
+    metrics: Metrics,
+) {
+    loop {
+        let current = snapshot.borrow_and_update().revision;
+        metrics.revision.set(current as i64);
+        revision.send_replace(current);
+        if snapshot.changed().await.is_err() {
+            return;
         }
-    });
-    receiver
+    }
 }
 
-fn poll_config(platform: platform::Client) -> watch::Receiver<Arc<Snapshot>> {
-    let (sender, receiver) = watch::channel(Arc::new(Snapshot::default()));
-    tokio::spawn(async move {
-        while !sender.is_closed() {
-            if let Ok(listing) = platform.list(Cause::Config, "config/", "", 10_000).await
-                && listing.revision > sender.borrow().revision
-            {
-                let texts = listing.entries.iter().filter_map(|it| it.value.as_deref());
-                let records = texts.filter_map(|it| serde_json::from_str::<Record>(it).ok());
-                sender.send_replace(Arc::new(Snapshot::build(listing.revision, records)));
-            }
-            tokio::time::sleep(Duration::from_millis(500)).await;
+async fn forward<T>(mut from: mpsc::Receiver<T>, to: mpsc::Sender<T>) {
+    while let Some(message) = from.recv().await {
+        if to.send(message).await.is_err() {
+            return;
         }
-    });
-    receiver
+    }
 }
--- a/src/lane.rs
+++ b/src/lane.rs
@@ -1,6 +1,6 @@
 //! Task of one pool on the host that dispatches it: feeds the dispatcher core and carries out its actions.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::{StreamExt as _, stream::FuturesUnordered};
 use tokio::{
@@ -9,18 +9,21 @@
 };
 
 use crate::{
+    attainment::Attainment,
     attempts::Key,
     config::Snapshot,
+    controller,
     dispatch::{
         Action, Adopted, AttemptKey, Class, ClassKey, CustomerKey, Dispatcher, Ending, Event, Load,
         RouteKey, Ticket, TicketKey, Upstream, UpstreamKey,
     },
     error::{Error, Kind},
     fleet::Fleet,
-    load,
+    lease, load,
     member::View,
     peer::{self, Peers},
     platform::State,
+    scale::{self, Demand},
     time::{Span, Time},
     wire::{self, Decision, Grant, Held, Progress},
 };
@@ -37,9 +40,18 @@
 /// Time for a granted attempt to be sent.
 const START_WITHIN_MS: u64 = 1_000;
 
+/// Time of a stop that is not known.
+const FOREVER: Time = Time(u64::MAX);
+
 /// Time without progress after which the attempt of a host that left the view has ended.
 const ATTEMPT_TIMEOUT: Span = Span::from_ms(3_000);
 
+/// Interval of the reports of demand to the zone's controller.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for the zone's controller to answer a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Calls that may wait at the task.
 pub const QUEUE: usize = 16_384;
 
@@ -71,8 +83,12 @@
     pub fleet: watch::Receiver<Arc<Fleet>>,
     /// Connections to other hosts.
     pub peers: Peers,
-    /// Takes fingerprints that this dispatcher quarantines, with the end of the period.
-    pub quarantine: mpsc::Sender<(u64, Time)>,
+    /// Takes fingerprints that this dispatcher quarantines, with the time left in milliseconds.
+    pub quarantine: mpsc::Sender<Vec<(u64, u64)>>,
+    /// Fingerprints in quarantine when the task starts, and its end.
+    pub quarantined: Vec<(u64, Time)>,
+    /// Availability zone of this host.
+    pub zone: String,
     /// Number of the first attempt; attempts of one incarnation must not share numbers.
     pub first_attempt: u64,
 }
@@ -107,6 +123,7 @@
 
 #[derive(Debug)]
 struct Waiting {
+    since: Time,
     ticket: Box<wire::Ticket>,
     answer: oneshot::Sender<Decision>,
 }
@@ -119,6 +136,11 @@
     host: String,
     /// Last sign of the attempt.
     seen: Time,
+    /// Whether the first token came.
+    answering: bool,
+    class: ClassKey,
+    /// When the request must have its first token.
+    target: Time,
 }
 
 #[derive(Debug)]
@@ -148,6 +170,9 @@
     /// Difference between the numbers of the core and those on the wire.
     offset: u64,
     open: bool,
+    /// Upstreams that the zone's controller drains, sorted.
+    draining: Vec<String>,
+    attainment: Attainment,
 }
 
 async fn run(options: Options, mut mailbox: mpsc::Receiver<Call>) {
@@ -160,6 +185,12 @@
     let mut fleet = options.fleet.clone();
     let mut lane = Lane::new(options);
     lane.configure();
+    for (fingerprint, until) in lane.options.quarantined.clone() {
+        lane.handle(Event::Quarantine(fingerprint, until));
+    }
+    let mut reports = tokio::time::interval(REPORT_INTERVAL);
+    reports.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let (drains, mut draining) = mpsc::channel(1);
     loop {
         tokio::select! {
             call = mailbox.recv() => {
@@ -183,6 +214,8 @@
             }
             Some((upstream, load)) = loads.recv() => lane.load(&upstream, load),
             _ = interval.tick() => lane.tick(),
+            _ = reports.tick(), if lane.open => lane.report(drains.clone()),
+            Some(upstreams) = draining.recv() => lane.drain(upstreams),
         }
         lane.act();
     }
@@ -226,13 +259,7 @@
 }
 
 /// Asks one host until it accepts.
-async fn ask(
-    peers: &Peers,
-    address: std::net::SocketAddr,
-    pool: &str,
-    host: &str,
-    incarnation: u64,
-) -> Held {
+async fn ask(peers: &Peers, address: SocketAddr, pool: &str, host: &str, incarnation: u64) -> Held {
     loop {
         if let Ok(client) = peers.client(address).await {
             let context = peer::within(HANDOVER_TIMEOUT);
@@ -263,6 +290,8 @@
             attempts: BTreeMap::new(),
             offset: options.first_attempt,
             open: false,
+            draining: Vec::new(),
+            attainment: Attainment::default(),
             options,
         }
     }
@@ -285,7 +314,8 @@
         self.tickets += 1;
         let key = TicketKey(self.tickets);
         let core = self.ticket(key, &ticket);
-        self.waiting.insert(key, Waiting { ticket, answer });
+        let since = Time::now() - Span::from_ms(ticket.waited_ms);
+        self.waiting.insert(key, Waiting { since, ticket, answer });
         self.handle(Event::Submit(core));
     }
 
@@ -369,15 +399,37 @@
         // Numbers of adopted attempts lie above those that the core gives.
         let attempt = AttemptKey(u64::MAX - self.running.len() as u64);
         self.tickets += 1;
+        let target = self.target(&ticket);
         let ticket = self.ticket(TicketKey(self.tickets), &ticket);
         let tokens = progress.tokens;
-        self.note(attempt, key, host.to_owned());
+        let run = Run {
+            key,
+            host: host.to_owned(),
+            seen: Time::now(),
+            answering: progress.first_token_us.is_some(),
+            class: ticket.class,
+            target,
+        };
+        self.note(attempt, run);
         self.handle(Event::Adopt(Adopted { attempt, ticket, upstream, tokens }));
     }
 
-    fn note(&mut self, attempt: AttemptKey, key: Key, host: String) {
-        self.attempts.insert(key, attempt);
-        self.running.insert(attempt, Run { key, host, seen: Time::now() });
+    fn note(&mut self, attempt: AttemptKey, run: Run) {
+        self.attempts.insert(run.key, attempt);
+        self.running.insert(attempt, run);
+    }
+
+    /// When a ticket's request must have its first token.
+    fn target(&self, ticket: &wire::Ticket) -> Time {
+        let snapshot = self.options.snapshot.borrow();
+        let target_ms = snapshot.class(&ticket.class).map_or(0, |it| it.first_token_ms);
+        Time::now() + Span::from_ms(target_ms) - Span::from_ms(ticket.waited_ms)
+    }
+
+    fn note_first_token(&mut self, attempt: AttemptKey) {
+        if let Some(run) = self.running.get(&attempt) {
+            self.attainment.note(run.class, Time::now() <= run.target);
+        }
     }
 
     /// Tells the core which upstreams there are.
@@ -397,8 +449,12 @@
         for it in fleet.pool(&pool.name).filter(|it| it.state != State::Starting) {
             listed.push(&it.id);
             let stops = it.reclaim_ms.map(|ms| now + Span::from_ms(ms));
-            let leaving =
-                if it.state == State::Leaving { Some(stops.unwrap_or(now)) } else { stops };
+            let drained = self.draining.binary_search(&it.id).is_ok();
+            let leaving = match it.state {
+                State::Leaving => Some(stops.unwrap_or(now)),
+                State::Running | State::Starting if drained => Some(stops.unwrap_or(FOREVER)),
+                State::Running | State::Starting => stops,
+            };
             let told = Upstream {
                 slots: if closed { 0 } else { pool.slots },
                 kv_tokens: pool.kv_tokens,
@@ -440,6 +496,51 @@
         self.handle(Event::Upstream(key, told));
     }
 
+    /// Tells the zone's controller what the pool needs.
+    fn report(&mut self, drains: mpsc::Sender<Vec<String>>) {
+        let demand = self.demand();
+        let view = self.options.view.borrow().clone();
+        let zone = &self.options.zone;
+        let hosts = lease::candidates(&controller::lease_name(zone), view.eligible(zone));
+        let addresses: Vec<_> =
+            hosts.into_iter().filter_map(|it| view.get(it)).map(|it| it.peer).collect();
+        tokio::spawn(report(self.options.peers.clone(), addresses, demand, drains));
+    }
+
+    fn demand(&mut self) -> Demand {
+        let snapshot = self.options.snapshot.borrow().clone();
+        let classes = self.classes.keys.iter().filter_map(|(name, key)| {
+            let target = snapshot.class(name)?.attainment_per_mille;
+            let queued = self.core.queued_of(ClassKey(*key)) as u32;
+            self.attainment.report(ClassKey(*key), target, queued)
+        });
+        let classes = classes.collect();
+        self.attainment.age();
+        let oldest = self.waiting.values().next().map(|it| Time::now().since(it.since));
+        let states: Vec<_> = self.core.upstreams().collect();
+        let upstreams = self.sites.iter().map(|site| scale::Load {
+            upstream: site.id.clone(),
+            running: states.iter().find(|it| it.key == site.key).map_or(0, |it| it.busy),
+            leaving: site.told.leaving.is_some(),
+        });
+        Demand {
+            pool: self.options.pool.clone(),
+            queued: self.core.queued() as u32,
+            running: self.core.running() as u32,
+            longest_wait_ms: oldest.map_or(0, Span::as_ms),
+            classes,
+            upstreams: upstreams.collect(),
+        }
+    }
+
+    fn drain(&mut self, mut upstreams: Vec<String>) {
+        upstreams.sort();
+        if upstreams != self.draining {
+            self.draining = upstreams;
+            self.survey();
+        }
+    }
+
     fn addresses(&self) -> Vec<(String, String)> {
         self.sites.iter().map(|it| (it.id.clone(), it.address.clone())).collect()
     }
@@ -456,9 +557,11 @@
         let mut first = false;
         if let Some(run) = self.running.get_mut(&attempt) {
             run.seen = Time::now();
-            first = progress.first_token_us.is_some();
+            first = progress.first_token_us.is_some() && !run.answering;
+            run.answering |= first;
         }
         if let Some(micros) = progress.first_token_us.filter(|_| first) {
+            self.note_first_token(attempt);
             self.handle(Event::FirstToken(attempt, micros));
         }
         if progress.tokens > 0 {
@@ -516,7 +619,8 @@
                     }
                     Action::Preempt(attempt) => self.preempt(attempt),
                     Action::Quarantine(fingerprint, until) => {
-                        let _ = self.options.quarantine.try_send((fingerprint, until));
+                        let left_ms = until.since(Time::now()).as_ms();
+                        let _ = self.options.quarantine.try_send(vec![(fingerprint, left_ms)]);
                     }
                 }
             }
@@ -525,7 +629,8 @@
 
     fn grant(&mut self, ticket: TicketKey, attempt: AttemptKey, upstream: UpstreamKey) {
         let site = self.sites.iter().find(|it| it.key == upstream);
-        let (Some(Waiting { ticket, answer }), Some(site)) = (self.waiting.remove(&ticket), site)
+        let (Some(Waiting { ticket, answer, since }), Some(site)) =
+            (self.waiting.remove(&ticket), site)
         else {
             return self.end(attempt, wire::Ending::Unused);
         };
@@ -539,7 +644,12 @@
             start_within_ms: START_WITHIN_MS,
             priority: snapshot.class(&ticket.class).map_or(u8::MAX, |it| it.tier),
         };
-        self.note(attempt, key, ticket.id.host);
+        let class = ClassKey(self.classes.intern(&ticket.class).0);
+        let target =
+            since + Span::from_ms(snapshot.class(&ticket.class).map_or(0, |it| it.first_token_ms));
+        let host = ticket.id.host;
+        let run = Run { key, host, seen: Time::now(), answering: false, class, target };
+        self.note(attempt, run);
         if answer.send(Decision::Granted(grant)).is_err() {
             self.end(attempt, wire::Ending::Unused);
         }
@@ -547,6 +657,8 @@
 
     fn refuse(&mut self, ticket: TicketKey, kind: Kind, retry_after_ms: Option<u64>) {
         let Some(waiting) = self.waiting.remove(&ticket) else { return };
+        let class = ClassKey(self.classes.intern(&waiting.ticket.class).0);
+        self.attainment.note(class, false);
         let error = Error::new(kind, explain(kind));
         let _ = waiting.answer.send(Decision::Refused(Error { retry_after_ms, ..error }));
     }
@@ -564,6 +676,23 @@
     }
 }
 
+/// Reports to the candidates for the zone's controller until one of them is it.
+async fn report(
+    peers: Peers,
+    addresses: Vec<SocketAddr>,
+    demand: Demand,
+    drains: mpsc::Sender<Vec<String>>,
+) {
+    for address in addresses {
+        let Ok(client) = peers.client(address).await else { continue };
+        let answer = client.demand(peer::within(REPORT_TIMEOUT), demand.clone()).await;
+        if let Ok(Some(upstreams)) = answer {
+            let _ = drains.send(upstreams).await;
+            return;
+        }
+    }
+}
+
 fn core_ending(ending: wire::Ending) -> Ending {
     match ending {
         wire::Ending::Done => Ending::Done,
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -26,9 +26,14 @@
 /// Hosts that ask for one lease; with all of them the store's load would grow with the number of hosts.
 const CANDIDATES: usize = 3;
 
+/// The few hosts that ask for a lease.
+pub fn candidates<'a>(name: &str, hosts: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    rendezvous::owners(name, hosts, CANDIDATES)
+}
+
 /// Whether a host is among the few that ask for a lease.
 pub fn is_candidate<'a>(name: &str, host: &str, hosts: impl IntoIterator<Item = &'a str>) -> bool {
-    rendezvous::owners(name, hosts, CANDIDATES).contains(&host)
+    candidates(name, hosts).contains(&host)
 }
 
 /// Lengths of a lease.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,9 @@
 //! assert_eq!((answer.status, answer.later), (503, true));
 //! ```
 
+pub(crate) mod account;
 pub mod admin;
+pub(crate) mod attainment;
 pub mod attempt;
 pub mod attempts;
 pub mod audit;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -13,6 +13,28 @@
 const FIRST_TOKEN_BUCKETS: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.61, 1.0, 3.0, 10.0, 30.0, 120.0];
 
+/// How a request ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The caller got the whole answer.
+    Whole,
+    /// The caller got a refusal or a cut answer.
+    Failed(Kind),
+    /// The caller left.
+    Abandoned,
+}
+
+impl Outcome {
+    /// Value of the `outcome` label.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Whole => "ok",
+            Outcome::Failed(kind) => kind.answer().name,
+            Outcome::Abandoned => "abandoned",
+        }
+    }
+}
+
 /// Counters of a host; clones share them.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -84,10 +106,9 @@
         })
     }
 
-    /// Counts a request that ended; `None` stands for a whole answer.
-    pub fn ended(&self, class: &str, failure: Option<Kind>, in_time: bool, tokens: u32) {
-        let outcome = failure.map_or("ok", |kind| kind.answer().name);
-        self.requests.with_label_values(&[class, outcome]).inc();
+    /// Counts a request that ended.
+    pub fn ended(&self, class: &str, outcome: Outcome, in_time: bool, tokens: u32) {
+        self.requests.with_label_values(&[class, outcome.as_str()]).inc();
         if in_time {
             self.in_time.with_label_values(&[class]).inc();
         }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -21,7 +21,9 @@
 };
 
 use crate::{
+    controller,
     error::{Error, Kind},
+    scale::Demand,
     wire::{self, Peer as _, PeerClient},
 };
 
@@ -259,6 +261,8 @@
     pub usage: mpsc::Sender<UsageCall>,
     /// Limits of customers.
     pub limits: mpsc::Sender<LimitCall>,
+    /// Controller of the zone.
+    pub controller: mpsc::Sender<controller::Call>,
 }
 
 /// Accepts connections of peers and passes their calls to the mailboxes, until the task is aborted.
@@ -345,6 +349,10 @@
         ask(&self.limits, call).await.unwrap_or_else(stopped)
     }
 
+    async fn demand(self, _: context::Context, demand: Demand) -> Option<Vec<String>> {
+        ask(&self.controller, |answer| controller::Call { demand, answer }).await.flatten()
+    }
+
     async fn settle(self, _: context::Context, request: wire::Admission) {
         let _ = self.limits.send(LimitCall::Settle(request)).await;
     }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -38,6 +38,8 @@
     pub address: Arc<str>,
     /// Id under which the upstream knows the stream.
     pub id: String,
+    /// Whether the caller asked for the token counts; if not they are left out of its answer.
+    pub wants_usage: bool,
 }
 
 /// What an answer consisted of when it ended.
@@ -176,8 +178,13 @@
             std::mem::take(&mut self.tail).freeze()
         };
         let mut length = 0;
+        let mut hidden = None;
         while let Some(next) = sse::event(&buffer[length..]) {
-            self.count(&buffer[length..length + next])?;
+            let event = length..length + next;
+            let usage = self.count(&buffer[event.clone()])?;
+            if usage && !self.source.wants_usage {
+                hidden = Some(event);
+            }
             length += next;
             if self.finished {
                 break;
@@ -190,11 +197,17 @@
         if !self.finished {
             self.tail.extend_from_slice(rest);
         }
-        Ok(buffer.slice(..length))
+        let Some(hidden) = hidden else { return Ok(buffer.slice(..length)) };
+        let mut shown = BytesMut::with_capacity(length - hidden.len());
+        shown.extend_from_slice(&buffer[..hidden.start]);
+        shown.extend_from_slice(&buffer[hidden.end..length]);
+        Ok(shown.freeze())
     }
 
-    fn count(&mut self, event: &[u8]) -> Result<(), Kind> {
-        match sse::meaning(event) {
+    /// Counts an event. True if it states token counts and nothing else.
+    fn count(&mut self, event: &[u8]) -> Result<bool, Kind> {
+        let meaning = sse::meaning(event);
+        match meaning {
             Meaning::Token => self.count_token(),
             Meaning::Usage(usage) => self.summary.usage = Some(usage),
             Meaning::Other => {}
@@ -204,7 +217,7 @@
         let stated =
             sse::field(event, b"id").and_then(|it| std::str::from_utf8(it).ok()?.parse().ok());
         self.offset = stated.unwrap_or(self.offset) + 1;
-        Ok(())
+        Ok(matches!(meaning, Meaning::Usage(_)))
     }
 
     fn count_token(&mut self) {
@@ -259,7 +272,7 @@
             return false;
         }
         self.resumes += 1;
-        let Source { client, address, id } = &self.source;
+        let Source { client, address, id, wants_usage: _ } = &self.source;
         let uri = format!("http://{address}/v1/streams/{id}?from={}", self.offset);
         let Ok(request) = Request::get(uri).body(Full::<Bytes>::default()) else { return false };
         let limit = self.deadline.min(Instant::now() + self.idle);
--- a/src/request.rs
+++ b/src/request.rs
@@ -46,8 +46,27 @@
     pub prompt_tokens: u32,
     /// Hash of the start of the prompt.
     pub prefix: u64,
+    /// What the body says that the router has to replace.
+    pub overrides: Overrides,
+}
+
+/// Fields of a completion request that the router sets itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Overrides {
     /// Whether the body states a priority of its own.
     pub has_priority: bool,
+    /// Whether the body states stream options of its own.
+    pub has_stream_options: bool,
+    /// Whether the caller asked for token counts at the end of the stream.
+    pub wants_usage: bool,
+    /// Whether the answer is to be streamed.
+    pub stream: bool,
+}
+
+#[derive(Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
 }
 
 #[derive(Deserialize)]
@@ -65,6 +84,8 @@
     prompt: Option<&'a serde_json::value::RawValue>,
     #[serde(default)]
     priority: Option<IgnoredAny>,
+    #[serde(default)]
+    stream_options: Option<StreamOptions>,
 }
 
 /// Reads a body in one of the completions forms.
@@ -82,35 +103,51 @@
         return Err(bad(format!("'{name}' has the wrong type")));
     }
     let start = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
+    let stream = read.stream.unwrap_or(false);
+    let overrides = Overrides {
+        has_priority: read.priority.is_some(),
+        has_stream_options: read.stream_options.is_some(),
+        wants_usage: read.stream_options.is_some_and(|it| it.include_usage),
+        stream,
+    };
     Ok(Completion {
-        stream: read.stream.unwrap_or(false),
+        stream,
+        overrides,
         max_tokens: read.max_completion_tokens.or(read.max_tokens).unwrap_or(0),
         prompt_tokens: (prompt.len() / BYTES_PER_TOKEN).max(1).min(u32::MAX as usize) as u32,
         prefix: rendezvous::hash(&[read.model.as_bytes(), start]).max(1),
-        has_priority: read.priority.is_some(),
         model: read.model,
     })
 }
 
-/// The body with the priority that the engine is told.
+/// The body with the priority that the engine is told, and with token counts asked for, by which streams are billed.
 ///
-/// A priority that the caller stated is replaced.
-pub fn with_priority(body: &[u8], has_priority: bool, priority: u8) -> Vec<u8> {
-    if has_priority {
-        return replace_priority(body, priority).unwrap_or_else(|| body.to_vec());
+/// What the caller stated of these is replaced.
+pub fn outgoing_body(body: &[u8], overrides: Overrides, priority: u8) -> Vec<u8> {
+    let stated = overrides.has_priority || overrides.has_stream_options;
+    if stated {
+        return replace(body, overrides, priority).unwrap_or_else(|| body.to_vec());
     }
     let Some(open) = body.iter().position(|byte| *byte == b'{') else { return body.to_vec() };
-    let field = format!("\"priority\":{priority},");
-    let mut out = Vec::with_capacity(body.len() + field.len());
+    let mut fields = format!("\"priority\":{priority},");
+    if overrides.stream {
+        fields.push_str("\"stream_options\":{\"include_usage\":true},");
+    }
+    let mut out = Vec::with_capacity(body.len() + fields.len());
     out.extend_from_slice(&body[..=open]);
-    out.extend_from_slice(field.as_bytes());
+    out.extend_from_slice(fields.as_bytes());
     out.extend_from_slice(&body[open + 1..]);
     out
 }
 
-fn replace_priority(body: &[u8], priority: u8) -> Option<Vec<u8>> {
+fn replace(body: &[u8], overrides: Overrides, priority: u8) -> Option<Vec<u8>> {
     let mut value: serde_json::Value = serde_json::from_slice(body).ok()?;
-    value.as_object_mut()?.insert("priority".to_owned(), priority.into());
+    let fields = value.as_object_mut()?;
+    fields.insert("priority".to_owned(), priority.into());
+    if overrides.stream {
+        let options = fields.entry("stream_options").or_insert_with(|| serde_json::json!({}));
+        options.as_object_mut()?.insert("include_usage".to_owned(), true.into());
+    }
     serde_json::to_vec(&value).ok()
 }
 
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -103,9 +103,9 @@
     }
     let Ok(chunk) = serde_json::from_slice::<Chunk<'_>>(data) else { return Meaning::Invalid };
     match chunk.usage {
-        Some(usage) => Meaning::Usage(usage),
-        None if chunk.choices.iter().any(has_text) => Meaning::Token,
-        None => Meaning::Other,
+        Some(usage) if chunk.choices.is_empty() => Meaning::Usage(usage),
+        _ if chunk.choices.iter().any(has_text) => Meaning::Token,
+        _ => Meaning::Other,
     }
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{error::Error, member::Member, platform::Entry};
+use crate::{error::Error, member::Member, platform::Entry, scale::Demand};
 
 /// Identifies one ticket of an entry host: host, incarnation and sequence number.
 ///
@@ -256,6 +256,8 @@
     async fn hold(batch: Copy) -> bool;
     /// Asks a customer's limiter to admit a request.
     async fn admit(request: Admission) -> Result<(), Error>;
+    /// Reports a pool's demand to the zone's controller; the upstreams to drain, or `None` if the host is not it.
+    async fn demand(demand: Demand) -> Option<Vec<String>>;
     /// Tells a customer's limiter that a request ended and the tokens that it used.
     async fn settle(request: Admission);
 }
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -826,6 +826,7 @@
         let address = listener.local_addr().unwrap();
         let (members, inbound) = mpsc::channel(64);
         let mailboxes = Mailboxes {
+            controller: mpsc::channel(1).0,
             dispatch: mpsc::channel(1).0,
             attempts: mpsc::channel(1).0,
             members,
--- a/tests/processes/support.rs
+++ b/tests/processes/support.rs
@@ -398,7 +398,7 @@
         }
         records.push(json!({
             "kind": "pool", "schema": 2, "name": "engines", "protocol": "engine",
-            "models": ["m1"], "slots": self.options.slots, "kv_tokens": 1_000_000,
+            "models": ["m1", "m2", "m3"], "slots": self.options.slots, "kv_tokens": 1_000_000,
             "max_per_zone": 4,
         }));
         records.push(json!({
--- a/tests/watcher.rs
+++ b/tests/watcher.rs
@@ -110,6 +110,7 @@
             mailbox,
         });
         let mailboxes = Mailboxes {
+            controller: mpsc::channel(1).0,
             dispatch: mpsc::channel(1).0,
             attempts: mpsc::channel(1).0,
             members: mpsc::channel(1).0,
