--- a/stand-ins/src/load/call.rs
+++ b/stand-ins/src/load/call.rs
@@ -267,8 +267,9 @@
     }
 }
 
-/// Kind of error that a refusal states, or the start of its body.
+/// Kind of error that a refusal states, or its status and the start of its body.
 async fn refusal(answer: Response<Incoming>) -> String {
+    let status = answer.status().as_u16();
     let Ok(body) = answer.into_body().collect().await else {
         return "cut".to_owned();
     };
@@ -276,6 +277,9 @@
     let parsed: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
     match parsed["error"]["kind"].as_str() {
         Some(kind) => kind.to_owned(),
-        None => String::from_utf8_lossy(&body).chars().take(100).collect(),
+        None => {
+            let start: String = String::from_utf8_lossy(&body).chars().take(100).collect();
+            format!("{status} {start}")
+        }
     }
 }
