Test the programs of the stand-ins; count gaps between tokens only

The summary took the last events of a stream, which hold no token, for gaps. The engine prints its two addresses in one piece, so that a reader may leave after the first line.

--- a/stand-ins/src/bin/engine.rs
+++ b/stand-ins/src/bin/engine.rs
@@ -61,8 +61,9 @@
     let options = options(flags::Engine::from_env_or_exit())?;
     let listen = options.listen;
     let engine = engine::spawn(options).wrap_err_with(|| format!("cannot listen on {listen}"))?;
-    writeln!(io::stdout(), "listening on {}", engine.address())?;
-    writeln!(io::stdout(), "control on {}", engine.control())?;
+    // In one piece, for a reader that leaves after the first line.
+    let lines = format!("listening on {}\ncontrol on {}\n", engine.address(), engine.control());
+    io::stdout().write_all(lines.as_bytes())?;
     tokio::select! {
         () = engine.crashed() => Ok(ExitCode::from(CRASHED)),
         done = tokio::signal::ctrl_c() => {
--- a/stand-ins/src/load/call.rs
+++ b/stand-ins/src/load/call.rs
@@ -85,7 +85,7 @@
     pub wanted: u32,
     /// How it ended.
     pub outcome: Outcome,
-    /// Time between events.
+    /// Time between tokens.
     #[serde(skip)]
     pub gaps_us: Vec<u32>,
 }
--- a/stand-ins/src/load/check.rs
+++ b/stand-ins/src/load/check.rs
@@ -64,19 +64,18 @@
         self.finished && self.done && !self.foreign && self.tokens == tokens
     }
 
-    /// Takes bytes of a stream of events and returns the number of complete lines with data.
+    /// Takes bytes of a stream of events and returns the number of tokens in them.
     pub(super) fn events(&mut self, bytes: &[u8]) -> u32 {
+        let before = self.tokens;
         self.rest.extend_from_slice(bytes);
         let rest = std::mem::take(&mut self.rest);
         let end = rest.iter().rposition(|it| *it == b'\n').map_or(0, |it| it + 1);
         let lines = rest[..end].split(|it| *it == b'\n');
-        let mut events = 0;
         for data in lines.filter_map(|it| it.strip_prefix(b"data:")) {
-            events += 1;
             self.data(data.trim_ascii());
         }
         self.rest = rest[end..].to_vec();
-        events
+        self.tokens - before
     }
 
     fn data(&mut self, data: &[u8]) {
--- a/stand-ins/src/load/summary.rs
+++ b/stand-ins/src/load/summary.rs
@@ -26,7 +26,7 @@
     pub tokens: u64,
     /// Planned start to the first byte, of whole streamed answers.
     pub first_us: Histogram<u32>,
-    /// Between events of streams.
+    /// Between tokens of streams.
     pub gap_us: Histogram<u32>,
     /// Planned start to the end, of whole answers.
     pub total_us: Histogram<u32>,
--- a/stand-ins/tests/conformance/main.rs
+++ b/stand-ins/tests/conformance/main.rs
@@ -5,4 +5,5 @@
 mod engine;
 mod load;
 mod platform;
+mod programs;
 mod service;
