Let the platform's stand-in mute hosts; test memory limit and lagging load

A cut in one direction needs calls that take effect while their answers never arrive: mute_for_hosts and mute_for_zones.

--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -56,6 +56,10 @@
     pub down_for_hosts: Vec<String>,
     /// Zones whose hosts get no answer.
     pub down_for_zones: Vec<String>,
+    /// Hosts whose calls take effect and get no answer.
+    pub mute_for_hosts: Vec<String>,
+    /// Zones whose hosts' calls take effect and get no answer.
+    pub mute_for_zones: Vec<String>,
     /// Answers nonsense with status 200; effects are taken.
     pub garbage: bool,
     /// Reads in any one second before 429, absent for no limit.
@@ -84,6 +88,8 @@
             lose_next: 0,
             down_for_hosts: Vec::new(),
             down_for_zones: Vec::new(),
+            mute_for_hosts: Vec::new(),
+            mute_for_zones: Vec::new(),
             garbage: false,
             reads_per_s: None,
             writes_per_s: None,
@@ -269,14 +275,21 @@
     }
 
     fn is_cut(&self, host: &str) -> bool {
+        self.is_among(host, &self.faults.down_for_hosts, &self.faults.down_for_zones)
+    }
+
+    fn is_mute(&self, host: &str) -> bool {
+        self.is_among(host, &self.faults.mute_for_hosts, &self.faults.mute_for_zones)
+    }
+
+    fn is_among(&self, host: &str, hosts: &[String], zones: &[String]) -> bool {
         let zone = self.fleet.zone_of(host);
-        self.faults.down_for_hosts.iter().any(|it| it == host)
-            || self.faults.down_for_zones.iter().any(|it| it == zone)
+        hosts.iter().any(|it| it == host) || zones.iter().any(|it| it == zone)
     }
 
     /// Decides on a call's answer and notes it.
     fn end(&mut self, place: usize, host: &str, status: u16) -> Ending {
-        if self.faults.hang || self.is_cut(host) {
+        if self.faults.hang || self.is_cut(host) || self.is_mute(host) {
             return Ending::Withheld;
         }
         let down = self.faults.down;
--- a/stand-ins/tests/conformance/common.rs
+++ b/stand-ins/tests/conformance/common.rs
@@ -29,6 +29,16 @@
     out
 }
 
+/// Repeats a call until its answer is as wanted.
+pub(crate) async fn until(address: SocketAddr, line: &str, wanted: impl Fn(&str) -> bool) {
+    let seen = async {
+        while !wanted(&call(address, line).await) {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), seen).await.unwrap();
+}
+
 /// Sends one call and renders its status, version and body; times in JSON are replaced.
 pub(crate) async fn call(address: SocketAddr, line: &str) -> String {
     let (head, body) = line.split_once(" | ").unwrap_or((line, ""));
--- a/stand-ins/tests/conformance/engine.rs
+++ b/stand-ins/tests/conformance/engine.rs
@@ -40,12 +40,7 @@
 
 /// Waits until a look at the engine's health gives an answer.
 async fn until_health(engine: &Running, answer: &str) {
-    let seen = async {
-        while common::call(engine.address(), "GET /health").await != answer {
-            tokio::time::sleep(Duration::from_millis(2)).await;
-        }
-    };
-    tokio::time::timeout(Duration::from_secs(20), seen).await.unwrap();
+    common::until(engine.address(), "GET /health", |it| it == answer).await;
 }
 
 #[tokio::test]
@@ -326,3 +321,34 @@
     let bytes = common::call(engine.control(), "GET /test/bytes").await;
     assert!(bytes.contains("x-secret: abc"), "{bytes}");
 }
+
+#[tokio::test]
+async fn memory_limits_the_batch_and_load_reports_lag() {
+    let line = |id: &str| {
+        format!(
+            r#"POST /v1/completions x-request-id:{id} | {{"model":"m","stream":true,"max_tokens":7,"prompt":"x"}}"#
+        )
+    };
+    let engine = spawn(|it| {
+        it.kv_tokens = 15;
+        it.gap_us = 3_600_000_000;
+    });
+    let lagging = spawn(|it| {
+        it.gap_us = 3_600_000_000;
+        it.load_lag_ms = 3_600_000;
+    });
+    let mut seen = common::call(lagging.address(), "GET /load").await;
+    for (engine, id) in [(&engine, "r1"), (&engine, "r2"), (&lagging, "r3")] {
+        let (address, line) = (engine.address(), line(id));
+        tokio::spawn(async move { common::call(address, &line).await });
+        until(engine, id).await;
+    }
+    for engine in [&engine, &lagging] {
+        seen.push_str(&format!("\n{}", common::call(engine.address(), "GET /load").await));
+    }
+    expect![[r#"
+        200 {"age_ms":0,"kv_total":1000000,"kv_used":0,"running":0,"slots":64,"waiting":0}
+        200 {"age_ms":0,"kv_total":15,"kv_used":8,"running":1,"slots":64,"waiting":1}
+        200 {"age_ms":0,"kv_total":1000000,"kv_used":0,"running":0,"slots":64,"waiting":0}"#]]
+    .assert_eq(&seen);
+}
--- a/stand-ins/tests/conformance/platform.rs
+++ b/stand-ins/tests/conformance/platform.rs
@@ -185,7 +185,7 @@
         GET /v1/kv/a
           200 %%% not an answer
         POST /test/faults | {"garbage":false,"unknown":1}
-          400 unknown field `unknown`, expected one of `latency_ms`, `down`, `hang`, `lose_answers_per_mille`, `lose_next`, `down_for_hosts`, `down_for_zones`, `garbage`, `reads_per_s`, `writes_per_s`, `hosts_lag_ms`, `start_ms`, `stop_ms`, `unfenced_zones`, `no_cheap_zones`
+          400 unknown field `unknown`, expected one of `latency_ms`, `down`, `hang`, `lose_answers_per_mille`, `lose_next`, `down_for_hosts`, `down_for_zones`, `mute_for_hosts`, `mute_for_zones`, `garbage`, `reads_per_s`, `writes_per_s`, `hosts_lag_ms`, `start_ms`, `stop_ms`, `unfenced_zones`, `no_cheap_zones`
         POST /test/faults | {"garbage":false}
           200
         GET /v1/kv/a
@@ -307,27 +307,24 @@
 }
 
 #[tokio::test]
-async fn a_cut_zone_gets_no_answer_and_takes_no_effect() {
+async fn cut_hosts_get_no_answer() {
     let server = platform::spawn(Options::new(common::local())).unwrap();
     let lines = r#"
-        POST /test/hosts | {"hosts":[{"id":"h1","region":"r","zone":"a","peer":"127.0.0.1:1","admin":"127.0.0.1:2"}]}
-        POST /test/faults | {"down_for_zones":["a"],"down_for_hosts":["h2"]}
+        POST /test/hosts | {"hosts":[{"id":"h1","region":"r","zone":"a","peer":"127.0.0.1:1","admin":"127.0.0.1:2"},{"id":"h3","region":"r","zone":"b","peer":"127.0.0.1:1","admin":"127.0.0.1:2"}]}
+        POST /test/faults | {"down_for_zones":["a"],"down_for_hosts":["h2"],"mute_for_zones":["b"],"mute_for_hosts":["h4"]}
     "#;
     common::script(server.address(), lines).await;
-    for host in ["h1", "h2"] {
+    let mut calls = Vec::new();
+    for host in ["h1", "h2", "h3", "h4"] {
         let line = format!("PUT /v1/kv/{host} x-host:{host} | one");
-        let call = common::call(server.address(), &line);
-        assert!(tokio::time::timeout(Duration::from_millis(50), call).await.is_err());
+        let address = server.address();
+        calls.push(tokio::spawn(async move { common::call(address, &line).await }));
+        let name = format!("\"host\":\"{host}\"");
+        common::until(server.address(), "GET /test/history", |it| it.contains(&name)).await;
     }
-    let after = "
-        GET /v1/kv/h1 x-host:h3
-        GET /v1/kv/h2 x-host:h3
-    ";
-    expect![[r#"
-        GET /v1/kv/h1 x-host:h3
-          404
-        GET /v1/kv/h2 x-host:h3
-          404
-    "#]]
-    .assert_eq(&common::script(server.address(), after).await);
+    for (host, status) in [("h3", "200"), ("h4", "200"), ("h1", "404"), ("h2", "404")] {
+        let line = format!("GET /v1/kv/{host} x-host:h5");
+        common::until(server.address(), &line, |it| it.starts_with(status)).await;
+    }
+    assert!(!calls.iter().any(|it| it.is_finished()));
 }
