--- a/src/watcher.rs
+++ b/src/watcher.rs
@@ -57,6 +57,9 @@
 /// Silence of the zone's watchers after which other hosts are asked.
 const SILENCE: Duration = Duration::from_millis(3_000);
 
+/// Pause after changes, so that many in a row are taken together.
+const SETTLE: Duration = Duration::from_millis(100);
+
 /// First pause after a failed call to the store, in milliseconds.
 const FIRST_PAUSE_MS: u64 = 200;
 
@@ -339,6 +342,7 @@
         if taken {
             self.store.failures = 0;
             self.store.list = false;
+            self.store.due = Instant::now() + SETTLE;
         } else {
             let pause = pause_ms(self.store.failures, &mut self.rng);
             self.store.failures += 1;
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -4,7 +4,7 @@
 
 use almondrack::{
     change::{self, Refusal, Set},
-    content::Content,
+    content::{Content, Pages},
     credential::Digest,
     platform::Entry,
     record::{Record, Target},
@@ -402,6 +402,49 @@
     quickcheck(6_000, 11).quickcheck(property as fn(Vec<Op>) -> TestResult);
 }
 
+/// Changes between the pages of a listing do not mix its revisions.
+#[test]
+fn pages_become_one_revision() {
+    /// Keys that are written or deleted.
+    type Batch = Vec<(u8, bool)>;
+    fn property(before: Batch, between: Vec<Batch>) -> bool {
+        let mut oracle = Oracle::new();
+        let write = |oracle: &mut Oracle, changes: &[(u8, bool)]| {
+            for (key, delete) in changes {
+                let index = usize::from(*key) % KEYS.len();
+                let text = format!("text {}", oracle.revision());
+                let present = oracle.states.last().unwrap().contains_key(KEYS[index]);
+                if present || !*delete {
+                    oracle.change(KEYS[index], (!*delete).then_some(text));
+                }
+            }
+        };
+        write(&mut oracle, &before);
+        let mut between = between.iter();
+        let mut pages = Pages::default();
+        let mut after = String::new();
+        loop {
+            let listing = oracle.listing(oracle.revision());
+            let rest = listing.entries.into_iter().filter(|it| it.key > after);
+            let page: Vec<_> = rest.take(2).collect();
+            let last = page.last().map(|it| it.key.clone());
+            pages.add(listing.revision, page);
+            let Some(last) = last else { break };
+            after = last;
+            write(&mut oracle, between.next().map_or(&[], Vec::as_slice));
+        }
+        while !pages.is_whole() && pages.after() < oracle.revision() {
+            // The store may answer with a part of the changes.
+            let upto = pages.after() + (oracle.revision() - pages.after()).div_ceil(2);
+            let changes = oracle.changes(pages.after(), upto);
+            pages.catch_up(changes.revision, changes.entries);
+        }
+        let Some(whole) = pages.finish() else { return false };
+        whole == oracle.listing(whole.revision)
+    }
+    quickcheck(3_000, 12).quickcheck(property as fn(Batch, Vec<Batch>) -> bool);
+}
+
 fn listing(texts: &[&str]) -> wire::Snapshot {
     let mut version = 0;
     let mut entries: Vec<_> = texts
