--- a/src/host.rs
+++ b/src/host.rs
@@ -27,7 +27,7 @@
     lease,
     member::{Member, Presence, State},
     metrics::Metrics,
-    peer::{self, Mailboxes, Peers},
+    peer::{self, Peers},
     platform, pool,
     reporter::{self, Reporter},
     scale,
@@ -81,38 +81,6 @@
     _watcher: Watcher,
 }
 
-/// Receiving ends of the peer service's mailboxes.
-struct Calls {
-    dispatch: mpsc::Receiver<peer::DispatchCall>,
-    attempts: mpsc::Receiver<peer::AttemptCall>,
-    members: mpsc::Receiver<peer::MemberCall>,
-    config: mpsc::Receiver<peer::ConfigCall>,
-    usage: mpsc::Receiver<peer::UsageCall>,
-    _limits: mpsc::Receiver<peer::LimitCall>,
-    controller: mpsc::Receiver<controller::Call>,
-}
-
-fn mailboxes() -> (Mailboxes, Calls) {
-    let (dispatch, dispatch_calls) = mpsc::channel(QUEUE);
-    let (attempts, attempt_calls) = mpsc::channel(QUEUE);
-    let (members, member_calls) = mpsc::channel(QUEUE);
-    let (config, config_calls) = mpsc::channel(QUEUE);
-    let (usage, usage_calls) = mpsc::channel(QUEUE);
-    let (limits, limit_calls) = mpsc::channel(QUEUE);
-    let (controller, controller_calls) = mpsc::channel(QUEUE);
-    let mailboxes = Mailboxes { dispatch, attempts, members, config, usage, limits, controller };
-    let calls = Calls {
-        dispatch: dispatch_calls,
-        attempts: attempt_calls,
-        members: member_calls,
-        config: config_calls,
-        usage: usage_calls,
-        _limits: limit_calls,
-        controller: controller_calls,
-    };
-    (mailboxes, calls)
-}
-
 impl Host {
     /// Opens every task of a host and waits until it has joined the others and has the configuration.
     ///
@@ -126,7 +94,7 @@
         let peer_address = listener.local_addr()?;
         let platform = platform::Client::open(settings.platform, &settings.host);
         let peers = Peers::spawn();
-        let (mailboxes, calls) = mailboxes();
+        let (mailboxes, calls) = peer::mailboxes(QUEUE);
         let local = mailboxes.dispatch.clone();
         let server = tokio::spawn(peer::serve(listener, mailboxes));
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -265,6 +265,47 @@
     pub controller: mpsc::Sender<controller::Call>,
 }
 
+/// Receiving ends of the mailboxes.
+#[derive(Debug)]
+pub struct Calls {
+    /// Calls to the dispatchers.
+    pub dispatch: mpsc::Receiver<DispatchCall>,
+    /// Calls to the attempts in progress.
+    pub attempts: mpsc::Receiver<AttemptCall>,
+    /// Calls to the membership.
+    pub members: mpsc::Receiver<MemberCall>,
+    /// Calls to the configuration.
+    pub config: mpsc::Receiver<ConfigCall>,
+    /// Calls to the copies of usage batches.
+    pub usage: mpsc::Receiver<UsageCall>,
+    /// Calls to the limiters.
+    pub limits: mpsc::Receiver<LimitCall>,
+    /// Calls to the zone's controller.
+    pub controller: mpsc::Receiver<controller::Call>,
+}
+
+/// Opens mailboxes in which so many calls may wait.
+pub fn mailboxes(capacity: usize) -> (Mailboxes, Calls) {
+    let (dispatch, dispatch_calls) = mpsc::channel(capacity);
+    let (attempts, attempt_calls) = mpsc::channel(capacity);
+    let (members, member_calls) = mpsc::channel(capacity);
+    let (config, config_calls) = mpsc::channel(capacity);
+    let (usage, usage_calls) = mpsc::channel(capacity);
+    let (limits, limit_calls) = mpsc::channel(capacity);
+    let (controller, controller_calls) = mpsc::channel(capacity);
+    let mailboxes = Mailboxes { dispatch, attempts, members, config, usage, limits, controller };
+    let calls = Calls {
+        dispatch: dispatch_calls,
+        attempts: attempt_calls,
+        members: member_calls,
+        config: config_calls,
+        usage: usage_calls,
+        limits: limit_calls,
+        controller: controller_calls,
+    };
+    (mailboxes, calls)
+}
+
 /// Accepts connections of peers and passes their calls to the mailboxes, until the task is aborted.
 pub async fn serve(listener: TcpListener, mailboxes: Mailboxes) {
     loop {
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -825,15 +825,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (members, inbound) = mpsc::channel(64);
-        let mailboxes = Mailboxes {
-            controller: mpsc::channel(1).0,
-            dispatch: mpsc::channel(1).0,
-            attempts: mpsc::channel(1).0,
-            members,
-            config: mpsc::channel(1).0,
-            usage: mpsc::channel(1).0,
-            limits: mpsc::channel(1).0,
-        };
+        let mailboxes = Mailboxes { members, ..peer::mailboxes(1).0 };
         let server = tokio::spawn(peer::serve(listener, mailboxes));
         let (revision, revision_receiver) = watch::channel(0);
         let (quarantine, quarantine_receiver) = mpsc::channel(8);
