Check leases, orders and usage through the real tasks

Two candidates against the stand-in platform with lost answers, cut off, with the platform down for longer than a lease, and frozen past the lease in a zone that does not check fencing.

--- /dev/null
+++ b/tests/authority.rs
@@ -0,0 +1,591 @@
+//! Leases, orders and usage through the real tasks against the stand-in platform, with faults.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use almondrack::{
+    collector::Record,
+    config::Snapshot,
+    controller::{self, Controller},
+    lease::{self, Lease, Terms},
+    ledger::Served,
+    member::{Member, State, View},
+    peer::{self, Mailboxes, Peers},
+    platform::{Client, Upstream},
+    record::{Pool, Protocol, Record as ConfigRecord},
+    reporter::{self, Reporter},
+    scale::{Demand, Load, Settings},
+    time::Span,
+    usage::{self, Usage},
+    window::{self, Window},
+};
+use bytes::Bytes;
+use expect_test::expect;
+use http::{Method, Request};
+use http_body_util::{BodyExt as _, Full};
+use hyper_util::{client::legacy::Client as Http, rt::TokioExecutor};
+use serde_json::{Value, json};
+use stand_ins::{
+    engine,
+    platform::{Options, Spare},
+    server::Server,
+};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot, watch},
+    time::{sleep, timeout},
+};
+
+const TERMS: Terms = Terms::new(Span::from_ms(1_500));
+const PATIENCE: Duration = Duration::from_secs(40);
+
+fn loopback() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+async fn call(address: SocketAddr, method: Method, path: &str, body: Value) -> Value {
+    let http = Http::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let body = if body.is_null() { String::new() } else { body.to_string() };
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .body(Full::from(body))
+        .expect("request");
+    let answer = http.request(request).await.expect("answer");
+    assert!(answer.status().is_success(), "{path}: {}", answer.status());
+    let bytes = answer.into_body().collect().await.expect("body").to_bytes();
+    serde_json::from_slice(&bytes).unwrap_or(Value::Null)
+}
+
+async fn faults(platform: &Server, faults: Value) {
+    call(platform.address(), Method::POST, "/test/faults", faults).await;
+}
+
+async fn get(platform: &Server, path: &str) -> Value {
+    call(platform.address(), Method::GET, path, Value::Null).await
+}
+
+/// Waits for a condition that a condition of the history must bring about.
+async fn until<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
+    let reached = timeout(PATIENCE, async {
+        while !condition().await {
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+    assert!(reached.await.is_ok(), "not reached: {what}");
+}
+
+fn member(id: &str, peer: SocketAddr) -> Member {
+    Member {
+        id: id.to_owned(),
+        region: "r".to_owned(),
+        zone: "z".to_owned(),
+        peer,
+        admin: peer,
+        incarnation: 1,
+        version: 0,
+        state: State::Alive,
+    }
+}
+
+fn view(peers: &[(&str, SocketAddr)]) -> Arc<View> {
+    let members = peers.iter().map(|(id, peer)| member(id, *peer)).collect();
+    Arc::new(View { members })
+}
+
+/// The values in order, each run of equal ones once.
+fn runs(values: impl Iterator<Item = String>) -> Vec<String> {
+    let mut runs: Vec<String> = values.collect();
+    runs.dedup();
+    runs
+}
+
+/// Whether each value has one run only.
+fn are_apart(runs: &[String]) -> bool {
+    let mut sorted = runs.to_vec();
+    sorted.sort();
+    sorted.dedup();
+    sorted.len() == runs.len()
+}
+
+fn candidate(platform: &Server, host: &str) -> (Lease, watch::Sender<bool>) {
+    let (standing, stands) = watch::channel(true);
+    let lease = lease::spawn(lease::Options {
+        client: Client::open(platform.address(), host),
+        name: "zone-z".to_owned(),
+        host: host.to_owned(),
+        incarnation: 1,
+        terms: TERMS,
+        standing: stands,
+    });
+    (lease, standing)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lease_has_one_certain_holder_through_faults() {
+    let platform = stand_ins::platform::spawn(Options::new(loopback())).expect("platform");
+    faults(&platform, json!({ "lose_answers_per_mille": 200 })).await;
+    let (a, _a) = candidate(&platform, "a");
+    let (b, _b) = candidate(&platform, "b");
+    let (stop, mut stopped) = oneshot::channel::<()>();
+    let (first, second) = (a.clone(), b.clone());
+    let watcher = tokio::spawn(async move {
+        let mut holders = Vec::new();
+        while stopped.try_recv().is_err() {
+            let certain = [("a", first.certain()), ("b", second.certain())];
+            let names = certain.iter().filter(|it| it.1.is_some()).map(|it| it.0.to_owned());
+            let names: Vec<_> = names.collect();
+            if !names.is_empty() {
+                holders.push(names.join(" and "));
+            }
+            sleep(Duration::from_millis(2)).await;
+        }
+        runs(holders.into_iter())
+    });
+    until("a first holder", async || a.certain().is_some() || b.certain().is_some()).await;
+    // Each holder in turn is cut off from the store.
+    for _ in 0..2 {
+        let (holder, other, lease) =
+            if a.certain().is_some() { ("a", "b", &b) } else { ("b", "a", &a) };
+        faults(&platform, json!({ "down_for_hosts": [holder] })).await;
+        until(&format!("{other} takes over"), async || lease.certain().is_some()).await;
+        faults(&platform, json!({ "down_for_hosts": [] })).await;
+    }
+    let _ = stop.send(());
+    let holders = watcher.await.expect("watcher");
+    assert!(holders.iter().all(|it| it.len() == 1), "{holders:?}");
+    assert!(holders.len() >= 3, "{holders:?}");
+}
+
+fn pool() -> Pool {
+    Pool {
+        schema: 2,
+        name: "p".to_owned(),
+        protocol: Protocol::Engine,
+        models: vec!["m".to_owned()],
+        slots: 4,
+        kv_tokens: 0,
+        min_per_zone: 2,
+        max_per_zone: 6,
+        cheap_per_mille: 500,
+        fenced: true,
+    }
+}
+
+fn control(platform: &Server, host: &str, view: &Arc<View>) -> Controller {
+    let snapshot = Snapshot::build(1, [ConfigRecord::Pool(pool())]);
+    controller::spawn(controller::Options {
+        client: Client::open(platform.address(), host),
+        zone: "z".to_owned(),
+        host: host.to_owned(),
+        incarnation: 1,
+        terms: TERMS,
+        interval: Duration::from_millis(100),
+        settings: Settings {
+            grow_after: Span::from_ms(300),
+            shrink_after: Span::from_ms(2_000),
+            loads_per_minute: 600,
+            ..Settings::default()
+        },
+        config: watch::channel(Arc::new(snapshot)).1,
+        view: watch::channel(view.clone()).1,
+    })
+}
+
+/// A dispatcher with a number of requests; tells the controllers until its handle is dropped.
+fn dispatch(
+    platform: &Server,
+    controllers: Vec<mpsc::Sender<controller::Call>>,
+    requests: watch::Receiver<u32>,
+) {
+    let client = Client::open(platform.address(), "d");
+    tokio::spawn(async move {
+        let mut leaving: Vec<String> = Vec::new();
+        while requests.has_changed().is_ok() {
+            let upstreams = client.upstreams("z").await.unwrap_or_default();
+            let running = *requests.borrow();
+            let load = |it: &Upstream| Load {
+                upstream: it.id.clone(),
+                running: 0,
+                leaving: leaving.contains(&it.id),
+            };
+            let demand = Demand {
+                pool: "p".to_owned(),
+                running,
+                upstreams: upstreams.iter().map(load).collect(),
+                ..Demand::default()
+            };
+            for controller in &controllers {
+                let (answer, told) = oneshot::channel();
+                let call = controller::Call { demand: demand.clone(), answer };
+                // A controller may be frozen.
+                if controller.try_send(call).is_ok()
+                    && let Ok(Ok(Some(draining))) = timeout(Duration::from_millis(100), told).await
+                {
+                    leaving = draining;
+                }
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    });
+}
+
+async fn upstreams(platform: &Server) -> Vec<Upstream> {
+    let answer = get(platform, "/v1/zones/z/upstreams").await;
+    serde_json::from_value(answer["upstreams"].clone()).expect("upstreams")
+}
+
+/// Hosts that wrote intents or sent orders, in order, and the fencing numbers of the intents.
+///
+/// Calls that did not reach the platform's state are left out.
+fn authors(history: &Value) -> (Vec<String>, Vec<String>) {
+    let text = |it: &Value, field: &str| it[field].as_str().unwrap_or_default().to_owned();
+    let calls = history.as_array().expect("history").iter().filter(|it| it["effect"] == true);
+    let intent = |it: &Value| {
+        let path = text(it, "path");
+        let id = path.strip_prefix("/v1/kv/intent/z/").filter(|_| it["method"] == "PUT")?;
+        Some(id.split('-').next().unwrap_or_default().to_owned())
+    };
+    let is_order = |it: &Value| it["path"] == "/v1/zones/z/orders";
+    let ordering = calls.clone().filter(|it| is_order(it) || intent(it).is_some());
+    let hosts = runs(ordering.map(|it| text(it, "host")));
+    (hosts, runs(calls.filter_map(intent)))
+}
+
+/// Whether each fencing number stands for one host, which orders in one go.
+fn are_in_turn((hosts, numbers): &(Vec<String>, Vec<String>)) -> bool {
+    are_apart(numbers) && hosts.len() <= numbers.len()
+}
+
+async fn engines(count: usize) -> (Vec<engine::Running>, Vec<Spare>) {
+    let mut running = Vec::new();
+    let mut spares = Vec::new();
+    for index in 0..count {
+        let engine = engine::spawn(engine::Options::new(loopback())).expect("engine");
+        spares.push(Spare {
+            pool: "p".to_owned(),
+            zone: "z".to_owned(),
+            address: engine.address(),
+            cheap: index % 2 == 0,
+        });
+        running.push(engine);
+    }
+    (running, spares)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_come_from_one_controller_at_a_time() {
+    let (engines, spares) = engines(16).await;
+    let options = Options { spares, ..Options::new(loopback()) };
+    let platform = stand_ins::platform::spawn(options).expect("platform");
+    faults(&platform, json!({ "lose_answers_per_mille": 150, "start_ms": 100 })).await;
+    let everyone = view(&[("a", loopback()), ("b", loopback())]);
+    let a = control(&platform, "a", &everyone);
+    let b = control(&platform, "b", &everyone);
+    let (requests, level) = watch::channel(2);
+    dispatch(&platform, vec![a.mailbox.clone(), b.mailbox.clone()], level);
+    let count = async |wanted: usize| {
+        let running = upstreams(&platform).await;
+        running.len() == wanted
+            && running.iter().all(|it| it.state == almondrack::platform::State::Running)
+    };
+    until("two upstreams", async || count(2).await).await;
+    requests.send_replace(13);
+    until("four upstreams", async || count(4).await).await;
+
+    // The holder is cut off from the platform while more is needed; the other one takes over.
+    let holder = if a.status.borrow().number.is_some() { "a" } else { "b" };
+    let other = if holder == "a" { &b } else { &a };
+    faults(&platform, json!({ "down_for_hosts": [holder] })).await;
+    requests.send_replace(17);
+    until("the other controller", async || other.status.borrow().number.is_some()).await;
+    until("five upstreams", async || count(5).await).await;
+    faults(&platform, json!({ "down_for_hosts": [] })).await;
+
+    // The platform is down for longer than the lease: nothing is ordered, then it goes on.
+    faults(&platform, json!({ "down": true })).await;
+    requests.send_replace(4);
+    sleep(Duration::from_millis(2_500)).await;
+    let number = |it: &Controller| it.status.borrow().number;
+    assert_eq!((number(&a), number(&b)), (None, None));
+    faults(&platform, json!({ "down": false })).await;
+    until("two upstreams again", async || count(2).await).await;
+
+    let history = get(&platform, "/test/history").await;
+    let authors = authors(&history);
+    assert!(are_in_turn(&authors), "{authors:?}");
+    assert!(authors.0.len() >= 2, "{authors:?}");
+    let mut loads = 0;
+    for engine in &engines {
+        let orders = call(engine.control(), Method::GET, "/test/orders", Value::Null).await;
+        loads += orders.as_array().map_or(0, Vec::len);
+    }
+    assert!(loads >= 5, "{loads} loads");
+    let intents = Client::open(platform.address(), "t");
+    faults(&platform, json!({ "lose_answers_per_mille": 0 })).await;
+    until("no open intent", async || {
+        let ledger = almondrack::intent::list(&intents, "z").await.expect("intents");
+        ledger.open.is_empty() && ledger.unreadable.is_empty()
+    })
+    .await;
+    a.stop().await;
+    b.stop().await;
+}
+
+/// A controller on a thread of its own that can be frozen like a stopped process.
+fn freezable(
+    platform: &Server,
+    host: &'static str,
+    view: &Arc<View>,
+) -> (Controller, tokio::runtime::Handle) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("runtime");
+    let handle = runtime.handle().clone();
+    let controller = {
+        let _entered = runtime.enter();
+        control(platform, host, view)
+    };
+    std::thread::spawn(move || runtime.block_on(std::future::pending::<()>()));
+    (controller, handle)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn frozen_controller_wakes_without_authority() {
+    let (_engines, spares) = engines(16).await;
+    let options = Options { spares, ..Options::new(loopback()) };
+    let platform = stand_ins::platform::spawn(options).expect("platform");
+    faults(&platform, json!({ "unfenced_zones": ["z"], "start_ms": 100 })).await;
+    let everyone = view(&[("a", loopback()), ("b", loopback())]);
+    let (a, a_runtime) = freezable(&platform, "a", &everyone);
+    let (b, b_runtime) = freezable(&platform, "b", &everyone);
+    let (requests, level) = watch::channel(2);
+    dispatch(&platform, vec![a.mailbox.clone(), b.mailbox.clone()], level);
+    let number = |it: &Controller| it.status.borrow().number;
+    for round in 0..3 {
+        until("a controller", async || number(&a).is_some() || number(&b).is_some()).await;
+        let (runtime, other) =
+            if number(&a).is_some() { (&a_runtime, &b) } else { (&b_runtime, &a) };
+        let before = number(&a).max(number(&b));
+        runtime.spawn(async { std::thread::sleep(Duration::from_secs(6)) });
+        // The one that wakes still has the earlier demand to act on.
+        requests.send_replace([13, 20, 4][round]);
+        until("the other controller", async || number(other) > before).await;
+        sleep(Duration::from_secs(4)).await;
+    }
+    let history = get(&platform, "/test/history").await;
+    let authors = authors(&history);
+    assert!(are_in_turn(&authors), "{authors:?}");
+    assert!(authors.0.len() >= 2, "{authors:?}");
+}
+
+/// One host with usage and a reporter.
+struct Host {
+    usage: Usage,
+    reporter: Reporter,
+    server: tokio::task::JoinHandle<()>,
+}
+
+async fn hosts(platform: &Server, names: &[&str]) -> Vec<Host> {
+    let mut listeners = Vec::new();
+    let mut addresses = Vec::new();
+    for name in names {
+        let listener = TcpListener::bind(loopback()).await.expect("listener");
+        addresses.push((*name, listener.local_addr().expect("address")));
+        listeners.push(listener);
+    }
+    let everyone = view(&addresses);
+    let hosts = names.iter().zip(listeners);
+    hosts.map(|(name, listener)| host(platform, name, listener, &everyone)).collect()
+}
+
+fn host(platform: &Server, name: &str, listener: TcpListener, everyone: &Arc<View>) -> Host {
+    let (usage_calls, inbound) = mpsc::channel(64);
+    let mailboxes = Mailboxes {
+        dispatch: mpsc::channel(1).0,
+        attempts: mpsc::channel(1).0,
+        members: mpsc::channel(1).0,
+        config: mpsc::channel(1).0,
+        usage: usage_calls,
+        limits: mpsc::channel(1).0,
+    };
+    let server = tokio::spawn(peer::serve(listener, mailboxes));
+    let client = Client::open(platform.address(), name);
+    let usage = usage::spawn(usage::Options {
+        client: client.clone(),
+        peers: Peers::spawn(),
+        view: watch::channel(everyone.clone()).1,
+        inbound,
+        zone: "z".to_owned(),
+        host: name.to_owned(),
+        incarnation: 1,
+        cut: Duration::from_millis(100),
+        merge: Duration::from_millis(100),
+    });
+    let reporter = reporter::spawn(reporter::Options {
+        client,
+        host: name.to_owned(),
+        incarnation: 1,
+        terms: TERMS,
+        windows: window::Terms { window_ms: 500, retained: 10_000 },
+        grace_ms: 200,
+        interval: Duration::from_millis(50),
+        view: watch::channel(everyone.clone()).1,
+    });
+    Host { usage, reporter, server }
+}
+
+fn served(customer: &str) -> Served {
+    Served {
+        customer: customer.to_owned(),
+        route: "chat".to_owned(),
+        model: "m".to_owned(),
+        prompt_tokens: 5,
+        generated_tokens: 9,
+        cut: false,
+    }
+}
+
+/// Requests of each customer in the windows that were reported, each window once.
+async fn reported(platform: &Server) -> Vec<(String, u64)> {
+    let reports = get(platform, "/test/usage").await;
+    let mut windows: Vec<(u64, String)> = Vec::new();
+    for report in reports.as_array().expect("reports") {
+        assert_eq!(report["status"], 200, "a window was reported with two contents");
+        let number = report["window"].as_str().and_then(|it| it.parse().ok()).expect("window");
+        windows.push((number, report["content"].as_str().expect("content").to_owned()));
+    }
+    windows.sort();
+    windows.dedup();
+    let mut totals: Vec<(String, u64)> = Vec::new();
+    for (_, content) in windows {
+        for line in Window::decode(content.as_bytes()).expect("window").totals {
+            match totals.iter_mut().find(|it| it.0 == line.customer) {
+                Some(sum) => sum.1 += line.requests,
+                None => totals.push((line.customer, line.requests)),
+            }
+        }
+    }
+    totals.sort();
+    totals
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn usage_is_reported_once_through_faults() {
+    let platform = stand_ins::platform::spawn(Options::new(loopback())).expect("platform");
+    faults(&platform, json!({ "lose_answers_per_mille": 150 })).await;
+    let mut hosts = hosts(&platform, &["a", "b", "c"]).await;
+    let serve = async |host: &Host, customer: &str, count: u32| {
+        for _ in 0..count {
+            host.usage.served.send(served(customer)).await.expect("usage task");
+        }
+    };
+    for round in 0..20 {
+        for host in &hosts {
+            serve(host, "tuul", 10).await;
+            serve(host, "kurzeme", 3).await;
+        }
+        match round {
+            5 => faults(&platform, json!({ "down": true })).await,
+            10 => faults(&platform, json!({ "down": false })).await,
+            _ => {}
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    // A host that is killed after its batches were handed over loses nothing.
+    let killed = hosts.remove(0);
+    until("nothing left at the host", async || {
+        sleep(Duration::from_millis(200)).await;
+        killed.usage.status.borrow().unwritten == 0
+    })
+    .await;
+    killed.server.abort();
+    killed.reporter.stop().await;
+    drop(killed.usage);
+    // The reporter in office is cut off from the platform after it has reported.
+    let number = |it: &Host| it.reporter.status.borrow().number;
+    let reports_now =
+        |it: &Host| number(it).is_some() && it.reporter.status.borrow().reported.is_some();
+    until("a reporter", async || hosts.iter().any(reports_now)).await;
+    let in_office = hosts.iter().position(reports_now).expect("in office");
+    let other = &hosts[1 - in_office];
+    serve(&hosts[0], "tuul", 1).await;
+    let name = ["b", "c"][in_office];
+    faults(&platform, json!({ "down_for_hosts": [name] })).await;
+    until("the other reporter", async || reports_now(other)).await;
+    faults(&platform, json!({ "down_for_hosts": [] })).await;
+    // A planned stop loses nothing either.
+    for host in &hosts {
+        serve(host, "tuul", 7).await;
+        host.usage.flush().await;
+    }
+    let expected = vec![("kurzeme".to_owned(), 180), ("tuul".to_owned(), 615)];
+    until("all usage reported", async || {
+        let now = reported(&platform).await;
+        assert!(now.iter().zip(&expected).all(|(now, all)| now.1 <= all.1), "{now:?}");
+        now == expected
+    })
+    .await;
+    let reports = get(&platform, "/test/usage").await;
+    let reporters = reports.as_array().expect("reports").iter();
+    let numbers = runs(reporters.map(|it| it["number"].as_str().unwrap_or_default().to_owned()));
+    assert!(are_apart(&numbers), "reports by turns: {numbers:?}");
+    assert!(numbers.len() >= 2, "{numbers:?}");
+    for host in hosts {
+        host.reporter.stop().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_cannot_be_read_is_set_aside() {
+    let platform = stand_ins::platform::spawn(Options::new(loopback())).expect("platform");
+    let client = Client::open(platform.address(), "t");
+    let cause = almondrack::platform::Cause::Usage;
+    let unknown = json!({ "schema": 9, "batches": [] }).to_string();
+    for (key, value) in [
+        ("usage/merged/z/x/1/0", "%%%".to_owned()),
+        ("usage/merged/z/x/1/1", unknown),
+        ("intent/z/0-0", "%%%".to_owned()),
+    ] {
+        client.put(cause, key, Bytes::from(value), Some(0)).await.expect("written");
+    }
+    let hosts = hosts(&platform, &["a"]).await;
+    let everyone = view(&[("a", loopback())]);
+    let controller = control(&platform, "a", &everyone);
+    hosts[0].usage.served.send(served("tuul")).await.expect("usage task");
+    until("the usage is reported", async || reported(&platform).await == [("tuul".to_owned(), 1)])
+        .await;
+    until("a controller", async || controller.status.borrow().number.is_some()).await;
+    until("the status is published", async || hosts[0].reporter.status.borrow().reported.is_some())
+        .await;
+    let unreadable =
+        (hosts[0].reporter.status.borrow().unreadable, controller.status.borrow().unreadable);
+    let left = client.list(cause, "usage/merged/z/x/", "", 10).await.expect("list").entries.len();
+    expect!["unreadable (2, 1), 2 records left"]
+        .assert_eq(&format!("unreadable {unreadable:?}, {left} records left"));
+    assert!(Record::decode(b"%%%").is_none());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_is_not_written_without_the_lease() {
+    let platform = stand_ins::platform::spawn(Options::new(loopback())).expect("platform");
+    let (engines, _) = engines(1).await;
+    let (lease, standing) = candidate(&platform, "a");
+    until("a holder", async || lease.certain().is_some()).await;
+    let permit = lease.certain().expect("certain");
+    let order = |id: &str| almondrack::platform::Fenced {
+        id: id.to_owned(),
+        lease: "zone-z".to_owned(),
+        number: permit.number,
+        deadline_ms: u64::MAX,
+        order: almondrack::engine::Order::Load { model: "m".to_owned() },
+    };
+    let left = Duration::from_secs(1);
+    let first = almondrack::engine::send(engines[0].address(), &lease, &order("1"), left).await;
+    standing.send_replace(false);
+    lease.resign().await;
+    until("no holder", async || lease.certain().is_none()).await;
+    let second = almondrack::engine::send(engines[0].address(), &lease, &order("2"), left).await;
+    let orders = call(engines[0].control(), Method::GET, "/test/orders", Value::Null).await;
+    let seen = orders.as_array().map_or(0, Vec::len);
+    expect!["first Ok(()), second refused true, 1 seen"]
+        .assert_eq(&format!("first {first:?}, second refused {}, {seen} seen", second.is_err()));
+}
