--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -268,9 +268,9 @@
         self.batches.is_empty()
     }
 
-    /// Whether another host has every batch or the store has it.
-    pub fn is_safe(&self) -> bool {
-        self.batches.iter().all(|it| it.1 != Place::Here)
+    /// Number of batches that no other host holds.
+    pub fn unshared(&self) -> usize {
+        self.batches.iter().filter(|it| it.1 == Place::Here).count()
     }
 
     /// All batches, oldest first.
--- a/src/usage.rs
+++ b/src/usage.rs
@@ -80,6 +80,8 @@
 pub struct Status {
     /// Batches of this host that are not known to be in the store.
     pub unwritten: usize,
+    /// Those of them that no other host holds; they are lost with this host.
+    pub unshared: usize,
     /// Batches that this host has yet to write, its own or others'.
     pub held: usize,
     /// Batches cut since the start.
@@ -205,6 +207,7 @@
 
     fn publish(&mut self) {
         self.status.unwritten = self.outbox.len();
+        self.status.unshared = self.outbox.unshared();
         self.status.held = self.collector.len();
         self.publisher.send_if_modified(|it| {
             let changed = *it != self.status;
@@ -310,6 +313,8 @@
                 self.calls -= 1;
                 if held {
                     self.outbox.held(Time::now(), sequence, &by);
+                } else {
+                    self.avoid(&by);
                 }
             }
             Done::Asked { sequence, written } => {
@@ -320,8 +325,7 @@
             }
             Done::Failed { by } => {
                 self.calls -= 1;
-                let name = by.split('/').next().unwrap_or_default().to_owned();
-                self.avoided = Some((name, Time::now()));
+                self.avoid(&by);
             }
             Done::Wrote { sequence, outcome } => {
                 self.is_writing = false;
@@ -335,6 +339,12 @@
         }
     }
 
+    /// Passes a collector over for a while, so that another one gets the batches.
+    fn avoid(&mut self, by: &str) {
+        let name = by.split('/').next().unwrap_or_default().to_owned();
+        self.avoided = Some((name, Time::now()));
+    }
+
     fn wrote(&mut self, sequence: u64) {
         self.status.records += 1;
         let Options { host, incarnation, .. } = &self.options;
@@ -347,7 +357,7 @@
 
     fn flush_step(&mut self) {
         let is_written = self.outbox.is_empty() && self.collector.is_empty();
-        let is_handed = self.status.degraded && self.outbox.is_safe();
+        let is_handed = self.status.degraded && self.outbox.unshared() == 0;
         if is_written || is_handed {
             for flush in self.flushes.drain(..) {
                 let _ = flush.send(());
--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -3,7 +3,6 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use almondrack::{
-    collector::Record,
     config::Snapshot,
     controller::{self, Controller},
     lease::{self, Lease, Terms},
@@ -377,27 +376,53 @@
     assert!(authors.0.len() >= 2, "{authors:?}");
 }
 
-/// One host with usage and a reporter.
+/// One host with usage and a reporter, on a runtime of its own that can be killed.
 struct Host {
+    name: &'static str,
     usage: Usage,
     reporter: Reporter,
-    server: tokio::task::JoinHandle<()>,
+    runtime: tokio::runtime::Runtime,
 }
 
-async fn hosts(platform: &Server, names: &[&str]) -> Vec<Host> {
-    let mut listeners = Vec::new();
-    let mut addresses = Vec::new();
-    for name in names {
-        let listener = TcpListener::bind(loopback()).await.expect("listener");
-        addresses.push((*name, listener.local_addr().expect("address")));
-        listeners.push(listener);
+impl Host {
+    async fn serve(&self, customer: &str, count: u32) {
+        for _ in 0..count {
+            self.usage.served.send(served(customer)).await.expect("usage task");
+        }
+    }
+
+    fn reports(&self) -> bool {
+        let status = self.reporter.status.borrow();
+        status.number.is_some() && status.reported.is_some()
+    }
+
+    fn kill(self) {
+        self.runtime.shutdown_background();
     }
-    let everyone = view(&addresses);
+}
+
+fn hosts(platform: &Server, names: &[&'static str]) -> Vec<Host> {
+    let listeners: Vec<_> =
+        names.iter().map(|_| std::net::TcpListener::bind(loopback()).expect("listener")).collect();
+    let address = |it: &std::net::TcpListener| it.local_addr().expect("address");
+    let everyone: Vec<_> =
+        names.iter().zip(&listeners).map(|(name, it)| (*name, address(it))).collect();
+    let everyone = view(&everyone);
     let hosts = names.iter().zip(listeners);
     hosts.map(|(name, listener)| host(platform, name, listener, &everyone)).collect()
 }
 
-fn host(platform: &Server, name: &str, listener: TcpListener, everyone: &Arc<View>) -> Host {
+fn host(
+    platform: &Server,
+    name: &'static str,
+    listener: std::net::TcpListener,
+    everyone: &Arc<View>,
+) -> Host {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    let runtime = builder.worker_threads(1).enable_all().build().expect("runtime");
+    let entered = runtime.enter();
+    listener.set_nonblocking(true).expect("non-blocking");
+    let listener = TcpListener::from_std(listener).expect("listener");
     let (usage_calls, inbound) = mpsc::channel(64);
     let mailboxes = Mailboxes {
         dispatch: mpsc::channel(1).0,
@@ -407,7 +432,7 @@
         usage: usage_calls,
         limits: mpsc::channel(1).0,
     };
-    let server = tokio::spawn(peer::serve(listener, mailboxes));
+    tokio::spawn(peer::serve(listener, mailboxes));
     let client = Client::open(platform.address(), name);
     let usage = usage::spawn(usage::Options {
         client: client.clone(),
@@ -430,7 +455,8 @@
         interval: Duration::from_millis(50),
         view: watch::channel(everyone.clone()).1,
     });
-    Host { usage, reporter, server }
+    drop(entered);
+    Host { name, usage, reporter, runtime }
 }
 
 fn served(customer: &str) -> Served {
@@ -472,66 +498,80 @@
 async fn usage_is_reported_once_through_faults() {
     let platform = stand_ins::platform::spawn(Options::new(loopback())).expect("platform");
     faults(&platform, json!({ "lose_answers_per_mille": 150 })).await;
-    let mut hosts = hosts(&platform, &["a", "b", "c"]).await;
-    let serve = async |host: &Host, customer: &str, count: u32| {
-        for _ in 0..count {
-            host.usage.served.send(served(customer)).await.expect("usage task");
+    let mut hosts = hosts(&platform, &["a", "b", "c"]);
+    for _ in 0..10 {
+        for host in &hosts {
+            host.serve("tuul", 10).await;
+            host.serve("kurzeme", 3).await;
         }
-    };
-    for round in 0..20 {
+        sleep(Duration::from_millis(100)).await;
+    }
+    // Each host in turn is killed while the store is down, after its batches were handed over.
+    for _ in 0..2 {
+        faults(&platform, json!({ "down": true })).await;
         for host in &hosts {
-            serve(host, "tuul", 10).await;
-            serve(host, "kurzeme", 3).await;
+            host.serve("tuul", 10).await;
         }
-        match round {
-            5 => faults(&platform, json!({ "down": true })).await,
-            10 => faults(&platform, json!({ "down": false })).await,
-            _ => {}
+        sleep(Duration::from_millis(300)).await;
+        until("a peer has every batch", async || {
+            hosts.iter().all(|it| it.usage.status.borrow().unshared == 0)
+        })
+        .await;
+        hosts.remove(0).kill();
+        if hosts.len() == 1 {
+            break;
         }
-        sleep(Duration::from_millis(100)).await;
+        faults(&platform, json!({ "down": false })).await;
+        until("the store has every batch", async || {
+            hosts.iter().all(|it| it.usage.status.borrow().unwritten == 0)
+        })
+        .await;
     }
-    // A host that is killed after its batches were handed over loses nothing.
-    let killed = hosts.remove(0);
-    until("nothing left at the host", async || {
-        sleep(Duration::from_millis(200)).await;
-        killed.usage.status.borrow().unwritten == 0
-    })
-    .await;
-    killed.server.abort();
-    killed.reporter.stop().await;
-    drop(killed.usage);
-    // The reporter in office is cut off from the platform after it has reported.
-    let number = |it: &Host| it.reporter.status.borrow().number;
-    let reports_now =
-        |it: &Host| number(it).is_some() && it.reporter.status.borrow().reported.is_some();
-    until("a reporter", async || hosts.iter().any(reports_now)).await;
-    let in_office = hosts.iter().position(reports_now).expect("in office");
-    let other = &hosts[1 - in_office];
-    serve(&hosts[0], "tuul", 1).await;
-    let name = ["b", "c"][in_office];
-    faults(&platform, json!({ "down_for_hosts": [name] })).await;
-    until("the other reporter", async || reports_now(other)).await;
-    faults(&platform, json!({ "down_for_hosts": [] })).await;
+    faults(&platform, json!({ "down": false })).await;
     // A planned stop loses nothing either.
-    for host in &hosts {
-        serve(host, "tuul", 7).await;
-        host.usage.flush().await;
-    }
-    let expected = vec![("kurzeme".to_owned(), 180), ("tuul".to_owned(), 615)];
+    hosts[0].serve("tuul", 7).await;
+    hosts[0].usage.flush().await;
+    let expected = vec![("kurzeme".to_owned(), 90), ("tuul".to_owned(), 357)];
     until("all usage reported", async || {
         let now = reported(&platform).await;
         assert!(now.iter().zip(&expected).all(|(now, all)| now.1 <= all.1), "{now:?}");
         now == expected
     })
     .await;
-    let reports = get(&platform, "/test/usage").await;
-    let reporters = reports.as_array().expect("reports").iter();
-    let numbers = runs(reporters.map(|it| it["number"].as_str().unwrap_or_default().to_owned()));
-    assert!(are_apart(&numbers), "reports by turns: {numbers:?}");
-    assert!(numbers.len() >= 2, "{numbers:?}");
-    for host in hosts {
-        host.reporter.stop().await;
+    hosts.into_iter().for_each(Host::kill);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reports_come_from_one_reporter_at_a_time() {
+    let platform = stand_ins::platform::spawn(Options::new(loopback())).expect("platform");
+    faults(&platform, json!({ "lose_answers_per_mille": 150 })).await;
+    let hosts = hosts(&platform, &["a", "b"]);
+    let mut served = 0;
+    for _ in 0..3 {
+        until("a reporter", async || hosts.iter().any(Host::reports)).await;
+        let in_office = hosts.iter().position(Host::reports).expect("in office");
+        for host in &hosts {
+            host.serve("tuul", 1).await;
+            served += 1;
+        }
+        faults(&platform, json!({ "down_for_hosts": [hosts[in_office].name] })).await;
+        until("the other reporter", async || hosts[1 - in_office].reports()).await;
+        faults(&platform, json!({ "down_for_hosts": [] })).await;
     }
+    until("all usage reported", async || {
+        reported(&platform).await == [("tuul".to_owned(), served)]
+    })
+    .await;
+    let reports = get(&platform, "/test/usage").await;
+    let text = |it: &Value, field: &str| it[field].as_str().unwrap_or_default().to_owned();
+    let reports = reports.as_array().expect("reports").iter();
+    let authors = (
+        runs(reports.clone().map(|it| text(it, "host"))),
+        runs(reports.map(|it| text(it, "number"))),
+    );
+    assert!(are_in_turn(&authors), "{authors:?}");
+    assert!(authors.0.len() >= 4, "{authors:?}");
+    hosts.into_iter().for_each(Host::kill);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -547,10 +587,10 @@
     ] {
         client.put(cause, key, Bytes::from(value), Some(0)).await.expect("written");
     }
-    let hosts = hosts(&platform, &["a"]).await;
+    let hosts = hosts(&platform, &["a"]);
     let everyone = view(&[("a", loopback())]);
     let controller = control(&platform, "a", &everyone);
-    hosts[0].usage.served.send(served("tuul")).await.expect("usage task");
+    hosts[0].serve("tuul", 1).await;
     until("the usage is reported", async || reported(&platform).await == [("tuul".to_owned(), 1)])
         .await;
     until("a controller", async || controller.status.borrow().number.is_some()).await;
@@ -561,7 +601,7 @@
     let left = client.list(cause, "usage/merged/z/x/", "", 10).await.expect("list").entries.len();
     expect!["unreadable (2, 1), 2 records left"]
         .assert_eq(&format!("unreadable {unreadable:?}, {left} records left"));
-    assert!(Record::decode(b"%%%").is_none());
+    hosts.into_iter().for_each(Host::kill);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
