--- a/src/member.rs
+++ b/src/member.rs
@@ -314,6 +314,7 @@
         let candidates = seeds.iter().map(unnamed).collect();
         let mut random = SmallRng::seed_from_u64(seed);
         let phase = Span(random.random_range(0..PROBE_PERIOD.0));
+        let full_phase = Span(random.random_range(0..FULL_PERIOD.0));
         let row = Row {
             member: own.clone(),
             changed: now,
@@ -342,8 +343,8 @@
             next_probe: now + phase,
             next_exchange: now + phase,
             next_beat: now + BEAT_PERIOD,
-            next_full: now + FULL_PERIOD + phase,
-            next_resync: now + FULL_PERIOD + phase,
+            next_full: now + full_phase,
+            next_resync: now + full_phase,
             next_contact: now,
             next_list: now,
             revision: 0,
