Measure the cost of decisions and the hottest dispatcher

Change: one look-up per estimate, one index update per ending, and no scan of the upstreams for the largest memory.

--- a/benches/dispatch/main.rs
+++ b/benches/dispatch/main.rs
@@ -1,8 +1,9 @@
 //! Compares the dispatcher with hosts that decide alone, and measures the cost of its decisions.
 //!
-//! `cargo bench -p almondrack --bench dispatch` prints all tables; an argument of `policy` or `cost` prints one part.
+//! `cargo bench -p almondrack --bench dispatch` prints all tables; after `--`, `policy` or `cost` prints one part.
 
 mod baseline;
+mod cost;
 mod load;
 mod ours;
 
@@ -150,5 +151,13 @@
 
 fn main() -> io::Result<()> {
     let mut out = io::stdout().lock();
-    policies(&mut out)
+    let part = std::env::args().nth(1).unwrap_or_default();
+    if part != "cost" {
+        policies(&mut out)?;
+    }
+    if part != "policy" {
+        cost::decisions(&mut out)?;
+        cost::hottest(&mut out)?;
+    }
+    Ok(())
 }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -606,7 +606,6 @@
         let Some(attempt) = self.running.remove(key) else { return };
         self.endings.add(now, 1.0);
         let Attempt { ticket, upstream, granted, .. } = &attempt;
-        self.placement.finish(now, *upstream, attempt.need, attempt.suspect);
         let actual = work_of(ticket.prompt_tokens, attempt.tokens);
         let tokens = u64::from(attempt.tokens);
         match ending {
@@ -636,6 +635,7 @@
                 self.budget.refund(ticket.customer);
             }
         }
+        self.placement.finish(now, *upstream, attempt.need, attempt.suspect);
     }
 
     fn complete(&mut self, now: Time, attempt: &Attempt, actual: u64) {
@@ -646,7 +646,7 @@
         self.quarantine.complete(ticket.fingerprint);
         self.budget.succeed(ticket.customer);
         let duration = (!attempt.adopted).then(|| now.since(attempt.granted));
-        self.placement.succeed(now, attempt.upstream, actual, duration);
+        self.placement.succeed(attempt.upstream, actual, duration);
     }
 
     /// Replaces the work that was charged for an attempt by the work that it took.
--- a/src/estimate.rs
+++ b/src/estimate.rs
@@ -22,8 +22,8 @@
 /// Quantile that KV memory is reserved for.
 const UPPER_QUANTILE: f32 = 0.9;
 
-/// Key of an estimate. Routes have one of their own, under no customer.
-type Key = (RouteKey, Option<CustomerKey>);
+/// Key of a customer's estimate.
+type Key = (RouteKey, CustomerKey);
 
 /// Distribution of the output length of one customer's requests on one route, in tokens.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -95,6 +95,8 @@
 /// Estimates of all customers and routes.
 #[derive(Debug, Default)]
 pub struct Estimator {
+    /// Sorted by route. For customers that are new to it.
+    routes: Vec<(RouteKey, Estimate)>,
     /// At most `GENERATION_LEN` estimates.
     current: BTreeMap<Key, Estimate>,
     /// At most `GENERATION_LEN` estimates, replaced when `current` is full.
@@ -104,17 +106,30 @@
 impl Estimator {
     /// Estimate for a customer on a route, the route's own where the customer is new to it.
     pub fn get(&self, customer: CustomerKey, route: RouteKey) -> Estimate {
-        self.find((route, Some(customer))).or_else(|| self.find((route, None))).unwrap_or_default()
+        let key = (route, customer);
+        let known = self.current.get(&key).or_else(|| self.previous.get(&key));
+        known.copied().unwrap_or_else(|| self.route(route))
     }
 
     /// Learns from a completed output.
     pub fn observe(&mut self, customer: CustomerKey, route: RouteKey, tokens: u32) {
-        let start = self.get(customer, route);
-        self.update((route, None), start, tokens);
-        self.update((route, Some(customer)), start, tokens);
+        let key = (route, customer);
+        let start = self.route(route);
+        self.observe_route(route, tokens);
+        if let Some(estimate) = self.current.get_mut(&key) {
+            estimate.observe(tokens);
+            return;
+        }
+        if self.current.len() == GENERATION_LEN {
+            self.previous = std::mem::take(&mut self.current);
+        }
+        let new = Estimate { samples: 0, ..start };
+        let mut estimate = self.previous.remove(&key).unwrap_or(new);
+        estimate.observe(tokens);
+        self.current.insert(key, estimate);
     }
 
-    /// Number of estimates held.
+    /// Number of estimates of customers held.
     pub fn len(&self) -> usize {
         self.current.len() + self.previous.len()
     }
@@ -124,16 +139,19 @@
         self.len() == 0
     }
 
-    fn find(&self, key: Key) -> Option<Estimate> {
-        self.current.get(&key).or_else(|| self.previous.get(&key)).copied()
+    fn route(&self, route: RouteKey) -> Estimate {
+        let found = self.routes.binary_search_by_key(&route, |it| it.0);
+        found.map(|at| self.routes[at].1).unwrap_or_default()
     }
 
-    fn update(&mut self, key: Key, start: Estimate, tokens: u32) {
-        let known = self.find(key).unwrap_or(Estimate { samples: 0, ..start });
-        if !self.current.contains_key(&key) && self.current.len() == GENERATION_LEN {
-            self.previous = std::mem::take(&mut self.current);
-        }
-        let estimate = self.current.entry(key).or_insert(known);
-        estimate.observe(tokens);
+    fn observe_route(&mut self, route: RouteKey, tokens: u32) {
+        let at = match self.routes.binary_search_by_key(&route, |it| it.0) {
+            Ok(found) => found,
+            Err(at) => {
+                self.routes.insert(at, (route, Estimate::default()));
+                at
+            }
+        };
+        self.routes[at].1.observe(tokens);
     }
 }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -147,6 +147,8 @@
     capacity: u64,
     /// Number of upstreams with a free slot.
     open: usize,
+    /// Kept so that a submission need not look at all upstreams.
+    largest_memory: Option<u64>,
 }
 
 impl Default for Placement {
@@ -164,6 +166,7 @@
             slots: 0,
             capacity: 0,
             open: 0,
+            largest_memory: None,
         }
     }
 }
@@ -194,6 +197,7 @@
             Ok(found) => self.sites[found].1.upstream = upstream,
             Err(at) => self.sites.insert(at, (key, Site::new(upstream))),
         }
+        self.largest_memory = self.sites.iter().map(|it| it.1.memory()).max();
         self.reindex(now, key);
         found.is_err()
     }
@@ -204,6 +208,7 @@
         let Ok(found) = self.find(key) else { return };
         let (_, site) = self.sites.remove(found);
         self.busy -= u64::from(site.busy);
+        self.largest_memory = self.sites.iter().map(|it| it.1.memory()).max();
         if let Some(until) = site.health.ejected_until() {
             self.returns.remove(&(until, key));
         }
@@ -333,22 +338,21 @@
         });
     }
 
-    /// Takes in a success with its work and, where known, its duration.
-    pub fn succeed(&mut self, now: Time, key: UpstreamKey, work: u64, duration: Option<Span>) {
+    /// Takes in a success with its work and, where known, its duration, before [`Placement::finish`].
+    pub fn succeed(&mut self, key: UpstreamKey, work: u64, duration: Option<Span>) {
         if self.find(key).is_err() {
             return;
         }
         duration.inspect(|it| self.pace.observe(work, *it));
-        self.update(now, key, |site| {
+        if let Some(site) = self.site_mut(key) {
             duration.inspect(|it| site.pace.observe(work, *it));
             site.health.succeed(site.upstream.slots);
-        });
+        }
     }
 
-    /// Takes in a failure of an attempt granted at `granted`.
+    /// Takes in a failure of an attempt granted at `granted`, before [`Placement::finish`].
     pub fn fail(&mut self, now: Time, key: UpstreamKey, granted: Time, fault: Fault) {
-        let mut until = None;
-        self.update(now, key, |site| until = site.health.fail(now, granted, fault));
+        let until = self.site_mut(key).and_then(|it| it.health.fail(now, granted, fault));
         if let Some(until) = until {
             self.returns.insert((until, key));
         }
@@ -396,7 +400,7 @@
 
     /// Largest KV memory of an upstream, in tokens; `None` without upstreams, `u64::MAX` where it is not counted.
     pub fn largest_memory(&self) -> Option<u64> {
-        self.sites.iter().map(|it| it.1.memory()).max()
+        self.largest_memory
     }
 
     /// When an upstream stops, if it leaves.
@@ -433,6 +437,10 @@
         self.find(key).ok().map(|found| &self.sites[found].1)
     }
 
+    fn site_mut(&mut self, key: UpstreamKey) -> Option<&mut Site> {
+        self.find(key).ok().map(|found| &mut self.sites[found].1)
+    }
+
     fn update(&mut self, now: Time, key: UpstreamKey, change: impl FnOnce(&mut Site)) {
         if let Ok(found) = self.find(key) {
             change(&mut self.sites[found].1);
