Limit requests, tokens and concurrency per customer and zone

Cause: nothing held a customer's limits across the hosts of a zone. Change: a limiter per zone with a share of each limit; buckets in integers; permits end with the host that holds them.

--- /dev/null
+++ b/tests/limit.rs
@@ -0,0 +1,225 @@
+//! Fuzzing of the limiter against counts over spans of time, and snapshots of its answers.
+
+use std::collections::BTreeMap;
+
+use almondrack::{
+    dispatch::CustomerKey,
+    error::Kind,
+    limit::{HOST_TIMEOUT, HostKey, Limiter, Limits, Permit},
+    time::{Span, Time},
+};
+use expect_test::expect;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const LIMITS: Limits =
+    Limits { requests_per_second: Some(5), tokens_per_minute: Some(6_000), concurrency: Some(4) };
+
+#[derive(Debug, Clone)]
+enum Op {
+    Admit { customer: u32, host: u64, tokens: u64 },
+    Settle { pick: usize, tokens: u64 },
+    Hear { host: u64 },
+    Lose { host: u64 },
+    Expire,
+    Share(u32),
+}
+
+#[derive(Debug, Clone)]
+struct Step {
+    after_us: u64,
+    op: Op,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let mut below = |bound: u64| u64::arbitrary(g) % bound;
+        let op = match below(20) {
+            0..10 => Op::Admit {
+                customer: below(2) as u32,
+                host: below(3),
+                tokens: below(3) * below(400),
+            },
+            10..16 => Op::Settle { pick: below(16) as usize, tokens: below(500) },
+            16 => Op::Hear { host: below(3) },
+            17 => Op::Lose { host: below(3) },
+            18 => Op::Expire,
+            _ => Op::Share(250 + 250 * below(4) as u32),
+        };
+        let span = if below(30) == 0 { 12_000_000 } else { 300_000 };
+        Step { after_us: below(span), op }
+    }
+}
+
+/// Admissions of a customer and the most that may have been given out since.
+#[derive(Debug, Default)]
+struct Oracle {
+    /// Time, tokens and share in force of each admission.
+    admitted: BTreeMap<u32, Vec<(Time, u64)>>,
+    in_flight: BTreeMap<Permit, (u32, u64)>,
+    heard: BTreeMap<u64, Time>,
+}
+
+impl Oracle {
+    fn in_flight(&self, customer: u32) -> usize {
+        self.in_flight.values().filter(|it| it.0 == customer).count()
+    }
+
+    /// Checks every span that ends now against the whole limits.
+    fn check_rates(&self, customer: u32, now: Time) {
+        let admitted = &self.admitted[&customer];
+        let mut tokens = 0;
+        for (count, (at, taken)) in admitted.iter().rev().enumerate() {
+            let span_s = now.since(*at).0 as f64 / 1e6;
+            let requests = 5.0 * (span_s + 1.0);
+            assert!((count + 1) as f64 <= requests + 1e-6, "{} requests in {span_s} s", count + 1);
+            // Tokens of the span but for the last request's own.
+            let bound = 100.0 * (span_s + 10.0);
+            assert!(tokens as f64 <= bound + 1e-6, "{tokens} tokens in {span_s} s");
+            tokens += taken;
+        }
+    }
+}
+
+fn holds(steps: Vec<Step>) -> bool {
+    let mut limiter = Limiter::default();
+    let mut oracle = Oracle::default();
+    let mut now = Time(1_000_000);
+    let mut share = 1_000;
+    for step in steps {
+        now = now + Span(step.after_us);
+        match step.op {
+            Op::Admit { customer, host, tokens } => {
+                oracle.heard.insert(host, now);
+                let before = oracle.in_flight(customer);
+                let key = CustomerKey(customer);
+                match limiter.admit(now, HostKey(host), key, &LIMITS, tokens) {
+                    Ok(permit) => {
+                        assert!(before < (4 * share / 1_000).max(1) as usize, "concurrency");
+                        oracle.in_flight.insert(permit, (customer, host));
+                        oracle.admitted.entry(customer).or_default().push((now, tokens));
+                        oracle.check_rates(customer, now);
+                    }
+                    Err(refusal) => {
+                        let full = before >= (4 * share / 1_000).max(1) as usize;
+                        assert_eq!(refusal.kind == Kind::ConcurrencyLimit, full);
+                        assert!(refusal.retry_after_ms > 0);
+                    }
+                }
+            }
+            Op::Settle { pick, tokens } => {
+                let permits: Vec<_> = oracle.in_flight.keys().copied().collect();
+                let Some(at) = pick.checked_rem(permits.len()) else { continue };
+                oracle.in_flight.remove(&permits[at]);
+                // Estimates are exact or too low here, so that the counts above are bounds.
+                limiter.settle(permits[at], tokens.max(1_000));
+            }
+            Op::Hear { host } => {
+                oracle.heard.insert(host, now);
+                limiter.hear(now, HostKey(host));
+            }
+            Op::Lose { host } => {
+                oracle.in_flight.retain(|_, it| it.1 != host);
+                limiter.lose(HostKey(host));
+            }
+            Op::Expire => {
+                let heard = &oracle.heard;
+                oracle.in_flight.retain(|_, it| now.since(heard[&it.1]) < HOST_TIMEOUT);
+                limiter.expire(now);
+            }
+            Op::Share(per_mille) => {
+                share = per_mille as usize;
+                limiter.set_share(per_mille);
+            }
+        }
+        for customer in 0..2 {
+            let counted = limiter.in_flight(CustomerKey(customer)) as usize;
+            assert_eq!(counted, oracle.in_flight(customer));
+        }
+    }
+    true
+}
+
+#[test]
+fn limits_hold_in_any_history() {
+    for seed in [1, 2, 3] {
+        let gen_ = Gen::from_size_and_seed(400, seed);
+        QuickCheck::new().rng(gen_).tests(100).quickcheck(holds as fn(Vec<Step>) -> bool);
+    }
+}
+
+/// Answers to one request after another, `gap_ms` apart.
+fn answers(limits: Limits, share: u32, gap_ms: u64, tokens: &[u64], settle: bool) -> String {
+    let mut limiter = Limiter::default();
+    limiter.set_share(share);
+    let mut text = String::new();
+    let mut now = Time(0);
+    for tokens in tokens {
+        let answer = limiter.admit(now, HostKey(1), CustomerKey(1), &limits, *tokens);
+        match answer {
+            Ok(permit) => {
+                text.push_str("admitted\n");
+                if settle {
+                    limiter.settle(permit, *tokens / 2);
+                }
+            }
+            Err(it) => text.push_str(&format!("{:?} {} ms\n", it.kind, it.retry_after_ms)),
+        }
+        now = now + Span::from_ms(gap_ms);
+    }
+    text
+}
+
+#[test]
+fn answers_name_the_limit_and_the_delay() {
+    let none = Limits::default();
+    let requests = Limits { requests_per_second: Some(2), ..none };
+    expect![[r#"
+        admitted
+        admitted
+        RequestLimit 301 ms
+        RequestLimit 201 ms
+        RequestLimit 101 ms
+    "#]]
+    .assert_eq(&answers(requests, 1_000, 100, &[0; 5], true));
+    let tokens = Limits { tokens_per_minute: Some(6_000), ..none };
+    expect![[r#"
+        admitted
+        admitted
+        TokenLimit 4001 ms
+        admitted
+    "#]]
+    .assert_eq(&answers(tokens, 1_000, 1_000, &[900, 300, 5_000, 100], true));
+    let concurrency = Limits { concurrency: Some(6), ..none };
+    expect![[r#"
+        admitted
+        admitted
+        admitted
+        ConcurrencyLimit 500 ms
+        ConcurrencyLimit 500 ms
+    "#]]
+    .assert_eq(&answers(concurrency, 500, 1_000, &[0; 5], false));
+    expect![[r#"
+        admitted
+        admitted
+    "#]]
+    .assert_eq(&answers(none, 0, 0, &[1_000_000; 2], false));
+}
+
+#[test]
+fn zones_together_stay_within_the_limit() {
+    let limits = Limits { requests_per_second: Some(9), ..Limits::default() };
+    let mut zones = [(); 3].map(|()| Limiter::default());
+    zones.iter_mut().for_each(|it| it.set_share(333));
+    let mut admitted = 0;
+    for ms in 0..10_000 {
+        for zone in &mut zones {
+            let now = Time(ms * 1_000);
+            let answer = zone.admit(now, HostKey(1), CustomerKey(1), &limits, 0);
+            admitted += u32::from(answer.is_ok());
+        }
+    }
+    expect![[r#"
+        96 requests in 10 s
+    "#]]
+    .assert_eq(&format!("{admitted} requests in 10 s\n"));
+}
