--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -474,17 +474,19 @@
 
     /// Expected queue time of a new ticket, in milliseconds.
     ///
-    /// Counts the backlog of the own and higher tiers alone, so that no lower tier ever causes a refusal.
+    /// Counts the backlog of the own and higher tiers alone, so that no lower tier ever causes a refusal. The ticket
+    /// comes up in turn, after the higher tiers and in the time that they leave, or by its class's floor.
     fn forecast_ms(&self, now: Time, ticket: &Ticket) -> u64 {
         let capacity = self.placement.capacity();
         if capacity <= 0.0 {
             return 0;
         }
         let backlog = self.queue.backlog(now, ticket.class, ticket.customer);
+        let left = (1.0 - backlog.higher_rate / capacity).max(MIN_SHARE);
+        let in_turn_s = (backlog.higher + backlog.own) as f64 / (capacity * left);
         let floor = f64::from(backlog.floor_per_mille) / 1_000.0;
-        let share = (1.0 - backlog.higher_rate / capacity).max(floor).max(MIN_SHARE);
-        let work = (backlog.higher + backlog.own) as f64;
-        (work * 1_000.0 / (capacity * share)) as u64
+        let by_floor_s = backlog.own as f64 / (capacity * floor.max(MIN_SHARE));
+        (in_turn_s.min(by_floor_s) * 1_000.0) as u64
     }
 
     /// Delay after which the backlog will have left time, in milliseconds.
