--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -474,17 +474,19 @@
 
     /// Expected queue time of a new ticket, in milliseconds.
     ///
-    /// Counts the backlog of the own and higher tiers alone, so that no lower tier ever causes a refusal.
+    /// Counts the backlog of the own and higher tiers alone, so that no lower tier ever causes a refusal. The ticket
+    /// comes up in turn, after the higher tiers and in the time that they leave, or by its class's floor.
     fn forecast_ms(&self, now: Time, ticket: &Ticket) -> u64 {
         let capacity = self.placement.capacity();
         if capacity <= 0.0 {
             return 0;
         }
         let backlog = self.queue.backlog(now, ticket.class, ticket.customer);
+        let left = (1.0 - backlog.higher_rate / capacity).max(MIN_SHARE);
+        let in_turn_s = (backlog.higher + backlog.own) as f64 / (capacity * left);
         let floor = f64::from(backlog.floor_per_mille) / 1_000.0;
-        let share = (1.0 - backlog.higher_rate / capacity).max(floor).max(MIN_SHARE);
-        let work = (backlog.higher + backlog.own) as f64;
-        (work * 1_000.0 / (capacity * share)) as u64
+        let by_floor_s = backlog.own as f64 / (capacity * floor.max(MIN_SHARE));
+        (in_turn_s.min(by_floor_s) * 1_000.0) as u64
     }
 
     /// Delay after which the backlog will have left time, in milliseconds.
@@ -582,34 +584,30 @@
         }
     }
 
-    /// Corrects the estimates of an attempt that outgrows them.
+    /// Charges an attempt that outgrows its estimate and reserves memory for what is still expected.
     fn tokens(&mut self, now: Time, attempt: AttemptKey, tokens: u32) {
         let Some(attempt) = self.running.get_mut(attempt) else { return };
         attempt.tokens = attempt.tokens.max(tokens);
         let ticket = &attempt.ticket;
-        let (class, customer) = (ticket.class, ticket.customer);
-        let used = u64::from(ticket.prompt_tokens) + u64::from(attempt.tokens);
         let work = work_of(ticket.prompt_tokens, attempt.tokens);
-        if used <= attempt.need && work <= attempt.work {
-            return;
+        if work > attempt.work {
+            self.queue.charge(ticket.class, ticket.customer, work - attempt.work);
+            attempt.work = work;
+        }
+        let prompt = u64::from(ticket.prompt_tokens);
+        if prompt + u64::from(attempt.tokens) > attempt.need {
+            let estimate = self.estimator.get(ticket.customer, ticket.route);
+            let reserve = estimate.reserve(attempt.tokens, ticket.max_tokens).max(attempt.tokens);
+            let need = prompt + u64::from(reserve);
+            self.placement.grow(now, attempt.upstream, attempt.need, need);
+            attempt.need = need;
         }
-        let estimate = self.estimator.get(customer, ticket.route);
-        let reserve = estimate.reserve(attempt.tokens, ticket.max_tokens).max(attempt.tokens);
-        let total = estimate.total(attempt.tokens, ticket.max_tokens).max(attempt.tokens);
-        let need = (u64::from(ticket.prompt_tokens) + u64::from(reserve)).max(attempt.need);
-        let work = work_of(ticket.prompt_tokens, total).max(attempt.work);
-        let charge = work - attempt.work;
-        self.placement.grow(now, attempt.upstream, attempt.need, need);
-        attempt.need = need;
-        attempt.work = work;
-        self.queue.charge(class, customer, charge);
     }
 
     fn end(&mut self, now: Time, key: AttemptKey, ending: Ending, actions: &mut Vec<Action>) {
         let Some(attempt) = self.running.remove(key) else { return };
         self.endings.add(now, 1.0);
         let Attempt { ticket, upstream, granted, .. } = &attempt;
-        self.placement.finish(now, *upstream, attempt.need, attempt.suspect);
         let actual = work_of(ticket.prompt_tokens, attempt.tokens);
         let tokens = u64::from(attempt.tokens);
         match ending {
@@ -639,6 +637,7 @@
                 self.budget.refund(ticket.customer);
             }
         }
+        self.placement.finish(now, *upstream, attempt.need, attempt.suspect);
     }
 
     fn complete(&mut self, now: Time, attempt: &Attempt, actual: u64) {
@@ -649,7 +648,7 @@
         self.quarantine.complete(ticket.fingerprint);
         self.budget.succeed(ticket.customer);
         let duration = (!attempt.adopted).then(|| now.since(attempt.granted));
-        self.placement.succeed(now, attempt.upstream, actual, duration);
+        self.placement.succeed(attempt.upstream, actual, duration);
     }
 
     /// Replaces the work that was charged for an attempt by the work that it took.
