--- a/benches/control.rs
+++ b/benches/control.rs
@@ -86,14 +86,7 @@
 }
 
 fn mailboxes(members: mpsc::Sender<MemberCall>) -> Mailboxes {
-    Mailboxes {
-        dispatch: mpsc::channel(1).0,
-        attempts: mpsc::channel(1).0,
-        members,
-        config: mpsc::channel(1).0,
-        usage: mpsc::channel(1).0,
-        limits: mpsc::channel(1).0,
-    }
+    Mailboxes { members, ..peer::mailboxes(1).0 }
 }
 
 /// Starts a host on its own thread.
--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -424,14 +424,7 @@
     listener.set_nonblocking(true).expect("non-blocking");
     let listener = TcpListener::from_std(listener).expect("listener");
     let (usage_calls, inbound) = mpsc::channel(64);
-    let mailboxes = Mailboxes {
-        dispatch: mpsc::channel(1).0,
-        attempts: mpsc::channel(1).0,
-        members: mpsc::channel(1).0,
-        config: mpsc::channel(1).0,
-        usage: usage_calls,
-        limits: mpsc::channel(1).0,
-    };
+    let mailboxes = Mailboxes { usage: usage_calls, ..peer::mailboxes(1).0 };
     tokio::spawn(peer::serve(listener, mailboxes));
     let client = Client::open(platform.address(), name);
     let usage = usage::spawn(usage::Options {
