Hold customers' limits over the hosts of a zone

The limiter core had no task. One host of the zone owns each limited customer by rendezvous; entry hosts ask it before they submit a ticket, settle with the tokens that were used, and report requests in flight to a limiter that takes over. Customers without limits are not asked for. A zone gives out the share of its hosts among all that can be seen.

--- a/src/account.rs
+++ b/src/account.rs
@@ -8,6 +8,7 @@
     error::Error,
     exchange::Job,
     ledger::Served,
+    limits::Admitted,
     metrics::{Metrics, Outcome},
     record::Class,
     sse::Usage,
@@ -27,11 +28,18 @@
     /// What is billed if anything was delivered.
     bill: Served,
     closed: bool,
+    /// Present if the customer has limits; settled with the tokens that were used.
+    admitted: Option<Admitted>,
 }
 
 impl Account {
     /// Opens the account of a request.
-    pub(crate) fn open(metrics: Metrics, served: mpsc::Sender<Served>, job: &Job) -> Account {
+    pub(crate) fn open(
+        metrics: Metrics,
+        served: mpsc::Sender<Served>,
+        job: &Job,
+        admitted: Option<Admitted>,
+    ) -> Account {
         metrics.in_flight.inc();
         Account {
             metrics,
@@ -50,6 +58,7 @@
                 cut: false,
             },
             closed: false,
+            admitted,
         }
     }
 
@@ -72,6 +81,7 @@
             usage: self.usage,
             bill: self.bill.clone(),
             closed: self.closed,
+            admitted: self.admitted.take(),
         };
         self.closed = true;
         account
@@ -100,6 +110,10 @@
         if std::mem::replace(&mut self.closed, true) {
             return false;
         }
+        if let Some(admitted) = &mut self.admitted {
+            admitted.set_tokens(self.bill.prompt_tokens + u64::from(self.tokens));
+        }
+        self.admitted = None;
         let whole = outcome == Outcome::Whole;
         let elapsed = self.first_token.map(|it| it.saturating_duration_since(self.accepted));
         let target = Duration::from_millis(self.class.first_token_ms);
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -35,6 +35,7 @@
     error::{Error, Kind},
     exchange::{self, Exchange, Job, Reply},
     ledger::Served,
+    limits::{self, Admissions, Admitted},
     metrics::Metrics,
     pool,
     record::{Key, Protocol, Role, Route},
@@ -49,6 +50,9 @@
 /// Header with the request id.
 pub const ID_HEADER: &str = "x-request-id";
 
+/// Most tokens of output that are counted before they are generated.
+const ESTIMATED_OUTPUT: u32 = 256;
+
 /// Largest body of a completion request, in bytes, before its route is known.
 const MAX_COMPLETION_BYTES: usize = 8 << 20;
 
@@ -81,6 +85,8 @@
     pub idle_timeout: Duration,
     /// Time to connect to an upstream.
     pub connect_timeout: Duration,
+    /// Limits of customers.
+    pub admissions: Admissions,
     /// Numbers of requests.
     pub numbers: Arc<AtomicU64>,
 }
@@ -247,7 +253,8 @@
         "/v1/completions" => false,
         _ => {
             let job = plain_job(context, worker, id, &snapshot, &caller).await?;
-            return reply(worker.exchange.run(job).await?, token);
+            let admitted = admit(worker, &snapshot, &job).await?;
+            return reply(worker.exchange.run(job, admitted).await?, token);
         }
     };
     if method != Method::POST {
@@ -258,7 +265,20 @@
     }
     let body = read_body(context, worker, MAX_COMPLETION_BYTES).await?;
     let job = completion_job(context, &snapshot, &caller, id, body, chat)?;
-    reply(worker.exchange.run(job).await?, token)
+    let admitted = admit(worker, &snapshot, &job).await?;
+    reply(worker.exchange.run(job, admitted).await?, token)
+}
+
+/// Asks for the customer's limits, if it has any.
+async fn admit(worker: &Worker, snapshot: &Snapshot, job: &Job) -> Result<Option<Admitted>, Error> {
+    let limited = snapshot.customer(&job.customer).is_some_and(limits::is_limited);
+    if !limited {
+        return Ok(None);
+    }
+    let number = worker.options.numbers.fetch_add(1, Ordering::Relaxed);
+    let tokens = u64::from(job.prompt_tokens) + u64::from(job.max_tokens.min(ESTIMATED_OUTPUT));
+    let admitted = worker.options.admissions.admit(&job.customer, number, tokens).await?;
+    Ok(Some(admitted))
 }
 
 fn authenticate(headers: &HeaderMap, snapshot: &Snapshot) -> Result<Caller, Error> {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -24,6 +24,7 @@
     credential::Digest,
     error::{Error, Kind, Run},
     ledger::Served,
+    limits::Admitted,
     metrics::{Metrics, Outcome},
     pool::{self, Owner},
     record::{Class, Protocol},
@@ -192,8 +193,8 @@
     ///
     /// # Errors
     /// Why the request has no answer, and whether it ran.
-    pub async fn run(&self, job: Job) -> Result<Reply, Error> {
-        let mut account = Account::open(self.metrics.clone(), self.served.clone(), &job);
+    pub async fn run(&self, job: Job, admitted: Option<Admitted>) -> Result<Reply, Error> {
+        let mut account = Account::open(self.metrics.clone(), self.served.clone(), &job, admitted);
         let mut course =
             Course { run: Run::No, zone: None, avoid: Vec::new(), attempts: 0, retry: false };
         loop {
--- a/src/host.rs
+++ b/src/host.rs
@@ -24,7 +24,7 @@
     entry::{self, Entry},
     fleet,
     gossip::{self, Directory},
-    lease,
+    lease, limits,
     member::{Member, Presence, State},
     metrics::Metrics,
     peer::{self, Peers},
@@ -152,6 +152,19 @@
             snapshot: snapshot.clone(),
             calls: calls.attempts,
         });
+        limits::spawn(limits::Options {
+            zone: settings.zone.clone(),
+            snapshot: snapshot.clone(),
+            view: view.clone(),
+            calls: calls.limits,
+        });
+        let admissions = limits::Admissions::spawn(
+            &settings.zone,
+            &settings.host,
+            incarnation,
+            peers.clone(),
+            view.clone(),
+        );
         let usage = usage::spawn(usage::Options {
             client: platform.clone(),
             peers,
@@ -223,6 +236,7 @@
             tracker: tracker.clone(),
             metrics: metrics.clone(),
             served: usage.served.clone(),
+            admissions,
             read_timeout: settings.read_timeout,
             idle_timeout: settings.idle_timeout,
             connect_timeout: settings.connect_timeout,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod limit;
+pub mod limits;
 pub mod load;
 pub mod logs;
 pub mod member;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -231,8 +231,10 @@
     pub incarnation: u64,
     /// Number of the request at that host.
     pub request: u64,
-    /// Tokens that the request is estimated to use.
+    /// Tokens that the request is estimated to use, or has used when it is settled.
     pub tokens: u64,
+    /// Whether another limiter admitted the request before this one took over.
+    pub restore: bool,
 }
 
 /// Service between the hosts.
