Claim idempotency keys in the store before a request is sent

Requests that may not be repeated were never sent twice by one host, but a resend by the caller could run again. The idempotency key is now claimed by create-if-absent before a ticket is submitted; a resend gets the kept answer, or an error that does not say 'not run'. A request of which no byte was sent withdraws its claim. The store not answering refuses the request as not run within 1 s. The usage reporter deletes expired claims.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -37,7 +37,7 @@
     ledger::Served,
     limits::{self, Admissions, Admitted},
     metrics::Metrics,
-    pool,
+    platform, pool,
     record::{Key, Protocol, Role, Route},
     request,
     time::wall_ms,
@@ -85,6 +85,8 @@
     pub idle_timeout: Duration,
     /// Time to connect to an upstream.
     pub connect_timeout: Duration,
+    /// The platform, for claims of idempotency keys.
+    pub platform: platform::Client,
     /// Limits of customers.
     pub admissions: Admissions,
     /// Numbers of requests.
@@ -156,6 +158,7 @@
             incarnation: options.incarnation,
             dispatchers: options.dispatchers.clone(),
             attempts: options.attempts.clone(),
+            platform: options.platform.clone(),
             upstreams: upstream::Client::open(options.connect_timeout),
             idle_timeout: options.idle_timeout,
             metrics: options.metrics.clone(),
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -21,15 +21,18 @@
     account::Account,
     attempt::{Answering, Attempt, Granted, Loss, Sent},
     attempts::{Attempts, Guard, Start, Stop},
+    claim::{self, Claim},
     credential::Digest,
     error::{Error, Kind, Run},
     ledger::Served,
     limits::Admitted,
     metrics::{Metrics, Outcome},
+    platform,
     pool::{self, Owner},
     record::{Class, Protocol},
     relay::{Relay, Source, Times},
     request::{self, Overrides},
+    time::wall_ms,
     upstream::{self, Failure, Reuse},
     wire::{Decision, Ending, Grant, Progress, Running, Ticket, TicketId},
 };
@@ -40,6 +43,9 @@
 /// Time without any dispatcher after which a request is refused.
 const NO_DISPATCHER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time to claim an idempotency key before the request is refused.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Pause before a dispatcher that did not take a ticket is asked again.
 const DISPATCHER_PAUSE: Duration = Duration::from_millis(25);
 
@@ -150,6 +156,8 @@
     pub dispatchers: pool::Client,
     /// Attempts in progress.
     pub attempts: Attempts,
+    /// The platform, for claims of idempotency keys.
+    pub platform: platform::Client,
     /// Connections to upstreams.
     pub upstreams: upstream::Client,
     /// Longest silence of an upstream.
@@ -194,6 +202,39 @@
     /// # Errors
     /// Why the request has no answer, and whether it ran.
     pub async fn run(&self, job: Job, admitted: Option<Admitted>) -> Result<Reply, Error> {
+        let Some(key) = idempotency_key(&job) else { return self.serve(job, admitted).await };
+        let held = match self.claim(&job, &key).await? {
+            claim::Outcome::Held(held) => held,
+            claim::Outcome::Answered(answer) => return Ok(kept(&answer)),
+        };
+        let result = self.serve(job, admitted).await;
+        match &result {
+            Err(error) if error.run == Run::No => held.withdraw(&self.platform).await,
+            // The claim stands without an answer: a resend must not run.
+            Err(_) => {}
+            Ok(Reply { status, headers, body: Body::Whole(bytes), .. }) => {
+                held.keep(&self.platform, *status, headers, bytes).await;
+            }
+            Ok(Reply { body: Body::Stream(_), .. }) => {}
+        }
+        result
+    }
+
+    async fn claim(&self, job: &Job, key: &str) -> Result<claim::Outcome, Error> {
+        let now = wall_ms();
+        let claim = Claim {
+            request: job.id.clone(),
+            fingerprint: job.fingerprint,
+            expires_ms: now + claim::CLAIM_TTL_MS,
+            answer: None,
+        };
+        let claiming = claim::open(&self.platform, &job.customer, key, claim, now);
+        let late = || Error::new(Kind::StoreUnavailable, "the platform's store does not answer");
+        tokio::time::timeout(CLAIM_TIMEOUT, claiming).await.map_err(|_| late())?
+    }
+
+    /// Runs a request that may be sent.
+    async fn serve(&self, job: Job, admitted: Option<Admitted>) -> Result<Reply, Error> {
         let mut account = Account::open(self.metrics.clone(), self.served.clone(), &job, admitted);
         let mut course =
             Course { run: Run::No, zone: None, avoid: Vec::new(), attempts: 0, retry: false };
@@ -438,6 +479,25 @@
     }
 }
 
+/// Idempotency key of a request that may not be repeated.
+fn idempotency_key(job: &Job) -> Option<String> {
+    if job.repeatable {
+        return None;
+    }
+    let value = job.headers.get("idempotency-key")?;
+    Some(String::from_utf8_lossy(value.as_bytes()).into_owned())
+}
+
+/// The kept answer of an earlier run.
+fn kept(answer: &claim::Answer) -> Reply {
+    Reply {
+        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
+        headers: answer.header_map(),
+        body: Body::Whole(Bytes::from(answer.body.clone())),
+        run: Run::Yes,
+    }
+}
+
 fn start(job: &Job, permit: Permit) -> Start {
     let Permit { ticket, grant, owner, zone } = permit;
     let progress = Progress {
--- a/src/host.rs
+++ b/src/host.rs
@@ -18,6 +18,7 @@
 use crate::{
     admin::{self, Admin, Section},
     attempts::{self, Attempts},
+    claim,
     config::Snapshot,
     controller::{self, Controller},
     dispatchers,
@@ -53,6 +54,9 @@
 /// Interval of the steps of the zone controller and of the usage reporter.
 const ROLE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval of the passes over claims of idempotency keys.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(30);
+
 /// Windows for which the counted numbers of a silent incarnation are kept.
 const RETAINED_WINDOWS: u64 = 12;
 
@@ -202,13 +206,14 @@
             view: view.clone(),
         });
 
+        tokio::spawn(sweep_claims(platform.clone(), reporter.status.clone()));
         let (ready, ready_seen) = watch::channel(false);
         let rendered = metrics.clone();
         let admin = admin::bind(admin::Options {
             listen: settings.admin,
             host: settings.host.clone(),
             zone: settings.zone.clone(),
-            platform,
+            platform: platform.clone(),
             snapshot: snapshot.clone(),
             content: watcher.content.clone(),
             watcher: watcher.status.clone(),
@@ -237,6 +242,7 @@
             metrics: metrics.clone(),
             served: usage.served.clone(),
             admissions,
+            platform: platform.clone(),
             read_timeout: settings.read_timeout,
             idle_timeout: settings.idle_timeout,
             connect_timeout: settings.connect_timeout,
@@ -366,6 +372,21 @@
     Section { name, value: Arc::new(value) }
 }
 
+/// Deletes expired claims while this host is the usage reporter, so that one host at a time does it.
+async fn sweep_claims(store: platform::Client, reporter: watch::Receiver<reporter::Status>) {
+    let mut after = String::new();
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        if reporter.has_changed().is_err() {
+            return;
+        }
+        if reporter.borrow().number.is_none() {
+            continue;
+        }
+        after = claim::sweep(&store, &after, wall_ms()).await.unwrap_or_default();
+    }
+}
+
 /// Passes on the revision in force.
 async fn publish_revision(
     mut snapshot: watch::Receiver<Arc<Snapshot>>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod burn;
 pub mod change;
 pub mod circuit;
+pub mod claim;
 pub mod collector;
 pub mod config;
 pub mod confirm;
