--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -2,6 +2,8 @@
 
 mod bad_input;
 mod credentials;
+mod faults;
+mod history;
 mod stops;
 mod support;
 mod whole_path;
