Number granted attempts apart from adopted ones

Cause: adopting an attempt with the largest number made the next grant overflow the counter. Change: the counter of granted attempts stands alone and skips numbers that adopted attempts hold.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -247,7 +247,7 @@
     estimator: Estimator,
     quarantine: Quarantine,
     budget: Budget,
-    /// Number of the newest attempt.
+    /// Number of the newest attempt that was granted here.
     attempts: u64,
     /// When the attempts of leaving upstreams are moved at the latest.
     evacuations: BTreeSet<(Time, UpstreamKey)>,
@@ -555,7 +555,6 @@
         if self.running.get(key).is_some() {
             return;
         }
-        self.attempts = self.attempts.max(key.0);
         let estimate = self.estimator.get(ticket.customer, ticket.route);
         let reserve = estimate.reserve(tokens, ticket.max_tokens);
         let need = u64::from(ticket.prompt_tokens) + u64::from(reserve);
@@ -759,8 +758,7 @@
         let Some(waiting) = self.queue.grant(key) else { return };
         let Waiting { ticket, need, work, .. } = waiting;
         let suspect = self.quarantine.is_suspect(ticket.fingerprint);
-        self.attempts += 1;
-        let attempt = AttemptKey(self.attempts);
+        let attempt = self.next_attempt();
         self.placement.start(now, upstream, need, suspect);
         self.placement.assign(now, upstream, ticket.prefix);
         out.push(Action::Grant { ticket: key, attempt, upstream });
@@ -779,6 +777,17 @@
         self.running.insert(attempt, granted);
     }
 
+    /// The next number that no adopted attempt has.
+    fn next_attempt(&mut self) -> AttemptKey {
+        loop {
+            self.attempts += 1;
+            let attempt = AttemptKey(self.attempts);
+            if self.running.get(attempt).is_none() {
+                return attempt;
+            }
+        }
+    }
+
     /// How long before its target a ticket must be granted, in milliseconds.
     fn lead_ms(&self) -> u64 {
         (self.placement.first_token_us() / 1_000.0) as u64
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -490,9 +490,9 @@
     fn adopt(&mut self, pick: usize, class: u32, repeatable: bool) {
         let Some((upstream, _)) = picked(&self.oracle.sites, pick) else { return };
         let ticket = self.ticket(0, class, (50, 100), repeatable);
-        // Grants of this dispatcher count up from one, those of a former one are far above.
-        let last = self.oracle.running.keys().next_back().map_or(0, |it| it.0);
-        let attempt = AttemptKey(last.max(self.next_ticket * 1_000_000));
+        // Some of the numbers come up in this dispatcher later, the others are the largest.
+        let number = if pick % 2 == 0 { self.next_ticket + 5 } else { u64::MAX - self.next_ticket };
+        let attempt = AttemptKey(number);
         let run = Run { ticket: ticket.clone(), upstream, tokens: 10, stopping: false };
         if self.oracle.running.contains_key(&attempt) {
             return;
@@ -554,15 +554,15 @@
     );
     world.drain();
     expect![[r#"
-        grants 2274
-        preempts 195
-        passes {ClassKey(3): 26}
+        grants 2318
+        preempts 189
+        passes {ClassKey(3): 36}
         refusals {
-            Shed: 737,
-            DeadlineUnmeetable: 187,
-            QueueTimeout: 1730,
-            Quarantined: 13,
-            RetryBudget: 355,
+            Shed: 690,
+            DeadlineUnmeetable: 172,
+            QueueTimeout: 1714,
+            Quarantined: 28,
+            RetryBudget: 374,
         }
     "#]]
     .assert_eq(&reached);
@@ -912,7 +912,7 @@
 #[test]
 fn adopted_attempts_count_beyond_the_slots() {
     let mut script = Script::open(&[1]);
-    for attempt in [100, 101] {
+    for attempt in [1, u64::MAX] {
         let mut ticket = None;
         Script::default().submit(attempt, 1, |it| ticket = Some(it.clone()));
         let ticket = ticket.expect("made");
@@ -921,10 +921,10 @@
         script.handle(Event::Adopt(Adopted { attempt, ticket, upstream, tokens: 5 }));
     }
     script.submit(1, 3, |_| {});
-    script.end(100, Ending::Done);
-    script.end(101, Ending::Done);
+    script.end(1, Ending::Done);
+    script.end(u64::MAX, Ending::Done);
     expect![[r#"
-        0: grant 1 as 102 on 1
+        0: grant 1 as 1 on 1
     "#]]
     .assert_eq(&script.log);
 }
