--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -768,6 +768,11 @@
     script.end(4, Ending::Failed);
     script.submit(6, 1, poison);
     script.submit(7, 1, |it| it.fingerprint = 333);
+    script.wait(10);
+    // The neighbour completed after its first crash, so this is not its second.
+    script.end(6, Ending::Failed);
+    script.wait(5_000);
+    script.submit(9, 1, |it| it.fingerprint = 333);
     let listed: Vec<_> = script.dispatcher.quarantined(script.now).map(|it| it.0).collect();
     script.log.push_str(&format!("listed {listed:?}\n"));
     script.wait(600_001);
@@ -781,8 +786,39 @@
         5020: quarantine 666 for 600000 ms
         5020: refuse 6 Quarantined
         5020: grant 7 as 6 on 2
+        10030: grant 9 as 7 on 1
         listed [666]
-        605021: grant 8 as 7 on 1
+        610031: grant 8 as 8 on 2
+    "#]]
+    .assert_eq(&script.log);
+}
+
+#[test]
+fn conviction_clears_the_neighbours_of_the_same_crash() {
+    let mut script = Script::open(&[2]);
+    let poison = |it: &mut Ticket| it.fingerprint = 666;
+    let neighbour = |it: &mut Ticket| it.fingerprint = 333;
+    script.submit(1, 1, poison);
+    script.end(1, Ending::Failed);
+    script.upstream(2, 2, |_| {});
+    script.submit(2, 1, neighbour);
+    script.submit(3, 1, poison);
+    script.wait(10);
+    script.end(2, Ending::Failed);
+    script.end(3, Ending::Failed);
+    script.wait(5_000);
+    script.submit(4, 1, neighbour);
+    script.wait(10);
+    script.end(4, Ending::Failed);
+    script.wait(5_000);
+    script.submit(5, 1, neighbour);
+    expect![[r#"
+        0: grant 1 as 1 on 1
+        0: grant 2 as 2 on 2
+        0: grant 3 as 3 on 2
+        10: quarantine 666 for 600000 ms
+        5010: grant 4 as 4 on 1
+        10020: grant 5 as 5 on 1
     "#]]
     .assert_eq(&script.log);
 }
