Correct outdated statements in the answer, and settle claims to a host id

Cause: under loss of one message in twenty a host that missed a refutation held a live host to be dead for five to ten seconds, as nobody told it otherwise; and a restarted host alone in its zone, with a clock that stood earlier than its predecessor's, took itself to be replaced. Change: an answer holds what its receiver has outdated; a suspicion is told again before it ends, so that those who know better answer; a host that meets a larger incarnation of its id outbids it if the address is its own, if it is dead, or if it does not answer, and stops only when it answers.

--- a/src/member.rs
+++ b/src/member.rs
@@ -119,9 +119,15 @@
 const HELPER_TIMEOUT: Span = Span::from_ms(350);
 const HELPERS: usize = 3;
 
-/// Time from a suspicion to death, if it is not refuted.
+/// Time from a suspicion to death at the host that raised it, if it is not refuted.
 pub const SUSPICION_TIMEOUT: Span = Span::from_ms(1_000);
 
+/// Time from a suspicion to death at a host that only heard of it.
+const HEARSAY_TIMEOUT: Span = Span::from_ms(1_400);
+
+/// Time from a suspicion until it is told again.
+const RETELL_TIMEOUT: Span = Span::from_ms(800);
+
 /// Gap between events after which this host itself was too slow to judge others.
 const LATE: Span = Span::from_ms(4 * TICK_MS);
 
@@ -138,7 +144,7 @@
 const JOIN_PERIOD: Span = Span::from_ms(200);
 const JOIN_TIMEOUT: Span = Span::from_ms(5_000);
 
-/// Time in which a larger incarnation of this host must be found dead, or this process is the one to stop.
+/// Time in which a larger incarnation of this host must answer, or it is taken to be dead.
 const CONTEST_TIMEOUT: Span = Span::from_ms(10_000);
 
 const RETRY_PERIOD: Span = Span::from_ms(1_000);
@@ -219,6 +225,8 @@
     revision: u64,
     /// When this host itself found that the other one does not answer.
     doubted: Option<Time>,
+    /// Whether a suspicion was told again before its end.
+    retold: bool,
 }
 
 #[derive(Debug)]
@@ -239,6 +247,13 @@
     peer: SocketAddr,
 }
 
+/// A larger incarnation of this host that is not known to be dead.
+#[derive(Debug)]
+struct Contest {
+    since: Time,
+    rival: Member,
+}
+
 #[derive(Debug)]
 struct Call {
     number: u64,
@@ -280,8 +295,7 @@
     recheck: bool,
     quarantine: Quarantine,
     presence: Presence,
-    /// Since when a larger incarnation of this host is known and not dead.
-    contested: Option<Time>,
+    contested: Option<Contest>,
     /// Whether the platform's list was read since the start.
     listed: bool,
     /// Whether a change waits to be pushed.
@@ -321,6 +335,7 @@
             spread: Spread::new(1),
             revision: 0,
             doubted: None,
+            retold: false,
         };
         Membership {
             id: own.id,
@@ -491,11 +506,20 @@
         for index in 0..self.rows.len() {
             let row = &self.rows[index];
             let own_zone = row.member.zone == self.zone && row.member.id != self.id;
-            let suspected =
-                row.member.state == State::Suspect && now.since(row.changed) >= SUSPICION_TIMEOUT;
-            let doubted = row.member.state == State::Leaving
-                && row.doubted.is_some_and(|it| now.since(it) >= SUSPICION_TIMEOUT);
-            if own_zone && (suspected || doubted) {
+            let accused = row.doubted.is_some_and(|it| now.since(it) >= SUSPICION_TIMEOUT);
+            let over = match row.member.state {
+                State::Suspect => accused || now.since(row.changed) >= HEARSAY_TIMEOUT,
+                State::Leaving => accused,
+                State::Alive | State::Dead => false,
+            };
+            // Those who know better answer before it is too late.
+            let ends_soon = row.member.state == State::Suspect && !row.retold;
+            if own_zone && ends_soon && now.since(row.changed) >= RETELL_TIMEOUT {
+                self.rows[index].retold = true;
+                self.rows[index].spread.renew();
+                self.urgent = true;
+            }
+            if own_zone && over {
                 self.set_state(now, index, State::Dead);
             }
         }
@@ -514,10 +538,9 @@
         if now.since(self.joining_since) >= JOIN_TIMEOUT {
             self.join(actions);
         }
-        if self.contested.is_some_and(|it| now.since(it) >= CONTEST_TIMEOUT) {
-            self.contested = None;
-            self.presence = Presence::Replaced;
-            actions.push(Action::Replaced);
+        let over = |it: &Contest| now.since(it.since) >= CONTEST_TIMEOUT;
+        if let Some(contest) = self.contested.take_if(|it| over(it)) {
+            self.outbid(now, contest.rival.incarnation);
         }
     }
 
@@ -555,7 +578,7 @@
         if full {
             self.next_full = now + FULL_PERIOD;
         }
-        let message = self.message(self.to_refute(index), full);
+        let message = self.message(&self.to_refute(index), full);
         self.send(now, PROBE_TIMEOUT, Purpose::Probe(id, incarnation), to, message, actions);
     }
 
@@ -592,7 +615,7 @@
         }
         for index in self.pick(PUSH_FANOUT, |it| answers(it.member.state)) {
             let to = self.rows[index].member.peer;
-            let message = self.message(None, false);
+            let message = self.message(&[], false);
             self.send(now, PROBE_TIMEOUT, Purpose::Push, to, message, actions);
         }
     }
@@ -623,7 +646,7 @@
         }
         let (name, after, failures) = (zone.name.clone(), zone.cursor.position(), zone.failures);
         let Some(to) = self.contact_of(&name, failures) else { return };
-        let mut message = self.message(None, after == 0);
+        let mut message = self.message(&[], after == 0);
         let reached = if after == 0 {
             message.changes = self.all();
             self.sequence
@@ -672,7 +695,7 @@
         self.next_contact = now + if joining { JOIN_PERIOD } else { RETRY_PERIOD };
         let count = if joining { HELPERS } else { 1 };
         for to in self.unmet(joining, count) {
-            let message = self.message(None, true);
+            let message = self.message(&[], true);
             self.send(now, EXCHANGE_TIMEOUT, Purpose::Contact, to, message, actions);
         }
     }
@@ -699,7 +722,9 @@
         found.sort_unstable();
         found.dedup();
         let (chosen, _) = found.partial_shuffle(&mut self.random, count);
-        chosen.to_vec()
+        let mut chosen = chosen.to_vec();
+        chosen.extend(self.contested.as_ref().map(|it| it.rival.peer));
+        chosen
     }
 
     fn is_met(&self, candidate: &Candidate) -> bool {
@@ -754,16 +779,30 @@
     fn receive(&mut self, now: Time, number: u64, message: Gossip, actions: &mut Vec<Action>) {
         let from = message.from.id.clone();
         let (full, current) = (message.full, self.is_current(&message.from));
-        let said = message.from.precedence();
+        let mut outdated = Vec::new();
+        if let Ok(index) = self.find(&from)
+            && message.from.precedence() < self.rows[index].member.precedence()
+        {
+            outdated.push(from);
+        }
         if current {
+            outdated.extend(self.outdated(&message.changes));
             self.take_in(now, message, actions);
         }
-        let superseded = |it: &usize| self.rows[*it].member.precedence() > said;
-        let known = self.find(&from).ok().filter(superseded);
-        let answer = self.message(known, full && current);
+        let answer = self.message(&outdated, full && current);
         actions.push(Action::Answer(number, answer));
     }
 
+    /// Hosts of which this host knows something newer than a message says.
+    fn outdated(&self, changes: &[Member]) -> Vec<String> {
+        let newer = |it: &&Member| {
+            let known = self.find(&it.id).map(|found| &self.rows[found].member);
+            known.is_ok_and(|known| it.precedence() < known.precedence())
+        };
+        let found = changes.iter().filter(newer).take(Spread::MAX_CHANGES);
+        found.map(|it| it.id.clone()).collect()
+    }
+
     /// Whether a message's sender is not an older incarnation of a known host, nor of this host.
     fn is_current(&self, from: &Member) -> bool {
         let known = self.find(&from.id).map(|it| self.rows[it].member.incarnation);
@@ -825,24 +864,32 @@
         other: &Member,
         actions: &mut Vec<Action>,
     ) {
-        let predecessor = self.presence == Presence::Joining || other.state == State::Dead;
+        // An address has one process, and this one has it.
+        let same_address = other.peer == self.rows[index].member.peer;
+        let joining = self.presence == Presence::Joining;
         if self.presence == Presence::Replaced {
             return;
         }
-        if predecessor {
-            self.rows[index].member.incarnation = other.incarnation.saturating_add(1);
-            self.contested = None;
-            self.touch(now, index);
-            self.urgent = true;
+        if joining || same_address || other.state == State::Dead {
+            self.outbid(now, other.incarnation);
             return;
         }
         if self.contested.is_none() {
-            self.contested = Some(now);
+            self.contested = Some(Contest { since: now, rival: other.clone() });
             self.presence = Presence::Stalled;
+            self.next_contact = now;
             actions.push(Action::Stalled);
         }
     }
 
+    fn outbid(&mut self, now: Time, incarnation: u64) {
+        let own = self.own_index();
+        self.rows[own].member.incarnation = incarnation.saturating_add(1);
+        self.contested = None;
+        self.touch(now, own);
+        self.urgent = true;
+    }
+
     fn update(&mut self, now: Time, index: usize, member: Member) {
         let row = &mut self.rows[index];
         if member.precedence() <= row.member.precedence() {
@@ -875,7 +922,7 @@
             return;
         }
         let spread = Spread::new(self.next_sequence());
-        let row = Row { member, changed: now, spread, revision: 0, doubted: None };
+        let row = Row { member, changed: now, spread, revision: 0, doubted: None, retold: false };
         self.rows.insert(position, row);
         self.hear_of_zone(now, position);
         self.urgent |= news;
@@ -919,6 +966,7 @@
             }
         } else {
             // The sender was replaced; only what it says of this host counts.
+            self.meet_rival(&message.from, actions);
             let own = message.changes.into_iter().find(|it| it.id == self.id);
             if let Some(own) = own {
                 self.merge(now, own, true, actions);
@@ -938,6 +986,15 @@
         }
     }
 
+    fn meet_rival(&mut self, from: &Member, actions: &mut Vec<Action>) {
+        let larger = from.id == self.id && from.incarnation > self.own().incarnation;
+        if larger && self.presence != Presence::Replaced {
+            self.contested = None;
+            self.presence = Presence::Replaced;
+            actions.push(Action::Replaced);
+        }
+    }
+
     /// Whether an answer from a host shows that every live host known at the address answers.
     fn vouches(&self, target: SocketAddr, from: &str) -> bool {
         let live = |it: &&Row| it.member.peer == target && it.member.state != State::Dead;
@@ -1008,13 +1065,13 @@
                 self.set_state(now, index, State::Suspect);
                 self.rows[index].doubted = Some(now);
             }
-            State::Leaving if row.doubted.is_none() => row.doubted = Some(now),
+            State::Leaving | State::Suspect if row.doubted.is_none() => row.doubted = Some(now),
             State::Alive | State::Leaving | State::Suspect | State::Dead => {}
         }
     }
 
     fn favour(&mut self, now: Time, number: u64, target: SocketAddr, actions: &mut Vec<Action>) {
-        let message = self.message(None, false);
+        let message = self.message(&[], false);
         let purpose = Purpose::Favour(number, target);
         self.send(now, PROBE_TIMEOUT, purpose, target, message, actions);
     }
@@ -1029,24 +1086,27 @@
     fn touch(&mut self, now: Time, index: usize) {
         let sequence = self.next_sequence();
         self.rows[index].changed = now;
+        self.rows[index].retold = false;
         self.rows[index].spread = Spread::new(sequence);
     }
 
-    /// Row of a host that must hear what is held of it, so that it can refute it.
-    fn to_refute(&self, index: usize) -> Option<usize> {
-        (!answers(self.rows[index].member.state)).then_some(index)
+    /// A host that must hear what is held of it, so that it can refute it.
+    fn to_refute(&self, index: usize) -> Vec<String> {
+        let member = &self.rows[index].member;
+        if answers(member.state) { Vec::new() } else { vec![member.id.clone()] }
     }
 
-    /// A message with one member if given, and with the changes that have been sent least or all members.
-    fn message(&mut self, first: Option<usize>, full: bool) -> Gossip {
+    /// A message with the given hosts, and with the changes that have been sent least or all members.
+    fn message(&mut self, first: &[String], full: bool) -> Gossip {
         let own = self.own_index();
         let limit = Spread::limit(self.rows.len());
         let mut changes = if full { self.all() } else { Vec::new() };
         if !full {
-            changes.extend(first.map(|it| self.rows[it].member.clone()));
+            let first: Vec<usize> = first.iter().filter_map(|it| self.find(it).ok()).collect();
+            changes.extend(first.iter().map(|it| self.rows[*it].member.clone()));
             let waits = |it: &usize| self.rows[*it].spread.waits(limit);
             let mut waiting: Vec<usize> = (0..self.rows.len()).filter(waits).collect();
-            waiting.retain(|it| *it != own && Some(*it) != first);
+            waiting.retain(|it| *it != own && !first.contains(it));
             waiting.sort_by_key(|it| self.rows[*it].spread.order());
             for index in waiting.into_iter().take(Spread::MAX_CHANGES) {
                 self.rows[index].spread.sent();
