--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -5,11 +5,12 @@
 use almondrack::{
     config::Snapshot,
     controller::{self, Controller},
+    intent,
     lease::{self, Lease, Terms},
     ledger::Served,
     member::{Member, State, View},
     peer::{self, Mailboxes, Peers},
-    platform::{Client, Upstream},
+    platform::{self, Cause, Client, Upstream},
     record::{Pool, Protocol, Record as ConfigRecord},
     reporter::{self, Reporter},
     scale::{Demand, Load, Settings},
@@ -284,8 +285,7 @@
     dispatch(&platform, vec![a.mailbox.clone(), b.mailbox.clone()], level);
     let count = async |wanted: usize| {
         let running = upstreams(&platform).await;
-        running.len() == wanted
-            && running.iter().all(|it| it.state == almondrack::platform::State::Running)
+        running.len() == wanted && running.iter().all(|it| it.state == platform::State::Running)
     };
     until("two upstreams", async || count(2).await).await;
     requests.send_replace(13);
@@ -322,7 +322,7 @@
     let intents = Client::open(platform.address(), "t");
     faults(&platform, json!({ "lose_answers_per_mille": 0 })).await;
     until("no open intent", async || {
-        let ledger = almondrack::intent::list(&intents, "z").await.expect("intents");
+        let ledger = intent::list(&intents, "z").await.expect("intents");
         ledger.open.is_empty() && ledger.unreadable.is_empty()
     })
     .await;
@@ -330,6 +330,42 @@
     b.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn open_intents_of_a_former_holder_are_finished_under_their_ids() {
+    let (_engines, spares) = engines(16).await;
+    let options = Options { spares, ..Options::new(loopback()) };
+    let platform = stand_ins::platform::spawn(options).expect("platform");
+    let former = Client::open(platform.address(), "f");
+    let start = platform::Order::Start { pool: "p".to_owned(), cheap: false };
+    for id in ["0-0", "0-1"] {
+        let record = json!({ "schema": 1, "order": { "zone": start }, "done": false });
+        let key = format!("intent/z/{id}");
+        let written = former.put(Cause::Order, &key, Bytes::from(record.to_string()), Some(0));
+        written.await.expect("written");
+    }
+    // The former holder sent the first one and did not hear the answer.
+    let order = platform::Fenced {
+        id: "0-0".to_owned(),
+        lease: "zone-z".to_owned(),
+        number: 0,
+        deadline_ms: u64::MAX,
+        order: start,
+    };
+    former.order("z", &order).await.expect("accepted");
+    let controller = control(&platform, "a", &view(&[("a", loopback())]));
+    until("a controller", async || controller.status.borrow().number.is_some()).await;
+    until("no open intent", async || {
+        let ledger = intent::list(&former, "z").await.expect("intents");
+        ledger.open.is_empty()
+    })
+    .await;
+    // Time for an order too many.
+    sleep(Duration::from_secs(1)).await;
+    let names: Vec<_> = upstreams(&platform).await.into_iter().map(|it| it.id).collect();
+    expect![[r#"["z-p-1", "z-p-2"]"#]].assert_eq(&format!("{names:?}"));
+    controller.stop().await;
+}
+
 /// A controller on a thread of its own that can be frozen like a stopped process.
 fn freezable(
     platform: &Server,
@@ -578,7 +614,7 @@
 async fn what_cannot_be_read_is_set_aside() {
     let platform = stand_ins::platform::spawn(Options::new(loopback())).expect("platform");
     let client = Client::open(platform.address(), "t");
-    let cause = almondrack::platform::Cause::Usage;
+    let cause = Cause::Usage;
     let unknown = json!({ "schema": 9, "batches": [] }).to_string();
     for (key, value) in [
         ("usage/merged/z/x/1/0", "%%%".to_owned()),
@@ -611,7 +647,7 @@
     let (lease, standing) = candidate(&platform, "a");
     until("a holder", async || lease.certain().is_some()).await;
     let permit = lease.certain().expect("certain");
-    let order = |id: &str| almondrack::platform::Fenced {
+    let order = |id: &str| platform::Fenced {
         id: id.to_owned(),
         lease: "zone-z".to_owned(),
         number: permit.number,
