--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -104,14 +104,7 @@
             zone: zone.to_owned(),
             mailbox,
         });
-        let mailboxes = Mailboxes {
-            dispatch: mpsc::channel(1).0,
-            attempts: mpsc::channel(1).0,
-            members: mpsc::channel(1).0,
-            config,
-            usage: mpsc::channel(1).0,
-            limits: mpsc::channel(1).0,
-        };
+        let mailboxes = Mailboxes { config, ..peer::mailboxes(1).0 };
         let server = tokio::spawn(peer::serve(listener, mailboxes));
         for host in &self.hosts {
             host.view.send_replace(full.clone());
