Ask for whole answers soon after a start, and publish only changed views

Cause: fleets that start as a whole took 21 s (2 zones of 33) and 52 s (6 of 16) on virtual time until all views were whole, because what a start brings exceeds what piggybacking carries and the next whole answer came after 60 s; and each tick copied the whole view. Change: whole answers are asked for after 2 s, then at doubling periods up to 60 s with jitter; the task copies the view only when the core's number differs.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -116,6 +116,7 @@
     let (command_sender, commands) = mpsc::channel(QUEUE);
     let (results, completed) = mpsc::channel(QUEUE);
     let core = Membership::new(Time::now(), own.clone(), &seeds, SmallRng::from_os_rng().random());
+    let view_number = core.view_number();
     let (view, view_receiver) = watch::channel(Arc::new(core.view()));
     let (own_sender, own_receiver) = watch::channel(own);
     let (presence, presence_receiver) = watch::channel(core.presence());
@@ -133,6 +134,7 @@
         answers: BTreeMap::new(),
         vouchers: BTreeMap::new(),
         next_request: 0,
+        view_number,
     };
     tokio::spawn(task.run(Inputs { inbound, revision, quarantine, commands, completed }));
     Directory {
@@ -175,6 +177,8 @@
     answers: BTreeMap<u64, oneshot::Sender<Gossip>>,
     vouchers: BTreeMap<u64, oneshot::Sender<bool>>,
     next_request: u64,
+    /// Number of the published view.
+    view_number: (u64, usize),
 }
 
 impl Task {
@@ -319,14 +323,11 @@
     }
 
     fn publish(&mut self) {
-        let view = self.core.view();
-        self.published.view.send_if_modified(|it| {
-            let changed = **it != view;
-            if changed {
-                *it = Arc::new(view);
-            }
-            changed
-        });
+        let number = self.core.view_number();
+        if number != self.view_number {
+            self.view_number = number;
+            replace(&self.published.view, Arc::new(self.core.view()));
+        }
         replace(&self.published.own, self.core.own().clone());
         replace(&self.published.presence, self.core.presence());
         replace(&self.published.newest, self.core.newest());
--- a/src/member.rs
+++ b/src/member.rs
@@ -140,6 +140,7 @@
 /// Time without a sign of life after which a zone is absent from the view.
 pub const ZONE_TIMEOUT: Span = Span::from_ms(20_000);
 
+const FIRST_FULL_PERIOD: Span = Span::from_ms(2_000);
 const FULL_PERIOD: Span = Span::from_ms(60_000);
 const JOIN_PERIOD: Span = Span::from_ms(200);
 const JOIN_TIMEOUT: Span = Span::from_ms(5_000);
@@ -301,6 +302,8 @@
     /// Whether a change waits to be pushed.
     urgent: bool,
     sequence: u64,
+    /// Changes of rows so far.
+    changes: u64,
     next_call: u64,
     last_event: Time,
     joining_since: Time,
@@ -308,6 +311,8 @@
     next_exchange: Time,
     next_beat: Time,
     next_full: Time,
+    /// Time between whole answers; short after a start, when many hosts may be starting.
+    full_period: Span,
     next_resync: Time,
     next_contact: Time,
     next_list: Time,
@@ -352,13 +357,15 @@
             listed: false,
             urgent: false,
             sequence: 1,
+            changes: 0,
             next_call: 1,
             last_event: now,
             joining_since: now,
             next_probe: now + phase,
             next_exchange: now + phase,
             next_beat: now + BEAT_PERIOD,
-            next_full: now + full_phase,
+            next_full: now + FIRST_FULL_PERIOD + phase,
+            full_period: FIRST_FULL_PERIOD,
             next_resync: now + full_phase,
             next_contact: now,
             next_list: now,
@@ -384,6 +391,11 @@
         View { members: self.rows.iter().filter(shown).map(|it| it.member.clone()).collect() }
     }
 
+    /// Differs between two calls if the view may differ.
+    pub fn view_number(&self) -> (u64, usize) {
+        (self.changes, self.zones.iter().filter(|it| self.present(&it.name)).count())
+    }
+
     /// The newest configuration revision among the hosts that are not dead.
     pub fn newest(&self) -> Option<Newest> {
         let live = self.rows.iter().filter(|it| it.member.state != State::Dead);
@@ -465,6 +477,7 @@
 
     /// Turns hosts into candidates.
     fn forget(&mut self, which: impl Fn(&Member) -> bool) {
+        self.changes += 1;
         for row in self.rows.extract_if(.., |it| which(&it.member)) {
             let Member { id, zone, peer, .. } = row.member;
             let known = self.candidates.iter().any(|it| it.peer == peer);
@@ -576,7 +589,10 @@
         let (id, incarnation, to) = (member.id.clone(), member.incarnation, member.peer);
         let full = now >= self.next_full;
         if full {
-            self.next_full = now + FULL_PERIOD;
+            // Hosts that started together must not ask together for ever.
+            let pause = self.random.random_range(self.full_period.0 / 2..=self.full_period.0);
+            self.next_full = now + Span(pause);
+            self.full_period = Span(self.full_period.0 * 2).min(FULL_PERIOD);
         }
         let message = self.message(&self.to_refute(index), full);
         self.send(now, PROBE_TIMEOUT, Purpose::Probe(id, incarnation), to, message, actions);
@@ -924,6 +940,7 @@
         let spread = Spread::new(self.next_sequence());
         let row = Row { member, changed: now, spread, revision: 0, doubted: None, retold: false };
         self.rows.insert(position, row);
+        self.changes += 1;
         self.hear_of_zone(now, position);
         self.urgent |= news;
     }
@@ -1085,6 +1102,7 @@
 
     fn touch(&mut self, now: Time, index: usize) {
         let sequence = self.next_sequence();
+        self.changes += 1;
         self.rows[index].changed = now;
         self.rows[index].retold = false;
         self.rows[index].spread = Spread::new(sequence);
