--- a/src/account.rs
+++ b/src/account.rs
@@ -11,6 +11,7 @@
     metrics::{Metrics, Outcome},
     record::Class,
     sse::Usage,
+    tally::Ended,
 };
 
 /// Counts a request once when it ends, also when its future is dropped.
@@ -18,7 +19,10 @@
 pub(crate) struct Account {
     metrics: Metrics,
     served: mpsc::Sender<Served>,
+    ended: mpsc::Sender<Ended>,
     class: Class,
+    /// Upstream of the last attempt, empty before the first.
+    upstream: String,
     accepted: Instant,
     first_token: Option<Instant>,
     tokens: u32,
@@ -31,12 +35,19 @@
 
 impl Account {
     /// Opens the account of a request.
-    pub(crate) fn open(metrics: Metrics, served: mpsc::Sender<Served>, job: &Job) -> Account {
+    pub(crate) fn open(
+        metrics: Metrics,
+        served: mpsc::Sender<Served>,
+        ended: mpsc::Sender<Ended>,
+        job: &Job,
+    ) -> Account {
         metrics.in_flight.inc();
         Account {
             metrics,
             served,
+            ended,
             class: job.class.clone(),
+            upstream: String::new(),
             accepted: job.accepted,
             first_token: None,
             tokens: 0,
@@ -53,6 +64,11 @@
         }
     }
 
+    /// Notes the upstream of an attempt.
+    pub(crate) fn placed(&mut self, upstream: &str) {
+        upstream.clone_into(&mut self.upstream);
+    }
+
     /// Notes what has been delivered so far.
     pub(crate) fn answered(&mut self, first_token: Instant, tokens: u32, usage: Option<Usage>) {
         self.first_token = Some(first_token);
@@ -65,7 +81,9 @@
         let account = Account {
             metrics: self.metrics.clone(),
             served: self.served.clone(),
+            ended: self.ended.clone(),
             class: self.class.clone(),
+            upstream: self.upstream.clone(),
             accepted: self.accepted,
             first_token: self.first_token,
             tokens: self.tokens,
@@ -109,9 +127,25 @@
             self.metrics.first_token(&self.class.name, elapsed);
         }
         self.metrics.in_flight.dec();
+        let until = self.first_token.unwrap_or_else(Instant::now);
+        let late = until.saturating_duration_since(self.accepted) > target;
+        self.tell(outcome, in_time, late);
         true
     }
 
+    fn tell(&mut self, outcome: Outcome, in_time: bool, late: bool) {
+        let ended = Ended {
+            class: self.class.name.clone(),
+            customer: self.bill.customer.clone(),
+            outcome,
+            in_time,
+            late,
+            tokens: u64::from(self.tokens),
+            upstream: std::mem::take(&mut self.upstream),
+        };
+        send(&self.ended, ended);
+    }
+
     fn bill(&mut self, outcome: Outcome) {
         let whole = outcome == Outcome::Whole;
         if !whole && self.tokens == 0 {
@@ -124,13 +158,17 @@
             bill.generated_tokens = usage.completion_tokens;
         }
         bill.cut = !whole;
-        let Err(mpsc::error::TrySendError::Full(bill)) = self.served.try_send(bill) else { return };
-        // A bill that finds the mailbox full waits for room; it must not be lost.
-        let served = self.served.clone();
-        tokio::spawn(async move { served.send(bill).await });
+        send(&self.served, bill);
     }
 }
 
+/// Sends a message that must not be lost; one that finds the mailbox full waits for room.
+fn send<T: Send + 'static>(mailbox: &mpsc::Sender<T>, message: T) {
+    let Err(mpsc::error::TrySendError::Full(message)) = mailbox.try_send(message) else { return };
+    let mailbox = mailbox.clone();
+    tokio::spawn(async move { mailbox.send(message).await });
+}
+
 impl Drop for Account {
     fn drop(&mut self) {
         self.close(Outcome::Abandoned);
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -39,6 +39,7 @@
     pool,
     record::{Key, Protocol, Role, Route},
     request,
+    tally::Ended,
     time::wall_ms,
     upstream,
 };
@@ -75,6 +76,8 @@
     pub metrics: Metrics,
     /// Takes what is billed.
     pub served: mpsc::Sender<Served>,
+    /// Takes each request that ended.
+    pub ended: mpsc::Sender<Ended>,
     /// Time for a caller to send its request.
     pub read_timeout: Duration,
     /// Longest silence of an upstream.
@@ -154,6 +157,7 @@
             idle_timeout: options.idle_timeout,
             metrics: options.metrics.clone(),
             served: options.served.clone(),
+            ended: options.ended.clone(),
             numbers: options.numbers.clone(),
         };
         Worker { options, exchange }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -29,6 +29,7 @@
     record::{Class, Protocol},
     relay::{Relay, Source, Times},
     request::{self, Overrides},
+    tally::Ended,
     upstream::{self, Failure, Reuse},
     wire::{Decision, Ending, Grant, Progress, Running, Ticket, TicketId},
 };
@@ -157,6 +158,8 @@
     pub metrics: Metrics,
     /// Takes what is billed.
     pub served: mpsc::Sender<Served>,
+    /// Takes each request that ended.
+    pub ended: mpsc::Sender<Ended>,
     /// Numbers of requests and tickets.
     pub numbers: Arc<AtomicU64>,
 }
@@ -193,7 +196,8 @@
     /// # Errors
     /// Why the request has no answer, and whether it ran.
     pub async fn run(&self, job: Job) -> Result<Reply, Error> {
-        let mut account = Account::open(self.metrics.clone(), self.served.clone(), &job);
+        let mut account =
+            Account::open(self.metrics.clone(), self.served.clone(), self.ended.clone(), &job);
         let mut course =
             Course { run: Run::No, zone: None, avoid: Vec::new(), attempts: 0, retry: false };
         loop {
@@ -202,6 +206,7 @@
                 Err(error) => return Err(account.fail(error.with_run(course.run))),
             };
             let upstream = permit.grant.upstream.clone();
+            account.placed(&upstream);
             let loss = match self.attempt(&job, permit, &mut account).await {
                 Ok(reply) => return Ok(reply),
                 Err(loss) => loss,
--- a/src/host.rs
+++ b/src/host.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     admin::{self, Admin, Section},
+    aggregator::{self, Aggregator},
     attempts::{self, Attempts},
     config::Snapshot,
     controller::{self, Controller},
@@ -27,6 +28,7 @@
     lease,
     member::{Member, Presence, State},
     metrics::Metrics,
+    pages,
     peer::{self, Peers},
     platform, pool,
     reporter::{self, Reporter},
@@ -74,8 +76,10 @@
     drain_timeout: Duration,
     directory: Directory,
     usage: Usage,
+    aggregator: Aggregator,
     controller: Controller,
     reporter: Reporter,
+    drain_asked: watch::Receiver<bool>,
     server: JoinHandle<()>,
     _admin: Admin,
     _watcher: Watcher,
@@ -127,6 +131,16 @@
 
         let (dispatching, dispatching_seen) = watch::channel(false);
         let fleet = fleet::spawn(platform.clone(), settings.zone.clone(), dispatching_seen);
+        let aggregator = aggregator::spawn(aggregator::Options {
+            client: platform.clone(),
+            peers: peers.clone(),
+            view: view.clone(),
+            fleet: fleet.clone(),
+            inbound: calls.tally,
+            zone: settings.zone.clone(),
+            host: settings.host.clone(),
+            incarnation,
+        });
         dispatchers::spawn(dispatchers::Options {
             host: settings.host.clone(),
             incarnation,
@@ -191,6 +205,15 @@
 
         let (ready, ready_seen) = watch::channel(false);
         let rendered = metrics.clone();
+        let (drain, drain_asked) = watch::channel(false);
+        let pages = pages::pages(&pages::Options {
+            platform: platform.clone(),
+            snapshot: snapshot.clone(),
+            view: view.clone(),
+            host: settings.host.clone(),
+            window_ms: settings.usage_window.as_millis() as u64,
+            drain,
+        });
         let admin = admin::bind(admin::Options {
             listen: settings.admin,
             host: settings.host.clone(),
@@ -202,8 +225,8 @@
             view,
             ready: ready_seen,
             bootstrap_digest: settings.bootstrap_digest,
-            sections: sections(&directory, &usage, &controller, &reporter),
-            pages: Vec::new(),
+            sections: sections(&directory, &usage, &controller, &reporter, &aggregator),
+            pages,
             metrics: Arc::new(move || rendered.render()),
         })
         .wrap_err_with(|| format!("cannot listen for operators on {}", settings.admin))?;
@@ -223,6 +246,7 @@
             tracker: tracker.clone(),
             metrics: metrics.clone(),
             served: usage.served.clone(),
+            ended: aggregator.ended.clone(),
             read_timeout: settings.read_timeout,
             idle_timeout: settings.idle_timeout,
             connect_timeout: settings.connect_timeout,
@@ -244,8 +268,10 @@
             drain_timeout: settings.drain_timeout,
             directory,
             usage,
+            aggregator,
             controller,
             reporter,
+            drain_asked,
             server,
             _admin: admin,
             _watcher: watcher,
@@ -261,6 +287,14 @@
         }
     }
 
+    /// Waits until an operator tells the host to drain.
+    pub async fn drain_asked(&self) {
+        let mut asked = self.drain_asked.clone();
+        if asked.wait_for(|it| *it).await.is_err() {
+            std::future::pending().await
+        }
+    }
+
     /// Stops the host after its requests have ended, or after the drain timeout. True if all ended.
     pub async fn drain(self) -> bool {
         log::info!("draining");
@@ -275,7 +309,11 @@
         self.tracker.close();
         let ended = tokio::time::timeout(self.drain_timeout, self.tracker.wait()).await.is_ok();
         self.entry.stop();
-        tokio::join!(self.usage.flush(), tokio::time::sleep(FLUSH_TIMEOUT));
+        tokio::join!(
+            self.usage.flush(),
+            self.aggregator.flush(),
+            tokio::time::sleep(FLUSH_TIMEOUT)
+        );
         self.directory.depart().await;
         self.server.abort();
         log::info!("drained, all requests ended: {ended}");
@@ -306,10 +344,11 @@
     usage: &Usage,
     controller: &Controller,
     reporter: &Reporter,
+    aggregator: &Aggregator,
 ) -> Vec<Section> {
     let (presence, gossip) = (directory.presence.clone(), directory.counters.clone());
     let (usage, controller) = (usage.status.clone(), controller.status.clone());
-    let reporter = reporter.status.clone();
+    let (reporter, aggregator) = (reporter.status.clone(), aggregator.status.clone());
     vec![
         section("presence", move || json!(format!("{:?}", *presence.borrow()).to_lowercase())),
         section("gossip", move || {
@@ -327,6 +366,13 @@
                 "records": it.records, "refused": it.refused, "degraded": it.degraded,
             })
         }),
+        section("burn", move || {
+            let it = aggregator.borrow();
+            json!({
+                "unwritten": it.unwritten, "given_up": it.given_up, "writes": it.writes,
+                "degraded": it.degraded,
+            })
+        }),
         section("controller", move || {
             let it = controller.borrow();
             json!({
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,8 @@
 
 pub(crate) mod account;
 pub mod admin;
+pub mod aggregate;
+pub mod aggregator;
 pub(crate) mod attainment;
 pub mod attempt;
 pub mod attempts;
@@ -47,6 +49,8 @@
 pub mod member;
 pub mod metrics;
 pub mod operate;
+pub mod page;
+pub(crate) mod pages;
 pub mod peer;
 pub mod placement;
 pub mod platform;
@@ -68,6 +72,7 @@
 pub mod settings;
 pub mod spread;
 pub mod sse;
+pub mod tally;
 pub mod time;
 pub mod upstream;
 pub mod usage;
--- a/src/main.rs
+++ b/src/main.rs
@@ -62,6 +62,7 @@
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
+            () = host.drain_asked() => {}
             () = host.replaced() => log::warn!("another process has taken this host's id"),
         }
         Ok(host.drain().await)
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -24,6 +24,7 @@
     controller,
     error::{Error, Kind},
     scale::Demand,
+    tally::Batch,
     wire::{self, Peer as _, PeerClient},
 };
 
@@ -246,6 +247,13 @@
     Settle(wire::Admission),
 }
 
+/// A call to the aggregator of this host.
+#[derive(Debug)]
+pub enum TallyCall {
+    /// Brings batches to the store; the answer is true once they are there.
+    Write(Vec<Batch>, oneshot::Sender<bool>),
+}
+
 /// Mailboxes of the tasks that answer peers.
 #[derive(Debug, Clone)]
 pub struct Mailboxes {
@@ -263,6 +271,8 @@
     pub limits: mpsc::Sender<LimitCall>,
     /// Controller of the zone.
     pub controller: mpsc::Sender<controller::Call>,
+    /// Aggregator of counted requests.
+    pub tally: mpsc::Sender<TallyCall>,
 }
 
 /// Receiving ends of the mailboxes.
@@ -282,6 +292,8 @@
     pub limits: mpsc::Receiver<LimitCall>,
     /// Calls to the zone's controller.
     pub controller: mpsc::Receiver<controller::Call>,
+    /// Calls to the aggregator.
+    pub tally: mpsc::Receiver<TallyCall>,
 }
 
 /// Opens mailboxes in which so many calls may wait.
@@ -293,7 +305,9 @@
     let (usage, usage_calls) = mpsc::channel(capacity);
     let (limits, limit_calls) = mpsc::channel(capacity);
     let (controller, controller_calls) = mpsc::channel(capacity);
-    let mailboxes = Mailboxes { dispatch, attempts, members, config, usage, limits, controller };
+    let (tally, tally_calls) = mpsc::channel(capacity);
+    let mailboxes =
+        Mailboxes { dispatch, attempts, members, config, usage, limits, controller, tally };
     let calls = Calls {
         dispatch: dispatch_calls,
         attempts: attempt_calls,
@@ -302,6 +316,7 @@
         usage: usage_calls,
         limits: limit_calls,
         controller: controller_calls,
+        tally: tally_calls,
     };
     (mailboxes, calls)
 }
@@ -397,4 +412,8 @@
     async fn settle(self, _: context::Context, request: wire::Admission) {
         let _ = self.limits.send(LimitCall::Settle(request)).await;
     }
+
+    async fn tally(self, _: context::Context, batches: Vec<Batch>) -> bool {
+        ask(&self.tally, |answer| TallyCall::Write(batches, answer)).await.unwrap_or(false)
+    }
 }
--- a/src/reporter.rs
+++ b/src/reporter.rs
@@ -162,7 +162,7 @@
 }
 
 /// Key of a sealed window.
-fn window_key(window: u64) -> String {
+pub(crate) fn window_key(window: u64) -> String {
     format!("usage/window/{window:012}")
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{error::Error, member::Member, platform::Entry, scale::Demand};
+use crate::{error::Error, member::Member, platform::Entry, scale::Demand, tally::Batch};
 
 /// Identifies one ticket of an entry host: host, incarnation and sequence number.
 ///
@@ -260,4 +260,6 @@
     async fn demand(demand: Demand) -> Option<Vec<String>>;
     /// Tells a customer's limiter that a request ended and the tokens that it used.
     async fn settle(request: Admission);
+    /// Brings counted batches to the store; true once they are there.
+    async fn tally(batches: Vec<Batch>) -> bool;
 }
