--- a/src/entry.rs
+++ b/src/entry.rs
@@ -40,6 +40,7 @@
     platform, pool,
     record::{Key, Protocol, Role, Route},
     request,
+    tally::Ended,
     time::wall_ms,
     upstream,
 };
@@ -79,6 +80,8 @@
     pub metrics: Metrics,
     /// Takes what is billed.
     pub served: mpsc::Sender<Served>,
+    /// Takes each request that ended.
+    pub ended: mpsc::Sender<Ended>,
     /// Time for a caller to send its request.
     pub read_timeout: Duration,
     /// Longest silence of an upstream.
@@ -163,6 +166,7 @@
             idle_timeout: options.idle_timeout,
             metrics: options.metrics.clone(),
             served: options.served.clone(),
+            ended: options.ended.clone(),
             numbers: options.numbers.clone(),
         };
         Worker { options, exchange }
