--- a/src/peer.rs
+++ b/src/peer.rs
@@ -21,7 +21,9 @@
 };
 
 use crate::{
+    controller,
     error::{Error, Kind},
+    scale::Demand,
     wire::{self, Peer as _, PeerClient},
 };
 
@@ -259,6 +261,49 @@
     pub usage: mpsc::Sender<UsageCall>,
     /// Limits of customers.
     pub limits: mpsc::Sender<LimitCall>,
+    /// Controller of the zone.
+    pub controller: mpsc::Sender<controller::Call>,
+}
+
+/// Receiving ends of the mailboxes.
+#[derive(Debug)]
+pub struct Calls {
+    /// Calls to the dispatchers.
+    pub dispatch: mpsc::Receiver<DispatchCall>,
+    /// Calls to the attempts in progress.
+    pub attempts: mpsc::Receiver<AttemptCall>,
+    /// Calls to the membership.
+    pub members: mpsc::Receiver<MemberCall>,
+    /// Calls to the configuration.
+    pub config: mpsc::Receiver<ConfigCall>,
+    /// Calls to the copies of usage batches.
+    pub usage: mpsc::Receiver<UsageCall>,
+    /// Calls to the limiters.
+    pub limits: mpsc::Receiver<LimitCall>,
+    /// Calls to the zone's controller.
+    pub controller: mpsc::Receiver<controller::Call>,
+}
+
+/// Opens mailboxes in which so many calls may wait.
+pub fn mailboxes(capacity: usize) -> (Mailboxes, Calls) {
+    let (dispatch, dispatch_calls) = mpsc::channel(capacity);
+    let (attempts, attempt_calls) = mpsc::channel(capacity);
+    let (members, member_calls) = mpsc::channel(capacity);
+    let (config, config_calls) = mpsc::channel(capacity);
+    let (usage, usage_calls) = mpsc::channel(capacity);
+    let (limits, limit_calls) = mpsc::channel(capacity);
+    let (controller, controller_calls) = mpsc::channel(capacity);
+    let mailboxes = Mailboxes { dispatch, attempts, members, config, usage, limits, controller };
+    let calls = Calls {
+        dispatch: dispatch_calls,
+        attempts: attempt_calls,
+        members: member_calls,
+        config: config_calls,
+        usage: usage_calls,
+        limits: limit_calls,
+        controller: controller_calls,
+    };
+    (mailboxes, calls)
 }
 
 /// Accepts connections of peers and passes their calls to the mailboxes, until the task is aborted.
@@ -345,6 +390,10 @@
         ask(&self.limits, call).await.unwrap_or_else(stopped)
     }
 
+    async fn demand(self, _: context::Context, demand: Demand) -> Option<Vec<String>> {
+        ask(&self.controller, |answer| controller::Call { demand, answer }).await.flatten()
+    }
+
     async fn settle(self, _: context::Context, request: wire::Admission) {
         let _ = self.limits.send(LimitCall::Settle(request)).await;
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{error::Error, member::Member, platform::Entry};
+use crate::{error::Error, member::Member, platform::Entry, scale::Demand};
 
 /// Identifies one ticket of an entry host: host, incarnation and sequence number.
 ///
@@ -98,8 +98,10 @@
     Unused,
     /// The upstream refused the connection.
     Refused,
-    /// The upstream failed after bytes were sent.
+    /// The upstream cut the connection after bytes were sent.
     Failed,
+    /// The upstream answered something that is not valid.
+    Invalid,
     /// The upstream exceeded the deadline.
     TimedOut,
     /// The attempt was stopped for a higher tier.
@@ -152,16 +154,56 @@
     pub changes: Vec<Member>,
     /// Quarantined fingerprints with the time left, in milliseconds.
     pub quarantine: Vec<(u64, u64)>,
-    /// Whether the receiver is asked for all members.
+    /// In a request: whether all members are asked for. In an answer: whether `changes` holds all members.
     pub full: bool,
 }
 
-/// Configuration records of one revision, as they stand in the store.
+impl Gossip {
+    /// Size of the message in the encoding of the peer service, in bytes.
+    pub fn encoded_len(&self) -> u64 {
+        let changes: u64 = self.changes.iter().map(member_len).sum();
+        let pair = |it: &(u64, u64)| integer_len(it.0) + integer_len(it.1);
+        let quarantine: u64 = self.quarantine.iter().map(pair).sum();
+        let lengths =
+            integer_len(self.changes.len() as u64) + integer_len(self.quarantine.len() as u64);
+        member_len(&self.from) + integer_len(self.revision) + lengths + changes + quarantine + 1
+    }
+}
+
+fn member_len(member: &Member) -> u64 {
+    let names = text_len(&member.id) + text_len(&member.region) + text_len(&member.zone);
+    let addresses = address_len(&member.peer) + address_len(&member.admin);
+    names + addresses + integer_len(member.incarnation) + integer_len(member.version) + 1
+}
+
+fn text_len(text: &str) -> u64 {
+    integer_len(text.len() as u64) + text.len() as u64
+}
+
+fn address_len(address: &SocketAddr) -> u64 {
+    let ip = if address.is_ipv4() { 4 } else { 16 };
+    1 + ip + integer_len(address.port().into())
+}
+
+/// Length of an integer in the variable-length encoding.
+fn integer_len(value: u64) -> u64 {
+    match value {
+        0..251 => 1,
+        251..0x1_0000 => 3,
+        0x1_0000..0x1_0000_0000 => 5,
+        0x1_0000_0000.. => 9,
+    }
+}
+
+/// Configuration records of one revision, or the changes that lead to it, as they stand in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
+    /// Revision after which the entries changed; zero if the entries are all there are.
+    pub after: u64,
     /// Revision up to which changes are contained.
     pub revision: u64,
-    /// All entries under the configuration prefix, in key order.
+    /// Entries under the configuration prefix by key and version. Where the newest version of a key is
+    /// not valid, the last valid version stands before it.
     pub entries: Vec<Entry>,
 }
 
@@ -189,8 +231,10 @@
     pub incarnation: u64,
     /// Number of the request at that host.
     pub request: u64,
-    /// Tokens that the request is estimated to use.
+    /// Tokens that the request is estimated to use, or has used when it is settled.
     pub tokens: u64,
+    /// Whether another limiter admitted the request before this one took over.
+    pub restore: bool,
 }
 
 /// Service between the hosts.
@@ -214,6 +258,8 @@
     async fn hold(batch: Copy) -> bool;
     /// Asks a customer's limiter to admit a request.
     async fn admit(request: Admission) -> Result<(), Error>;
+    /// Reports a pool's demand to the zone's controller; the upstreams to drain, or `None` if the host is not it.
+    async fn demand(demand: Demand) -> Option<Vec<String>>;
     /// Tells a customer's limiter that a request ended and the tokens that it used.
     async fn settle(request: Admission);
 }
