Show that a frozen holder is not certain past its term

The history of frozen controllers passed without the clock check, since the check of the orders' authors is now about orders only. This test reads the lease while its task is frozen and fails without the check.

--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -385,6 +385,24 @@
     (controller, handle)
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn frozen_holder_is_not_certain_past_its_term() {
+    let platform = stand_ins::platform::spawn(Options::new(loopback())).expect("platform");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("runtime");
+    let handle = runtime.handle().clone();
+    let (lease, _standing) = {
+        let _entered = runtime.enter();
+        candidate(&platform, "a")
+    };
+    std::thread::spawn(move || runtime.block_on(std::future::pending::<()>()));
+    until("a holder", async || lease.certain().is_some()).await;
+    // The task that renews the lease cannot run; what it published last has to be enough.
+    handle.spawn(async { std::thread::sleep(Duration::from_secs(5)) });
+    sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(lease.certain(), None);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn frozen_controller_wakes_without_authority() {
     let (_engines, spares) = engines(16).await;
