--- a/src/controller.rs
+++ b/src/controller.rs
@@ -356,6 +356,9 @@
     async fn proceed(&mut self, mut stage: Stage, upstreams: &[Upstream]) -> Next {
         loop {
             stage = match stage {
+                Stage::Drafted(draft) if self.permit().is_err() => {
+                    return Next::Later(Stage::Drafted(draft));
+                }
                 Stage::Drafted(draft) => match draft.record(&self.options.client).await {
                     Ok(open) => Stage::Opened(open),
                     Err(Failure::Refused(..)) => return self.forget(&draft),
