--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -32,6 +32,7 @@
     record::{Class, Protocol},
     relay::{Relay, Source, Times},
     request::{self, Overrides},
+    tally::Ended,
     time::wall_ms,
     upstream::{self, Failure, Reuse},
     wire::{Decision, Ending, Grant, Progress, Running, Ticket, TicketId},
@@ -166,6 +167,8 @@
     pub metrics: Metrics,
     /// Takes what is billed.
     pub served: mpsc::Sender<Served>,
+    /// Takes each request that ended.
+    pub ended: mpsc::Sender<Ended>,
     /// Numbers of requests and tickets.
     pub numbers: Arc<AtomicU64>,
 }
@@ -235,7 +238,8 @@
 
     /// Runs a request that may be sent.
     async fn serve(&self, job: Job, admitted: Option<Admitted>) -> Result<Reply, Error> {
-        let mut account = Account::open(self.metrics.clone(), self.served.clone(), &job, admitted);
+        let (served, ended) = (self.served.clone(), self.ended.clone());
+        let mut account = Account::open(self.metrics.clone(), served, ended, &job, admitted);
         let mut course =
             Course { run: Run::No, zone: None, avoid: Vec::new(), attempts: 0, retry: false };
         loop {
@@ -244,6 +248,7 @@
                 Err(error) => return Err(account.fail(error.with_run(course.run))),
             };
             let upstream = permit.grant.upstream.clone();
+            account.placed(&upstream);
             let loss = match self.attempt(&job, permit, &mut account).await {
                 Ok(reply) => return Ok(reply),
                 Err(loss) => loss,
@@ -399,8 +404,7 @@
                 }
             },
         };
-        let failed = job.protocol == Protocol::Engine && answer.status().is_server_error();
-        if failed {
+        if job.protocol == Protocol::Engine && is_engine_fault(answer.status()) {
             return Err(attempt_sent.lost(Kind::UpstreamInvalid));
         }
         Ok((attempt_sent.answering(), answer, sent))
@@ -563,6 +567,12 @@
     if valid { Ok(bytes) } else { Err(Kind::UpstreamInvalid) }
 }
 
+/// Whether an engine's status speaks against the engine. Its models are the router's business, so 404 does.
+fn is_engine_fault(status: StatusCode) -> bool {
+    let refused = [StatusCode::NOT_FOUND, StatusCode::TOO_MANY_REQUESTS, StatusCode::CONFLICT];
+    status.is_server_error() || refused.contains(&status)
+}
+
 fn is_event_stream(answer: &Response<Incoming>) -> bool {
     let value = answer.headers().get(header::CONTENT_TYPE).and_then(|it| it.to_str().ok());
     value.is_some_and(|it| it.starts_with("text/event-stream"))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,8 +11,12 @@
 //! ```
 
 pub(crate) mod account;
-pub mod admin;
 pub(crate) mod attainment;
+pub(crate) mod pages;
+
+pub mod admin;
+pub mod aggregate;
+pub mod aggregator;
 pub mod attempt;
 pub mod attempts;
 pub mod audit;
@@ -49,6 +53,7 @@
 pub mod member;
 pub mod metrics;
 pub mod operate;
+pub mod page;
 pub mod peer;
 pub mod placement;
 pub mod platform;
@@ -70,6 +75,7 @@
 pub mod settings;
 pub mod spread;
 pub mod sse;
+pub mod tally;
 pub mod time;
 pub mod upstream;
 pub mod usage;
