Test the operators' command line against a demo

The demo has an operator's key and names its administration addresses. The listing of usage windows read a dozen keys at once and was refused by the gate to the platform (exit code 1 in the test); it is one listing now.

--- a/ctl/src/apply.rs
+++ b/ctl/src/apply.rs
@@ -142,7 +142,8 @@
         if verb == "delete" {
             continue;
         }
-        for field in step["differences"].as_array().into_iter().flatten() {
+        let fields = step["differences"].as_array().into_iter().flatten();
+        for field in fields.filter(|it| it["field"] != "kind" && it["field"] != "name") {
             out.push_str(&field_line(field));
         }
     }
--- a/ctl/src/failure.rs
+++ b/ctl/src/failure.rs
@@ -34,7 +34,8 @@
         let error = &value["error"];
         let kind = error["kind"].as_str().unwrap_or("unreadable answer");
         let mut text = format!("{kind} ({status})");
-        if let Some(message) = error["message"].as_str() {
+        let has_faults = error["faults"].is_array();
+        if let Some(message) = error["message"].as_str().filter(|_| !has_faults) {
             text.push_str(&format!(": {message}"));
         }
         for fault in error["faults"].as_array().into_iter().flatten() {
--- a/src/pages.rs
+++ b/src/pages.rs
@@ -112,7 +112,7 @@
     query.only(&["window"])?;
     let newest = wall_ms() / options.window_ms.max(1);
     let windows = match query.get("window") {
-        None => sealed(&options, newest.saturating_sub(WINDOWS + 1), newest).await?,
+        None => sealed(&options, newest).await?,
         Some(text) => {
             let wrong = || {
                 let message =
@@ -142,12 +142,15 @@
     Ok(value.and_then(|it| Window::decode(&it.bytes)))
 }
 
-/// Sealed windows after one number up to another.
-async fn sealed(options: &Options, after: u64, last: u64) -> Result<Vec<Window>, Error> {
-    let numbers = after + 1..=last;
-    let calls = numbers.map(|number| one_window(options, number));
-    let windows: Result<Vec<_>, _> = join_all(calls).await.into_iter().collect();
-    Ok(windows?.into_iter().flatten().collect())
+/// The last sealed windows.
+async fn sealed(options: &Options, newest: u64) -> Result<Vec<Window>, Error> {
+    let after = reporter::window_key(newest.saturating_sub(WINDOWS + 1));
+    let limit = WINDOWS as u32 + 1;
+    let prefix = reporter::WINDOW_PREFIX;
+    let listing = options.platform.list(Cause::Report, prefix, &after, limit).await;
+    let entries = listing.map_err(unavailable)?.entries;
+    let texts = entries.into_iter().filter_map(|it| it.value);
+    Ok(texts.filter_map(|it| Window::decode(it.as_bytes())).collect())
 }
 
 async fn report(options: &Options) -> Result<Report, Error> {
--- a/src/reporter.rs
+++ b/src/reporter.rs
@@ -161,9 +161,12 @@
     chain: Option<Chain>,
 }
 
+/// Prefix of the keys of sealed windows.
+pub(crate) const WINDOW_PREFIX: &str = "usage/window/";
+
 /// Key of a sealed window.
 pub(crate) fn window_key(window: u64) -> String {
-    format!("usage/window/{window:012}")
+    format!("{WINDOW_PREFIX}{window:012}")
 }
 
 impl Task {
--- a/stand-ins/src/bin/demo.rs
+++ b/stand-ins/src/bin/demo.rs
@@ -1,6 +1,9 @@
 //! Starts everything in one process and prints how to send a request.
 
-use std::io::{self, Write as _};
+use std::{
+    io::{self, Write as _},
+    net::SocketAddr,
+};
 
 use eyre::{Result, ensure};
 use stand_ins::demo::{self, Demo};
@@ -34,9 +37,12 @@
 fn show(demo: &Demo) -> Result<()> {
     let mut out = io::stdout();
     writeln!(out, "key: {}", demo.key)?;
-    for address in demo.callers() {
-        writeln!(out, "entry host: http://{address}")?;
+    for (callers, admin) in demo.callers().iter().zip(demo.admins()) {
+        writeln!(out, "entry host: http://{callers}, administration: {admin}")?;
     }
+    let admins: Vec<_> = demo.admins().iter().map(SocketAddr::to_string).collect();
+    writeln!(out, "export ALMONDRACK_ADMIN={}", admins.join(","))?;
+    writeln!(out, "export ALMONDRACK_KEY={}", demo.operator)?;
     let Some(address) = demo.callers().into_iter().next() else {
         return Ok(());
     };
--- a/stand-ins/src/demo.rs
+++ b/stand-ins/src/demo.rs
@@ -53,6 +53,8 @@
 pub struct Demo {
     /// Secret key of the demo's customer.
     pub key: String,
+    /// Secret key of the demo's operator.
+    pub operator: String,
     hosts: Vec<Host>,
     _platform: Server,
     _engines: Vec<engine::Running>,
@@ -106,13 +108,14 @@
     }
     let places = options.hosts.clone();
     let platform = platform::spawn(options)?;
-    let key = secret();
-    write_records(platform.address(), &key).await?;
+    let (key, operator) = (secret(), secret());
+    write_records(platform.address(), &key, &operator).await?;
     let mut hosts = Vec::new();
     for place in &places {
         hosts.push(Host::spawn(settings(place, platform.address())?).await?);
     }
-    let demo = Demo { key, hosts, _platform: platform, _engines: engines, _services: services };
+    let demo =
+        Demo { key, operator, hosts, _platform: platform, _engines: engines, _services: services };
     demo.wait().await?;
     Ok(demo)
 }
@@ -123,6 +126,11 @@
         self.hosts.iter().map(|it| it.callers).collect()
     }
 
+    /// Administration addresses of the hosts.
+    pub fn admins(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|it| it.admin).collect()
+    }
+
     /// Sends requests of each form to each host and returns a line on each.
     ///
     /// # Errors
@@ -220,16 +228,16 @@
     Settings::resolve(&look_up).map_err(|faults| eyre!("{faults:?}"))
 }
 
-async fn write_records(platform: SocketAddr, key: &str) -> Result<()> {
+async fn write_records(platform: SocketAddr, key: &str, operator: &str) -> Result<()> {
     let client = port::Client::open(platform, "demo");
-    for record in records(key) {
+    for record in records(key, operator) {
         let value = serde_json::to_vec(&record)?;
         client.put(Cause::Config, &record.store_key(), value.into(), Some(0)).await?;
     }
     Ok(())
 }
 
-fn records(key: &str) -> Vec<Record> {
+fn records(key: &str, operator: &str) -> Vec<Record> {
     vec![
         Record::Customer(Customer {
             schema: SCHEMA,
@@ -248,6 +256,15 @@
             expires_ms: None,
             withdrawn: false,
         }),
+        Record::Key(Key {
+            schema: SCHEMA,
+            name: "operator".to_owned(),
+            customer: None,
+            role: Role::Operator,
+            digest: Digest::of(operator).to_hex(),
+            expires_ms: None,
+            withdrawn: false,
+        }),
         Record::Class(Class {
             schema: SCHEMA,
             name: "interactive".to_owned(),
