--- a/ctl/tests/demo.rs
+++ b/ctl/tests/demo.rs
@@ -184,7 +184,8 @@
         1 almondrackctl: invalid_record (422)
           class/ovens: tier: found 9; accepted: a whole number from 1 to 8
           nothing was changed
-    "#]].assert_eq(&format!("{} {}", refused.code, refused.err));
+    "#]]
+    .assert_eq(&format!("{} {}", refused.code, refused.err));
     let record = ctl(&demo, "--json get customer bakery").await.json();
     assert_ne!(record["record"]["weight"], 7);
     let stale = ctl(&demo, &format!("apply {path} --if-revision 1")).await;
@@ -205,7 +206,8 @@
     let withdrawn = ctl(&demo, "key withdraw till.2").await.done();
     expect![[r#"
         withdrawn till.2 at revision N
-    "#]].assert_eq(&hidden(&withdrawn));
+    "#]]
+    .assert_eq(&hidden(&withdrawn));
     whole += ask_all(&demo, &second, 401).await;
 
     let wait = async {
@@ -254,10 +256,12 @@
     let elsewhere = ctl(&demo, "drain host-c9").await;
     expect![[r#"
         2 almondrackctl: host: found "host-c9"; accepted: host-a1, host-a2, host-b1
-    "#]].assert_eq(&format!("{} {}", elsewhere.code, elsewhere.err));
+    "#]]
+    .assert_eq(&format!("{} {}", elsewhere.code, elsewhere.err));
     expect![[r#"
         host-a2 stops after its requests
-    "#]].assert_eq(&ctl(&demo, "drain host-a2").await.done());
+    "#]]
+    .assert_eq(&ctl(&demo, "drain host-a2").await.done());
 
     // The first host that answers is asked.
     let line = format!("--admin 127.0.0.1:1 --admin {} get pool", demo.admins()[0]);
