--- a/tests/burn.rs
+++ b/tests/burn.rs
@@ -414,7 +414,8 @@
         not_found late: not counted
         internal early: missed
         internal late: missed
-    "#]].assert_eq(&text);
+    "#]]
+    .assert_eq(&text);
 }
 
 fn class(name: &str, attainment_per_mille: u32) -> Class {
