--- a/tests/processes/support.rs
+++ b/stand-ins/src/cluster.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     env,
-    io::{BufRead as _, BufReader},
+    io::{self, BufRead as _, BufReader, Write as _},
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -22,40 +22,61 @@
 use serde_json::{Value, json};
 
 /// Longest wait for anything that a test waits for.
-pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+pub const PATIENCE: Duration = Duration::from_secs(20);
 
 /// Secret of the operator's first key.
-pub(crate) const OPERATOR: &str = "almk_OperatorOperatorOperatorOperatorOperator000";
+pub const OPERATOR: &str = "almk_OperatorOperatorOperatorOperatorOperator000";
 
 /// Clusters of one test process; each has its own loopback addresses.
 static CLUSTERS: AtomicU32 = AtomicU32::new(0);
 
 /// A process that ends with its handle.
 #[derive(Debug)]
-pub(crate) struct Process {
+pub struct Process {
     child: Child,
     /// Address that the process printed, or was given.
-    pub(crate) address: SocketAddr,
+    pub address: SocketAddr,
     /// Second address that the process printed, if it did.
-    pub(crate) control: SocketAddr,
+    pub control: SocketAddr,
 }
 
 impl Process {
     /// Sends a signal by its name, such as `STOP`.
-    pub(crate) fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let status = Command::new("kill").arg(format!("-{name}")).arg(id).status();
         assert!(status.expect("kill runs").success(), "the process takes SIG{name}");
     }
 
     /// Kills the process at once.
-    pub(crate) fn kill(&mut self) {
+    pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 
+    /// Processor time used so far, in clock ticks of 10 ms.
+    pub fn processor_ticks(&self) -> u64 {
+        let stat = self.proc("stat");
+        // The name in parentheses may contain blanks; user and system time are the 12th and 13th field after it.
+        let fields = stat.rsplit(") ").next().unwrap_or_default();
+        let times = fields.split(' ').skip(11).take(2);
+        times.filter_map(|it| it.parse::<u64>().ok()).sum()
+    }
+
+    /// Resident memory, in kilobytes.
+    pub fn resident_kb(&self) -> u64 {
+        let status = self.proc("status");
+        let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"));
+        let number = line.and_then(|it| it.split_whitespace().next()?.parse().ok());
+        number.unwrap_or_default()
+    }
+
+    fn proc(&self, file: &str) -> String {
+        std::fs::read_to_string(format!("/proc/{}/{file}", self.child.id())).unwrap_or_default()
+    }
+
     /// Waits for the exit code.
-    pub(crate) async fn exit_code(&mut self) -> Option<i32> {
+    pub async fn exit_code(&mut self) -> Option<i32> {
         let end = Instant::now() + PATIENCE;
         while Instant::now() < end {
             if let Some(status) = self.child.try_wait().expect("the process can be waited for") {
@@ -107,36 +128,36 @@
 
 /// An answer that was read to its end.
 #[derive(Debug, Clone)]
-pub(crate) struct Answer {
+pub struct Answer {
     /// Status code.
-    pub(crate) status: StatusCode,
+    pub status: StatusCode,
     /// Headers.
-    pub(crate) headers: HeaderMap,
+    pub headers: HeaderMap,
     /// Body as far as it came.
-    pub(crate) body: String,
+    pub body: String,
     /// Whether the body ended as HTTP says.
-    pub(crate) whole: bool,
+    pub whole: bool,
 }
 
 impl Answer {
     /// Value of a header, empty if absent.
-    pub(crate) fn header(&self, name: &str) -> &str {
+    pub fn header(&self, name: &str) -> &str {
         self.headers.get(name).and_then(|it| it.to_str().ok()).unwrap_or_default()
     }
 
     /// Body as JSON, null if it is none.
-    pub(crate) fn json(&self) -> Value {
+    pub fn json(&self) -> Value {
         serde_json::from_str(&self.body).unwrap_or(Value::Null)
     }
 
     /// Kind of the error in the body.
-    pub(crate) fn kind(&self) -> String {
+    pub fn kind(&self) -> String {
         self.json()["error"]["kind"].as_str().unwrap_or_default().to_owned()
     }
 }
 
 /// Sends a request and reads the answer to its end.
-pub(crate) async fn call(request: Request<Full<Bytes>>) -> Result<Answer, String> {
+pub async fn call(request: Request<Full<Bytes>>) -> Result<Answer, String> {
     let connector = HttpConnector::new();
     let client: Client<_, Full<Bytes>> =
         Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
@@ -158,7 +179,7 @@
 }
 
 /// A request with headers and a body.
-pub(crate) fn request(
+pub fn request(
     method: Method,
     address: SocketAddr,
     path: &str,
@@ -173,23 +194,23 @@
 }
 
 /// Secret of the key of a customer in the test configuration.
-pub(crate) fn secret(customer: &str) -> String {
+pub fn secret(customer: &str) -> String {
     format!("almk_{customer:0>43}")
 }
 
 /// Size and options of a cluster.
 #[derive(Debug, Clone)]
-pub(crate) struct Options {
+pub struct Options {
     /// Zone of each host.
-    pub(crate) hosts: Vec<&'static str>,
+    pub hosts: Vec<&'static str>,
     /// Zone and further arguments of each engine.
-    pub(crate) engines: Vec<(&'static str, Vec<&'static str>)>,
+    pub engines: Vec<(&'static str, Vec<&'static str>)>,
     /// Zone of each plain service.
-    pub(crate) services: Vec<&'static str>,
+    pub services: Vec<&'static str>,
     /// Further arguments of each host.
-    pub(crate) host_arguments: Vec<&'static str>,
+    pub host_arguments: Vec<&'static str>,
     /// Slots of one engine.
-    pub(crate) slots: u32,
+    pub slots: u32,
 }
 
 impl Default for Options {
@@ -206,22 +227,22 @@
 
 /// Processes of one test.
 #[derive(Debug)]
-pub(crate) struct Cluster {
+pub struct Cluster {
     /// The platform.
-    pub(crate) platform: Process,
+    pub platform: Process,
     /// Engines, in the order of the options.
-    pub(crate) engines: Vec<Process>,
+    pub engines: Vec<Process>,
     /// Plain services, in the order of the options.
-    pub(crate) services: Vec<Process>,
+    pub services: Vec<Process>,
     /// Hosts, in the order of the options.
-    pub(crate) hosts: Vec<Process>,
+    pub hosts: Vec<Process>,
     options: Options,
     network: [u8; 2],
 }
 
 impl Cluster {
     /// Starts every process and waits until each host serves every zone's pools.
-    pub(crate) async fn spawn(options: Options) -> Cluster {
+    pub async fn spawn(options: Options) -> Cluster {
         let number = CLUSTERS.fetch_add(1, Ordering::Relaxed);
         let id = std::process::id() * 8 + number;
         let network = [(id / 250 % 250 + 1) as u8, (id % 250 + 1) as u8];
@@ -256,14 +277,14 @@
     }
 
     /// Address of a host for callers (0), peers (1) or administration (2).
-    pub(crate) fn host_address(&self, index: usize, interface: u16) -> SocketAddr {
+    pub fn host_address(&self, index: usize, interface: u16) -> SocketAddr {
         let [second, third] = self.network;
         let ip = Ipv4Addr::new(127, second, third, index as u8 + 1);
         SocketAddr::new(IpAddr::V4(ip), 8080 + interface)
     }
 
     /// Starts a host anew at its addresses.
-    pub(crate) fn start_host(&self, index: usize) -> Process {
+    pub fn start_host(&self, index: usize) -> Process {
         let zone = self.options.hosts[index];
         let digest = Digest::of(OPERATOR).to_hex();
         let mut arguments: Vec<String> = [
@@ -287,7 +308,7 @@
             // The pipe must be read, or the host would block on it.
             for line in BufReader::new(stdout).lines().map_while(Result::ok) {
                 if env::var_os("ALMONDRACK_TEST_LOGS").is_some() {
-                    eprintln!("host-{index}: {line}");
+                    let _ = writeln!(io::stderr(), "host-{index}: {line}");
                 }
             }
         });
@@ -296,7 +317,7 @@
     }
 
     /// Waits until a host serves the models and the plain service.
-    pub(crate) async fn wait_until_serving(&self, index: usize) {
+    pub async fn wait_until_serving(&self, index: usize) {
         let end = Instant::now() + PATIENCE;
         loop {
             let chat = self.chat(index, "acme", "hello tokens:1", false).await;
@@ -311,7 +332,7 @@
     }
 
     /// Tells the platform which hosts there are.
-    pub(crate) async fn list_hosts(&self) {
+    pub async fn list_hosts(&self) {
         let hosts: Vec<_> = self
             .options
             .hosts
@@ -331,7 +352,7 @@
     }
 
     /// Tells the platform which upstreams there are.
-    pub(crate) async fn list_upstreams(&self) {
+    pub async fn list_upstreams(&self) {
         let mut zones: BTreeMap<&str, Vec<Value>> = BTreeMap::new();
         let engines = self.options.engines.iter().map(|it| it.0).zip(&self.engines);
         let services = self.options.services.iter().copied().zip(&self.services);
@@ -354,7 +375,7 @@
     }
 
     /// Sets switches of a stand-in.
-    pub(crate) async fn control(&self, address: SocketAddr, path: &str, body: &Value) {
+    pub async fn control(&self, address: SocketAddr, path: &str, body: &Value) {
         let headers = [("content-type", "application/json")];
         let request = request(Method::POST, address, path, &headers, body.to_string());
         let answer = call(request).await.expect("the stand-in answers");
@@ -362,13 +383,13 @@
     }
 
     /// Reads JSON from a stand-in.
-    pub(crate) async fn read(&self, address: SocketAddr, path: &str) -> Value {
+    pub async fn read(&self, address: SocketAddr, path: &str) -> Value {
         let answer = call(request(Method::GET, address, path, &[], "")).await;
         answer.expect("the stand-in answers").json()
     }
 
     /// Writes records straight to the platform's store.
-    pub(crate) async fn write_records(&self, records: &[Value]) {
+    pub async fn write_records(&self, records: &[Value]) {
         for record in records {
             let kind = record["kind"].as_str().expect("a kind");
             let name = record["name"].as_str().expect("a name");
@@ -381,7 +402,7 @@
     }
 
     /// The records of the test configuration.
-    pub(crate) fn records(&self) -> Vec<Value> {
+    pub fn records(&self) -> Vec<Value> {
         let mut records = Vec::new();
         for customer in ["acme", "bolt", "core"] {
             records.push(json!({ "kind": "customer", "schema": 2, "name": customer }));
@@ -425,7 +446,7 @@
     }
 
     /// Sends a chat completion for the first model.
-    pub(crate) async fn chat(
+    pub async fn chat(
         &self,
         host: usize,
         customer: &str,
@@ -436,7 +457,7 @@
     }
 
     /// Sends a chat completion.
-    pub(crate) async fn chat_model(
+    pub async fn chat_model(
         &self,
         host: usize,
         customer: &str,
@@ -457,12 +478,7 @@
     }
 
     /// Sends a request to the plain service.
-    pub(crate) async fn plain(
-        &self,
-        host: usize,
-        customer: &str,
-        body: &str,
-    ) -> Result<Answer, String> {
+    pub async fn plain(&self, host: usize, customer: &str, body: &str) -> Result<Answer, String> {
         let authorization = format!("Bearer {}", secret(customer));
         let headers = [("authorization", authorization.as_str())];
         let address = self.host_address(host, 0);
@@ -471,7 +487,7 @@
 }
 
 /// Text of a streamed answer, and whether its end marker came.
-pub(crate) fn streamed_text(body: &str) -> (String, bool) {
+pub fn streamed_text(body: &str) -> (String, bool) {
     let mut text = String::new();
     let mut done = false;
     for line in body.lines() {
@@ -484,6 +500,6 @@
 }
 
 /// Text that the stand-in engine produces for a marker.
-pub(crate) fn expected_text(marker: &str, tokens: usize) -> String {
+pub fn expected_text(marker: &str, tokens: usize) -> String {
     (0..tokens).map(|number| format!("{marker}-{number} ")).collect()
 }
--- a/tests/processes/bad_input.rs
+++ b/tests/processes/bad_input.rs
@@ -9,7 +9,7 @@
     net::TcpStream,
 };
 
-use crate::support::{Cluster, Options, call, request, secret};
+use stand_ins::cluster::{Cluster, Options, call, request, secret};
 
 type Headers<'a> = &'a [(&'a str, &'a str)];
 
--- a/tests/processes/credentials.rs
+++ b/tests/processes/credentials.rs
@@ -3,7 +3,7 @@
 use http::Method;
 use serde_json::json;
 
-use crate::support::{Cluster, Options, call, request, secret};
+use stand_ins::cluster::{Cluster, Options, call, request, secret};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn no_upstream_receives_a_key() {
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -6,11 +6,9 @@
 use futures::future::join_all;
 use http::Method;
 use serde_json::json;
+use stand_ins::cluster::{Cluster, Options, PATIENCE, call, request, secret};
 
-use crate::{
-    history::{Call, assert_truthful, executions, orders, peak},
-    support::{Cluster, Options, PATIENCE, call, request, secret},
-};
+use crate::history::{Call, assert_truthful, executions, orders, peak};
 
 /// Slots of each engine; few, so that requests queue.
 const SLOTS: u32 = 4;
--- a/tests/processes/history.rs
+++ b/tests/processes/history.rs
@@ -2,7 +2,7 @@
 
 use serde_json::Value;
 
-use crate::support::{Answer, Cluster, expected_text, streamed_text};
+use stand_ins::cluster::{Answer, Cluster, expected_text, streamed_text};
 
 /// A request with its marker and what its caller got.
 #[derive(Debug)]
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -5,5 +5,4 @@
 mod faults;
 mod history;
 mod stops;
-mod support;
 mod whole_path;
--- a/tests/processes/stops.rs
+++ b/tests/processes/stops.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::support::{Answer, Cluster, Options, expected_text, streamed_text};
+use stand_ins::cluster::{Answer, Cluster, Options, expected_text, streamed_text};
 
 /// Streams in play.
 const STREAMS: usize = 24;
--- a/tests/processes/whole_path.rs
+++ b/tests/processes/whole_path.rs
@@ -1,7 +1,7 @@
 //! Requests of every form through separate processes.
 
-use crate::support::{self, Cluster, Options, call, expected_text, request, streamed_text};
 use http::Method;
+use stand_ins::cluster::{Cluster, Options, call, expected_text, request, secret, streamed_text};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn every_host_serves_every_form() {
@@ -30,7 +30,7 @@
             Method::GET,
             cluster.host_address(host, 0),
             "/v1/models",
-            &[("authorization", &format!("Bearer {}", support::secret("acme")))],
+            &[("authorization", &format!("Bearer {}", secret("acme")))],
             "",
         ));
         let models = models.await.expect("an answer").json();
