Notice callers that leave while their request waits

The HTTP server reads a connection only between requests, so that a caller that left a queue was noticed when its answer was written. Each worker keeps a second handle to its open connections and drops the request when the caller closes.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -20,19 +20,23 @@
     time::Instant,
 };
 use tokio_util::task::TaskTracker;
+use xitca_http::{HttpServiceBuilder, config::HttpServiceConfig};
+use xitca_io::net::Stream;
 use xitca_server::ServerHandle;
 use xitca_web::{
     App, WebContext,
     body::{BodyExt as _, RequestBody, ResponseBody, StreamDataBody},
     handler::handler_service,
     http::WebResponse,
+    service::{Service, ServiceExt as _},
 };
 
 use crate::{
     attempts::Attempts,
     config::{Snapshot, permitted},
     credential::{self, Digest},
-    error::{Error, Kind},
+    departure::{Registration, departed},
+    error::{Error, Kind, Run},
     exchange::{self, Exchange, Job, Reply},
     ledger::Served,
     limits::{self, Admissions, Admitted},
@@ -131,16 +135,18 @@
             let options = options.clone();
             async move { Ok::<_, Infallible>(Worker::open(options)) }
         };
-        let mut server = App::new()
+        let app = App::new()
             .with_async_state(state)
             .at("/", handler_service(handle))
             .at("/{*path}", handler_service(handle))
-            .serve()
+            .finish();
+        let config = HttpServiceConfig::new().request_head_timeout(read_timeout);
+        let http = HttpServiceBuilder::with_config(config);
+        let mut server = xitca_server::Builder::new()
             .worker_threads(workers)
-            .request_head_timeout(read_timeout)
             .disable_signal()
-            .listen(listener)?
-            .run();
+            .listen("callers", listener, app.enclosed(http).enclosed_fn(connection))
+            .build();
         let handle = server.handle()?;
         // The server owns a runtime, which must not be dropped within another one.
         thread::Builder::new().name("callers".to_owned()).spawn(move || server.wait())?;
@@ -173,6 +179,40 @@
     }
 }
 
+/// Serves one connection and keeps it registered meanwhile.
+async fn connection<S>(service: &S, stream: Stream) -> Result<S::Response, S::Error>
+where
+    S: Service<Stream>,
+{
+    let registration = match &stream {
+        Stream::Tcp(tcp, caller) => Registration::open(tcp, *caller).ok(),
+        _ => None,
+    };
+    let result = service.call(stream).await;
+    drop(registration);
+    result
+}
+
+/// Runs a request until its answer begins or its caller leaves.
+///
+/// A request that may not be repeated runs on, since its answer is kept for a resend.
+async fn run(
+    context: &WebContext<'_, Worker>,
+    worker: &Worker,
+    job: Job,
+    admitted: Option<Admitted>,
+) -> Result<Reply, Error> {
+    if !job.repeatable {
+        return worker.exchange.run(job, admitted).await;
+    }
+    let caller = *context.req().body().socket_addr();
+    tokio::select! {
+        biased;
+        reply = worker.exchange.run(job, admitted) => reply,
+        () = departed(caller) => Err(Error::new(Kind::BadRequest, "the caller left").with_run(Run::Unknown)),
+    }
+}
+
 async fn handle(context: &WebContext<'_, Worker>) -> WebResponse {
     let worker = context.state();
     let number = worker.options.numbers.fetch_add(1, Ordering::Relaxed);
@@ -261,7 +301,7 @@
         _ => {
             let job = plain_job(context, worker, id, &snapshot, &caller).await?;
             let admitted = admit(worker, &snapshot, &job).await?;
-            return reply(worker.exchange.run(job, admitted).await?, token);
+            return reply(run(context, worker, job, admitted).await?, token);
         }
     };
     if method != Method::POST {
@@ -273,7 +313,7 @@
     let body = read_body(context, worker, MAX_COMPLETION_BYTES).await?;
     let job = completion_job(context, &snapshot, &caller, id, body, chat)?;
     let admitted = admit(worker, &snapshot, &job).await?;
-    reply(worker.exchange.run(job, admitted).await?, token)
+    reply(run(context, worker, job, admitted).await?, token)
 }
 
 /// Asks for the customer's limits, if it has any.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod content;
 pub mod controller;
 pub mod credential;
+pub(crate) mod departure;
 pub mod dispatch;
 pub mod dispatchers;
 pub mod engine;
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -333,3 +333,30 @@
         cluster.wait_until_serving(victim).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_frees_its_place() {
+    let options = Options {
+        hosts: vec!["a", "a"],
+        engines: vec![("a", vec!["--gap-us", "20000"])],
+        slots: 1,
+        ..one_zone()
+    };
+    let cluster = Cluster::spawn(options).await;
+    let running = cluster.chat(0, "acme", "marker:running tokens:5000", false);
+    let queued = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        cluster.chat_model(1, "bolt", "m3", "marker:queued tokens:5", false).await
+    };
+    let leave =
+        tokio::time::timeout(Duration::from_secs(2), futures::future::join(running, queued));
+    assert!(leave.await.is_err(), "both callers left before their answers");
+    let next = cluster.chat(1, "core", "marker:next tokens:5", false).await.expect("an answer");
+    assert_eq!(next.status, 200, "{}", next.body);
+    let executions = executions(&cluster).await;
+    let ends = |marker: &str| {
+        let own = executions.iter().filter(|it| it.marker == marker);
+        own.map(|it| it.end.as_str()).collect::<Vec<_>>()
+    };
+    assert_eq!([ends("running"), ends("queued")], [vec!["cancelled"], Vec::new()]);
+}
