Do not deny a write that the platform answered with 503

A set of changes cut by an outage reported six records as written and effect "partial", and seven stood. Ruled out: a lost answer, which is told as unknown. Cause: 503 was taken to mean without effect, but an unavailable platform may have taken the write before it answers. The writer now counts 503 as doubt, so that the answer says "unknown".

--- a/src/writer.rs
+++ b/src/writer.rs
@@ -89,6 +89,8 @@
         self.made += 1;
         let (effect, last) = match &failure {
             Failure::Unknown(_) | Failure::Invalid(_) => (true, false),
+            // An unavailable platform may have taken the write before it answered.
+            Failure::Busy(503) => (true, false),
             Failure::Busy(_) => (false, false),
             Failure::Refused(..) => (false, true),
         };
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -461,6 +461,36 @@
     assert_eq!(done.body["written"].as_array().unwrap().len(), 40 - written);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_part_way_is_told_and_resumed() {
+    let platform = platform();
+    let host = Host::spawn("h1", &platform).await;
+    let records: Vec<_> = (0..40).map(|it| customer(&format!("c{it:02}"), 1)).collect();
+    let set = json!({ "records": records });
+    faults(&platform, json!({ "latency_ms": 50 })).await;
+    let outage = async {
+        let mut content = host.watcher.content.clone();
+        let some = content.wait_for(|it| it.records().count() >= 5);
+        drop(timeout(IN_FORCE, some).await.unwrap().unwrap());
+        faults(&platform, json!({ "down": true })).await;
+    };
+    let (failed, ()) = tokio::join!(host.post("/v1/apply", set.clone()), outage);
+    assert_eq!(failed.line(), "503 store_unavailable");
+    assert_eq!(failed.body["error"]["effect"], "unknown");
+    let written = failed.body["error"]["written"].as_array().unwrap().len();
+    faults(&platform, json!({ "down": false, "latency_ms": 0 })).await;
+    // The port lets calls through again a while after an outage.
+    let mut done = host.post("/v1/apply", set.clone()).await;
+    while done.line() == "503 store_unavailable" && done.body["error"]["effect"] == "none" {
+        sleep(Duration::from_millis(200)).await;
+        done = host.post("/v1/apply", set.clone()).await;
+    }
+    let count = |field: &str| done.body[field].as_array().unwrap().len();
+    // The write that was on its way may have taken effect.
+    assert!((written..=written + 1).contains(&count("unchanged")), "{done:?}");
+    assert_eq!(count("unchanged") + count("written"), 40);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_live_and_end() {
     let platform = platform();
