--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -604,7 +604,12 @@
             served += 1;
         }
         faults(&platform, json!({ "down_for_hosts": [hosts[in_office].name] })).await;
-        until("the other reporter", async || hosts[1 - in_office].reports()).await;
+        until("a report of the other", async || {
+            let reports = get(&platform, "/test/usage").await;
+            let last = reports.as_array().and_then(|it| it.last().cloned());
+            last.is_some_and(|it| it["host"] == hosts[1 - in_office].name)
+        })
+        .await;
         faults(&platform, json!({ "down_for_hosts": [] })).await;
     }
     until("all usage reported", async || {
