End attempts whose grant never arrived

Ruled out: the notice of the departure (seen in the log each time) and the end of the running attempt (the engine's history shows it cancelled). The dispatcher now ends an attempt that no entry host has named within 2.5 s, or not for 10 s, and an entry host does not start a grant that is older than a second.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -33,7 +33,7 @@
     relay::{Relay, Source, Times},
     request::{self, Overrides},
     tally::Ended,
-    time::wall_ms,
+    time::{Span, Time, wall_ms},
     upstream::{self, Failure, Reuse},
     wire::{Decision, Ending, Grant, Progress, Running, Ticket, TicketId},
 };
@@ -191,6 +191,8 @@
     grant: Grant,
     owner: Owner,
     zone: String,
+    /// When the grant came.
+    received: Time,
 }
 
 /// An attempt that the attempts' task knows.
@@ -285,7 +287,8 @@
             let ticket = self.ticket(job, course);
             match self.submit(&owner, &zone, &ticket, job.deadline).await {
                 Some(Decision::Granted(grant)) => {
-                    return Ok(Permit { ticket, grant, owner, zone });
+                    let received = Time::now();
+                    return Ok(Permit { ticket, grant, owner, zone, received });
                 }
                 Some(Decision::Refused(error)) => return Err(error),
                 Some(Decision::Overflow { zone }) => course.zone = Some(zone),
@@ -356,10 +359,11 @@
         account: &mut Account,
     ) -> Result<Reply, Loss> {
         let attempt = Attempt::queued().granted(permit.grant.clone());
+        let start_by = permit.received + Span::from_ms(permit.grant.start_within_ms);
         let started = self.attempts.begin(start(job, permit)).await;
         let Some((guard, stop)) = started else { return Err(attempt.unused(Kind::NoDispatcher)) };
         let mut registered = Registered { guard, stop };
-        let result = self.send(job, attempt, &mut registered).await;
+        let result = self.send(job, attempt, &mut registered, start_by).await;
         let (attempt, answer, sent) = match result {
             Ok(answered) => answered,
             Err(loss) => {
@@ -378,6 +382,7 @@
         job: &Job,
         attempt: Attempt<Granted>,
         registered: &mut Registered,
+        start_by: Time,
     ) -> Result<(Attempt<Answering>, Response<Incoming>, Instant), Loss> {
         let Some(request) = outgoing(job, attempt.grant()) else {
             return Err(attempt.unused(Kind::Internal));
@@ -385,6 +390,10 @@
         if let Ok(stop) = registered.stop.try_recv() {
             return Err(attempt.unused(stop_kind(Ok(stop))));
         }
+        if Time::now() > start_by {
+            // The dispatcher no longer counts the attempt.
+            return Err(attempt.unused(Kind::NoDispatcher));
+        }
         let reuse = if job.repeatable { Reuse::Allowed } else { Reuse::Never };
         let sent = Instant::now();
         let limit = job.deadline.min(sent + self.idle_timeout);
@@ -503,7 +512,7 @@
 }
 
 fn start(job: &Job, permit: Permit) -> Start {
-    let Permit { ticket, grant, owner, zone } = permit;
+    let Permit { ticket, grant, owner, zone, received: _ } = permit;
     let progress = Progress {
         attempt: grant.attempt,
         dispatcher: grant.dispatcher,
--- a/src/lane.rs
+++ b/src/lane.rs
@@ -46,6 +46,12 @@
 /// Time without progress after which the attempt of a host that left the view has ended.
 const ATTEMPT_TIMEOUT: Span = Span::from_ms(3_000);
 
+/// Time without any sign of a granted attempt after which its grant never arrived. It exceeds the time to start.
+const UNCONFIRMED_TIMEOUT: Span = Span::from_ms(START_WITHIN_MS + 1_500);
+
+/// Time without progress after which the end of an attempt was lost, though its host is alive.
+const SILENCE_TIMEOUT: Span = Span::from_ms(10_000);
+
 /// Interval of the reports of demand to the zone's controller.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -136,6 +142,8 @@
     host: String,
     /// Last sign of the attempt.
     seen: Time,
+    /// Whether the entry host has named the attempt.
+    confirmed: bool,
     /// Whether the first token came.
     answering: bool,
     class: ClassKey,
@@ -406,6 +414,7 @@
             key,
             host: host.to_owned(),
             seen: Time::now(),
+            confirmed: true,
             answering: progress.first_token_us.is_some(),
             class: ticket.class,
             target,
@@ -557,6 +566,7 @@
         let mut first = false;
         if let Some(run) = self.running.get_mut(&attempt) {
             run.seen = Time::now();
+            run.confirmed = true;
             first = progress.first_token_us.is_some() && !run.answering;
             run.answering |= first;
         }
@@ -596,12 +606,19 @@
         self.handle(Event::Tick);
     }
 
-    /// Attempts whose entry host is gone.
+    /// Attempts of which nothing is heard. Entry hosts name each running attempt several times a second.
     fn lost(&self) -> Vec<AttemptKey> {
         let view = self.options.view.borrow().clone();
         let now = Time::now();
         let lost = self.running.iter().filter(|(_, run)| {
-            now.since(run.seen) > ATTEMPT_TIMEOUT && view.get(&run.host).is_none()
+            let timeout = if !run.confirmed {
+                UNCONFIRMED_TIMEOUT
+            } else if view.get(&run.host).is_none() {
+                ATTEMPT_TIMEOUT
+            } else {
+                SILENCE_TIMEOUT
+            };
+            now.since(run.seen) > timeout
         });
         lost.map(|(key, _)| *key).collect()
     }
@@ -648,7 +665,8 @@
         let target =
             since + Span::from_ms(snapshot.class(&ticket.class).map_or(0, |it| it.first_token_ms));
         let host = ticket.id.host;
-        let run = Run { key, host, seen: Time::now(), answering: false, class, target };
+        let seen = Time::now();
+        let run = Run { key, host, seen, confirmed: false, answering: false, class, target };
         self.note(attempt, run);
         if answer.send(Decision::Granted(grant)).is_err() {
             self.end(attempt, wire::Ending::Unused);
