--- a/ctl/tests/demo.rs
+++ b/ctl/tests/demo.rs
@@ -343,6 +343,11 @@
     "#]]
     .assert_eq(&ctl(&demo, "drain host-a2").await.done());
 
+    let told = tokio::time::timeout(IN_FORCE, demo.drain_asked(1)).await;
+    told.expect("the host is told to drain");
+    let others = tokio::time::timeout(PAUSE, demo.drain_asked(0)).await;
+    assert!(others.is_err(), "no other host is told");
+
     // The page needs a key, which the query cannot carry.
     let key = &demo.operator;
     for (path, key, status) in [
--- a/ctl/tests/refusals.rs
+++ b/ctl/tests/refusals.rs
@@ -1,6 +1,6 @@
 //! Command lines that are refused before anything is sent: which value, why, and what would be accepted.
 
-use std::{ffi::OsString, fs, path::PathBuf};
+use std::{ffi::OsString, fs, net::TcpListener, path::PathBuf, time::Duration};
 
 use expect_test::expect;
 
@@ -234,3 +234,19 @@
         assert!(help.contains(word), "{word}");
     }
 }
+
+#[tokio::test]
+async fn a_command_that_waits_says_for_what() {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = silent.local_addr().unwrap().to_string();
+    let look_up = |name: &str| match name {
+        "ALMONDRACK_ADMIN" => Some(address.clone()),
+        _ => environment(name),
+    };
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let run = almondrackctl::run(vec![OsString::from("status")], &look_up, &mut out, &mut err);
+    assert!(tokio::time::timeout(Duration::from_millis(2_500), run).await.is_err());
+    let err = String::from_utf8(err).unwrap().replace(&address, "HOST");
+    assert!(err.starts_with("almondrackctl: GET /v1/status at HOST (1 s)\n"), "{err}");
+    assert!(!err.contains("secret"), "{err}");
+}
--- a/stand-ins/src/demo.rs
+++ b/stand-ins/src/demo.rs
@@ -131,6 +131,11 @@
         self.hosts.iter().map(|it| it.admin).collect()
     }
 
+    /// Waits until an operator has told a host to drain.
+    pub async fn drain_asked(&self, host: usize) {
+        self.hosts[host].drain_asked().await;
+    }
+
     /// Sends requests of each form to each host and returns a line on each.
     ///
     /// # Errors
