Give the usage reporter a budget of its own

Cause: the reporter's reads, seals and deletions shared the rate of usage calls, which is 5/s a host and is divided by the hosts of a zone; at 65 hosts the one reporter could not have deleted a window's records within the window. Ruled out: leases (take-overs were in time) and the store's faults (the same before). The reporter's calls now count as 'report' with 20/s. Configuration writes get 20/s, so that a set of records is applied in bounded time. A planned stop no longer waits without end for the usage to be written, and the zone's budgets are shared by its hosts in the view.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -37,7 +37,7 @@
 /// Budgets by cause.
 fn share(cause: Cause) -> Share {
     let (per_s, burst, zone_per_s) = match cause {
-        Cause::Config => (10, 50, 0),
+        Cause::Config => (20, 100, 0),
         Cause::Watch => (4, 10, 0),
         Cause::Lease => (10, 20, 0),
         Cause::Usage => (5, 20, 20),
@@ -45,7 +45,8 @@
         Cause::Hosts => (1, 5, 5),
         Cause::Upstreams => (5, 10, 0),
         Cause::Order => (20, 50, 0),
-        Cause::Report => (2, 10, 0),
+        // One host reads, seals and deletes the records of all zones.
+        Cause::Report => (20, 50, 0),
     };
     let period = |per_s: u64| Span(1_000_000_u64.checked_div(per_s).unwrap_or(0));
     Share { host: Rate { period: period(per_s), burst }, zone_period: period(zone_per_s) }
--- a/src/host.rs
+++ b/src/host.rs
@@ -27,7 +27,7 @@
     fleet,
     gossip::{self, Directory},
     lease, limits,
-    member::{Member, Presence, State},
+    member::{Member, Presence, State, View},
     metrics::Metrics,
     pages,
     peer::{self, Peers},
@@ -48,7 +48,10 @@
 const NOT_READY_NOTICE: Duration = Duration::from_millis(500);
 
 /// Time for answers that have ended to leave the sockets.
-const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time for what was counted to be written, or to be held by a peer.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Time for a role to be given up at a planned stop.
 const RESIGN_TIMEOUT: Duration = Duration::from_secs(3);
@@ -59,6 +62,9 @@
 /// Interval of the passes over claims of idempotency keys.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(30);
 
+/// Usage intervals from a window's end to its sealing, for batches on their way.
+const GRACE_INTERVALS: u64 = 3;
+
 /// Windows for which the counted numbers of a silent incarnation are kept.
 const RETAINED_WINDOWS: u64 = 12;
 
@@ -133,6 +139,8 @@
         let incarnation = directory.own.borrow().incarnation;
         let view = directory.view.clone();
 
+        tokio::spawn(share_budgets(platform.clone(), settings.zone.clone(), view.clone()));
+
         let (dispatching, dispatching_seen) = watch::channel(false);
         let fleet = fleet::spawn(platform.clone(), settings.zone.clone(), dispatching_seen);
         let aggregator = aggregator::spawn(aggregator::Options {
@@ -215,7 +223,7 @@
                 window_ms: settings.usage_window.as_millis() as u64,
                 retained: RETAINED_WINDOWS,
             },
-            grace_ms: 2 * settings.usage_interval.as_millis() as u64,
+            grace_ms: GRACE_INTERVALS * settings.usage_interval.as_millis() as u64,
             interval: ROLE_INTERVAL,
             view: view.clone(),
         });
@@ -329,11 +337,11 @@
         self.tracker.close();
         let ended = tokio::time::timeout(self.drain_timeout, self.tracker.wait()).await.is_ok();
         self.entry.stop();
-        tokio::join!(
-            self.usage.flush(),
-            self.aggregator.flush(),
-            tokio::time::sleep(FLUSH_TIMEOUT)
-        );
+        let flushing = async {
+            tokio::join!(self.usage.flush(), self.aggregator.flush());
+        };
+        let flushing = tokio::time::timeout(FLUSH_TIMEOUT, flushing);
+        let _ = tokio::join!(flushing, tokio::time::sleep(SEND_TIMEOUT));
         self.directory.depart().await;
         self.server.abort();
         log::info!("drained, all requests ended: {ended}");
@@ -433,6 +441,21 @@
     }
 }
 
+/// Shares the zone's budgets of calls to the platform between the hosts of the zone.
+async fn share_budgets(
+    platform: platform::Client,
+    zone: String,
+    mut view: watch::Receiver<Arc<View>>,
+) {
+    loop {
+        let hosts = view.borrow_and_update().eligible(&zone).count();
+        platform.set_zone_hosts(hosts.max(1)).await;
+        if view.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Passes on the revision in force.
 async fn publish_revision(
     mut snapshot: watch::Receiver<Arc<Snapshot>>,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -55,7 +55,7 @@
     Upstreams,
     /// Orders to start and stop upstreams and their intents.
     Order,
-    /// Reports of usage.
+    /// Sealing and reporting of usage windows.
     Report,
 }
 
--- a/src/reporter.rs
+++ b/src/reporter.rs
@@ -277,15 +277,15 @@
     }
 
     async fn read_first(&self) -> Result<First, Failure> {
-        if let Some(value) = self.options.client.get(Cause::Usage, FIRST).await? {
+        if let Some(value) = self.options.client.get(Cause::Report, FIRST).await? {
             return decode(FIRST, &value.bytes);
         }
         let windows = self.options.windows;
         let window_ms = windows.window_ms.max(1);
         let window = windows.window(wall_ms().saturating_sub(self.options.grace_ms));
         let content = encode(&First { schema: SCHEMA, window, window_ms })?;
-        usage::create(&self.options.client, FIRST, content).await?;
-        match self.options.client.get(Cause::Usage, FIRST).await? {
+        usage::create(&self.options.client, Cause::Report, FIRST, content).await?;
+        match self.options.client.get(Cause::Report, FIRST).await? {
             Some(value) => decode(FIRST, &value.bytes),
             None => Err(Failure::Unknown("the first window is not in the store".to_owned())),
         }
@@ -302,7 +302,7 @@
     /// A sealed window and its bytes.
     async fn read_window(&self, window: u64) -> Result<Option<(Window, Bytes)>, Failure> {
         let key = window_key(window);
-        let Some(value) = self.options.client.get(Cause::Usage, &key).await? else {
+        let Some(value) = self.options.client.get(Cause::Report, &key).await? else {
             return Ok(None);
         };
         let sealed = Window::decode(&value.bytes).filter(|it| it.window == window);
@@ -318,7 +318,7 @@
         let mut unreadable = 0;
         let mut after = String::new();
         loop {
-            let page = self.options.client.list(Cause::Usage, MERGED, &after, PAGE).await?;
+            let page = self.options.client.list(Cause::Report, MERGED, &after, PAGE).await?;
             let Some(last) = page.entries.last() else { break };
             after = last.key.clone();
             for entry in page.entries {
@@ -336,7 +336,7 @@
         let content = Bytes::from(draft.seal().encode());
         let key = window_key(window);
         // Whatever the answer is, only what stands in the store is the window.
-        let created = usage::create(&self.options.client, &key, content).await;
+        let created = usage::create(&self.options.client, Cause::Report, &key, content).await;
         match self.read_window(window).await? {
             Some((sealed, _)) => Ok((sealed, removable)),
             None => {
@@ -348,7 +348,7 @@
     /// Removes records whose batches a sealed window has counted.
     async fn remove(&self, keys: Vec<String>) -> Result<(), Failure> {
         for key in keys.iter().take(REMOVALS) {
-            self.options.client.delete(Cause::Usage, key, None).await?;
+            self.options.client.delete(Cause::Report, key, None).await?;
         }
         Ok(())
     }
--- a/src/usage.rs
+++ b/src/usage.rs
@@ -400,17 +400,22 @@
 
 async fn write_record(client: Client, key: String, write: Write) -> Done {
     let Write { sequence, content } = write;
-    let outcome = create(&client, &key, Bytes::from(content)).await;
+    let outcome = create(&client, Cause::Usage, &key, Bytes::from(content)).await;
     Done::Wrote { sequence, outcome }
 }
 
 /// Writes a value unless its key exists, and says whether it stands there.
-pub(crate) async fn create(client: &Client, key: &str, content: Bytes) -> Result<Outcome, Failure> {
-    match client.put(Cause::Usage, key, content.clone(), Some(0)).await? {
+pub(crate) async fn create(
+    client: &Client,
+    cause: Cause,
+    key: &str,
+    content: Bytes,
+) -> Result<Outcome, Failure> {
+    match client.put(cause, key, content.clone(), Some(0)).await? {
         platform::Write::Written(_) => Ok(Outcome::Written),
         platform::Write::Conflict(_) => {
             // An earlier attempt whose answer was lost may have written it.
-            let value = client.get(Cause::Usage, key).await?;
+            let value = client.get(cause, key).await?;
             let is_own = value.is_some_and(|it| it.bytes == content);
             Ok(if is_own { Outcome::Written } else { Outcome::Taken })
         }
