--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -603,13 +603,14 @@
             host.serve("tuul", 1).await;
             served += 1;
         }
-        faults(&platform, json!({ "down_for_hosts": [hosts[in_office].name] })).await;
-        until("a report of the other", async || {
+        let last_report_by = async |host: &Host| {
             let reports = get(&platform, "/test/usage").await;
             let last = reports.as_array().and_then(|it| it.last().cloned());
-            last.is_some_and(|it| it["host"] == hosts[1 - in_office].name)
-        })
-        .await;
+            last.is_some_and(|it| it["host"] == host.name)
+        };
+        until("a report", async || last_report_by(&hosts[in_office]).await).await;
+        faults(&platform, json!({ "down_for_hosts": [hosts[in_office].name] })).await;
+        until("a report of the other", async || last_report_by(&hosts[1 - in_office]).await).await;
         faults(&platform, json!({ "down_for_hosts": [] })).await;
     }
     until("all usage reported", async || {
