--- a/stand-ins/src/cluster.rs
+++ b/stand-ins/src/cluster.rs
@@ -23,7 +23,7 @@
 use tokio::sync::{Semaphore, SemaphorePermit};
 
 /// Longest wait for anything that a test waits for.
-pub const PATIENCE: Duration = Duration::from_secs(20);
+pub const PATIENCE: Duration = Duration::from_secs(60);
 
 /// Secret of the operator's first key.
 pub const OPERATOR: &str = "almk_OperatorOperatorOperatorOperatorOperator000";
