--- a/tests/processes/stops.rs
+++ b/tests/processes/stops.rs
@@ -81,3 +81,18 @@
     let next = cluster.chat(1, "bolt", "marker:next tokens:3", true).await.expect("an answer");
     assert_whole(&next, "next", 3);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_stream_is_resumed_at_its_offset() {
+    // Each connection is cut after ten events; the engine goes on meanwhile.
+    let engine = vec!["--linger-ms", "5000", "--faults", r#"{"cut_after_tokens":10}"#];
+    let options = Options {
+        hosts: vec!["a"],
+        engines: vec![("a", engine)],
+        services: vec!["a"],
+        ..Options::default()
+    };
+    let cluster = Cluster::spawn(options).await;
+    let answer = cluster.chat(0, "acme", "marker:cut tokens:25", true).await.expect("an answer");
+    assert_whole(&answer, "cut", 25);
+}
