Serve the platform's callers on a host that decides by itself

Cause: the users' platform speaks a dialect of its own, and its store, entries and settings differ from the stand-ins'; nothing was served there (401 for every request).

--- a/src/error.rs
+++ b/src/error.rs
@@ -35,6 +35,8 @@
     BadRequest,
     /// The body exceeds the route's limit.
     BodyTooLarge,
+    /// The request's head exceeds the limit.
+    HeadTooLarge,
     /// The request was not read within its deadline.
     ReadTimeout,
     /// No key came with a request that needs one.
@@ -108,9 +110,10 @@
 
 impl Kind {
     /// All kinds, in the order of declaration.
-    pub const ALL: [Kind; 31] = [
+    pub const ALL: [Kind; 32] = [
         Kind::BadRequest,
         Kind::BodyTooLarge,
+        Kind::HeadTooLarge,
         Kind::ReadTimeout,
         Kind::MissingKey,
         Kind::InvalidKey,
@@ -147,6 +150,7 @@
         let (status, name, later) = match self {
             Kind::BadRequest => (400, "bad_request", false),
             Kind::BodyTooLarge => (413, "body_too_large", false),
+            Kind::HeadTooLarge => (431, "head_too_large", false),
             Kind::ReadTimeout => (408, "read_timeout", true),
             Kind::MissingKey => (401, "missing_key", false),
             Kind::InvalidKey => (401, "invalid_key", false),
--- /dev/null
+++ b/src/serving.rs
@@ -0,0 +1,20 @@
+//! The request path of a host that decides by itself.
+
+pub mod budget;
+pub mod connection;
+pub mod dialect;
+pub mod dispatcher;
+pub mod exchange;
+pub mod handler;
+pub mod host;
+pub mod key;
+pub mod knowledge;
+pub mod link;
+pub mod links;
+pub mod listener;
+pub mod placement;
+pub mod readiness;
+pub mod registry;
+pub mod relay;
+pub mod settings;
+pub mod table;
--- /dev/null
+++ b/src/serving/budget.rs
@@ -0,0 +1,82 @@
+//! How often requests may be sent again, by pool, so that all hosts together stay within the common budget.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use crate::time::{Span, Time};
+
+/// Bound on repeats that all hosts share.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Terms {
+    /// Length of the sliding window.
+    pub window: Span,
+    /// Repeats per request.
+    pub ratio: f64,
+    /// Repeats beyond the ratio, of all hosts together.
+    pub allowance: f64,
+}
+
+/// Repeats and requests of one pool at this host.
+#[derive(Debug, Default)]
+struct Ledger {
+    requests: Vec<Time>,
+    repeats: Vec<Time>,
+}
+
+/// The budget of one host; clones share it.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    terms: Terms,
+    /// Hosts that share the allowance.
+    hosts: Rc<RefCell<f64>>,
+    /// Sorted by pool.
+    ledgers: Rc<RefCell<Vec<(Arc<str>, Ledger)>>>,
+}
+
+impl Budget {
+    /// A budget of which each of the hosts has the same part.
+    pub fn new(terms: Terms, hosts: f64) -> Budget {
+        Budget { terms, hosts: Rc::new(RefCell::new(hosts)), ledgers: Rc::default() }
+    }
+
+    /// Counts a request.
+    pub fn request(&self, pool: &Arc<str>) {
+        let now = Time::now();
+        self.with(pool, |ledger| ledger.requests.push(now));
+    }
+
+    /// Takes a repeat from the budget, if there is one left.
+    pub fn repeat(&self, pool: &Arc<str>) -> bool {
+        let now = Time::now();
+        let Terms { window, ratio, allowance } = self.terms;
+        let share = allowance / self.hosts.borrow().max(1.0);
+        self.with(pool, |ledger| {
+            let start = now - window;
+            ledger.requests.retain(|it| *it > start);
+            ledger.repeats.retain(|it| *it > start);
+            let granted = ledger.repeats.len() as f64 + 1.0
+                <= ledger.requests.len() as f64 * ratio * RATIO_PART + share * ALLOWANCE_PART;
+            if granted {
+                ledger.repeats.push(now);
+            }
+            granted
+        })
+    }
+
+    fn with<T>(&self, pool: &Arc<str>, change: impl FnOnce(&mut Ledger) -> T) -> T {
+        let mut ledgers = self.ledgers.borrow_mut();
+        let at = match ledgers.binary_search_by(|it| it.0.cmp(pool)) {
+            Ok(found) => found,
+            Err(at) => {
+                ledgers.insert(at, (pool.clone(), Ledger::default()));
+                at
+            }
+        };
+        change(&mut ledgers[at].1)
+    }
+}
+
+/// Part of the ratio that is used, as requests may be counted in another window than their repeats.
+const RATIO_PART: f64 = 0.8;
+
+/// Part of the allowance that is used, as hosts may come that are not known here.
+const ALLOWANCE_PART: f64 = 0.7;
--- /dev/null
+++ b/src/serving/dispatcher.rs
@@ -0,0 +1,172 @@
+//! Task that owns the choice of upstreams and answers the exchange's tickets.
+
+use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task,
+    time::MissedTickBehavior,
+};
+
+use crate::{
+    error::{Error, Kind},
+    serving::{
+        dialect::Load,
+        key::{AttemptKey, TicketKey, UpstreamKey},
+        placement::{Action, Grant, Placement, Ticket},
+        registry::Entry,
+    },
+    time::Time,
+    wire::Ending,
+};
+
+/// Interval at which the core sees time pass.
+const TICK: Duration = Duration::from_millis(20);
+
+#[derive(Debug)]
+enum Message {
+    Submit(Box<Ticket>, oneshot::Sender<Result<Grant, Error>>),
+    Answered(AttemptKey),
+    Ended(AttemptKey, Ending),
+    Load(UpstreamKey, Load),
+}
+
+/// Handle to the task.
+#[derive(Debug, Clone)]
+pub struct Dispatcher {
+    /// Unbounded, as the end of an attempt must not be lost; requests in flight bound it.
+    messages: mpsc::UnboundedSender<Message>,
+}
+
+/// Reports the end of an attempt, also when its future is dropped.
+#[derive(Debug)]
+pub struct Guard {
+    dispatcher: Dispatcher,
+    attempt: AttemptKey,
+    ending: Ending,
+}
+
+impl Dispatcher {
+    /// Spawns the task on the current thread.
+    pub fn spawn(zone: Arc<str>, upstreams: watch::Receiver<Rc<Vec<Entry>>>) -> Dispatcher {
+        let (messages, mailbox) = mpsc::unbounded_channel();
+        let task = Task {
+            core: Placement::new(zone),
+            waiting: BTreeMap::new(),
+            actions: Vec::new(),
+            upstreams,
+        };
+        task::spawn_local(task.run(mailbox));
+        Dispatcher { messages }
+    }
+
+    /// Waits for an upstream.
+    ///
+    /// # Errors
+    /// Why the request is refused.
+    pub async fn submit(&self, ticket: Ticket) -> Result<(Grant, Guard), Error> {
+        let (answer, decision) = oneshot::channel();
+        let stopped = || Error::new(Kind::Internal, "the dispatcher has stopped");
+        self.messages.send(Message::Submit(Box::new(ticket), answer)).map_err(|_| stopped())?;
+        let grant = decision.await.map_err(|_| stopped())??;
+        let guard =
+            Guard { dispatcher: self.clone(), attempt: grant.attempt, ending: Ending::Cancelled };
+        Ok((grant, guard))
+    }
+
+    /// Tells the load that an upstream reported.
+    pub fn report(&self, upstream: UpstreamKey, load: Load) {
+        self.tell(Message::Load(upstream, load));
+    }
+
+    fn tell(&self, message: Message) {
+        // Fails only while the host stops, when nothing is placed any more.
+        let _ = self.messages.send(message);
+    }
+}
+
+impl Guard {
+    /// The first byte or event came.
+    pub fn answered(&self) {
+        self.dispatcher.tell(Message::Answered(self.attempt));
+    }
+
+    /// Ends the attempt.
+    pub fn end(mut self, ending: Ending) {
+        self.ending = ending;
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.dispatcher.tell(Message::Ended(self.attempt, self.ending));
+    }
+}
+
+#[derive(Debug)]
+struct Task {
+    core: Placement,
+    waiting: BTreeMap<TicketKey, oneshot::Sender<Result<Grant, Error>>>,
+    actions: Vec<Action>,
+    upstreams: watch::Receiver<Rc<Vec<Entry>>>,
+}
+
+impl Task {
+    async fn run(mut self, mut mailbox: mpsc::UnboundedReceiver<Message>) {
+        let mut interval = tokio::time::interval(TICK);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        self.list();
+        loop {
+            tokio::select! {
+                message = mailbox.recv() => {
+                    let Some(message) = message else { return };
+                    self.take(message);
+                }
+                Ok(()) = self.upstreams.changed() => self.list(),
+                _ = interval.tick(), if !self.waiting.is_empty() => {}
+            }
+            self.act();
+        }
+    }
+
+    fn list(&mut self) {
+        let entries = self.upstreams.borrow_and_update().clone();
+        self.core.list(&entries);
+    }
+
+    fn take(&mut self, message: Message) {
+        let now = Time::now();
+        match message {
+            Message::Submit(ticket, answer) => {
+                self.waiting.insert(ticket.key, answer);
+                self.core.submit(now, &ticket, &mut self.actions);
+            }
+            Message::Answered(attempt) => self.core.answered(attempt),
+            Message::Ended(attempt, ending) => self.core.ended(now, attempt, ending),
+            Message::Load(upstream, load) => self.core.report(now, upstream, load),
+        }
+    }
+
+    fn act(&mut self) {
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                Action::Grant(ticket, grant) => {
+                    let attempt = grant.attempt;
+                    let answer = self.waiting.remove(&ticket);
+                    let taken = answer.is_some_and(|it| it.send(Ok(grant)).is_ok());
+                    if !taken {
+                        self.core.ended(Time::now(), attempt, Ending::Unused);
+                    }
+                }
+                Action::Refuse(ticket, kind, delay) => {
+                    let mut error = Error::new(kind, "no upstream can take the request");
+                    error.retry_after_ms = delay.map(|it| it.as_ms());
+                    if let Some(answer) = self.waiting.remove(&ticket) {
+                        // A caller that has left needs no refusal.
+                        let _ = answer.send(Err(error));
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/serving/exchange.rs
@@ -0,0 +1,444 @@
+//! One request from its acceptance to its answer: tickets, attempts, retries and resumption.
+
+use std::{cell::Cell, rc::Rc, sync::Arc};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
+};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::{
+    error::{Error, Kind, Run},
+    serving::{
+        budget::Budget,
+        dialect::{Dialect, Orders, Prompt, Verdict},
+        dispatcher::{Dispatcher, Guard},
+        key::{TicketKey, UpstreamKey},
+        link::{self, Link},
+        links::Links,
+        placement::{Grant, Ticket},
+        relay::Relay,
+        table::{Customer, Repeat, Route},
+    },
+    time::{Span, Time},
+    wire::Ending,
+};
+
+/// Largest whole answer that is kept until it is complete, in bytes.
+const MAX_WHOLE_BYTES: usize = 8 << 20;
+
+/// Headers of an upstream's answer that concern its connection only.
+const HOP_BY_HOP: [HeaderName; 6] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    HeaderName::from_static("keep-alive"),
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// A request that was accepted from a caller.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Id that the caller gave this try.
+    pub id: HeaderValue,
+    /// Method for the upstream.
+    pub method: Method,
+    /// Path and query for the upstream, as the caller sent them.
+    pub path: String,
+    /// The caller's headers that pass to the upstream.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// The prompt, if the request is for an engine.
+    pub prompt: Option<Prompt>,
+    /// Priority, zero first.
+    pub tier: u8,
+    /// Customer of the caller's key, if the request has one.
+    pub customer: Option<Arc<Customer>>,
+    /// Route of the request.
+    pub route: Arc<Route>,
+    /// When the request was accepted.
+    pub accepted: Time,
+    /// When the caller leaves or the route's time is up, whatever comes first.
+    pub deadline: Time,
+    /// How long the caller said that it waits.
+    pub patience: Span,
+}
+
+/// An answer for the caller.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status of the upstream's answer.
+    pub status: StatusCode,
+    /// Headers for the caller.
+    pub headers: HeaderMap,
+    /// Body for the caller.
+    pub body: Body,
+}
+
+/// Body of an answer.
+#[derive(Debug)]
+pub enum Body {
+    /// The whole answer.
+    Whole(Bytes),
+    /// An answer that is passed on as it comes.
+    Stream(Box<Relay>),
+}
+
+/// Runs requests; clones share everything.
+pub struct Exchange<D> {
+    shared: Rc<Shared<D>>,
+}
+
+impl<D> Clone for Exchange<D> {
+    fn clone(&self) -> Exchange<D> {
+        Exchange { shared: self.shared.clone() }
+    }
+}
+
+struct Shared<D> {
+    dialect: Rc<D>,
+    dispatcher: Dispatcher,
+    links: Links,
+    budget: Budget,
+    tickets: Cell<u64>,
+}
+
+/// Why an attempt has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Loss {
+    /// Kind of the error.
+    pub kind: Kind,
+    /// Whether the upstream may have run the request.
+    pub run: Run,
+    /// Whether the request reached the upstream, so that another send is a repeat.
+    pub arrived: bool,
+}
+
+/// What a request has been through.
+#[derive(Debug, Default)]
+pub struct Course {
+    /// Upstreams that may have run the request.
+    runs: u32,
+    /// Sends that reached an upstream.
+    arrivals: u32,
+    avoid: Vec<UpstreamKey>,
+}
+
+/// An answer that has begun, on its connection.
+#[derive(Debug)]
+pub struct Begun {
+    /// Head and body of the answer.
+    pub response: Response<Incoming>,
+    /// Connection that it comes on.
+    pub link: Link,
+    /// Reports the end of the attempt.
+    pub guard: Guard,
+    /// Upstream that answers.
+    pub upstream: UpstreamKey,
+}
+
+impl<D: Dialect> Exchange<D> {
+    /// An exchange over the given parts.
+    pub fn new(
+        dialect: Rc<D>,
+        dispatcher: Dispatcher,
+        links: Links,
+        budget: Budget,
+    ) -> Exchange<D> {
+        let shared = Shared { dialect, dispatcher, links, budget, tickets: Cell::new(0) };
+        Exchange { shared: Rc::new(shared) }
+    }
+
+    /// Runs a request until its answer begins, or is whole if it is not a stream.
+    ///
+    /// # Errors
+    /// Why the request has no answer, and whether it ran.
+    pub async fn run(&self, job: Job) -> Result<Answer, Error> {
+        let pool = self.pool(&job);
+        self.shared.budget.request(&pool);
+        let mut course = Course::default();
+        loop {
+            let loss = match self.begin(&job, &pool, &mut course, None).await {
+                Ok(begun) => match self.answer(&job, &pool, begun).await {
+                    Ok(answer) => return Ok(answer),
+                    Err(loss) => loss,
+                },
+                Err(error) => return Err(error),
+            };
+            if let Some(error) = self.lost(&job, &pool, &mut course, loss) {
+                return Err(error);
+            }
+        }
+    }
+
+    /// Places and sends a request until an upstream begins to answer.
+    ///
+    /// # Errors
+    /// Why the request is given up.
+    pub async fn begin(
+        &self,
+        job: &Job,
+        pool: &Arc<str>,
+        course: &mut Course,
+        resume_after: Option<&str>,
+    ) -> Result<Begun, Error> {
+        loop {
+            let ticket = self.ticket(job, pool, course);
+            let left = job.deadline.since(Time::now());
+            let placed = timeout(left.into(), self.shared.dispatcher.submit(ticket)).await;
+            let late = |_| Error::new(Kind::QueueTimeout, "no upstream was free in time");
+            let (grant, guard) =
+                placed.map_err(late).flatten().map_err(|error| error.with_run(course.run()))?;
+            course.avoid.push(grant.upstream);
+            match self.send(job, &grant, guard, resume_after).await {
+                Ok(begun) => return Ok(begun),
+                Err(loss) => {
+                    if let Some(error) = self.lost(job, pool, course, loss) {
+                        return Err(error);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Notes a loss and decides whether the request is given up.
+    fn lost(&self, job: &Job, pool: &Arc<str>, course: &mut Course, loss: Loss) -> Option<Error> {
+        course.arrivals += u32::from(loss.arrived);
+        course.runs += u32::from(loss.run != Run::No);
+        let given_up = || {
+            let error = Error::new(loss.kind, explain(loss.kind));
+            let error = if course.runs == 0 { not_run(error) } else { error };
+            Some(error.with_run(course.run()))
+        };
+        let may_repeat = course.runs == 0 || job.route.repeat != Repeat::Never;
+        if !may_repeat || course.runs >= job.route.attempts || Time::now() >= job.deadline {
+            return given_up();
+        }
+        if loss.arrived && !self.shared.budget.repeat(pool) {
+            return given_up();
+        }
+        None
+    }
+
+    /// Sends a request on a connection to its upstream and waits for the head of the answer.
+    async fn send(
+        &self,
+        job: &Job,
+        grant: &Grant,
+        guard: Guard,
+        resume_after: Option<&str>,
+    ) -> Result<Begun, Loss> {
+        let repeatable = job.route.repeat != Repeat::Never;
+        loop {
+            let taken = self.shared.links.take(grant.upstream, grant.address, repeatable).await;
+            let Ok(mut link) = taken else {
+                guard.end(Ending::Refused);
+                return Err(Loss { kind: Kind::UpstreamConnect, run: Run::No, arrived: false });
+            };
+            let left = job.deadline.since(Time::now());
+            if left == Span(0) {
+                guard.end(Ending::Unused);
+                return Err(Loss { kind: Kind::QueueTimeout, run: Run::No, arrived: false });
+            }
+            let request = self.request(job, grant, left, resume_after);
+            let used = link.used;
+            let response = match timeout(left.into(), link.send(request)).await {
+                Ok(Ok(response)) => response,
+                Ok(Err(link::Failure::Unsent)) if used => continue,
+                Ok(Err(link::Failure::Unsent)) => {
+                    guard.end(Ending::Refused);
+                    return Err(Loss { kind: Kind::UpstreamConnect, run: Run::No, arrived: false });
+                }
+                Ok(Err(link::Failure::Sent(why))) => {
+                    log::debug!("request {:?} lost at {}: {why}", job.id, grant.instance);
+                    guard.end(Ending::Failed);
+                    return Err(Loss { kind: Kind::UpstreamCut, run: Run::Unknown, arrived: true });
+                }
+                Err(_) => {
+                    guard.end(Ending::TimedOut);
+                    let kind = Kind::UpstreamTimeout;
+                    return Err(Loss { kind, run: Run::Unknown, arrived: true });
+                }
+            };
+            return self.judge(job, grant, response, link, guard).await;
+        }
+    }
+
+    async fn judge(
+        &self,
+        job: &Job,
+        grant: &Grant,
+        response: Response<Incoming>,
+        link: Link,
+        guard: Guard,
+    ) -> Result<Begun, Loss> {
+        let (head, body) = response.into_parts();
+        if let Some(load) = self.shared.dialect.load(&head.headers) {
+            self.shared.dispatcher.report(grant.upstream, load);
+        }
+        match self.shared.dialect.verdict(&job.id, &head) {
+            Verdict::Answer => {
+                let response = Response::from_parts(head, body);
+                Ok(Begun { response, link, guard, upstream: grant.upstream })
+            }
+            Verdict::NotRun => {
+                guard.end(Ending::Refused);
+                self.finish(grant.upstream, body, link);
+                Err(Loss { kind: Kind::Shed, run: Run::No, arrived: true })
+            }
+            Verdict::Misdirected => {
+                guard.end(Ending::Refused);
+                Err(Loss { kind: Kind::NoUpstream, run: Run::No, arrived: true })
+            }
+            Verdict::Invalid => {
+                guard.end(Ending::Invalid);
+                Err(Loss { kind: Kind::UpstreamInvalid, run: Run::Unknown, arrived: true })
+            }
+        }
+    }
+
+    /// Reads the rest of a refusal, so that its connection can be kept.
+    fn finish(&self, upstream: UpstreamKey, body: Incoming, link: Link) {
+        let links = self.shared.links.clone();
+        tokio::task::spawn_local(async move {
+            if body.collect().await.is_ok() {
+                links.keep(upstream, link);
+            }
+        });
+    }
+
+    /// Makes the caller's answer of an upstream's.
+    async fn answer(&self, job: &Job, pool: &Arc<str>, begun: Begun) -> Result<Answer, Loss> {
+        let status = begun.response.status();
+        let headers = answer_headers(begun.response.headers());
+        if job.route.stream && status.is_success() {
+            let relay = Relay::begin(begun, self.shared.links.clone(), job.deadline);
+            let relay = relay.first().await?;
+            let body = Body::Stream(Box::new(relay));
+            return Ok(Answer { status, headers, body });
+        }
+        let body = self.whole(job, begun).await?;
+        let _ = pool;
+        Ok(Answer { status, headers, body: Body::Whole(body) })
+    }
+
+    async fn whole(&self, job: &Job, begun: Begun) -> Result<Bytes, Loss> {
+        let Begun { response, link, guard, upstream } = begun;
+        let lost = |kind| Loss { kind, run: Run::Unknown, arrived: true };
+        let left = job.deadline.since(Time::now());
+        let body = http_body_util::Limited::new(response.into_body(), MAX_WHOLE_BYTES);
+        match timeout(left.into(), body.collect()).await {
+            Ok(Ok(body)) => {
+                guard.end(Ending::Done);
+                self.shared.links.keep(upstream, link);
+                Ok(body.to_bytes())
+            }
+            Ok(Err(_)) => {
+                guard.end(Ending::Failed);
+                Err(lost(Kind::UpstreamCut))
+            }
+            Err(_) => {
+                guard.end(Ending::TimedOut);
+                Err(lost(Kind::UpstreamTimeout))
+            }
+        }
+    }
+
+    /// Pool of a request, drawn by the weights of the route's destinations.
+    fn pool(&self, job: &Job) -> Arc<str> {
+        let shares = &job.route.shares;
+        let total: u64 = shares.iter().map(|it| u64::from(it.weight)).sum();
+        let mut drawn = match total {
+            0 => 0,
+            total => rand::random_range(0..total),
+        };
+        for share in shares {
+            if drawn < u64::from(share.weight) {
+                return share.pool.clone();
+            }
+            drawn -= u64::from(share.weight);
+        }
+        shares.last().map_or_else(|| "".into(), |it| it.pool.clone())
+    }
+
+    fn ticket(&self, job: &Job, pool: &Arc<str>, course: &Course) -> Ticket {
+        let number = self.shared.tickets.get() + 1;
+        self.shared.tickets.set(number);
+        Ticket {
+            key: TicketKey(number),
+            pool: pool.clone(),
+            tier: job.tier,
+            prompt: job.prompt.clone(),
+            target: job.accepted + Span::from_ms(job.route.target_ms),
+            deadline: job.deadline,
+            avoid: course.avoid.clone(),
+        }
+    }
+
+    fn request(
+        &self,
+        job: &Job,
+        grant: &Grant,
+        left: Span,
+        resume_after: Option<&str>,
+    ) -> Request<Full<Bytes>> {
+        let mut headers = job.headers.clone();
+        let orders = Orders {
+            instance: &grant.instance,
+            left: job.patience.min(left),
+            customer: job.customer.as_ref().map(|it| &*it.name),
+            priority: job.prompt.is_some().then(|| job.tier.saturating_mul(2)),
+            resume_after,
+        };
+        self.shared.dialect.instruct(&mut headers, &orders);
+        let mut request = Request::new(Full::new(job.body.clone()));
+        *request.method_mut() = job.method.clone();
+        *request.uri_mut() = job.path.parse::<Uri>().unwrap_or_default();
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+impl Course {
+    fn run(&self) -> Run {
+        if self.runs == 0 { Run::No } else { Run::Unknown }
+    }
+}
+
+/// The error of a request that did not run: the caller may come back.
+fn not_run(error: Error) -> Error {
+    let kind = match error.kind {
+        Kind::UpstreamConnect => Kind::NoUpstream,
+        kind => kind,
+    };
+    Error { kind, ..error }.with_retry_after_ms(NOT_RUN_RETRY_MS)
+}
+
+/// Delay that a caller is told whose request did not run, in milliseconds.
+const NOT_RUN_RETRY_MS: u64 = 100;
+
+fn answer_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut out = headers.clone();
+    for name in &HOP_BY_HOP {
+        out.remove(name);
+    }
+    out
+}
+
+fn explain(kind: Kind) -> &'static str {
+    match kind {
+        Kind::UpstreamConnect => "the upstream could not be reached",
+        Kind::UpstreamCut => "the upstream closed the connection before its whole answer",
+        Kind::UpstreamInvalid => "the upstream's answer is not valid",
+        Kind::UpstreamTimeout => "the upstream did not answer in time",
+        Kind::QueueTimeout => "no upstream was free in time",
+        Kind::Shed => "the upstreams are full",
+        Kind::NoUpstream => "no upstream can take the request",
+        _ => "the request could not be run",
+    }
+}
--- /dev/null
+++ b/src/serving/placement.rs
@@ -0,0 +1,309 @@
+//! Choice of an upstream for a request, from what this host sent, heard and was told.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use crate::{
+    error::Kind,
+    rendezvous,
+    serving::{
+        dialect::{Load, Prompt},
+        key::{AttemptKey, TicketKey, UpstreamKey},
+        registry::{Entry, State},
+    },
+    time::{Span, Time},
+    wire::Ending,
+};
+
+/// Prompt tokens that an engine reads in a millisecond before any measurement.
+const FIRST_PREFILL_RATE: f64 = 40.0;
+
+/// Time for which an engine is taken to keep a part of a prompt after its last use.
+const PART_LIFETIME: Span = Span::from_ms(20_000);
+
+/// Extra time to an upstream in another availability zone.
+const ZONE_PENALTY: Span = Span::from_ms(3);
+
+/// First time for which an upstream that failed gets no request.
+const FIRST_EJECTION: Span = Span::from_ms(500);
+
+/// Longest time for which an upstream that failed gets no request.
+const MAX_EJECTION: Span = Span::from_ms(4_000);
+
+/// A request that asks for an upstream.
+#[derive(Debug, Clone)]
+pub struct Ticket {
+    /// Number of the ticket.
+    pub key: TicketKey,
+    /// Pool that is to run the request.
+    pub pool: Arc<str>,
+    /// Priority, zero first.
+    pub tier: u8,
+    /// The prompt, if the request is for an engine.
+    pub prompt: Option<Prompt>,
+    /// When the first byte should be there.
+    pub target: Time,
+    /// When the answer is of no more use.
+    pub deadline: Time,
+    /// Upstreams on which earlier attempts of the request ended.
+    pub avoid: Vec<UpstreamKey>,
+}
+
+/// Permission to send a request to an upstream.
+#[derive(Debug, Clone)]
+pub struct Grant {
+    /// Number of the attempt.
+    pub attempt: AttemptKey,
+    /// Where the request goes.
+    pub upstream: UpstreamKey,
+    /// Instance that must run it.
+    pub instance: Arc<str>,
+    /// Address of the upstream.
+    pub address: SocketAddr,
+}
+
+/// Output of the core.
+#[derive(Debug)]
+pub enum Action {
+    /// The ticket may be sent.
+    Grant(TicketKey, Grant),
+    /// The ticket is given up, with the delay after which a repeat may succeed.
+    Refuse(TicketKey, Kind, Option<Span>),
+}
+
+/// Failures of an upstream and its way back.
+#[derive(Debug, Default)]
+struct Health {
+    /// Failures since the last answer.
+    strikes: u32,
+    until: Time,
+}
+
+#[derive(Debug)]
+struct Site {
+    entry: Entry,
+    /// Tokens of prompts that this host sent and that have no first event yet.
+    pending: u64,
+    /// Attempts of this host without an end.
+    running: u32,
+    load: Option<(Time, Load)>,
+    health: Health,
+    /// Parts of prompts that this host sent there, with the last use. Sorted by part.
+    parts: Vec<(u64, Time)>,
+}
+
+#[derive(Debug)]
+struct Running {
+    upstream: UpstreamKey,
+    /// Tokens that count as pending.
+    pending: u64,
+    started: Time,
+}
+
+/// State of the choice.
+#[derive(Debug)]
+pub struct Placement {
+    zone: Arc<str>,
+    /// Sorted by key.
+    sites: Vec<(UpstreamKey, Site)>,
+    running: BTreeMap<AttemptKey, Running>,
+    attempts: u64,
+    upstreams: u32,
+}
+
+impl Placement {
+    /// A choice for the hosts of an availability zone.
+    pub fn new(zone: Arc<str>) -> Placement {
+        Placement { zone, sites: Vec::new(), running: BTreeMap::new(), attempts: 0, upstreams: 0 }
+    }
+
+    /// Takes in the entries of all upstreams.
+    pub fn list(&mut self, entries: &[Entry]) {
+        let same =
+            |a: &Entry, b: &Entry| a.id == b.id && a.born == b.born && a.address == b.address;
+        self.sites.retain(|(_, site)| entries.iter().any(|it| same(it, &site.entry)));
+        for entry in entries {
+            match self.sites.iter_mut().find(|(_, site)| same(entry, &site.entry)) {
+                Some((_, site)) => site.entry = entry.clone(),
+                None => {
+                    self.upstreams += 1;
+                    self.sites.push((UpstreamKey(self.upstreams), Site::new(entry.clone())));
+                }
+            }
+        }
+    }
+
+    /// Takes in a ticket.
+    pub fn submit(&mut self, now: Time, ticket: &Ticket, actions: &mut Vec<Action>) {
+        let Some(upstream) = self.choose(now, ticket) else {
+            actions.push(Action::Refuse(ticket.key, Kind::NoUpstream, Some(FIRST_EJECTION)));
+            return;
+        };
+        self.attempts += 1;
+        let attempt = AttemptKey(self.attempts);
+        let Some(site) = self.site_mut(upstream) else { return };
+        let pending = ticket.prompt.as_ref().map_or(0, |it| site.missing(now, it));
+        site.pending += pending;
+        site.running += 1;
+        if let Some(prompt) = &ticket.prompt {
+            site.remember(now, prompt);
+        }
+        let grant = Grant {
+            attempt,
+            upstream,
+            instance: site.entry.id.clone(),
+            address: site.entry.address,
+        };
+        self.running.insert(attempt, Running { upstream, pending, started: now });
+        actions.push(Action::Grant(ticket.key, grant));
+    }
+
+    /// The first byte or event of an attempt came.
+    pub fn answered(&mut self, attempt: AttemptKey) {
+        let Some(running) = self.running.get_mut(&attempt) else { return };
+        let (upstream, pending) = (running.upstream, std::mem::take(&mut running.pending));
+        if let Some(site) = self.site_mut(upstream) {
+            site.pending -= pending;
+            site.health.strikes = 0;
+        }
+    }
+
+    /// An attempt ended.
+    pub fn ended(&mut self, now: Time, attempt: AttemptKey, ending: Ending) {
+        let Some(running) = self.running.remove(&attempt) else { return };
+        let Some(site) = self.site_mut(running.upstream) else { return };
+        site.pending -= running.pending;
+        site.running -= 1;
+        match ending {
+            Ending::Done => site.health.strikes = 0,
+            Ending::Cancelled | Ending::Unused | Ending::Preempted => {}
+            Ending::Refused | Ending::Failed | Ending::Invalid | Ending::TimedOut => {
+                site.health.fail(now, running.started);
+            }
+        }
+    }
+
+    /// An upstream reported its load.
+    pub fn report(&mut self, now: Time, upstream: UpstreamKey, load: Load) {
+        if let Some(site) = self.site_mut(upstream) {
+            site.load = Some((now, load));
+        }
+    }
+
+    fn choose(&self, now: Time, ticket: &Ticket) -> Option<UpstreamKey> {
+        let serving = self.sites.iter().filter(|(key, site)| {
+            site.entry.pool == ticket.pool
+                && site.entry.state == State::Ready
+                && !ticket.avoid.contains(key)
+        });
+        let healthy = |site: &Site| site.health.until <= now;
+        let any_healthy = serving.clone().any(|(_, site)| healthy(site));
+        let candidates = serving.filter(|(_, site)| healthy(site) || !any_healthy);
+        let affinity = ticket.prompt.as_ref().and_then(affinity);
+        let scored = candidates.map(|(key, site)| {
+            let rank = match affinity {
+                Some(part) => rendezvous::hash(&[&part.to_be_bytes(), site.entry.id.as_bytes()]),
+                None => rendezvous::hash(&[
+                    &ticket.key.0.to_be_bytes(),
+                    site.entry.id.as_bytes(),
+                    self.zone.as_bytes(),
+                ]),
+            };
+            (*key, self.expected(now, ticket, site), std::cmp::Reverse(rank))
+        });
+        let mut scored: Vec<_> = scored.collect();
+        // The holder of a session by rendezvous is taken to keep its parts also if another host sent them there.
+        if let (Some(prompt), Some(_)) = (&ticket.prompt, affinity)
+            && let Some(first) = scored.iter_mut().min_by_key(|it| it.2)
+        {
+            let known = self.site(first.0).map_or(0, |it| it.missing(now, prompt));
+            let own = prompt.parts.last().map_or(prompt.tokens, |it| it.tokens);
+            let saved = known.saturating_sub(u64::from(own));
+            first.1 = Span(first.1.0.saturating_sub(prefill(saved).0));
+        }
+        scored.into_iter().min_by_key(|it| (it.1, it.2)).map(|it| it.0)
+    }
+
+    /// Expected time to the first byte.
+    fn expected(&self, now: Time, ticket: &Ticket, site: &Site) -> Span {
+        let mut expected = if site.entry.zone == self.zone { Span(0) } else { ZONE_PENALTY };
+        if let Some(prompt) = &ticket.prompt {
+            let tokens = site.pending + site.missing(now, prompt);
+            expected.0 += prefill(tokens).0;
+            expected.0 += u64::from(site.running) * 500;
+        } else {
+            // Beyond its slots requests wait for each other.
+            expected.0 += u64::from(site.running) * 1_000;
+            let over = (site.running + 1).saturating_sub(site.entry.slots);
+            expected.0 += u64::from(over) * 20_000;
+        }
+        expected
+    }
+
+    fn site(&self, key: UpstreamKey) -> Option<&Site> {
+        let found = self.sites.binary_search_by_key(&key, |it| it.0).ok()?;
+        Some(&self.sites[found].1)
+    }
+
+    fn site_mut(&mut self, key: UpstreamKey) -> Option<&mut Site> {
+        let found = self.sites.binary_search_by_key(&key, |it| it.0).ok()?;
+        Some(&mut self.sites[found].1)
+    }
+}
+
+/// The part by which requests of one session are kept together: the last one that others share.
+fn affinity(prompt: &Prompt) -> Option<u64> {
+    let shared = prompt.parts.len().checked_sub(2)?;
+    Some(prompt.parts[shared].id)
+}
+
+fn prefill(tokens: u64) -> Span {
+    Span((tokens as f64 / FIRST_PREFILL_RATE * 1_000.0) as u64)
+}
+
+impl Health {
+    /// Counts a failure of an attempt. Attempts from before the last ejection tell nothing new.
+    fn fail(&mut self, now: Time, started: Time) {
+        if started < self.until {
+            return;
+        }
+        let period = Span((FIRST_EJECTION.0 << self.strikes.min(8)).min(MAX_EJECTION.0));
+        self.strikes += 1;
+        self.until = now + period;
+    }
+}
+
+impl Site {
+    fn new(entry: Entry) -> Site {
+        Site {
+            entry,
+            pending: 0,
+            running: 0,
+            load: None,
+            health: Health::default(),
+            parts: Vec::new(),
+        }
+    }
+
+    /// Tokens of a prompt that the engine has to read.
+    fn missing(&self, now: Time, prompt: &Prompt) -> u64 {
+        let kept = prompt.parts.iter().take_while(|part| {
+            let found = self.parts.binary_search_by_key(&part.id, |it| it.0);
+            found.is_ok_and(|at| now.since(self.parts[at].1) < PART_LIFETIME)
+        });
+        let kept: u64 = kept.map(|it| u64::from(it.tokens)).sum();
+        u64::from(prompt.tokens).saturating_sub(kept)
+    }
+
+    fn remember(&mut self, now: Time, prompt: &Prompt) {
+        let shared = prompt.parts.len().saturating_sub(1);
+        for part in &prompt.parts[..shared] {
+            match self.parts.binary_search_by_key(&part.id, |it| it.0) {
+                Ok(at) => self.parts[at].1 = now,
+                Err(at) => self.parts.insert(at, (part.id, now)),
+            }
+        }
+        if self.parts.len() > 1_024 {
+            self.parts.retain(|it| now.since(it.1) < PART_LIFETIME);
+        }
+    }
+}
--- /dev/null
+++ b/src/serving/settings.rs
@@ -0,0 +1,173 @@
+//! Settings of a host that serves by itself, from a file with lines of the form `name = value`.
+
+use std::{fmt, net::SocketAddr, str::FromStr, time::Duration};
+
+use crate::{serving::budget, settings::LogFormat, time::Span};
+
+/// Checked settings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Host id, unique among the hosts that run at one time.
+    pub host: String,
+    /// Availability zone of the host.
+    pub zone: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address at which the balancer asks whether the host is ready.
+    pub readiness: SocketAddr,
+    /// Address for other hosts.
+    pub peers: SocketAddr,
+    /// Peer addresses of some hosts, which may be out of date.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Address at which usage is reported and upstreams are ordered, if this system does so.
+    pub duties: Option<SocketAddr>,
+    /// Time from a planned stop to its end.
+    pub grace: Duration,
+    /// Time for which a key may be used after the configuration was last known to be the newest;
+    /// `None` if keys need no proof.
+    pub key_proof: Option<Span>,
+    /// Common budget of repeats.
+    pub retries: budget::Terms,
+    /// Length of a lease and of the term in which no two holders may act in turns.
+    pub lease: Span,
+    /// Length of a usage window.
+    pub usage_window: Span,
+    /// Time after a window's end by which it has to be reported.
+    pub usage_delay: Span,
+    /// Form of log lines.
+    pub log_format: LogFormat,
+    /// Lowest level of log lines.
+    pub log_level: log::LevelFilter,
+}
+
+/// What is wrong with a setting.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Name of the setting.
+    pub name: String,
+    /// What was found and what would be accepted.
+    pub message: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.name, self.message)
+    }
+}
+
+struct Reader<'a> {
+    text: &'a str,
+    faults: Vec<Fault>,
+}
+
+impl Settings {
+    /// Reads settings; names that are not known are ignored.
+    ///
+    /// # Errors
+    /// All faults at once.
+    pub fn parse(text: &str) -> Result<Settings, Vec<Fault>> {
+        let mut reader = Reader { text, faults: Vec::new() };
+        let settings = reader.settings();
+        settings.filter(|_| reader.faults.is_empty()).ok_or(reader.faults)
+    }
+}
+
+impl<'a> Reader<'a> {
+    fn settings(&mut self) -> Option<Settings> {
+        let host = self.name("host-id");
+        let zone = self.name("zone");
+        let callers = self.required("callers", ADDRESS);
+        let readiness = self.required("readiness", ADDRESS);
+        let peers = self.required("peers", ADDRESS);
+        let seeds = self.addresses("seeds");
+        let store = self.required("store", ADDRESS);
+        let duties = self.optional("duties", ADDRESS);
+        let grace_s: Option<f64> = self.required("grace-s", "seconds, as in 8");
+        let fail_closed = self.optional("keys-need-proof", "true or false");
+        let key_proof_ms: Option<u64> = self.optional("key-withdrawal-ms", MILLIS);
+        let retries = self.retries();
+        let lease_ms: Option<u64> = self.optional("lease-ms", MILLIS);
+        let window_s: Option<f64> = self.optional("usage-window-s", "seconds, as in 5");
+        let delay_s: Option<f64> = self.optional("usage-delay-s", "seconds, as in 10");
+        let log_level = self.optional("log-level", "off, error, warn, info, debug or trace");
+        let key_proof = key_proof_ms.filter(|_| fail_closed.unwrap_or(true));
+        let seconds = |it: f64| Span((it.max(0.0) * 1e6) as u64);
+        Some(Settings {
+            host: host?,
+            zone: zone?,
+            callers: callers?,
+            readiness: readiness?,
+            peers: peers?,
+            seeds,
+            store: store?,
+            duties,
+            grace: seconds(grace_s?).into(),
+            key_proof: key_proof.map(Span::from_ms),
+            retries: retries?,
+            lease: Span::from_ms(lease_ms.unwrap_or(DEFAULT_LEASE_MS)),
+            usage_window: window_s.map_or(DEFAULT_WINDOW, seconds),
+            usage_delay: delay_s.map_or(DEFAULT_DELAY, seconds),
+            log_format: LogFormat::Json,
+            log_level: log_level.unwrap_or(log::LevelFilter::Info),
+        })
+    }
+
+    fn retries(&mut self) -> Option<budget::Terms> {
+        let window_s: Option<f64> = self.required("retry-window-s", "seconds, as in 10");
+        let ratio = self.required("retry-ratio", "a share, as in 0.2");
+        let allowance = self.required("retry-allowance", "a number, as in 52");
+        let window = Span((window_s?.max(0.0) * 1e6) as u64);
+        Some(budget::Terms { window, ratio: ratio?, allowance: allowance? })
+    }
+
+    fn look_up(&self, name: &str) -> Option<&'a str> {
+        self.text.lines().find_map(|line| {
+            let (found, value) = line.split_once('=')?;
+            (found.trim() == name).then(|| value.trim()).filter(|it| !it.is_empty())
+        })
+    }
+
+    fn fault(&mut self, name: &str, message: String) {
+        self.faults.push(Fault { name: name.to_owned(), message });
+    }
+
+    fn required<T: FromStr>(&mut self, name: &'static str, accepted: &str) -> Option<T> {
+        if self.look_up(name).is_none() {
+            self.fault(name, format!("is missing; accepted: {accepted}"));
+        }
+        self.optional(name, accepted)
+    }
+
+    fn optional<T: FromStr>(&mut self, name: &'static str, accepted: &str) -> Option<T> {
+        let text = self.look_up(name)?;
+        let value = text.parse().ok();
+        if value.is_none() {
+            self.fault(name, format!("'{text}' is not valid; accepted: {accepted}"));
+        }
+        value
+    }
+
+    fn name(&mut self, name: &'static str) -> Option<String> {
+        self.required(name, "a name")
+    }
+
+    fn addresses(&mut self, name: &'static str) -> Vec<SocketAddr> {
+        let text = self.look_up(name).unwrap_or_default();
+        let mut out = Vec::new();
+        for item in text.split(',').map(str::trim).filter(|it| !it.is_empty()) {
+            match item.parse() {
+                Ok(address) => out.push(address),
+                Err(_) => self.fault(name, format!("'{item}' is not valid; accepted: {ADDRESS}")),
+            }
+        }
+        out
+    }
+}
+
+const ADDRESS: &str = "IP and port, as in 10.0.0.1:8080";
+const MILLIS: &str = "milliseconds, as in 3000";
+const DEFAULT_LEASE_MS: u64 = 3_000;
+const DEFAULT_WINDOW: Span = Span::from_ms(5_000);
+const DEFAULT_DELAY: Span = Span::from_ms(10_000);
--- a/src/tally.rs
+++ b/src/tally.rs
@@ -117,6 +117,7 @@
         | Kind::Internal => true,
         Kind::BadRequest
         | Kind::BodyTooLarge
+        | Kind::HeadTooLarge
         | Kind::ReadTimeout
         | Kind::MissingKey
         | Kind::InvalidKey
