Lead, report usage, order upstreams, and keep some engines for tight streams

Change: leadership under a lease of the store; counts of every host in the store, settled and reported by the leader; orders for reclaimable engines; the engines of a pool are divided by the share of the time that tight streams take.

--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -22,6 +22,7 @@
         placement::{Grant, Ticket},
         relay::Relay,
         table::{Customer, Repeat, Route},
+        usage::Meter,
     },
     time::{Span, Time},
     wire::Ending,
@@ -105,6 +106,7 @@
     dispatcher: Dispatcher,
     links: Links,
     budget: Budget,
+    meter: Meter,
     tickets: Cell<u64>,
 }
 
@@ -149,8 +151,9 @@
         dispatcher: Dispatcher,
         links: Links,
         budget: Budget,
+        meter: Meter,
     ) -> Exchange<D> {
-        let shared = Shared { dialect, dispatcher, links, budget, tickets: Cell::new(0) };
+        let shared = Shared { dialect, dispatcher, links, budget, meter, tickets: Cell::new(0) };
         Exchange { shared: Rc::new(shared) }
     }
 
@@ -164,7 +167,7 @@
         let mut course = Course::default();
         loop {
             let loss = match self.begin(&job, &pool, &mut course, None).await {
-                Ok(begun) => match self.answer(&job, &pool, begun).await {
+                Ok(begun) => match self.answer(&job, begun).await {
                     Ok(answer) => return Ok(answer),
                     Err(loss) => loss,
                 },
@@ -176,6 +179,13 @@
         }
     }
 
+    /// Counts a request that an upstream began to run.
+    fn begun(&self, job: &Job) {
+        if let Some(customer) = &job.customer {
+            self.shared.meter.begun(&customer.name);
+        }
+    }
+
     /// Places and sends a request until an upstream begins to answer.
     ///
     /// # Errors
@@ -313,17 +323,18 @@
     }
 
     /// Makes the caller's answer of an upstream's.
-    async fn answer(&self, job: &Job, pool: &Arc<str>, begun: Begun) -> Result<Answer, Loss> {
+    async fn answer(&self, job: &Job, begun: Begun) -> Result<Answer, Loss> {
         let status = begun.response.status();
         let headers = answer_headers(begun.response.headers());
         if job.route.stream && status.is_success() {
             let relay = Relay::begin(begun, self.shared.links.clone(), job.deadline);
             let relay = relay.first().await?;
+            self.begun(job);
             let body = Body::Stream(Box::new(relay));
             return Ok(Answer { status, headers, body });
         }
+        self.begun(job);
         let body = self.whole(job, begun).await?;
-        let _ = pool;
         Ok(Answer { status, headers, body: Body::Whole(body) })
     }
 
@@ -373,6 +384,8 @@
             key: TicketKey(number),
             pool: pool.clone(),
             tier: job.tier,
+            route: job.route.name.clone(),
+            gap_ms: job.route.gap_ms,
             prompt: job.prompt.clone(),
             target: job.accepted + Span::from_ms(job.route.target_ms),
             deadline: job.deadline,
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -11,16 +11,20 @@
         connection::Connections,
         dialect::Dialect,
         dispatcher::Dispatcher,
+        duties::Duties,
         exchange::Exchange,
         handler::Handler,
         knowledge::{self, Decoding, Knowledge},
+        leadership::{self, Leadership},
         links::Links,
         listener::{Listener, Stage},
         readiness::Readiness,
+        scaling,
         settings::Settings,
+        usage::{self, Meter, Usage},
     },
     store::Store,
-    time::{Span, Time},
+    time::{Span, Time, wall_ms},
 };
 
 /// Time by which a proof is taken to be older than it is, for clocks of different pace.
@@ -32,21 +36,26 @@
 /// Time for the balancer to see that the host is not ready; it asks once a second and takes two misses.
 const NOT_READY_NOTICE: Duration = Duration::from_millis(2_600);
 
+/// Time to write the last counts.
+const FLUSH_TIME: Duration = Duration::from_millis(500);
+
 /// Time kept at the end of the grace time for the process to end.
-const EXIT_TIME: Duration = Duration::from_millis(500);
+const EXIT_TIME: Duration = Duration::from_millis(900);
 
 /// Interval between looks at the connections that are still busy.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What a host needs from the platform.
 #[derive(Debug, Clone)]
-pub struct Ports<S, D> {
+pub struct Ports<S, D, P> {
     /// The platform's store.
     pub store: S,
     /// Headers of callers and upstreams.
     pub dialect: D,
     /// How values of the store are read.
     pub decoding: Decoding,
+    /// What only the leader may do, if this system has such duties.
+    pub duties: Option<P>,
 }
 
 /// Handle to a running host.
@@ -58,6 +67,8 @@
     readiness: Readiness,
     draining: watch::Sender<bool>,
     grace: Duration,
+    leadership: Option<Leadership>,
+    usage: Option<Usage>,
 }
 
 impl Host {
@@ -65,9 +76,9 @@
     ///
     /// # Errors
     /// If an address cannot be bound.
-    pub async fn spawn<S: Store, D: Dialect>(
+    pub async fn spawn<S: Store, D: Dialect, P: Duties>(
         settings: &Settings,
-        ports: Ports<S, D>,
+        ports: Ports<S, D, P>,
     ) -> Result<Host> {
         let knowledge = knowledge::spawn(ports.store.clone(), ports.decoding);
         let dispatcher =
@@ -76,7 +87,8 @@
         task::spawn_local(sweep(links.clone()));
         let dialect = Rc::new(ports.dialect);
         let budget = Budget::new(settings.retries, HOSTS);
-        let exchange = Exchange::new(dialect.clone(), dispatcher, links, budget);
+        let meter = Meter::new(settings.usage_window);
+        let exchange = Exchange::new(dialect.clone(), dispatcher, links, budget, meter.clone());
         let (draining, draining_seen) = watch::channel(false);
         let handler = Handler {
             dialect,
@@ -93,8 +105,46 @@
             .await
             .wrap_err_with(|| format!("cannot listen on {}", settings.readiness))?;
         log::info!("host {} serves callers on {}", settings.host, listener.address);
-        let callers = listener.address;
-        Ok(Host { callers, listener, readiness, draining, grace: settings.grace })
+        let mut host = Host {
+            callers: listener.address,
+            listener,
+            readiness,
+            draining,
+            grace: settings.grace,
+            leadership: None,
+            usage: None,
+        };
+        if let Some(duties) = ports.duties {
+            host.take_duties(settings, &knowledge, ports.store, duties, meter);
+        }
+        Ok(host)
+    }
+
+    fn take_duties<S: Store, P: Duties>(
+        &mut self,
+        settings: &Settings,
+        knowledge: &Knowledge,
+        store: S,
+        duties: P,
+        meter: Meter,
+    ) {
+        let leadership = leadership::spawn(store.clone(), &settings.host, settings.lease);
+        scaling::spawn(
+            duties.clone(),
+            leadership.clone(),
+            knowledge.table.clone(),
+            knowledge.upstreams.clone(),
+            settings.zones.clone(),
+        );
+        let options = usage::Options {
+            store,
+            duties,
+            leadership: leadership.clone(),
+            writer: format!("{}-{}", settings.host, wall_ms()),
+            delay: settings.usage_delay,
+        };
+        self.usage = Some(usage::spawn(meter, options));
+        self.leadership = Some(leadership);
     }
 
     /// Ends every request that can end within the grace time, then closes the connections.
@@ -102,6 +152,9 @@
         let start = Time::now();
         log::info!("the host stops; {} connections are open", self.listener.connections.len());
         self.draining.send_replace(true);
+        if let Some(leadership) = &self.leadership {
+            leadership.resign();
+        }
         sleep(NOT_READY_NOTICE).await;
         self.listener.enter(Stage::Draining);
         let limit = Span((self.grace.saturating_sub(EXIT_TIME)).as_micros() as u64);
@@ -109,6 +162,9 @@
             sleep(DRAIN_INTERVAL).await;
         }
         let cut = self.listener.connections.len();
+        if let Some(usage) = &self.usage {
+            usage.close(FLUSH_TIME).await;
+        }
         self.listener.enter(Stage::Closed);
         self.readiness.close();
         log::info!("the host has stopped; {cut} connections were cut");
--- a/src/serving/knowledge.rs
+++ b/src/serving/knowledge.rs
@@ -17,8 +17,12 @@
     time::{Span, Time},
 };
 
-/// Longest wait of one watch, in milliseconds. A watch whose connection fell silent is noticed after it.
-const WAIT_MS: u64 = 1_000;
+/// Longest wait of a watch of the configuration, in milliseconds. The last answer but one proves that it is the newest, and
+/// a key's proof lasts for seconds.
+const CONFIGURATION_WAIT_MS: u64 = 1_500;
+
+/// Longest wait of a watch of the upstreams, in milliseconds. A connection that fell silent is noticed after it.
+const UPSTREAMS_WAIT_MS: u64 = 3_000;
 
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -63,7 +67,12 @@
     let (listed_sender, listed) = watch::channel(false);
     let configuration =
         Configuration { decoding, table: table_sender, proven: proven_sender, revision: 0 };
-    task::spawn_local(follow(store.clone(), decoding.configuration_key, configuration));
+    task::spawn_local(follow(
+        store.clone(),
+        decoding.configuration_key,
+        CONFIGURATION_WAIT_MS,
+        configuration,
+    ));
     let list = List {
         decoding,
         entries: BTreeMap::new(),
@@ -72,7 +81,7 @@
         failing: false,
         settled: Time(0),
     };
-    task::spawn_local(follow(store, decoding.upstreams_prefix, list));
+    task::spawn_local(follow(store, decoding.upstreams_prefix, UPSTREAMS_WAIT_MS, list));
     Knowledge { table, proven, upstreams, listed }
 }
 
@@ -89,13 +98,13 @@
 }
 
 /// Lists the keys under a prefix and waits for changes, for ever.
-async fn follow<S: Store, V: View>(store: S, prefix: &str, mut view: V) {
+async fn follow<S: Store, V: View>(store: S, prefix: &str, wait_ms: u64, mut view: V) {
     let mut pause = FIRST_PAUSE;
     let mut after: Option<u64> = None;
     loop {
         let step = match after {
             None => list(&store, prefix, &mut view).await.map(Some),
-            Some(revision) => step(&store, prefix, revision, &mut view).await,
+            Some(revision) => step(&store, prefix, (revision, wait_ms), &mut view).await,
         };
         view.tick();
         match step {
@@ -134,11 +143,11 @@
 async fn step<S: Store, V: View>(
     store: &S,
     prefix: &str,
-    after: u64,
+    (after, wait_ms): (u64, u64),
     view: &mut V,
 ) -> Result<Option<u64>, Failure> {
     let asked = Time::now();
-    match store.watch(prefix, after, WAIT_MS).await? {
+    match store.watch(prefix, after, wait_ms).await? {
         Watch::Changes(changes, revision) => {
             view.change(asked, changes);
             Ok(Some(revision))
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     error::Kind,
+    rate::Rate,
     rendezvous,
     serving::{
         dialect::{Load, Prompt},
@@ -23,6 +24,18 @@
 /// Extra time to an upstream in another availability zone.
 const ZONE_PENALTY: Span = Span::from_ms(3);
 
+/// Time of one step of an engine that reads no prompt, in milliseconds.
+const STEP_MS: f64 = 5.3;
+
+/// Streams that share a step.
+const TYPICAL_BATCH: f64 = 16.0;
+
+/// Fewest engines that are divided between tight streams and others.
+const MIN_SPLIT: usize = 3;
+
+/// Delay that is put up with before a request goes to an engine that is kept for others.
+const CROSSING_PENALTY: Span = Span::from_ms(150);
+
 /// First time for which an upstream that failed gets no request.
 const FIRST_EJECTION: Span = Span::from_ms(500);
 
@@ -38,6 +51,10 @@
     pub pool: Arc<str>,
     /// Priority, zero first.
     pub tier: u8,
+    /// Name of the route.
+    pub route: Arc<str>,
+    /// Longest gap between events that is still on time, in milliseconds.
+    pub gap_ms: Option<u64>,
     /// The prompt, if the request is for an engine.
     pub prompt: Option<Prompt>,
     /// When the first byte should be there.
@@ -108,12 +125,21 @@
     running: BTreeMap<AttemptKey, Running>,
     attempts: u64,
     upstreams: u32,
+    /// Demand by pool, sorted by name.
+    mixes: Vec<(Arc<str>, Mix)>,
 }
 
 impl Placement {
     /// A choice for the hosts of an availability zone.
     pub fn new(zone: Arc<str>) -> Placement {
-        Placement { zone, sites: Vec::new(), running: BTreeMap::new(), attempts: 0, upstreams: 0 }
+        Placement {
+            zone,
+            sites: Vec::new(),
+            running: BTreeMap::new(),
+            attempts: 0,
+            upstreams: 0,
+            mixes: Vec::new(),
+        }
     }
 
     /// Takes in the entries of all upstreams.
@@ -134,6 +160,7 @@
 
     /// Takes in a ticket.
     pub fn submit(&mut self, now: Time, ticket: &Ticket, actions: &mut Vec<Action>) {
+        self.mix_mut(&ticket.pool).observe(now, ticket);
         let Some(upstream) = self.choose(now, ticket) else {
             actions.push(Action::Refuse(ticket.key, Kind::NoUpstream, Some(FIRST_EJECTION)));
             return;
@@ -211,6 +238,16 @@
             (*key, self.expected(now, ticket, site), std::cmp::Reverse(rank))
         });
         let mut scored: Vec<_> = scored.collect();
+        let quiet = self.quiet(now, &ticket.pool);
+        if let (Some(prompt), false) = (&ticket.prompt, quiet.is_empty()) {
+            let tight = self.mix(&ticket.pool).is_some_and(|it| it.is_tight(now, &ticket.route));
+            for (key, expected, _) in &mut scored {
+                if quiet.contains(key) != tight {
+                    let stall = if tight { Span(0) } else { prefill(u64::from(prompt.tokens)) };
+                    expected.0 += CROSSING_PENALTY.0 + stall.0 * 2;
+                }
+            }
+        }
         // The holder of a session by rendezvous is taken to keep its parts also if another host sent them there.
         if let (Some(prompt), Some(_)) = (&ticket.prompt, affinity)
             && let Some(first) = scored.iter_mut().min_by_key(|it| it.2)
@@ -239,6 +276,41 @@
         expected
     }
 
+    /// Upstreams that are kept for streams with tight gaps. All hosts choose alike from the same list.
+    fn quiet(&self, now: Time, pool: &str) -> Vec<UpstreamKey> {
+        let share = self.mix(pool).map_or(0.0, |it| it.tight_share(now));
+        let serving = self
+            .sites
+            .iter()
+            .filter(|(_, site)| *site.entry.pool == *pool && site.entry.state == State::Ready);
+        let mut ranked: Vec<_> = serving
+            .map(|(key, site)| (rendezvous::hash(&[b"quiet", site.entry.id.as_bytes()]), *key))
+            .collect();
+        if share == 0.0 || ranked.len() < MIN_SPLIT {
+            return Vec::new();
+        }
+        ranked.sort_unstable();
+        let count = (share * ranked.len() as f64).round() as usize;
+        ranked.truncate(count.clamp(1, ranked.len() - 1));
+        ranked.into_iter().map(|it| it.1).collect()
+    }
+
+    fn mix(&self, pool: &str) -> Option<&Mix> {
+        let found = self.mixes.binary_search_by(|it| (*it.0).cmp(pool)).ok()?;
+        Some(&self.mixes[found].1)
+    }
+
+    fn mix_mut(&mut self, pool: &Arc<str>) -> &mut Mix {
+        let at = match self.mixes.binary_search_by(|it| it.0.cmp(pool)) {
+            Ok(found) => found,
+            Err(at) => {
+                self.mixes.insert(at, (pool.clone(), Mix::default()));
+                at
+            }
+        };
+        &mut self.mixes[at].1
+    }
+
     fn site(&self, key: UpstreamKey) -> Option<&Site> {
         let found = self.sites.binary_search_by_key(&key, |it| it.0).ok()?;
         Some(&self.sites[found].1)
@@ -250,6 +322,62 @@
     }
 }
 
+/// Demand of the routes that share the engines of a pool.
+#[derive(Debug, Default)]
+struct Mix {
+    /// Sorted by route.
+    routes: Vec<(Arc<str>, Demand)>,
+}
+
+#[derive(Debug, Default)]
+struct Demand {
+    gap_ms: Option<u64>,
+    /// Time of engines that requests take, in milliseconds per second.
+    time: Rate,
+    /// Time of engines that their prompts take.
+    prefill: Rate,
+}
+
+impl Mix {
+    fn observe(&mut self, now: Time, ticket: &Ticket) {
+        let Some(prompt) = &ticket.prompt else { return };
+        let at = match self.routes.binary_search_by(|it| it.0.cmp(&ticket.route)) {
+            Ok(found) => found,
+            Err(at) => {
+                self.routes.insert(at, (ticket.route.clone(), Demand::default()));
+                at
+            }
+        };
+        let own = prompt.parts.last().map_or(prompt.tokens, |it| it.tokens);
+        let read = f64::from(own) / FIRST_PREFILL_RATE;
+        let output = prompt.expected_output.unwrap_or(prompt.max_output / 2);
+        let written = f64::from(output) * STEP_MS / TYPICAL_BATCH;
+        let demand = &mut self.routes[at].1;
+        demand.gap_ms = ticket.gap_ms;
+        demand.time.add(now, read + written);
+        demand.prefill.add(now, read);
+    }
+
+    /// Whether the streams of a route have the tightest gaps, and others read much longer prompts.
+    fn is_tight(&self, now: Time, route: &str) -> bool {
+        let Ok(found) = self.routes.binary_search_by(|it| (*it.0).cmp(route)) else { return false };
+        let Some(gap) = self.routes[found].1.gap_ms else { return false };
+        let tightest = self.routes.iter().filter_map(|it| it.1.gap_ms).min();
+        let rest = self.routes.iter().filter(|it| it.1.gap_ms != Some(gap));
+        let own = self.routes[found].1.prefill.get(now);
+        let others: f64 = rest.map(|it| it.1.prefill.get(now)).sum();
+        tightest == Some(gap) && others > own
+    }
+
+    /// Share of the engines' time that tight streams take.
+    fn tight_share(&self, now: Time) -> f64 {
+        let total: f64 = self.routes.iter().map(|it| it.1.time.get(now)).sum();
+        let tight = self.routes.iter().filter(|it| self.is_tight(now, &it.0));
+        let tight: f64 = tight.map(|it| it.1.time.get(now)).sum();
+        if total > 0.0 { tight / total } else { 0.0 }
+    }
+}
+
 /// The part by which requests of one session are kept together: the last one that others share.
 fn affinity(prompt: &Prompt) -> Option<u64> {
     let shared = prompt.parts.len().checked_sub(2)?;
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -11,6 +11,8 @@
     pub host: String,
     /// Availability zone of the host.
     pub zone: String,
+    /// All availability zones.
+    pub zones: Vec<String>,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address at which the balancer asks whether the host is ready.
@@ -78,6 +80,7 @@
     fn settings(&mut self) -> Option<Settings> {
         let host = self.name("host-id");
         let zone = self.name("zone");
+        let zones = self.list("zones");
         let callers = self.required("callers", ADDRESS);
         let readiness = self.required("readiness", ADDRESS);
         let peers = self.required("peers", ADDRESS);
@@ -97,6 +100,7 @@
         Some(Settings {
             host: host?,
             zone: zone?,
+            zones: zones.map(str::to_owned).collect(),
             callers: callers?,
             readiness: readiness?,
             peers: peers?,
@@ -153,10 +157,14 @@
         self.required(name, "a name")
     }
 
-    fn addresses(&mut self, name: &'static str) -> Vec<SocketAddr> {
+    fn list(&self, name: &str) -> impl Iterator<Item = &'a str> + use<'a> {
         let text = self.look_up(name).unwrap_or_default();
+        text.split(',').map(str::trim).filter(|it| !it.is_empty())
+    }
+
+    fn addresses(&mut self, name: &'static str) -> Vec<SocketAddr> {
         let mut out = Vec::new();
-        for item in text.split(',').map(str::trim).filter(|it| !it.is_empty()) {
+        for item in self.list(name) {
             match item.parse() {
                 Ok(address) => out.push(address),
                 Err(_) => self.fault(name, format!("'{item}' is not valid; accepted: {ADDRESS}")),
