Order as many reclaimable engines as are allowed, regular ones only while too few serve

Change: reclaimable engines up to the maximum of each zone, regular ones for what is missing of the usual number.

--- a/src/serving/scaling.rs
+++ b/src/serving/scaling.rs
@@ -26,9 +26,6 @@
 /// Time after which an order is sent again although its answer came, as the platform may have lost it.
 const REPEAT_PAUSE: Span = Span::from_ms(10_000);
 
-/// Time without a change of the list after which the upstreams of a new system have all registered.
-const SETTLE_TIME: Span = Span::from_ms(1_500);
-
 /// Spawns the task on the current thread.
 pub fn spawn<P: Duties>(
     duties: P,
@@ -89,15 +86,13 @@
 struct Scaler {
     zones: Vec<String>,
     sent: Vec<Sent>,
-    /// Upstreams per pool and zone when they were first seen.
-    first: Vec<(Arc<str>, String, u32)>,
-    /// Number of upstreams that were seen last, and since when.
-    seen: (usize, Time),
+    /// Most upstreams of each pool that were seen to serve, which the operator sized for the usual load. Sorted by pool.
+    usual: Vec<(Arc<str>, u32)>,
 }
 
 impl Scaler {
     fn new(zones: Vec<String>) -> Scaler {
-        Scaler { zones, sent: Vec::new(), first: Vec::new(), seen: (0, Time(0)) }
+        Scaler { zones, sent: Vec::new(), usual: Vec::new() }
     }
 
     fn forget_orders(&mut self) {
@@ -105,72 +100,70 @@
     }
 
     fn step(&mut self, now: Time, table: &Table, entries: &[Entry]) -> Vec<Order> {
-        if self.seen.0 != entries.len() {
-            self.seen = (entries.len(), now);
-        }
-        if self.first.is_empty() && now.since(self.seen.1) < SETTLE_TIME {
-            return Vec::new();
-        }
         let mut orders = Vec::new();
         for pool in table.pools() {
             let Some(scaling) = &pool.scaling else { continue };
-            for zone in self.zones.clone() {
-                orders.extend(self.zone(now, pool, scaling, &zone, entries));
-            }
+            let own: Vec<_> = entries.iter().filter(|it| it.pool == pool.name).collect();
+            let wanted = self.wanted(pool, scaling, &own);
+            orders.extend(wanted.into_iter().filter(|it| self.is_due(now, it, &own)));
         }
         orders
     }
 
-    fn zone(
-        &mut self,
-        now: Time,
-        pool: &Pool,
-        scaling: &Scaling,
-        zone: &str,
-        entries: &[Entry],
-    ) -> Vec<Order> {
-        let own = entries.iter().filter(|it| it.pool == pool.name && &*it.zone == zone);
-        let ready = |cheap: bool| {
-            own.clone().filter(|it| it.cheap == cheap && it.state == State::Ready).count() as u32
+    /// How many upstreams of each kind each zone should have.
+    ///
+    /// A zone's reclaimable upstreams can go at once, so that the other zones hold enough without them. Regular ones
+    /// serve until the reclaimable ones do, and while too few of these can be had.
+    fn wanted(&mut self, pool: &Pool, scaling: &Scaling, own: &[&Entry]) -> Vec<Order> {
+        let ready = |cheap| {
+            own.iter().filter(|it| it.cheap == cheap && it.state == State::Ready).count() as u32
         };
-        let first = match self.first.iter().find(|it| it.0 == pool.name && it.1 == zone) {
-            Some(it) => it.2,
-            None => {
-                let count = ready(false) + ready(true);
-                if count == 0 {
-                    return Vec::new();
-                }
-                self.first.push((pool.name.clone(), zone.to_owned(), count));
-                count
-            }
+        let usual = self.note_usual(pool, ready(false));
+        let zones = self.zones.len().max(1) as u32;
+        let share = usual.div_ceil(zones).max(scaling.min);
+        let cheap = scaling.max;
+        let missing = usual.saturating_sub(ready(true));
+        let regular = missing.div_ceil(zones).min(share);
+        let order = |zone: &String, cheap, count| Order {
+            pool: pool.name.to_string(),
+            zone: zone.clone(),
+            cheap,
+            count,
         };
-        let cheap = (first + first.div_ceil(4)).min(scaling.max);
-        let regular = if ready(true) >= cheap.min(first) { 0 } else { first };
-        let mut orders = Vec::new();
-        for (is_cheap, count) in [(true, cheap), (false, regular)] {
-            if !is_cheap && count == ready(false) && self.find(pool, zone, false).is_none() {
-                continue;
+        let mut out: Vec<_> = self.zones.iter().map(|it| order(it, true, cheap)).collect();
+        out.extend(self.zones.iter().map(|it| order(it, false, regular)));
+        out
+    }
+
+    fn note_usual(&mut self, pool: &Pool, regular: u32) -> u32 {
+        match self.usual.binary_search_by(|it| it.0.cmp(&pool.name)) {
+            Ok(at) => {
+                let usual = &mut self.usual[at].1;
+                *usual = (*usual).max(regular);
+                *usual
             }
-            let due = match self.find(pool, zone, is_cheap) {
-                Some(sent) => {
-                    sent.count != Some(count) && sent.count.is_some() || now >= sent.again
-                }
-                None => true,
-            };
-            if due {
-                orders.push(Order {
-                    pool: pool.name.to_string(),
-                    zone: zone.to_owned(),
-                    cheap: is_cheap,
-                    count,
-                });
+            Err(at) => {
+                self.usual.insert(at, (pool.name.clone(), regular));
+                regular
             }
         }
-        orders
     }
 
-    fn find(&self, pool: &Pool, zone: &str, cheap: bool) -> Option<&Sent> {
-        self.sent.iter().find(|it| it.pool == pool.name && it.zone == zone && it.cheap == cheap)
+    fn is_due(&self, now: Time, order: &Order, own: &[&Entry]) -> bool {
+        let sent = self
+            .sent
+            .iter()
+            .find(|it| *it.pool == *order.pool && it.zone == order.zone && it.cheap == order.cheap);
+        match sent {
+            Some(Sent { count: Some(count), again, .. }) => *count != order.count || now >= *again,
+            Some(Sent { count: None, again, .. }) => now >= *again,
+            // What is there already needs no order.
+            None => {
+                let present =
+                    own.iter().filter(|it| it.cheap == order.cheap && *it.zone == *order.zone);
+                order.cheap || present.count() as u32 != order.count
+            }
+        }
     }
 
     fn settle(&mut self, now: Time, order: &Order, result: &Result<(), Failure>) {
