--- a/src/serving.rs
+++ b/src/serving.rs
@@ -18,6 +18,7 @@
 pub mod readiness;
 pub mod registry;
 pub mod relay;
+pub mod roll;
 pub mod scaling;
 pub mod settings;
 pub mod table;
--- a/src/serving/knowledge.rs
+++ b/src/serving/knowledge.rs
@@ -1,6 +1,6 @@
 //! Tasks that keep the configuration and the list of upstreams up to date from the store.
 
-use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use tokio::{
     sync::watch::{self, Sender},
@@ -11,6 +11,7 @@
 use crate::{
     serving::{
         registry::{Entry, Fault},
+        roll::Roll,
         table::Table,
     },
     store::{Change, Failure, Item, Store, Watch},
@@ -30,8 +31,8 @@
 /// Longest pause after failed calls.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
 
-/// Time after an outage of the store in which upstreams whose entries lapsed come back.
-const RETURN_TIME: Span = Span::from_ms(1_900);
+/// Longest sleep of a task that waits for nothing.
+const FOREVER: Span = Span::from_ms(3_600_000);
 
 /// How values of the store are read.
 #[derive(Debug, Clone, Copy)]
@@ -67,24 +68,28 @@
     let (listed_sender, listed) = watch::channel(false);
     let configuration =
         Configuration { decoding, table: table_sender, proven: proven_sender, revision: 0 };
-    task::spawn_local(follow(
-        store.clone(),
-        decoding.configuration_key,
-        CONFIGURATION_WAIT_MS,
-        configuration,
-    ));
+    let key = decoding.configuration_key;
+    task::spawn_local(follow(store.clone(), key, CONFIGURATION_WAIT_MS, configuration));
     let list = List {
         decoding,
-        entries: BTreeMap::new(),
+        roll: Roll::default(),
         upstreams: upstreams_sender,
         listed: listed_sender,
-        failing: false,
-        settled: Time(0),
     };
     task::spawn_local(follow(store, decoding.upstreams_prefix, UPSTREAMS_WAIT_MS, list));
     Knowledge { table, proven, upstreams, listed }
 }
 
+/// What the store said of the keys under a prefix.
+enum News {
+    /// All items.
+    Listing(Vec<Item>, u64),
+    /// Changes since the last revision.
+    Changes(Vec<Change>, u64),
+    /// The keys have to be listed again.
+    Compacted,
+}
+
 /// Takes in what the store says of the keys under a prefix.
 trait View {
     /// All items as of a listing that was asked for at a time.
@@ -93,8 +98,10 @@
     fn change(&mut self, asked: Time, changes: Vec<Change>);
     /// The store does not answer.
     fn fail(&mut self);
+    /// When [`View::advance`] has something to do.
+    fn next_alarm(&self) -> Option<Time>;
     /// Time passed.
-    fn tick(&mut self);
+    fn advance(&mut self);
 }
 
 /// Lists the keys under a prefix and waits for changes, for ever.
@@ -102,57 +109,72 @@
     let mut pause = FIRST_PAUSE;
     let mut after: Option<u64> = None;
     loop {
-        let step = match after {
-            None => list(&store, prefix, &mut view).await.map(Some),
-            Some(revision) => step(&store, prefix, (revision, wait_ms), &mut view).await,
-        };
-        view.tick();
-        match step {
-            Ok(next) => {
-                after = next;
-                pause = FIRST_PAUSE;
+        let asked = Time::now();
+        let news = attend(ask(&store, prefix, after, wait_ms), &mut view).await;
+        match news {
+            Ok(News::Listing(items, revision)) => {
+                view.list(asked, items);
+                after = Some(revision);
+            }
+            Ok(News::Changes(changes, revision)) => {
+                view.change(asked, changes);
+                after = Some(revision);
             }
+            Ok(News::Compacted) => after = None,
             Err(failure) => {
                 log::info!("{prefix} cannot be followed: {failure}");
                 view.fail();
-                sleep(pause).await;
+                attend(sleep(pause), &mut view).await;
                 pause = (pause * 2).min(MAX_PAUSE);
+                continue;
             }
         }
+        pause = FIRST_PAUSE;
     }
 }
 
-async fn list<S: Store, V: View>(store: &S, prefix: &str, view: &mut V) -> Result<u64, Failure> {
-    let asked = Time::now();
+/// Waits for a future and tells the view of the time meanwhile.
+async fn attend<T, V: View>(future: impl Future<Output = T>, view: &mut V) -> T {
+    let mut future = std::pin::pin!(future);
+    loop {
+        let now = Time::now();
+        let wait = view.next_alarm().map_or(FOREVER, |it| it.since(now));
+        tokio::select! {
+            biased;
+            result = &mut future => return result,
+            () = sleep(wait.into()) => view.advance(),
+        }
+    }
+}
+
+async fn ask<S: Store>(
+    store: &S,
+    prefix: &str,
+    after: Option<u64>,
+    wait_ms: u64,
+) -> Result<News, Failure> {
+    let Some(after) = after else {
+        let (items, revision) = list(store, prefix).await?;
+        return Ok(News::Listing(items, revision));
+    };
+    Ok(match store.watch(prefix, after, wait_ms).await? {
+        Watch::Changes(changes, revision) => News::Changes(changes, revision),
+        Watch::Compacted => News::Compacted,
+    })
+}
+
+/// Reads all pages of a listing. They are not of one revision; what changed since the first one is followed.
+async fn list<S: Store>(store: &S, prefix: &str) -> Result<(Vec<Item>, u64), Failure> {
     let mut items: Vec<Item> = Vec::new();
     let mut revision = None;
     loop {
         let after = items.last().map_or("", |it| it.key.as_str()).to_owned();
         let page = store.list(prefix, &after).await?;
         items.extend(page.items);
-        // Pages are not of one revision; what changed since the first one is followed.
         let first = *revision.get_or_insert(page.revision);
         if !page.more {
-            view.list(asked, items);
-            return Ok(first);
-        }
-    }
-}
-
-/// Waits for one batch of changes; `None` if the keys have to be listed again.
-async fn step<S: Store, V: View>(
-    store: &S,
-    prefix: &str,
-    (after, wait_ms): (u64, u64),
-    view: &mut V,
-) -> Result<Option<u64>, Failure> {
-    let asked = Time::now();
-    match store.watch(prefix, after, wait_ms).await? {
-        Watch::Changes(changes, revision) => {
-            view.change(asked, changes);
-            Ok(Some(revision))
+            return Ok((items, first));
         }
-        Watch::Compacted => Ok(None),
     }
 }
 
@@ -169,21 +191,15 @@
         if item.key != self.decoding.configuration_key || item.revision <= self.revision {
             return;
         }
+        let revision = item.revision;
         match (self.decoding.table)(&item.value) {
             Ok(table) => {
-                log::info!(
-                    "configuration {} is in force, revision {}",
-                    table.version,
-                    item.revision
-                );
-                self.revision = item.revision;
+                log::info!("configuration {} is in force, revision {revision}", table.version);
+                self.revision = revision;
                 self.table.send_replace(Some(Arc::new(table)));
             }
             Err(fault) => {
-                log::error!(
-                    "the configuration at revision {} cannot be read: {fault}",
-                    item.revision
-                );
+                log::error!("the configuration at revision {revision} cannot be read: {fault}");
             }
         }
     }
@@ -207,61 +223,27 @@
 
     fn fail(&mut self) {}
 
-    fn tick(&mut self) {}
-}
+    fn next_alarm(&self) -> Option<Time> {
+        None
+    }
 
-/// An upstream in the list.
-struct Listed {
-    entry: Entry,
-    /// Set while its entry is gone but may come back, as the store was away.
-    lapsed: Option<Time>,
+    fn advance(&mut self) {}
 }
 
 struct List {
     decoding: Decoding,
-    entries: BTreeMap<String, Listed>,
+    roll: Roll,
     upstreams: Sender<Rc<Vec<Entry>>>,
     listed: Sender<bool>,
-    /// Whether the last call failed.
-    failing: bool,
-    /// When upstreams that live have written their entries again after the last outage.
-    settled: Time,
 }
 
 impl List {
-    fn recover(&mut self) {
-        if std::mem::take(&mut self.failing) {
-            self.settled = Time::now() + RETURN_TIME;
-        }
-    }
-
     fn put(&mut self, item: &Item) {
-        match (self.decoding.entry)(&item.key, &item.value) {
-            Ok(entry) => {
-                self.entries.insert(item.key.clone(), Listed { entry, lapsed: None });
-            }
-            Err(fault) => {
-                log::warn!("the entry {} cannot be read: {fault}", item.key);
-                self.entries.remove(&item.key);
-            }
-        }
-    }
-
-    fn delete(&mut self, key: &str) {
-        let now = Time::now();
-        if now >= self.settled {
-            self.entries.remove(key);
-            return;
-        }
-        if let Some(listed) = self.entries.get_mut(key) {
-            listed.lapsed.get_or_insert(self.settled);
-        }
+        self.roll.put(&item.key, (self.decoding.entry)(&item.key, &item.value));
     }
 
     fn publish(&mut self) {
-        let now = Time::now();
-        self.entries.retain(|_, it| it.lapsed.is_none_or(|until| now < until));
-        let entries: Vec<_> = self.entries.values().map(|it| it.entry.clone()).collect();
+        let entries: Vec<_> = self.roll.entries().cloned().collect();
         self.upstreams.send_if_modified(|it| {
             let changed = **it != entries;
             if changed {
@@ -274,34 +256,36 @@
 
 impl View for List {
     fn list(&mut self, _: Time, items: Vec<Item>) {
-        self.recover();
-        let known: Vec<_> = self.entries.keys().cloned().collect();
-        for key in known {
-            if !items.iter().any(|it| it.key == key) {
-                self.delete(&key);
-            }
-        }
+        let now = Time::now();
+        self.roll.recover(now);
+        self.roll.keep(now, items.iter().map(|it| it.key.as_str()));
         items.iter().for_each(|it| self.put(it));
         self.publish();
         self.listed.send_replace(true);
     }
 
     fn change(&mut self, _: Time, changes: Vec<Change>) {
-        self.recover();
+        let now = Time::now();
+        self.roll.recover(now);
         for change in changes {
             match change {
                 Change::Put(item) => self.put(&item),
-                Change::Deleted(key, _) => self.delete(&key),
+                Change::Deleted(key, _) => self.roll.delete(now, &key),
             }
         }
         self.publish();
     }
 
     fn fail(&mut self) {
-        self.failing = true;
+        self.roll.fail();
+    }
+
+    fn next_alarm(&self) -> Option<Time> {
+        self.roll.next_alarm()
     }
 
-    fn tick(&mut self) {
+    fn advance(&mut self) {
+        self.roll.advance(Time::now());
         self.publish();
     }
 }
--- a/src/serving/registry.rs
+++ b/src/serving/registry.rs
@@ -46,4 +46,6 @@
     pub leaves_ms: Option<u64>,
     /// Unix time of its start in milliseconds, zero if it does not say. Tells lives under one id apart.
     pub born: u64,
+    /// Number of the statement within this life; an older one may be written later.
+    pub sequence: u64,
 }
--- /dev/null
+++ b/tests/roll.rs
@@ -0,0 +1,93 @@
+//! The list of upstreams through outages of the store.
+
+use almondrack::{
+    serving::{
+        registry::{Entry, Fault, State},
+        roll::Roll,
+    },
+    time::{Span, Time},
+};
+use expect_test::expect;
+
+fn entry(id: &str) -> Entry {
+    Entry {
+        id: id.into(),
+        pool: "pool".into(),
+        address: "10.0.0.1:80".parse().expect("the address is valid"),
+        zone: "zone".into(),
+        slots: 4,
+        state: State::Ready,
+        cold_ms: 0,
+        cheap: false,
+        leaves_ms: None,
+        born: 1,
+        sequence: 1,
+    }
+}
+
+fn at(ms: u64) -> Time {
+    Time(0) + Span::from_ms(ms)
+}
+
+fn ids(roll: &Roll) -> String {
+    roll.entries().map(|it| &*it.id).collect::<Vec<_>>().join(" ")
+}
+
+#[test]
+fn an_entry_that_is_removed_in_calm_times_goes_at_once() {
+    let mut roll = Roll::default();
+    roll.recover(at(0));
+    roll.put("a", Ok(entry("a")));
+    roll.put("b", Ok(entry("b")));
+    roll.delete(at(10_000), "a");
+    expect!["b"].assert_eq(&ids(&roll));
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_are_kept_until_their_upstreams_had_time_to_return() {
+    let mut roll = Roll::default();
+    roll.put("a", Ok(entry("a")));
+    roll.put("b", Ok(entry("b")));
+    roll.fail();
+    roll.recover(at(5_000));
+    roll.delete(at(5_010), "a");
+    roll.delete(at(5_010), "b");
+    expect!["a b"].assert_eq(&ids(&roll));
+    roll.put("b", Ok(entry("b")));
+    let alarm = roll.next_alarm().expect("the lapsed entry has an end");
+    assert!(alarm <= at(7_000), "an upstream that has left must not be used for over two seconds");
+    roll.advance(alarm);
+    expect!["b"].assert_eq(&ids(&roll));
+    assert_eq!(roll.next_alarm(), None);
+}
+
+#[test]
+fn a_listing_removes_what_it_does_not_hold() {
+    let mut roll = Roll::default();
+    for id in ["a", "b", "c"] {
+        roll.put(id, Ok(entry(id)));
+    }
+    roll.keep(at(10_000), ["c", "a"].into_iter());
+    expect!["a c"].assert_eq(&ids(&roll));
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_names_no_upstream_and_leaves_the_others() {
+    let mut roll = Roll::default();
+    roll.put("a", Ok(entry("a")));
+    roll.put("b", Ok(entry("b")));
+    roll.put("a", Err(Fault("no address".to_owned())));
+    expect!["b"].assert_eq(&ids(&roll));
+}
+
+#[test]
+fn an_older_statement_does_not_bring_a_leaving_upstream_back() {
+    let mut roll = Roll::default();
+    roll.put("a", Ok(Entry { state: State::Leaving, sequence: 7, ..entry("a") }));
+    roll.put("a", Ok(Entry { sequence: 6, ..entry("a") }));
+    let states: Vec<_> = roll.entries().map(|it| it.state).collect();
+    assert_eq!(states, [State::Leaving]);
+    roll.put("a", Ok(Entry { born: 2, sequence: 1, ..entry("a") }));
+    let states: Vec<_> = roll.entries().map(|it| it.state).collect();
+    assert_eq!(states, [State::Ready], "a new life counts anew");
+}
