Let hubs follow the store for their groups, and tell loads, counts and configuration between hosts

Change: hosts register in the store; the first by rank of a small fleet, or of each zone of a large one, follows the store, and the others ask it ten times a second; a host whose proof of the configuration is older than 2.6 s follows the store itself and asks others.

--- a/src/serving.rs
+++ b/src/serving.rs
@@ -1,5 +1,6 @@
 //! The request path of a host that decides by itself.
 
+pub mod archive;
 pub mod budget;
 pub mod connection;
 pub mod dialect;
@@ -9,16 +10,22 @@
 pub mod handler;
 pub mod host;
 pub mod key;
-pub mod knowledge;
 pub mod leadership;
+pub mod ledger;
 pub mod link;
 pub mod links;
 pub mod listener;
+pub mod loads;
+pub mod mirror;
+pub mod news;
+pub mod peers;
 pub mod placement;
 pub mod readiness;
+pub mod registration;
 pub mod registry;
 pub mod relay;
 pub mod roll;
+pub mod roster;
 pub mod scaling;
 pub mod settings;
 pub mod table;
--- a/src/serving/budget.rs
+++ b/src/serving/budget.rs
@@ -1,6 +1,10 @@
 //! How often requests may be sent again, by pool, so that all hosts together stay within the common budget.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
 
 use crate::time::{Span, Time};
 
@@ -27,15 +31,22 @@
 pub struct Budget {
     terms: Terms,
     /// Hosts that share the allowance.
-    hosts: Rc<RefCell<f64>>,
+    hosts: Rc<Cell<usize>>,
     /// Sorted by pool.
     ledgers: Rc<RefCell<Vec<(Arc<str>, Ledger)>>>,
 }
 
 impl Budget {
     /// A budget of which each of the hosts has the same part.
-    pub fn new(terms: Terms, hosts: f64) -> Budget {
-        Budget { terms, hosts: Rc::new(RefCell::new(hosts)), ledgers: Rc::default() }
+    pub fn new(terms: Terms) -> Budget {
+        Budget { terms, hosts: Rc::new(Cell::new(FEWEST_HOSTS)), ledgers: Rc::default() }
+    }
+
+    /// Sets the number of hosts that are registered.
+    pub fn set_hosts(&self, hosts: usize) {
+        // Hosts that left may have used their part within the window.
+        let known = self.hosts.get().max(hosts);
+        self.hosts.set(known);
     }
 
     /// Counts a request.
@@ -48,7 +59,7 @@
     pub fn repeat(&self, pool: &Arc<str>) -> bool {
         let now = Time::now();
         let Terms { window, ratio, allowance } = self.terms;
-        let share = allowance / self.hosts.borrow().max(1.0);
+        let share = allowance / self.hosts.get() as f64;
         self.with(pool, |ledger| {
             let start = now - window;
             ledger.requests.retain(|it| *it > start);
@@ -75,6 +86,9 @@
     }
 }
 
+/// Hosts among which the allowance is divided at least, until they are counted.
+const FEWEST_HOSTS: usize = 6;
+
 /// Part of the ratio that is used, as requests may be counted in another window than their repeats.
 const RATIO_PART: f64 = 0.8;
 
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -13,6 +13,7 @@
     serving::{
         dialect::Load,
         key::{AttemptKey, TicketKey, UpstreamKey},
+        news,
         placement::{Action, Grant, Placement, Ticket},
         registry::Entry,
     },
@@ -29,6 +30,8 @@
     Answered(AttemptKey),
     Ended(AttemptKey, Ending),
     Load(UpstreamKey, Load),
+    Loads(oneshot::Sender<Vec<news::Load>>),
+    Foreign(Vec<news::Load>),
 }
 
 /// Handle to the task.
@@ -79,6 +82,18 @@
         self.tell(Message::Load(upstream, load));
     }
 
+    /// What this host has sent to each upstream and that has not ended.
+    pub async fn loads(&self) -> Vec<news::Load> {
+        let (answer, loads) = oneshot::channel();
+        self.tell(Message::Loads(answer));
+        loads.await.unwrap_or_default()
+    }
+
+    /// Tells what all other hosts have sent.
+    pub fn set_foreign(&self, loads: Vec<news::Load>) {
+        self.tell(Message::Foreign(loads));
+    }
+
     fn tell(&self, message: Message) {
         // Fails only while the host stops, when nothing is placed any more.
         let _ = self.messages.send(message);
@@ -144,6 +159,11 @@
             Message::Answered(attempt) => self.core.answered(attempt),
             Message::Ended(attempt, ending) => self.core.ended(now, attempt, ending),
             Message::Load(upstream, load) => self.core.report(now, upstream, load),
+            Message::Loads(answer) => {
+                // The asking task ends only with the host.
+                let _ = answer.send(self.core.loads(now));
+            }
+            Message::Foreign(loads) => self.core.set_foreign(now, &loads),
         }
     }
 
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -3,10 +3,16 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use eyre::{Result, WrapErr as _};
-use tokio::{sync::watch, task, time::sleep};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+    task,
+    time::sleep,
+};
 
 use crate::{
     serving::{
+        archive::{self, Archive, Decoding},
         budget::Budget,
         connection::Connections,
         dialect::Dialect,
@@ -14,11 +20,14 @@
         duties::Duties,
         exchange::Exchange,
         handler::Handler,
-        knowledge::{self, Decoding, Knowledge},
         leadership::{self, Leadership},
         links::Links,
         listener::{Listener, Stage},
+        peers,
         readiness::Readiness,
+        registration,
+        registry::Entry,
+        roster::{self, Roster},
         scaling,
         settings::Settings,
         usage::{self, Meter, Usage},
@@ -30,6 +39,9 @@
 /// Time by which a proof is taken to be older than it is, for clocks of different pace.
 const PROOF_MARGIN: Span = Span::from_ms(200);
 
+/// Questions of other hosts that may wait.
+const QUEUE: usize = 256;
+
 /// Interval between looks at idle connections to upstreams.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -80,20 +92,39 @@
         settings: &Settings,
         ports: Ports<S, D, P>,
     ) -> Result<Host> {
-        let knowledge = knowledge::spawn(ports.store.clone(), ports.decoding);
-        let dispatcher =
-            Dispatcher::spawn(settings.zone.as_str().into(), knowledge.upstreams.clone());
+        let (upstreams_sender, upstreams) = watch::channel(Rc::default());
+        let dispatcher = Dispatcher::spawn(settings.zone.as_str().into(), upstreams.clone());
+        // No earlier process of the host started at the same time.
+        let writer = format!("{}-{}", settings.host, wall_ms());
+        let meter = Meter::new(settings.usage_window, &writer);
+        let listener = TcpListener::bind(settings.peers)
+            .await
+            .wrap_err_with(|| format!("cannot listen for other hosts on {}", settings.peers))?;
+        let (calls_sender, calls) = mpsc::channel(QUEUE);
+        tokio::spawn(peers::serve(listener, calls_sender));
+        let options = archive::Options {
+            store: ports.store.clone(),
+            decoding: ports.decoding,
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            address: settings.peers,
+            seeds: settings.seeds.clone(),
+            upstreams: upstreams_sender,
+            calls,
+            meter: meter.clone(),
+        };
+        let archive = archive::spawn(options, dispatcher.clone());
         let links = Links::default();
         task::spawn_local(sweep(links.clone()));
         let dialect = Rc::new(ports.dialect);
-        let budget = Budget::new(settings.retries, HOSTS);
-        let meter = Meter::new(settings.usage_window);
+        let budget = Budget::new(settings.retries);
+        task::spawn_local(share(budget.clone(), archive.roster.clone()));
         let exchange = Exchange::new(dialect.clone(), dispatcher, links, budget, meter.clone());
         let (draining, draining_seen) = watch::channel(false);
         let handler = Handler {
             dialect,
-            table: knowledge.table.clone(),
-            proven_until: proof(&knowledge, settings.key_proof),
+            table: archive.table.clone(),
+            proven_until: proof(archive.proven.clone(), settings.key_proof),
             exchange,
             connections: Connections::default(),
             draining: draining_seen.clone(),
@@ -101,10 +132,17 @@
         let listener = Listener::bind(settings.callers, Rc::new(handler))
             .await
             .wrap_err_with(|| format!("cannot listen for callers on {}", settings.callers))?;
-        let readiness = Readiness::bind(settings.readiness, &knowledge, draining_seen)
+        let readiness = Readiness::bind(settings.readiness, &archive, draining_seen.clone())
             .await
             .wrap_err_with(|| format!("cannot listen on {}", settings.readiness))?;
         log::info!("host {} serves callers on {}", settings.host, listener.address);
+        let record = roster::Host {
+            id: settings.host.clone(),
+            address: settings.peers,
+            zone: settings.zone.clone(),
+            cpu_per_mille: settings.cpu_per_mille,
+        };
+        registration::spawn(ports.store.clone(), record, draining_seen);
         let mut host = Host {
             callers: listener.address,
             listener,
@@ -115,7 +153,7 @@
             usage: None,
         };
         if let Some(duties) = ports.duties {
-            host.take_duties(settings, &knowledge, ports.store, duties, meter);
+            host.take_duties(settings, &archive, upstreams, ports.store, duties, (meter, writer));
         }
         Ok(host)
     }
@@ -123,24 +161,28 @@
     fn take_duties<S: Store, P: Duties>(
         &mut self,
         settings: &Settings,
-        knowledge: &Knowledge,
+        archive: &Archive,
+        upstreams: watch::Receiver<Rc<Vec<Entry>>>,
         store: S,
         duties: P,
-        meter: Meter,
+        (meter, writer): (Meter, String),
     ) {
-        let leadership = leadership::spawn(store.clone(), &settings.host, settings.lease);
-        scaling::spawn(
-            duties.clone(),
-            leadership.clone(),
-            knowledge.table.clone(),
-            knowledge.upstreams.clone(),
-            settings.zones.clone(),
-        );
+        let leadership = leadership::spawn(leadership::Options {
+            store: store.clone(),
+            host: settings.host.clone(),
+            lease: settings.lease,
+            leader: archive.leader.clone(),
+            roster: archive.roster.clone(),
+        });
+        let zones = settings.zones.clone();
+        scaling::spawn(duties.clone(), leadership.clone(), archive.table.clone(), upstreams, zones);
         let options = usage::Options {
             store,
             duties,
             leadership: leadership.clone(),
-            writer: format!("{}-{}", settings.host, wall_ms()),
+            roster: archive.roster.clone(),
+            collects: archive.collects.clone(),
+            writer,
             delay: settings.usage_delay,
         };
         self.usage = Some(usage::spawn(meter, options));
@@ -171,14 +213,20 @@
     }
 }
 
-/// Hosts that share the budgets, until they are counted.
-const HOSTS: f64 = 9.0;
+/// Divides the budget of repeats among the hosts that are registered.
+async fn share(budget: Budget, mut roster: watch::Receiver<Rc<Roster>>) {
+    loop {
+        budget.set_hosts(roster.borrow_and_update().len());
+        if roster.changed().await.is_err() {
+            return;
+        }
+    }
+}
 
 /// Until when keys may be used, from when the configuration was last known to be the newest.
-fn proof(knowledge: &Knowledge, term: Option<Span>) -> watch::Receiver<Time> {
+fn proof(mut proven: watch::Receiver<Option<Time>>, term: Option<Span>) -> watch::Receiver<Time> {
     let Some(term) = term else { return watch::channel(Time(u64::MAX)).1 };
     let (sender, receiver) = watch::channel(Time(0));
-    let mut proven = knowledge.proven.clone();
     task::spawn_local(async move {
         loop {
             if let Some(at) = *proven.borrow_and_update() {
--- a/src/serving/leadership.rs
+++ b/src/serving/leadership.rs
@@ -6,27 +6,31 @@
 use tokio::{sync::watch, task, time::sleep};
 
 use crate::{
-    store::{Change, Commit, Committed, Failure, LeaseId, Put, Store, Watch},
+    serving::roster::Roster,
+    store::{Commit, Committed, Failure, Item, LeaseId, Put, Store},
     time::{Span, Time},
 };
 
 /// Key that the leader holds under its lease.
-const LEADER_KEY: &str = "almondrack/leader";
+pub const LEADER_KEY: &str = "almondrack/fleet/leader";
 
 /// Key with the last host that led. It stays when a lease ends.
 const LAST_KEY: &str = "almondrack/last-leader";
 
-/// Longest wait of one watch for a vacancy, in milliseconds.
-const WAIT_MS: u64 = 10_000;
-
 /// Part of a lease by which its holder stops early, for clocks of different pace, in thousandths.
 const MARGIN_PER_MILLE: u64 = 70;
 
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(200);
 
-/// Longest delay, drawn at random, of an attempt to lead after a vacancy.
-const MAX_DELAY_MS: u64 = 300;
+/// Delay of a host's attempt to lead after a vacancy, for each host that ranks before it.
+const RANK_DELAY_MS: u64 = 120;
+
+/// Longest delay of an attempt to lead.
+const MAX_DELAY_MS: u64 = 3_000;
+
+/// Time after a failed attempt in which a leader's key is heard of.
+const HEARSAY_TIME: Duration = Duration::from_millis(800);
 
 /// A term of leadership as its holder may count on it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,19 +65,31 @@
     }
 }
 
+/// What the task needs.
+pub struct Options<S> {
+    /// The platform's store.
+    pub store: S,
+    /// Id of this host.
+    pub host: String,
+    /// Length of the lease.
+    pub lease: Span,
+    /// The leader's key as far as this host knows.
+    pub leader: watch::Receiver<Option<Item>>,
+    /// The hosts that are registered.
+    pub roster: watch::Receiver<Rc<Roster>>,
+}
+
 /// Spawns the task on the current thread.
-pub fn spawn<S: Store>(store: S, host: &str, lease: Span) -> Leadership {
+pub fn spawn<S: Store>(options: Options<S>) -> Leadership {
     let (sender, term) = watch::channel(None);
     let (stop, stopped) = watch::channel(false);
-    let candidate = Candidate { store, host: host.to_owned(), lease, term: sender };
+    let candidate = Candidate { options, term: sender };
     task::spawn_local(candidate.run(stopped));
     Leadership { term, stop: Rc::new(stop) }
 }
 
 struct Candidate<S> {
-    store: S,
-    host: String,
-    lease: Span,
+    options: Options<S>,
     term: watch::Sender<Option<Term>>,
 }
 
@@ -104,7 +120,7 @@
                 log::warn!("this host no longer leads");
                 continue;
             }
-            if let Err(failure) = self.store.end_lease(lease).await {
+            if let Err(failure) = self.options.store.end_lease(lease).await {
                 log::info!("the leadership ends with its lease: {failure}");
             }
             return;
@@ -126,46 +142,40 @@
     }
 
     async fn try_win(&self) -> Result<Option<Held>, Failure> {
-        let page = self.store.list(LEADER_KEY, "").await?;
-        if !page.items.is_empty() {
-            self.wait_for_vacancy(page.revision).await?;
-            sleep(Duration::from_millis(rand::random_range(0..MAX_DELAY_MS))).await;
+        let Options { store, host, lease, .. } = &self.options;
+        let mut leader = self.options.leader.clone();
+        // The sender lives as long as the host.
+        let _ = leader.wait_for(Option::is_none).await;
+        sleep(self.delay()).await;
+        if !self.options.roster.borrow().contains(host) || leader.borrow().is_some() {
+            sleep(PAUSE).await;
             return Ok(None);
         }
-        let last = self.store.get(LAST_KEY).await?;
+        let last = store.get(LAST_KEY).await?;
         let asked = Time::now();
-        let lease = self.store.open_lease(self.lease.as_ms()).await?;
-        let number = match self.claim(lease).await? {
-            Some(number) => number,
-            None => {
-                self.store.end_lease(lease).await?;
-                return Ok(None);
-            }
+        let id = store.open_lease(lease.as_ms()).await?;
+        let Some(number) = self.claim(id).await? else {
+            store.end_lease(id).await?;
+            sleep(HEARSAY_TIME).await;
+            return Ok(None);
         };
-        let own = last.as_ref().is_none_or(|it| *it.value == *self.host.as_bytes());
-        let wait = if own { Span(0) } else { Span(self.lease.0 * 6 / 10) };
-        Ok(Some(Held { lease, number, from: Time::now() + wait, until: self.end(asked) }))
+        let own = last.as_ref().is_none_or(|it| *it.value == *host.as_bytes());
+        let wait = if own { Span(0) } else { Span(lease.0 * 6 / 10) };
+        Ok(Some(Held { lease: id, number, from: Time::now() + wait, until: self.end(asked) }))
     }
 
-    /// Waits until the leader's key is removed or its history is gone.
-    async fn wait_for_vacancy(&self, mut after: u64) -> Result<(), Failure> {
-        loop {
-            match self.store.watch(LEADER_KEY, after, WAIT_MS).await? {
-                Watch::Changes(changes, revision) => {
-                    if changes.iter().any(|it| matches!(it, Change::Deleted(..))) {
-                        return Ok(());
-                    }
-                    after = revision;
-                }
-                Watch::Compacted => return Ok(()),
-            }
-        }
+    /// How long this host leaves the lead to those that rank before it.
+    fn delay(&self) -> Duration {
+        let roster = self.options.roster.borrow();
+        let ranked = roster.ranked("");
+        let rank = ranked.iter().position(|it| it.id == self.options.host).unwrap_or(0) as u64;
+        Duration::from_millis((rank * RANK_DELAY_MS).min(MAX_DELAY_MS))
     }
 
     /// Writes the leader's key; its revision if this host leads now.
     async fn claim(&self, lease: LeaseId) -> Result<Option<u64>, Failure> {
         // The lease is named, so that a claim whose answer was lost is told from one of an earlier life.
-        let claim = format!("{} {}", self.host, lease.0);
+        let claim = format!("{} {}", self.options.host, lease.0);
         let put = |key: &str, value: &str, lease| Put {
             key: key.to_owned(),
             value: Bytes::copy_from_slice(value.as_bytes()),
@@ -173,15 +183,18 @@
         };
         let commit = Commit {
             expect: vec![(LEADER_KEY.to_owned(), 0)],
-            put: vec![put(LEADER_KEY, &claim, Some(lease)), put(LAST_KEY, &self.host, None)],
+            put: vec![
+                put(LEADER_KEY, &claim, Some(lease)),
+                put(LAST_KEY, &self.options.host, None),
+            ],
             delete: Vec::new(),
         };
-        match self.store.commit(&commit).await {
+        match self.options.store.commit(&commit).await {
             Ok(Committed::Done(revision)) => Ok(Some(revision)),
             Ok(Committed::Conflict | Committed::LeaseEnded) => Ok(None),
             Err(Failure::Refused(status)) => Err(Failure::Refused(status)),
             Err(Failure::Unknown(_) | Failure::Invalid(_)) => {
-                let leader = self.store.get(LEADER_KEY).await?;
+                let leader = self.options.store.get(LEADER_KEY).await?;
                 let own = leader.filter(|it| *it.value == *claim.as_bytes());
                 Ok(own.map(|it| it.revision))
             }
@@ -189,17 +202,17 @@
     }
 
     fn end(&self, asked: Time) -> Time {
-        asked + Span(self.lease.0 - self.lease.0 * MARGIN_PER_MILLE / 1_000)
+        asked + Span(self.options.lease.0 - self.options.lease.0 * MARGIN_PER_MILLE / 1_000)
     }
 
     /// Renews the lease until it has ended.
     async fn hold(&self, held: Held) {
         let Held { lease, number, from, mut until } = held;
-        let interval = Duration::from(Span(self.lease.0 / 3));
+        let interval = Duration::from(Span(self.options.lease.0 / 3));
         loop {
             self.term.send_replace(Some(Term { number, from, until }));
             let asked = Time::now();
-            match self.store.renew_lease(lease).await {
+            match self.options.store.renew_lease(lease).await {
                 Ok(true) => {
                     until = self.end(asked);
                     self.term.send_replace(Some(Term { number, from, until }));
--- /dev/null
+++ b/src/serving/news.rs
@@ -0,0 +1,91 @@
+//! Messages between hosts and the service that carries them.
+
+use serde::{Deserialize, Serialize};
+
+/// A change under a prefix of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    /// Key in the store.
+    pub key: String,
+    /// Revision of the write or removal.
+    pub revision: u64,
+    /// `None` if the key was removed.
+    pub value: Option<Vec<u8>>,
+}
+
+/// What happened under a prefix after the revision that was asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// Whether the lines are all there are, rather than changes.
+    pub complete: bool,
+    /// In the order of their revisions.
+    pub lines: Vec<Line>,
+    /// Revision up to which every change is contained.
+    pub revision: u64,
+}
+
+/// What a host knows of one prefix.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Knowledge {
+    /// Time since the store was last known to hold nothing newer, in microseconds.
+    pub age_us: Option<u64>,
+    /// What is new to the asking host.
+    pub update: Option<Update>,
+}
+
+/// What hosts have sent to one upstream and that has not ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Identity of the upstream's life.
+    pub upstream: u64,
+    /// Prompt tokens without a first event yet.
+    pub pending: u32,
+    /// Attempts.
+    pub running: u16,
+    /// Time for which the upstream is shunned after a failure, in milliseconds.
+    pub shunned_ms: u16,
+}
+
+/// Counts of a host in a window.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    /// Host id with a number that no earlier process of the host had.
+    pub writer: String,
+    /// Number of the window.
+    pub window: u64,
+    /// Whether the host counts no more in the window.
+    pub ended: bool,
+    /// Requests by customer, sorted by name. They never fall.
+    pub counts: Vec<(String, u64)>,
+}
+
+/// A question with what the asking host has to tell.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// Id of the asking host.
+    pub host: String,
+    /// Group for which the loads speak, if the asking host is its hub.
+    pub hub_of: Option<String>,
+    /// Revisions up to which the asking host knows the followed prefixes.
+    pub revisions: Vec<u64>,
+    /// Loads of the asking host, or of its group if it is a hub.
+    pub loads: Vec<Load>,
+    /// Counts that changed since the last question that was answered.
+    pub counts: Vec<Count>,
+}
+
+/// An answer with what the asked host knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// One for each followed prefix.
+    pub knowledge: Vec<Knowledge>,
+    /// Loads of all other hosts, or of the asked host's group if the asking host is a hub.
+    pub loads: Vec<Load>,
+}
+
+/// Service between the hosts.
+#[tarpc::service]
+pub trait Peer {
+    /// Exchanges what two hosts know.
+    async fn ask(question: Question) -> Answer;
+}
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -9,6 +9,7 @@
     serving::{
         dialect::{Load, Prompt},
         key::{AttemptKey, TicketKey, UpstreamKey},
+        news,
         registry::{Entry, State},
     },
     time::{Span, Time},
@@ -103,11 +104,31 @@
     /// Attempts of this host without an end.
     running: u32,
     load: Option<(Time, Load)>,
+    /// Identity of the upstream's life for other hosts.
+    tag: u64,
+    /// What other hosts have sent there, and when they told.
+    foreign: Foreign,
     health: Health,
     /// Parts of prompts that this host sent there, with the last use. Sorted by part.
     parts: Vec<(u64, Time)>,
 }
 
+/// Load from other hosts.
+#[derive(Debug, Default, Clone, Copy)]
+struct Foreign {
+    pending: u64,
+    running: u32,
+    told: Time,
+}
+
+impl Foreign {
+    /// Tokens that are still to be read, as the engine goes on meanwhile.
+    fn pending(&self, now: Time) -> u64 {
+        let read = now.since(self.told).0 as f64 / 1_000.0 * FIRST_PREFILL_RATE;
+        self.pending.saturating_sub(read as u64)
+    }
+}
+
 #[derive(Debug)]
 struct Running {
     upstream: UpstreamKey,
@@ -216,6 +237,31 @@
         }
     }
 
+    /// What this host has sent to each upstream and that has not ended.
+    pub fn loads(&self, now: Time) -> Vec<news::Load> {
+        let shunned = |site: &Site| site.health.until.since(now).as_ms();
+        let busy = self.sites.iter().filter(|(_, it)| it.running > 0 || shunned(it) > 0);
+        let loads = busy.map(|(_, site)| news::Load {
+            upstream: site.tag,
+            pending: site.pending.min(u64::from(u32::MAX)) as u32,
+            running: site.running.min(u32::from(u16::MAX)) as u16,
+            shunned_ms: shunned(site).min(u64::from(u16::MAX)) as u16,
+        });
+        loads.collect()
+    }
+
+    /// Takes in what all other hosts have sent.
+    pub fn set_foreign(&mut self, now: Time, loads: &[news::Load]) {
+        for (_, site) in &mut self.sites {
+            let load = loads.iter().find(|it| it.upstream == site.tag);
+            site.foreign = load.map_or(Foreign::default(), |it| Foreign {
+                pending: u64::from(it.pending),
+                running: u32::from(it.running),
+                told: now,
+            });
+        }
+    }
+
     fn choose(&self, now: Time, ticket: &Ticket) -> Option<UpstreamKey> {
         let serving = self.sites.iter().filter(|(key, site)| {
             site.entry.pool == ticket.pool
@@ -264,13 +310,14 @@
     fn expected(&self, now: Time, ticket: &Ticket, site: &Site) -> Span {
         let mut expected = if site.entry.zone == self.zone { Span(0) } else { ZONE_PENALTY };
         if let Some(prompt) = &ticket.prompt {
-            let tokens = site.pending + site.missing(now, prompt);
+            let tokens = site.pending + site.foreign.pending(now) + site.missing(now, prompt);
             expected.0 += prefill(tokens).0;
-            expected.0 += u64::from(site.running) * 500;
+            expected.0 += u64::from(site.running + site.foreign.running) * 500;
         } else {
             // Beyond its slots requests wait for each other.
-            expected.0 += u64::from(site.running) * 1_000;
-            let over = (site.running + 1).saturating_sub(site.entry.slots);
+            let running = site.running + site.foreign.running;
+            expected.0 += u64::from(running) * 1_000;
+            let over = (running + 1).saturating_sub(site.entry.slots);
             expected.0 += u64::from(over) * 20_000;
         }
         expected
@@ -403,12 +450,14 @@
 impl Site {
     fn new(entry: Entry) -> Site {
         Site {
-            entry,
             pending: 0,
             running: 0,
             load: None,
+            tag: rendezvous::hash(&[entry.id.as_bytes(), &entry.born.to_be_bytes()]),
+            foreign: Foreign::default(),
             health: Health::default(),
             parts: Vec::new(),
+            entry,
         }
     }
 
--- a/src/serving/readiness.rs
+++ b/src/serving/readiness.rs
@@ -12,7 +12,7 @@
 use xitca_service::{Service, ServiceExt as _};
 use xitca_web::{App, WebContext, body::ResponseBody, handler::handler_service, http::WebResponse};
 
-use crate::serving::knowledge::Knowledge;
+use crate::serving::archive::Archive;
 
 /// Handle to the listener.
 #[derive(Debug)]
@@ -30,11 +30,11 @@
     /// If the address cannot be bound.
     pub async fn bind(
         address: SocketAddr,
-        knowledge: &Knowledge,
+        archive: &Archive,
         draining: watch::Receiver<bool>,
     ) -> io::Result<Readiness> {
         let listener = TcpListener::bind(address).await?;
-        let (table, listed) = (knowledge.table.clone(), knowledge.listed.clone());
+        let (table, listed) = (archive.table.clone(), archive.listed.clone());
         let ask: Ask =
             Arc::new(move || table.borrow().is_some() && *listed.borrow() && !*draining.borrow());
         let task = task::spawn_local(serve(listener, ask));
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -25,6 +25,8 @@
     pub store: SocketAddr,
     /// Address at which usage is reported and upstreams are ordered, if this system does so.
     pub duties: Option<SocketAddr>,
+    /// Share of a processor that the host has, in thousandths.
+    pub cpu_per_mille: u32,
     /// Time from a planned stop to its end.
     pub grace: Duration,
     /// Time for which a key may be used after the configuration was last known to be the newest;
@@ -87,6 +89,7 @@
         let seeds = self.addresses("seeds");
         let store = self.required("store", ADDRESS);
         let duties = self.optional("duties", ADDRESS);
+        let cpu: Option<f64> = self.optional("cpu-share", "a share, as in 0.25");
         let grace_s: Option<f64> = self.required("grace-s", "seconds, as in 8");
         let fail_closed = self.optional("keys-need-proof", "true or false");
         let key_proof_ms: Option<u64> = self.optional("key-withdrawal-ms", MILLIS);
@@ -107,6 +110,7 @@
             seeds,
             store: store?,
             duties,
+            cpu_per_mille: (cpu.unwrap_or(1.0).clamp(0.0, 1_000.0) * 1_000.0) as u32,
             grace: seconds(grace_s?).into(),
             key_proof: key_proof.map(Span::from_ms),
             retries: retries?,
--- a/src/serving/usage.rs
+++ b/src/serving/usage.rs
@@ -1,15 +1,17 @@
-//! Usage by customer and window: counted on every host, gathered in the store, reported by the leader.
+//! Usage by customer and window: counted on every host, gathered by the hubs in the store, reported by the leader.
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use serde::{Deserialize, Serialize};
 use tokio::{sync::watch, task, time::sleep};
 
 use crate::{
     serving::{
         duties::{Counts, Duties},
         leadership::{Leadership, Term},
+        ledger::Ledger,
+        news::Count,
+        roster::Roster,
     },
     store::{Commit, Committed, Failure, Item, Put, Store},
     time::{Span, Time, wall_ms},
@@ -21,7 +23,7 @@
 /// Start of the keys of windows whose counts are settled.
 const SEALED_PREFIX: &str = "almondrack/sealed/";
 
-/// Interval between writes of a host's counts.
+/// Interval between writes of counts.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Time after a window's end until its requests are counted.
@@ -30,6 +32,9 @@
 /// Interval of the reporter's steps.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time after a window's end before which its counts are not looked for: they pass from hosts to hubs and to the store.
+const GATHER_TIME: Span = Span::from_ms(1_500);
+
 /// Time before a window has to be reported at which missing hosts are no longer waited for.
 const REPORT_LEAD: Span = Span::from_ms(1_500);
 
@@ -42,6 +47,9 @@
 /// Windows for which settled counts are kept.
 const KEPT_WINDOWS: u64 = 12;
 
+/// Keys that one commit may remove.
+const MAX_DELETES: usize = 30;
+
 /// Time of day that does not step: the wall clock at the start of the process, carried on by the boot-time clock.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
@@ -61,44 +69,40 @@
     }
 }
 
-/// Counts of one host.
-#[derive(Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-struct Batch {
-    /// Whether the window has ended for the host.
-    ended: bool,
-    counts: BTreeMap<String, u64>,
-}
-
-#[derive(Debug, Default)]
-struct Open {
-    counts: BTreeMap<Arc<str>, u64>,
-    /// Revision of the last write, zero before the first.
-    revision: u64,
-    /// Whether there are counts that are not written.
-    changed: bool,
-}
-
-/// Counter of a host; clones share it.
+/// Counter of a host, which also holds what others told it; clones share it.
 #[derive(Debug, Clone)]
 pub struct Meter {
     clock: Clock,
     window: Span,
-    open: Rc<RefCell<BTreeMap<u64, Open>>>,
+    ledger: Rc<RefCell<Ledger>>,
 }
 
 impl Meter {
-    /// A counter for windows of a length.
-    pub fn new(window: Span) -> Meter {
-        Meter { clock: Clock::open(), window, open: Rc::default() }
+    /// A counter for windows of a length, under a name that no earlier process of the host had.
+    pub fn new(window: Span, writer: &str) -> Meter {
+        let ledger = Rc::new(RefCell::new(Ledger::new(writer)));
+        Meter { clock: Clock::open(), window, ledger }
     }
 
     /// Counts a request that an upstream began to run.
     pub fn begun(&self, customer: &Arc<str>) {
         let window = self.window_at(Time::now());
-        let mut open = self.open.borrow_mut();
-        let open = open.entry(window).or_default();
-        *open.counts.entry(customer.clone()).or_default() += 1;
-        open.changed = true;
+        self.ledger.borrow_mut().count(window, customer);
+    }
+
+    /// Counts of this host that changed since the last call, or all that are not settled.
+    pub fn changed(&self, only_new: bool) -> Vec<Count> {
+        self.ledger.borrow_mut().take_changed(self.open_window(), only_new)
+    }
+
+    /// Takes in counts of other hosts.
+    pub fn collect(&self, counts: Vec<Count>) {
+        self.ledger.borrow_mut().collect(counts);
+    }
+
+    /// The first window that has not ended.
+    fn open_window(&self) -> u64 {
+        self.window_at(Time::now() - SETTLE)
     }
 
     fn window_at(&self, now: Time) -> u64 {
@@ -119,7 +123,11 @@
     pub duties: P,
     /// Whether this host leads.
     pub leadership: Leadership,
-    /// Host id with a number that no earlier process of the host had.
+    /// The hosts that are registered.
+    pub roster: watch::Receiver<Rc<Roster>>,
+    /// Whether this host writes the counts that it holds.
+    pub collects: watch::Receiver<bool>,
+    /// Name of this host's records, which no earlier process of the host had.
     pub writer: String,
     /// Time after a window's end by which it has to be reported.
     pub delay: Span,
@@ -128,15 +136,15 @@
 /// Handle to the tasks.
 #[derive(Debug, Clone)]
 pub struct Usage {
-    /// Counts requests.
-    pub meter: Meter,
+    meter: Meter,
     stop: Rc<watch::Sender<bool>>,
     stopped: watch::Receiver<bool>,
 }
 
 impl Usage {
-    /// Writes what was counted, as this host will count no more.
+    /// Hands over what was counted, as this host will count no more.
     pub async fn close(&self, limit: Duration) {
+        self.meter.ledger.borrow_mut().close();
         self.stop.send_replace(true);
         let mut stopped = self.stopped.clone();
         let written = tokio::time::timeout(limit, stopped.wait_for(|it| *it)).await;
@@ -150,13 +158,18 @@
 pub fn spawn<S: Store, P: Duties>(meter: Meter, options: Options<S, P>) -> Usage {
     let (stop, stopping) = watch::channel(false);
     let (stopped_sender, stopped) = watch::channel(false);
-    let writer =
-        Writer { store: options.store.clone(), name: options.writer.clone(), meter: meter.clone() };
-    task::spawn_local(writer.run(stopping, stopped_sender));
+    let writer = Writer {
+        store: options.store.clone(),
+        name: options.writer,
+        meter: meter.clone(),
+        revisions: BTreeMap::new(),
+    };
+    task::spawn_local(writer.run(options.collects, stopping, stopped_sender));
     let reporter = Reporter {
         store: options.store,
         duties: options.duties,
         meter: meter.clone(),
+        roster: options.roster,
         delay: options.delay,
         reported: Vec::new(),
     };
@@ -164,116 +177,102 @@
     Usage { meter, stop: Rc::new(stop), stopped }
 }
 
-/// Writes a host's counts to the store.
+/// Writes the counts that a host holds to the store.
 struct Writer<S> {
     store: S,
     name: String,
     meter: Meter,
+    /// Revisions of the windows' records.
+    revisions: BTreeMap<u64, u64>,
 }
 
 impl<S: Store> Writer<S> {
-    async fn run(self, mut stopping: watch::Receiver<bool>, stopped: watch::Sender<bool>) {
+    async fn run(
+        mut self,
+        collects: watch::Receiver<bool>,
+        mut stopping: watch::Receiver<bool>,
+        stopped: watch::Sender<bool>,
+    ) {
         loop {
             let stop = tokio::select! {
-                () = sleep(self.pause()) => false,
+                () = sleep(FLUSH_INTERVAL) => false,
+                // The sender lives as long as the host.
                 _ = stopping.wait_for(|it| *it) => true,
             };
-            if self.flush(stop).await && stop {
+            // Counts that a hub holds already are handed over with the next question.
+            let done = if *collects.borrow() { self.flush().await } else { stop };
+            if stop && done {
                 stopped.send_replace(true);
                 return;
             }
         }
     }
 
-    /// Time to the next write: an interval, or the end of the window.
-    fn pause(&self) -> Duration {
-        let now = self.meter.clock.unix(Time::now());
-        let window = self.meter.window.0.max(1);
-        let left = window - (now.saturating_sub(SETTLE.0) % window);
-        Duration::from(Span(left)).min(FLUSH_INTERVAL)
-    }
-
-    /// Writes counts that changed and marks windows that ended. True if everything is written.
-    async fn flush(&self, stop: bool) -> bool {
-        let now = Time::now();
-        let current = self.meter.window_at(now);
-        // A host without requests says so too, so that the reporter does not wait for it.
-        self.meter.open.borrow_mut().entry(current).or_default();
-        let windows: Vec<_> = self.meter.open.borrow().keys().copied().collect();
+    /// Writes windows whose counts changed. True if everything is written.
+    async fn flush(&mut self) -> bool {
+        let open = self.meter.open_window();
+        let batches = self.meter.ledger.borrow_mut().take_unwritten(open);
         let mut complete = true;
-        for window in windows {
-            let ended = stop || self.meter.since_end(now, window) >= SETTLE;
-            complete &= self.flush_window(window, ended).await;
-        }
-        complete
-    }
-
-    async fn flush_window(&self, window: u64, ended: bool) -> bool {
-        let (batch, revision) = {
-            let mut open = self.meter.open.borrow_mut();
-            let Some(open) = open.get_mut(&window) else { return true };
-            if !ended && !std::mem::take(&mut open.changed) {
-                return true;
-            }
-            let counts = open.counts.iter().map(|(name, count)| (name.to_string(), *count));
-            (Batch { ended, counts: counts.collect() }, open.revision)
-        };
-        match self.write(window, &batch, revision).await {
-            Ok(Some(_)) if ended => {
-                self.meter.open.borrow_mut().remove(&window);
-                true
-            }
-            Ok(written) => {
-                if let Some(open) = self.meter.open.borrow_mut().get_mut(&window) {
-                    open.revision = written.unwrap_or(open.revision);
-                    open.changed |= written.is_none();
+        for (window, counts) in batches {
+            let revision = self.revisions.get(&window).copied().unwrap_or(0);
+            let written = match self.write(window, &counts, revision).await {
+                Ok(written) => written,
+                Err(failure) => {
+                    log::info!("counts of window {window} are not written yet: {failure}");
+                    None
                 }
-                written.is_some()
-            }
-            Err(failure) => {
-                log::info!("counts of window {window} are not written yet: {failure}");
-                if let Some(open) = self.meter.open.borrow_mut().get_mut(&window) {
-                    open.changed = true;
+            };
+            match written {
+                Some(revision) => {
+                    self.revisions.insert(window, revision);
+                }
+                None => {
+                    complete = false;
+                    self.meter.ledger.borrow_mut().mark_unwritten(window);
                 }
-                false
             }
         }
+        self.revisions.retain(|it, _| it + KEPT_WINDOWS >= open);
+        complete
     }
 
-    /// Writes a batch in place of the last one; its revision, or `None` if another write came between.
+    /// Writes a window's counts in place of the last ones; its revision, or `None` if it has to be tried again.
     async fn write(
-        &self,
+        &mut self,
         window: u64,
-        batch: &Batch,
+        counts: &[Count],
         revision: u64,
     ) -> Result<Option<u64>, Failure> {
         let key = format!("{COUNTS_PREFIX}{window}/{}", self.name);
-        let value =
-            serde_json::to_vec(batch).map_err(|error| Failure::Invalid(error.to_string()))?;
+        let value = encode(counts)?;
         // The condition keeps a delayed write from replacing a later one.
         let commit = Commit {
             expect: vec![(key.clone(), revision)],
-            put: vec![Put { key: key.clone(), value: value.into(), lease: None }],
+            put: vec![Put { key: key.clone(), value, lease: None }],
             delete: Vec::new(),
         };
         match self.store.commit(&commit).await? {
             Committed::Done(revision) => Ok(Some(revision)),
             Committed::Conflict | Committed::LeaseEnded => {
                 let stored = self.store.get(&key).await?.map_or(0, |it| it.revision);
-                if let Some(open) = self.meter.open.borrow_mut().get_mut(&window) {
-                    open.revision = stored;
-                }
+                self.revisions.insert(window, stored);
                 Ok(None)
             }
         }
     }
 }
 
+fn encode<T: serde::Serialize + ?Sized>(value: &T) -> Result<Bytes, Failure> {
+    let encoded = serde_json::to_vec(value).map_err(|error| Failure::Invalid(error.to_string()))?;
+    Ok(encoded.into())
+}
+
 /// Settles and reports windows while this host leads.
 struct Reporter<S, P> {
     store: S,
     duties: P,
     meter: Meter,
+    roster: watch::Receiver<Rc<Roster>>,
     delay: Span,
     /// Windows that were reported in this term, ascending.
     reported: Vec<u64>,
@@ -303,7 +302,7 @@
         let current = self.meter.window_at(now);
         let due: Vec<_> = (current.saturating_sub(REPEATED_WINDOWS)..current)
             .filter(|it| self.reported.binary_search(it).is_err())
-            .filter(|it| self.meter.since_end(now, *it) >= SETTLE)
+            .filter(|it| self.meter.since_end(now, *it) >= GATHER_TIME)
             .collect();
         if due.is_empty() {
             return Ok(());
@@ -311,7 +310,7 @@
         let items = self.counts().await?;
         for window in due {
             let late = self.meter.since_end(now, window).0 + REPORT_LEAD.0 >= self.delay.0;
-            let Some(counts) = gather(&items, window, late) else { continue };
+            let Some(counts) = self.gather(&items, window, late) else { continue };
             let counts = self.seal(window, counts, &items).await?;
             let Some(number) = permitted(leadership, term) else { return Ok(()) };
             match self.duties.report(number, window, &counts).await {
@@ -329,7 +328,7 @@
         Ok(())
     }
 
-    /// All batches in the store.
+    /// All records of counts in the store.
     async fn counts(&self) -> Result<Vec<Item>, Failure> {
         let mut items: Vec<Item> = Vec::new();
         loop {
@@ -342,15 +341,27 @@
         }
     }
 
+    /// Sums the counts of a window once every host has ended it, or in any case if it is late.
+    fn gather(&self, items: &[Item], window: u64, late: bool) -> Option<Counts> {
+        let mut ledger = Ledger::new("");
+        for item in items.iter().filter(|it| window_of(&it.key) == Some(window)) {
+            match serde_json::from_slice::<Vec<Count>>(&item.value) {
+                Ok(counts) => ledger.collect(counts),
+                Err(error) => log::error!("{} cannot be read: {error}", item.key),
+            }
+        }
+        let roster = self.roster.borrow();
+        let complete = ledger.is_complete(window, roster.iter().map(|it| it.id.as_str()));
+        (late || complete).then(|| ledger.sum(window))
+    }
+
     /// Settles the counts of a window; those that were settled before stand.
     async fn seal(&self, window: u64, counts: Counts, items: &[Item]) -> Result<Counts, Failure> {
         let key = format!("{SEALED_PREFIX}{window}");
-        let value =
-            serde_json::to_vec(&counts).map_err(|error| Failure::Invalid(error.to_string()))?;
         let old = format!("{SEALED_PREFIX}{}", window.saturating_sub(KEPT_WINDOWS));
         let commit = Commit {
             expect: vec![(key.clone(), 0)],
-            put: vec![Put { key: key.clone(), value: value.into(), lease: None }],
+            put: vec![Put { key: key.clone(), value: encode(&counts)?, lease: None }],
             delete: vec![old],
         };
         if let Committed::Done(_) = self.store.commit(&commit).await? {
@@ -362,7 +373,7 @@
         serde_json::from_slice(&value).map_err(|error| Failure::Invalid(error.to_string()))
     }
 
-    /// Removes the batches of a window that is settled, and of older ones.
+    /// Removes the records of a window that is settled, and of older ones.
     async fn clean(&self, window: u64, items: &[Item]) {
         let old = items.iter().filter(|it| window_of(&it.key).is_some_and(|it| it <= window));
         let keys: Vec<_> = old.map(|it| it.key.clone()).collect();
@@ -375,9 +386,6 @@
     }
 }
 
-/// Keys that one commit may remove.
-const MAX_DELETES: usize = 30;
-
 fn permitted(leadership: &Leadership, term: Term) -> Option<u64> {
     let held = (*leadership.term.borrow())?;
     (held.number == term.number).then(|| held.permits(Time::now(), REPORT_TIME)).flatten()
@@ -386,21 +394,3 @@
 fn window_of(key: &str) -> Option<u64> {
     key.strip_prefix(COUNTS_PREFIX)?.split('/').next()?.parse().ok()
 }
-
-/// Sums the counts of a window once every host that wrote has ended it, or in any case if it is late.
-fn gather(items: &[Item], window: u64, late: bool) -> Option<Counts> {
-    let mut sums: BTreeMap<String, u64> = BTreeMap::new();
-    let mut open = false;
-    for item in items.iter().filter(|it| window_of(&it.key) == Some(window)) {
-        match serde_json::from_slice::<Batch>(&item.value) {
-            Ok(batch) => {
-                open |= !batch.ended;
-                for (customer, count) in batch.counts {
-                    *sums.entry(customer).or_default() += count;
-                }
-            }
-            Err(error) => log::error!("{} cannot be read: {error}", item.key),
-        }
-    }
-    (late || !open).then(|| sums.into_iter().collect())
-}
