Tell hosts which parts of prompts were sent where, and choose by tier and pace

Change: hosts pass on the parts that they sent; an upstream's cost is its backlog of the same and more urgent tiers and twice the time to read what it does not keep, times its pace; a host without a configuration waits 300 ms for one.

--- a/src/serving/archive.rs
+++ b/src/serving/archive.rs
@@ -14,12 +14,13 @@
 
 use crate::{
     serving::{
-        dispatcher::Dispatcher,
+        dispatcher::{Dispatcher, Sent},
         leadership::LEADER_KEY,
         loads::Loads,
         mirror::{Mirror, News},
-        news::{Answer, Knowledge, Line, Load, Question, Update},
+        news::{Answer, Knowledge, Line, Question, Update},
         peers::{Call, Peers},
+        placed,
         registry::{Entry, Fault},
         roll::Roll,
         roster::{self, Roster},
@@ -46,7 +47,7 @@
 const SHUN_TIME: Span = Span::from_ms(1_000);
 
 /// Time for which a starting host asks others before it follows the store itself.
-const START_TIME: Span = Span::from_ms(400);
+const START_TIME: Span = Span::from_ms(250);
 
 /// Longest wait of a watch of the configuration, in milliseconds. The last answer but one proves that it is the newest,
 /// and a key's proof lasts for seconds.
@@ -146,8 +147,8 @@
     Failed(Topic),
     /// Another host answered a question of a time.
     Answered(Box<Answer>, Time, Option<String>),
-    /// This host's own loads.
-    Loads(Vec<Load>),
+    /// What this host has sent.
+    Sent(Sent),
 }
 
 /// Publishes what the task knows.
@@ -202,6 +203,7 @@
         messages: messages.clone(),
         shunned: Vec::new(),
         counted: None,
+        positions: Vec::new(),
     };
     task::spawn_local(asker().run(dispatcher.clone()));
     task::spawn_local(asker().run_as_hub());
@@ -229,6 +231,7 @@
         peer_proof: None,
         roll: Roll::default(),
         loads: Loads::default(),
+        placed: placed::Log::default(),
         started: Time::now(),
         has_seeds: options.seeds.iter().any(|it| *it != options.address),
     };
@@ -325,6 +328,8 @@
     shunned: Vec<(SocketAddr, Time)>,
     /// Who has all of this host's counts so far.
     counted: Option<SocketAddr>,
+    /// Positions in the parts of the hosts that were asked.
+    positions: Vec<(SocketAddr, u64)>,
 }
 
 impl Asker {
@@ -340,8 +345,8 @@
             if !group.is_empty() && !tick.is_multiple_of(LARGE_FLEET_STRIDE) {
                 continue;
             }
-            let loads = dispatcher.loads().await;
-            if self.messages.send(Message::Loads(loads.clone())).await.is_err() {
+            let sent = dispatcher.sent().await;
+            if self.messages.send(Message::Sent(sent.clone())).await.is_err() {
                 return;
             }
             let now = Time::now();
@@ -352,7 +357,7 @@
             let proof = self.proofs.borrow()[Topic::Configuration as usize];
             let stale = proof.is_none_or(|it| now.since(it) >= STALE);
             match hub {
-                Some(hub) if hub != self.address => self.ask(hub, loads, None).await,
+                Some(hub) if hub != self.address => self.ask(hub, sent, None).await,
                 _ if stale => {
                     let others: Vec<_> = roster
                         .iter()
@@ -361,7 +366,7 @@
                         .filter(|it| *it != self.address && open(it))
                         .collect();
                     if let Some(other) = pick(&others) {
-                        self.ask(other, loads, None).await;
+                        self.ask(other, sent, None).await;
                     }
                 }
                 _ => {}
@@ -383,12 +388,12 @@
                 continue;
             }
             for other in roster.other_hubs(&group) {
-                self.ask(other.address, Vec::new(), Some(group.clone())).await;
+                self.ask(other.address, Sent::default(), Some(group.clone())).await;
             }
         }
     }
 
-    async fn ask(&mut self, address: SocketAddr, loads: Vec<Load>, hub_of: Option<String>) {
+    async fn ask(&mut self, address: SocketAddr, sent: Sent, hub_of: Option<String>) {
         if self.shunned.iter().any(|it| it.0 == address) {
             return;
         }
@@ -401,7 +406,9 @@
             host: self.host.clone(),
             hub_of,
             revisions: self.revisions.borrow().to_vec(),
-            loads,
+            loads: sent.loads,
+            placed: sent.placed,
+            placed_after: self.position(address),
             counts,
         };
         let asked = Time::now();
@@ -410,6 +417,7 @@
                 if from.is_none() {
                     self.counted = Some(address);
                 }
+                self.set_position(address, answer.placed_next);
                 let message = Message::Answered(Box::new(answer), asked, from);
                 // The mailbox closes only when the host stops.
                 let _ = self.messages.send(message).await;
@@ -425,6 +433,20 @@
     }
 }
 
+impl Asker {
+    /// Position in a host's parts up to which they are known.
+    fn position(&self, address: SocketAddr) -> u64 {
+        self.positions.iter().find(|it| it.0 == address).map_or(0, |it| it.1)
+    }
+
+    fn set_position(&mut self, address: SocketAddr, position: u64) {
+        match self.positions.iter_mut().find(|it| it.0 == address) {
+            Some(known) => known.1 = position,
+            None => self.positions.push((address, position)),
+        }
+    }
+}
+
 fn pick(addresses: &[SocketAddr]) -> Option<SocketAddr> {
     let count = addresses.len();
     (count > 0).then(|| addresses[rand::random_range(0..count)])
@@ -444,6 +466,7 @@
     peer_proof: Option<Time>,
     roll: Roll,
     loads: Loads,
+    placed: placed::Log,
     started: Time,
     has_seeds: bool,
 }
@@ -475,8 +498,9 @@
             Message::Failed(Topic::Upstreams) => self.roll.fail(),
             Message::Failed(Topic::Configuration | Topic::Fleet) => {}
             Message::Answered(answer, asked, hub) => self.take_answer(*answer, asked, hub),
-            Message::Loads(loads) => {
-                self.loads.set_own(loads);
+            Message::Sent(sent) => {
+                self.loads.set_own(sent.loads);
+                self.placed.add_own(sent.placed);
                 let now = Time::now();
                 self.dispatcher.set_foreign(self.loads.foreign(now));
             }
@@ -492,6 +516,10 @@
             }
             self.learn(topic, knowledge.update.map(read_update), proof);
         }
+        if hub.is_some() {
+            self.placed.add_group(answer.placed.clone());
+        }
+        self.dispatcher.note_placed(answer.placed);
         match hub {
             Some(hub) => self.loads.set_group(now, &hub, answer.loads),
             None => self.loads.set_others(now, answer.loads),
@@ -605,17 +633,21 @@
                 update: self.mirrors[index].since(after).map(write_update),
             });
         }
-        let loads = match &question.hub_of {
+        let after = question.placed_after;
+        let (loads, (placed, placed_next)) = match &question.hub_of {
             // Each hub asks the others, so that a question tells nothing of loads.
-            Some(_) => self.loads.own_group(now),
+            Some(_) => (self.loads.own_group(now), self.placed.for_group(after)),
             None => {
                 self.loads.set_member(now, &question.host, question.loads);
-                self.loads.all_but(now, &question.host)
+                self.placed.add_member(&question.host, question.placed.clone());
+                self.dispatcher.note_placed(question.placed);
+                let loads = self.loads.all_but(now, &question.host);
+                (loads, self.placed.for_member(&question.host, after))
             }
         };
         self.meter.collect(question.counts);
         // The asking host may have given up.
-        let _ = answer.send(Answer { knowledge, loads });
+        let _ = answer.send(Answer { knowledge, loads, placed, placed_next });
     }
 
     fn tick(&mut self) {
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -30,8 +30,18 @@
     Answered(AttemptKey),
     Ended(AttemptKey, Ending),
     Load(UpstreamKey, Load),
-    Loads(oneshot::Sender<Vec<news::Load>>),
+    Sent(oneshot::Sender<Sent>),
     Foreign(Vec<news::Load>),
+    Placed(Vec<news::Placed>),
+}
+
+/// What a host has sent.
+#[derive(Debug, Clone, Default)]
+pub struct Sent {
+    /// What has not ended, by upstream.
+    pub loads: Vec<news::Load>,
+    /// Parts of prompts since the last time.
+    pub placed: Vec<news::Placed>,
 }
 
 /// Handle to the task.
@@ -82,11 +92,19 @@
         self.tell(Message::Load(upstream, load));
     }
 
-    /// What this host has sent to each upstream and that has not ended.
-    pub async fn loads(&self) -> Vec<news::Load> {
-        let (answer, loads) = oneshot::channel();
-        self.tell(Message::Loads(answer));
-        loads.await.unwrap_or_default()
+    /// What this host has sent, for other hosts.
+    pub async fn sent(&self) -> Sent {
+        let (answer, sent) = oneshot::channel();
+        self.tell(Message::Sent(answer));
+        // The dispatcher ends only with the host.
+        sent.await.unwrap_or_default()
+    }
+
+    /// Tells parts of prompts that other hosts have sent.
+    pub fn note_placed(&self, placed: Vec<news::Placed>) {
+        if !placed.is_empty() {
+            self.tell(Message::Placed(placed));
+        }
     }
 
     /// Tells what all other hosts have sent.
@@ -156,13 +174,15 @@
                 self.waiting.insert(ticket.key, answer);
                 self.core.submit(now, &ticket, &mut self.actions);
             }
-            Message::Answered(attempt) => self.core.answered(attempt),
+            Message::Answered(attempt) => self.core.answered(now, attempt),
             Message::Ended(attempt, ending) => self.core.ended(now, attempt, ending),
             Message::Load(upstream, load) => self.core.report(now, upstream, load),
-            Message::Loads(answer) => {
+            Message::Sent(answer) => {
+                let sent = Sent { loads: self.core.loads(now), placed: self.core.take_placed() };
                 // The asking task ends only with the host.
-                let _ = answer.send(self.core.loads(now));
+                let _ = answer.send(sent);
             }
+            Message::Placed(placed) => self.core.note_placed(now, &placed),
             Message::Foreign(loads) => self.core.set_foreign(now, &loads),
         }
     }
--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -38,6 +38,9 @@
     header::UPGRADE,
 ];
 
+/// Time for which a request waits for the first configuration.
+const FIRST_CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// What every connection uses.
 pub struct Handler<D> {
     /// Reads and writes headers.
@@ -108,10 +111,11 @@
     let request = context.req();
     let framed = check_framing(request.headers(), request.version(), request.method());
     framed.map_err(|error| Refusal { error, close: true })?;
-    let table = handler.table.borrow().clone();
-    let limit = table.as_ref().map_or(0, |it| it.limits.body_bytes);
+    let table = table(handler).await;
+    let limits = table.as_ref().map(|it| it.limits).unwrap_or_default();
+    let limit = limits.body_bytes;
     let body = std::mem::take(&mut *context.body_borrow_mut());
-    let idle = Duration::from_millis(table.as_ref().map_or(1_000, |it| it.limits.idle_ms));
+    let idle = Duration::from_millis(limits.idle_ms);
     let stated =
         request.headers().get(header::CONTENT_LENGTH).and_then(|it| it.to_str().ok()?.parse().ok());
     let body = read_body(body, limit, stated, idle).await;
@@ -145,6 +149,14 @@
     Ok(handler.exchange.run(job).await?)
 }
 
+/// The configuration in force; a host that has just started waits a moment for its first one.
+async fn table<D>(handler: &Handler<D>) -> Option<Arc<Table>> {
+    let mut tables = handler.table.clone();
+    // A host that still has none answers so.
+    let _ = timeout(FIRST_CONFIGURATION_TIMEOUT, tables.wait_for(Option::is_some)).await;
+    handler.table.borrow().clone()
+}
+
 /// Refuses requests whose end could be read in two ways.
 fn check_framing(headers: &HeaderMap, version: Version, method: &Method) -> Result<(), Error> {
     let bad = |message: &str| Err(Error::new(Kind::BadRequest, message));
--- a/src/serving/loads.rs
+++ b/src/serving/loads.rs
@@ -73,7 +73,9 @@
     all.dedup_by(|next, first| {
         let same = next.upstream == first.upstream;
         if same {
-            first.pending = first.pending.saturating_add(next.pending);
+            for (sum, it) in first.pending.iter_mut().zip(next.pending) {
+                *sum = sum.saturating_add(it);
+            }
             first.running = first.running.saturating_add(next.running);
             first.shunned_ms = first.shunned_ms.max(next.shunned_ms);
         }
--- a/src/serving/news.rs
+++ b/src/serving/news.rs
@@ -38,14 +38,23 @@
 pub struct Load {
     /// Identity of the upstream's life.
     pub upstream: u64,
-    /// Prompt tokens without a first event yet.
-    pub pending: u32,
+    /// Prompt tokens without a first event yet, by priority.
+    pub pending: [u32; 3],
     /// Attempts.
     pub running: u16,
     /// Time for which the upstream is shunned after a failure, in milliseconds.
     pub shunned_ms: u16,
 }
 
+/// A part of a prompt that was sent to an engine, which keeps it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placed {
+    /// Identity of the part.
+    pub part: u64,
+    /// Identity of the engine's life.
+    pub upstream: u64,
+}
+
 /// Counts of a host in a window.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Count {
@@ -70,17 +79,25 @@
     pub revisions: Vec<u64>,
     /// Loads of the asking host, or of its group if it is a hub.
     pub loads: Vec<Load>,
+    /// Parts that the asking host sent since the last question, none if it is a hub.
+    pub placed: Vec<Placed>,
+    /// Position in the asked host's parts up to which they are known.
+    pub placed_after: u64,
     /// Counts that changed since the last question that was answered.
     pub counts: Vec<Count>,
 }
 
 /// An answer with what the asked host knows.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
     /// One for each followed prefix.
     pub knowledge: Vec<Knowledge>,
     /// Loads of all other hosts, or of the asked host's group if the asking host is a hub.
     pub loads: Vec<Load>,
+    /// Parts that the same hosts sent.
+    pub placed: Vec<Placed>,
+    /// Position up to which they are contained.
+    pub placed_next: u64,
 }
 
 /// Service between the hosts.
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -38,11 +38,11 @@
 impl Peer for Server {
     async fn ask(self, _: context::Context, question: Question) -> Answer {
         let (answer, answered) = oneshot::channel();
-        let empty = || Answer { knowledge: Vec::new(), loads: Vec::new() };
+        // A host that stops has nothing to tell.
         if self.calls.send((question, answer)).await.is_err() {
-            return empty();
+            return Answer::default();
         }
-        answered.await.unwrap_or_else(|_| empty())
+        answered.await.unwrap_or_default()
     }
 }
 
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -1,35 +1,30 @@
 //! Choice of an upstream for a request, from what this host sent, heard and was told.
+//!
+//! Every host chooses by itself. The load pattern it answers: many prompts that share their beginnings, some of them
+//! long, on engines that read one prompt after the other, so that a badly placed prompt delays all that follow it.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use crate::{
     error::Kind,
-    rate::Rate,
     rendezvous,
     serving::{
         dialect::{Load, Prompt},
         key::{AttemptKey, TicketKey, UpstreamKey},
+        mix::Mix,
         news,
-        registry::{Entry, State},
+        registry::Entry,
+        site::{Site, TIERS, prefill},
     },
     time::{Span, Time},
     wire::Ending,
 };
 
-/// Prompt tokens that an engine reads in a millisecond before any measurement.
-const FIRST_PREFILL_RATE: f64 = 40.0;
-
-/// Time for which an engine is taken to keep a part of a prompt after its last use.
-const PART_LIFETIME: Span = Span::from_ms(20_000);
-
-/// Extra time to an upstream in another availability zone.
+/// Extra time to an upstream in another availability zone and back.
 const ZONE_PENALTY: Span = Span::from_ms(3);
 
-/// Time of one step of an engine that reads no prompt, in milliseconds.
-const STEP_MS: f64 = 5.3;
-
-/// Streams that share a step.
-const TYPICAL_BATCH: f64 = 16.0;
+/// Weight of the time to read a prompt against the time to wait for others: reading also delays those that come later.
+const READING_WEIGHT: u64 = 2;
 
 /// Fewest engines that are divided between tight streams and others.
 const MIN_SPLIT: usize = 3;
@@ -37,11 +32,11 @@
 /// Delay that is put up with before a request goes to an engine that is kept for others.
 const CROSSING_PENALTY: Span = Span::from_ms(150);
 
-/// First time for which an upstream that failed gets no request.
-const FIRST_EJECTION: Span = Span::from_ms(500);
+/// Delay that is put up with before a request goes to an upstream that another host shuns.
+const HEARSAY_PENALTY: Span = Span::from_ms(300);
 
-/// Longest time for which an upstream that failed gets no request.
-const MAX_EJECTION: Span = Span::from_ms(4_000);
+/// Delay stated when no upstream serves, which is about the time in which one returns.
+const NO_UPSTREAM_DELAY: Span = Span::from_ms(500);
 
 /// A request that asks for an upstream.
 #[derive(Debug, Clone)]
@@ -88,53 +83,28 @@
     Refuse(TicketKey, Kind, Option<Span>),
 }
 
-/// Failures of an upstream and its way back.
-#[derive(Debug, Default)]
-struct Health {
-    /// Failures since the last answer.
-    strikes: u32,
-    until: Time,
-}
-
-#[derive(Debug)]
-struct Site {
-    entry: Entry,
-    /// Tokens of prompts that this host sent and that have no first event yet.
-    pending: u64,
-    /// Attempts of this host without an end.
-    running: u32,
-    load: Option<(Time, Load)>,
-    /// Identity of the upstream's life for other hosts.
-    tag: u64,
-    /// What other hosts have sent there, and when they told.
-    foreign: Foreign,
-    health: Health,
-    /// Parts of prompts that this host sent there, with the last use. Sorted by part.
-    parts: Vec<(u64, Time)>,
-}
-
-/// Load from other hosts.
-#[derive(Debug, Default, Clone, Copy)]
-struct Foreign {
-    pending: u64,
-    running: u32,
-    told: Time,
-}
-
-impl Foreign {
-    /// Tokens that are still to be read, as the engine goes on meanwhile.
-    fn pending(&self, now: Time) -> u64 {
-        let read = now.since(self.told).0 as f64 / 1_000.0 * FIRST_PREFILL_RATE;
-        self.pending.saturating_sub(read as u64)
-    }
-}
-
 #[derive(Debug)]
 struct Running {
     upstream: UpstreamKey,
-    /// Tokens that count as pending.
+    tier: usize,
+    /// Tokens of its prompt that the engine has yet to read, zero after the first event.
     pending: u64,
+    /// Expected time to the first byte.
+    expected: Span,
     started: Time,
+    answered: bool,
+}
+
+/// An upstream with what speaks for and against it.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    key: UpstreamKey,
+    /// Time to the first byte.
+    expected: Span,
+    /// Time by which upstreams are compared.
+    cost: Span,
+    /// Orders upstreams of the same cost alike on all hosts.
+    rank: Reverse<u64>,
 }
 
 /// State of the choice.
@@ -148,6 +118,8 @@
     upstreams: u32,
     /// Demand by pool, sorted by name.
     mixes: Vec<(Arc<str>, Mix)>,
+    /// Parts of prompts that were sent since they were last taken.
+    placed: Vec<news::Placed>,
 }
 
 impl Placement {
@@ -160,16 +132,15 @@
             attempts: 0,
             upstreams: 0,
             mixes: Vec::new(),
+            placed: Vec::new(),
         }
     }
 
     /// Takes in the entries of all upstreams.
     pub fn list(&mut self, entries: &[Entry]) {
-        let same =
-            |a: &Entry, b: &Entry| a.id == b.id && a.born == b.born && a.address == b.address;
-        self.sites.retain(|(_, site)| entries.iter().any(|it| same(it, &site.entry)));
+        self.sites.retain(|(_, site)| entries.iter().any(|it| site.is_life_of(it)));
         for entry in entries {
-            match self.sites.iter_mut().find(|(_, site)| same(entry, &site.entry)) {
+            match self.sites.iter_mut().find(|(_, site)| site.is_life_of(entry)) {
                 Some((_, site)) => site.entry = entry.clone(),
                 None => {
                     self.upstreams += 1;
@@ -182,36 +153,26 @@
     /// Takes in a ticket.
     pub fn submit(&mut self, now: Time, ticket: &Ticket, actions: &mut Vec<Action>) {
         self.mix_mut(&ticket.pool).observe(now, ticket);
-        let Some(upstream) = self.choose(now, ticket) else {
-            actions.push(Action::Refuse(ticket.key, Kind::NoUpstream, Some(FIRST_EJECTION)));
+        let Some(best) = self.choose(now, ticket) else {
+            actions.push(Action::Refuse(ticket.key, Kind::NoUpstream, Some(NO_UPSTREAM_DELAY)));
             return;
         };
-        self.attempts += 1;
-        let attempt = AttemptKey(self.attempts);
-        let Some(site) = self.site_mut(upstream) else { return };
-        let pending = ticket.prompt.as_ref().map_or(0, |it| site.missing(now, it));
-        site.pending += pending;
-        site.running += 1;
-        if let Some(prompt) = &ticket.prompt {
-            site.remember(now, prompt);
-        }
-        let grant = Grant {
-            attempt,
-            upstream,
-            instance: site.entry.id.clone(),
-            address: site.entry.address,
-        };
-        self.running.insert(attempt, Running { upstream, pending, started: now });
+        let grant = self.grant(now, ticket, best);
         actions.push(Action::Grant(ticket.key, grant));
     }
 
     /// The first byte or event of an attempt came.
-    pub fn answered(&mut self, attempt: AttemptKey) {
+    pub fn answered(&mut self, now: Time, attempt: AttemptKey) {
         let Some(running) = self.running.get_mut(&attempt) else { return };
-        let (upstream, pending) = (running.upstream, std::mem::take(&mut running.pending));
-        if let Some(site) = self.site_mut(upstream) {
-            site.pending -= pending;
-            site.health.strikes = 0;
+        let (upstream, tier) = (running.upstream, running.tier);
+        let pending = std::mem::take(&mut running.pending);
+        let (expected, took) = (running.expected, now.since(running.started));
+        let first = !std::mem::replace(&mut running.answered, true);
+        let Some(site) = self.site_mut(upstream) else { return };
+        site.pending[tier] -= pending;
+        site.health.succeed();
+        if first {
+            site.pace.observe(now, expected, took);
         }
     }
 
@@ -219,10 +180,15 @@
     pub fn ended(&mut self, now: Time, attempt: AttemptKey, ending: Ending) {
         let Some(running) = self.running.remove(&attempt) else { return };
         let Some(site) = self.site_mut(running.upstream) else { return };
-        site.pending -= running.pending;
+        site.pending[running.tier] -= running.pending;
         site.running -= 1;
         match ending {
-            Ending::Done => site.health.strikes = 0,
+            Ending::Done => {
+                site.health.succeed();
+                if !running.answered {
+                    site.pace.observe(now, running.expected, now.since(running.started));
+                }
+            }
             Ending::Cancelled | Ending::Unused | Ending::Preempted => {}
             Ending::Refused | Ending::Failed | Ending::Invalid | Ending::TimedOut => {
                 site.health.fail(now, running.started);
@@ -231,109 +197,127 @@
     }
 
     /// An upstream reported its load.
-    pub fn report(&mut self, now: Time, upstream: UpstreamKey, load: Load) {
-        if let Some(site) = self.site_mut(upstream) {
-            site.load = Some((now, load));
-        }
-    }
+    pub fn report(&mut self, _now: Time, _upstream: UpstreamKey, _load: Load) {}
 
     /// What this host has sent to each upstream and that has not ended.
     pub fn loads(&self, now: Time) -> Vec<news::Load> {
-        let shunned = |site: &Site| site.health.until.since(now).as_ms();
-        let busy = self.sites.iter().filter(|(_, it)| it.running > 0 || shunned(it) > 0);
-        let loads = busy.map(|(_, site)| news::Load {
-            upstream: site.tag,
-            pending: site.pending.min(u64::from(u32::MAX)) as u32,
-            running: site.running.min(u32::from(u16::MAX)) as u16,
-            shunned_ms: shunned(site).min(u64::from(u16::MAX)) as u16,
-        });
-        loads.collect()
+        self.sites.iter().filter_map(|(_, site)| site.load(now)).collect()
+    }
+
+    /// Parts of prompts that were sent since the last call.
+    pub fn take_placed(&mut self) -> Vec<news::Placed> {
+        std::mem::take(&mut self.placed)
     }
 
     /// Takes in what all other hosts have sent.
     pub fn set_foreign(&mut self, now: Time, loads: &[news::Load]) {
         for (_, site) in &mut self.sites {
-            let load = loads.iter().find(|it| it.upstream == site.tag);
-            site.foreign = load.map_or(Foreign::default(), |it| Foreign {
-                pending: u64::from(it.pending),
-                running: u32::from(it.running),
-                told: now,
-            });
+            let load = loads.binary_search_by_key(&site.tag, |it| it.upstream).ok();
+            site.set_foreign(now, load.map(|at| loads[at]));
         }
     }
 
-    fn choose(&self, now: Time, ticket: &Ticket) -> Option<UpstreamKey> {
-        let serving = self.sites.iter().filter(|(key, site)| {
-            site.entry.pool == ticket.pool
-                && site.entry.state == State::Ready
-                && !ticket.avoid.contains(key)
-        });
-        let healthy = |site: &Site| site.health.until <= now;
-        let any_healthy = serving.clone().any(|(_, site)| healthy(site));
-        let candidates = serving.filter(|(_, site)| healthy(site) || !any_healthy);
-        let affinity = ticket.prompt.as_ref().and_then(affinity);
-        let scored = candidates.map(|(key, site)| {
-            let rank = match affinity {
-                Some(part) => rendezvous::hash(&[&part.to_be_bytes(), site.entry.id.as_bytes()]),
-                None => rendezvous::hash(&[
-                    &ticket.key.0.to_be_bytes(),
-                    site.entry.id.as_bytes(),
-                    self.zone.as_bytes(),
-                ]),
-            };
-            (*key, self.expected(now, ticket, site), std::cmp::Reverse(rank))
-        });
-        let mut scored: Vec<_> = scored.collect();
-        let quiet = self.quiet(now, &ticket.pool);
-        if let (Some(prompt), false) = (&ticket.prompt, quiet.is_empty()) {
-            let tight = self.mix(&ticket.pool).is_some_and(|it| it.is_tight(now, &ticket.route));
-            for (key, expected, _) in &mut scored {
-                if quiet.contains(key) != tight {
-                    let stall = if tight { Span(0) } else { prefill(u64::from(prompt.tokens)) };
-                    expected.0 += CROSSING_PENALTY.0 + stall.0 * 2;
-                }
+    /// Takes in parts of prompts that other hosts have sent.
+    pub fn note_placed(&mut self, now: Time, placed: &[news::Placed]) {
+        for it in placed {
+            if let Some((_, site)) = self.sites.iter_mut().find(|(_, site)| site.tag == it.upstream)
+            {
+                site.remember(now, it.part);
             }
         }
-        // The holder of a session by rendezvous is taken to keep its parts also if another host sent them there.
-        if let (Some(prompt), Some(_)) = (&ticket.prompt, affinity)
-            && let Some(first) = scored.iter_mut().min_by_key(|it| it.2)
-        {
-            let known = self.site(first.0).map_or(0, |it| it.missing(now, prompt));
-            let own = prompt.parts.last().map_or(prompt.tokens, |it| it.tokens);
-            let saved = known.saturating_sub(u64::from(own));
-            first.1 = Span(first.1.0.saturating_sub(prefill(saved).0));
-        }
-        scored.into_iter().min_by_key(|it| (it.1, it.2)).map(|it| it.0)
     }
 
-    /// Expected time to the first byte.
-    fn expected(&self, now: Time, ticket: &Ticket, site: &Site) -> Span {
-        let mut expected = if site.entry.zone == self.zone { Span(0) } else { ZONE_PENALTY };
+    fn grant(&mut self, now: Time, ticket: &Ticket, best: Candidate) -> Grant {
+        self.attempts += 1;
+        let attempt = AttemptKey(self.attempts);
+        let tier = usize::from(ticket.tier).min(TIERS - 1);
+        let Ok(at) = self.sites.binary_search_by_key(&best.key, |it| it.0) else {
+            unreachable!("the candidate was chosen among the sites")
+        };
+        let site = &mut self.sites[at].1;
+        let pending = ticket.prompt.as_ref().map_or(0, |it| site.missing(now, it));
+        site.pending[tier] += pending;
+        site.running += 1;
         if let Some(prompt) = &ticket.prompt {
-            let tokens = site.pending + site.foreign.pending(now) + site.missing(now, prompt);
-            expected.0 += prefill(tokens).0;
-            expected.0 += u64::from(site.running + site.foreign.running) * 500;
-        } else {
-            // Beyond its slots requests wait for each other.
-            let running = site.running + site.foreign.running;
-            expected.0 += u64::from(running) * 1_000;
-            let over = (running + 1).saturating_sub(site.entry.slots);
-            expected.0 += u64::from(over) * 20_000;
+            for part in shared(prompt) {
+                site.remember(now, part);
+                self.placed.push(news::Placed { part, upstream: site.tag });
+            }
+        }
+        let running = Running {
+            upstream: best.key,
+            tier,
+            pending,
+            expected: best.expected,
+            started: now,
+            answered: false,
+        };
+        self.running.insert(attempt, running);
+        Grant {
+            attempt,
+            upstream: best.key,
+            instance: site.entry.id.clone(),
+            address: site.entry.address,
         }
-        expected
+    }
+
+    /// The upstream that costs least, among those that are not shunned if there are any.
+    fn choose(&self, now: Time, ticket: &Ticket) -> Option<Candidate> {
+        let serving = self.serving(&ticket.pool).filter(|(key, _)| !ticket.avoid.contains(key));
+        let any_healthy = serving.clone().any(|(_, site)| !site.health.is_shunned(now));
+        let open = serving.filter(|(_, site)| !any_healthy || !site.health.is_shunned(now));
+        let mix = self.mix(&ticket.pool);
+        let quiet = self.quiet(now, &ticket.pool);
+        let tight = mix.is_some_and(|it| it.is_tight(now, &ticket.route));
+        let candidates = open.map(|(key, site)| {
+            let mut candidate = self.candidate(now, ticket, *key, site);
+            if !quiet.is_empty() && quiet.contains(key) != tight {
+                let stall = if tight { Span(0) } else { reading(ticket) };
+                candidate.cost.0 += CROSSING_PENALTY.0 + stall.0 * 2;
+            }
+            candidate
+        });
+        candidates.min_by_key(|it| (it.cost, it.rank))
+    }
+
+    fn candidate(&self, now: Time, ticket: &Ticket, key: UpstreamKey, site: &Site) -> Candidate {
+        let way = if site.entry.zone == self.zone { Span(0) } else { ZONE_PENALTY };
+        let tier = usize::from(ticket.tier).min(TIERS - 1);
+        let (wait, read) = match &ticket.prompt {
+            Some(prompt) => (site.backlog(now, tier), prefill(site.missing(now, prompt))),
+            None => (site.crowd(), Span(0)),
+        };
+        let slow = |span: Span| Span((span.0 as f64 * site.pace.factor(now)) as u64);
+        let expected = Span(way.0 + slow(Span(wait.0 + read.0)).0);
+        let mut cost = Span(way.0 + slow(Span(wait.0 + read.0 * READING_WEIGHT)).0);
+        if site.is_shunned_elsewhere(now) {
+            cost.0 += HEARSAY_PENALTY.0;
+        }
+        let rank = match ticket.prompt.as_ref().and_then(group) {
+            Some(part) => rendezvous::hash(&[&part.to_be_bytes(), site.entry.id.as_bytes()]),
+            None => rendezvous::hash(&[&ticket.key.0.to_be_bytes(), site.entry.id.as_bytes()]),
+        };
+        Candidate { key, expected, cost, rank: Reverse(rank) }
+    }
+
+    fn serving<'a>(
+        &'a self,
+        pool: &'a str,
+    ) -> impl Iterator<Item = &'a (UpstreamKey, Site)> + Clone + 'a {
+        self.sites.iter().filter(move |(_, site)| site.serves(pool))
     }
 
     /// Upstreams that are kept for streams with tight gaps. All hosts choose alike from the same list.
     fn quiet(&self, now: Time, pool: &str) -> Vec<UpstreamKey> {
         let share = self.mix(pool).map_or(0.0, |it| it.tight_share(now));
-        let serving = self
-            .sites
-            .iter()
-            .filter(|(_, site)| *site.entry.pool == *pool && site.entry.state == State::Ready);
+        if share == 0.0 {
+            return Vec::new();
+        }
+        let serving = self.serving(pool);
         let mut ranked: Vec<_> = serving
             .map(|(key, site)| (rendezvous::hash(&[b"quiet", site.entry.id.as_bytes()]), *key))
             .collect();
-        if share == 0.0 || ranked.len() < MIN_SPLIT {
+        if ranked.len() < MIN_SPLIT {
             return Vec::new();
         }
         ranked.sort_unstable();
@@ -358,129 +342,24 @@
         &mut self.mixes[at].1
     }
 
-    fn site(&self, key: UpstreamKey) -> Option<&Site> {
-        let found = self.sites.binary_search_by_key(&key, |it| it.0).ok()?;
-        Some(&self.sites[found].1)
-    }
-
     fn site_mut(&mut self, key: UpstreamKey) -> Option<&mut Site> {
         let found = self.sites.binary_search_by_key(&key, |it| it.0).ok()?;
         Some(&mut self.sites[found].1)
     }
 }
 
-/// Demand of the routes that share the engines of a pool.
-#[derive(Debug, Default)]
-struct Mix {
-    /// Sorted by route.
-    routes: Vec<(Arc<str>, Demand)>,
+/// Parts of a prompt that other requests may have too.
+fn shared(prompt: &Prompt) -> impl Iterator<Item = u64> + '_ {
+    let count = prompt.parts.len().saturating_sub(1);
+    prompt.parts[..count].iter().map(|it| it.id)
 }
 
-#[derive(Debug, Default)]
-struct Demand {
-    gap_ms: Option<u64>,
-    /// Time of engines that requests take, in milliseconds per second.
-    time: Rate,
-    /// Time of engines that their prompts take.
-    prefill: Rate,
+/// The part by which requests are kept together that have it in common: the first one.
+fn group(prompt: &Prompt) -> Option<u64> {
+    shared(prompt).next()
 }
 
-impl Mix {
-    fn observe(&mut self, now: Time, ticket: &Ticket) {
-        let Some(prompt) = &ticket.prompt else { return };
-        let at = match self.routes.binary_search_by(|it| it.0.cmp(&ticket.route)) {
-            Ok(found) => found,
-            Err(at) => {
-                self.routes.insert(at, (ticket.route.clone(), Demand::default()));
-                at
-            }
-        };
-        let own = prompt.parts.last().map_or(prompt.tokens, |it| it.tokens);
-        let read = f64::from(own) / FIRST_PREFILL_RATE;
-        let output = prompt.expected_output.unwrap_or(prompt.max_output / 2);
-        let written = f64::from(output) * STEP_MS / TYPICAL_BATCH;
-        let demand = &mut self.routes[at].1;
-        demand.gap_ms = ticket.gap_ms;
-        demand.time.add(now, read + written);
-        demand.prefill.add(now, read);
-    }
-
-    /// Whether the streams of a route have the tightest gaps, and others read much longer prompts.
-    fn is_tight(&self, now: Time, route: &str) -> bool {
-        let Ok(found) = self.routes.binary_search_by(|it| (*it.0).cmp(route)) else { return false };
-        let Some(gap) = self.routes[found].1.gap_ms else { return false };
-        let tightest = self.routes.iter().filter_map(|it| it.1.gap_ms).min();
-        let rest = self.routes.iter().filter(|it| it.1.gap_ms != Some(gap));
-        let own = self.routes[found].1.prefill.get(now);
-        let others: f64 = rest.map(|it| it.1.prefill.get(now)).sum();
-        tightest == Some(gap) && others > own
-    }
-
-    /// Share of the engines' time that tight streams take.
-    fn tight_share(&self, now: Time) -> f64 {
-        let total: f64 = self.routes.iter().map(|it| it.1.time.get(now)).sum();
-        let tight = self.routes.iter().filter(|it| self.is_tight(now, &it.0));
-        let tight: f64 = tight.map(|it| it.1.time.get(now)).sum();
-        if total > 0.0 { tight / total } else { 0.0 }
-    }
-}
-
-/// The part by which requests of one session are kept together: the last one that others share.
-fn affinity(prompt: &Prompt) -> Option<u64> {
-    let shared = prompt.parts.len().checked_sub(2)?;
-    Some(prompt.parts[shared].id)
-}
-
-fn prefill(tokens: u64) -> Span {
-    Span((tokens as f64 / FIRST_PREFILL_RATE * 1_000.0) as u64)
-}
-
-impl Health {
-    /// Counts a failure of an attempt. Attempts from before the last ejection tell nothing new.
-    fn fail(&mut self, now: Time, started: Time) {
-        if started < self.until {
-            return;
-        }
-        let period = Span((FIRST_EJECTION.0 << self.strikes.min(8)).min(MAX_EJECTION.0));
-        self.strikes += 1;
-        self.until = now + period;
-    }
-}
-
-impl Site {
-    fn new(entry: Entry) -> Site {
-        Site {
-            pending: 0,
-            running: 0,
-            load: None,
-            tag: rendezvous::hash(&[entry.id.as_bytes(), &entry.born.to_be_bytes()]),
-            foreign: Foreign::default(),
-            health: Health::default(),
-            parts: Vec::new(),
-            entry,
-        }
-    }
-
-    /// Tokens of a prompt that the engine has to read.
-    fn missing(&self, now: Time, prompt: &Prompt) -> u64 {
-        let kept = prompt.parts.iter().take_while(|part| {
-            let found = self.parts.binary_search_by_key(&part.id, |it| it.0);
-            found.is_ok_and(|at| now.since(self.parts[at].1) < PART_LIFETIME)
-        });
-        let kept: u64 = kept.map(|it| u64::from(it.tokens)).sum();
-        u64::from(prompt.tokens).saturating_sub(kept)
-    }
-
-    fn remember(&mut self, now: Time, prompt: &Prompt) {
-        let shared = prompt.parts.len().saturating_sub(1);
-        for part in &prompt.parts[..shared] {
-            match self.parts.binary_search_by_key(&part.id, |it| it.0) {
-                Ok(at) => self.parts[at].1 = now,
-                Err(at) => self.parts.insert(at, (part.id, now)),
-            }
-        }
-        if self.parts.len() > 1_024 {
-            self.parts.retain(|it| now.since(it.1) < PART_LIFETIME);
-        }
-    }
+/// Time to read a whole prompt.
+fn reading(ticket: &Ticket) -> Span {
+    prefill(ticket.prompt.as_ref().map_or(0, |it| u64::from(it.tokens)))
 }
