Repeat what upstreams failed, resume streams, and let each host look at its share of a large pool

Change: a host looks at 24 upstreams of a large pool and at those that keep the prompt's parts; what a request has been through is a core of its own; an upstream's failure is repeated elsewhere where the route allows it; streams go on after their last event; upstreams that fall silent in the middle of answers are shunned.

--- a/src/serving.rs
+++ b/src/serving.rs
@@ -3,6 +3,7 @@
 pub mod archive;
 pub mod budget;
 pub mod connection;
+pub mod course;
 pub mod dialect;
 pub mod dispatcher;
 pub mod duties;
@@ -31,5 +32,6 @@
 pub mod scaling;
 pub mod settings;
 pub mod site;
+pub mod stream;
 pub mod table;
 pub mod usage;
--- /dev/null
+++ b/src/serving/course.rs
@@ -0,0 +1,95 @@
+//! What a request has been through, and whether it may be sent again.
+
+use crate::{
+    error::{Kind, Run},
+    serving::{key::UpstreamKey, table::Repeat},
+    time::{Span, Time},
+};
+
+/// Time that must be left for another send to be of use.
+const LEAST_TIME: Span = Span::from_ms(20);
+
+/// Sends that a request may take in all; refusals of upstreams are no runs, but each costs time.
+const MAX_SENDS: u32 = 4;
+
+/// Why an attempt has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Loss {
+    /// Kind of the error.
+    pub kind: Kind,
+    /// Whether the upstream may have run the request.
+    pub run: Run,
+    /// Whether the request reached the upstream, so that another send is a repeat.
+    pub arrived: bool,
+}
+
+impl Loss {
+    /// The request did not reach an upstream.
+    pub fn unsent(kind: Kind) -> Loss {
+        Loss { kind, run: Run::No, arrived: false }
+    }
+
+    /// The upstream said that it has not run the request.
+    pub fn refused(kind: Kind) -> Loss {
+        Loss { kind, run: Run::No, arrived: true }
+    }
+
+    /// The upstream may have run the request.
+    pub fn sent(kind: Kind) -> Loss {
+        Loss { kind, run: Run::Unknown, arrived: true }
+    }
+}
+
+/// What a route allows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rules {
+    /// Whether a request may run more than once.
+    pub repeat: Repeat,
+    /// Upstreams that a request may run on.
+    pub attempts: u32,
+    /// When the answer is of no more use.
+    pub deadline: Time,
+}
+
+/// What a request has been through.
+#[derive(Debug, Default)]
+pub struct Course {
+    /// Runs that began or may have begun.
+    runs: u32,
+    /// Sends that were tried.
+    sends: u32,
+    /// Upstreams that were tried.
+    pub avoid: Vec<UpstreamKey>,
+}
+
+impl Course {
+    /// An upstream is tried.
+    pub fn send(&mut self, upstream: UpstreamKey) {
+        self.sends += 1;
+        self.avoid.push(upstream);
+    }
+
+    /// An upstream answered.
+    pub fn answer(&mut self) {
+        self.runs += 1;
+    }
+
+    /// An attempt has no answer.
+    pub fn lose(&mut self, loss: Loss) {
+        self.runs += u32::from(loss.run != Run::No);
+    }
+
+    /// Whether any upstream may have run the request.
+    pub fn run(&self) -> Run {
+        if self.runs == 0 { Run::No } else { Run::Unknown }
+    }
+
+    /// Whether the request may be sent again, the budget of repeats aside.
+    pub fn may_repeat(&self, now: Time, rules: Rules) -> bool {
+        let runs = match rules.repeat {
+            Repeat::Never => self.runs == 0,
+            Repeat::Always | Repeat::Resume => self.runs < rules.attempts,
+        };
+        runs && self.sends < MAX_SENDS && now + LEAST_TIME < rules.deadline
+    }
+}
--- a/src/serving/dialect.rs
+++ b/src/serving/dialect.rs
@@ -40,6 +40,8 @@
     pub patience: Option<Span>,
     /// The prompt, if the request is for an engine.
     pub prompt: Option<Prompt>,
+    /// Last event of the stream that the caller has, if it resumes one.
+    pub last_event: Option<u64>,
 }
 
 /// What the router itself tells an upstream.
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -1,6 +1,6 @@
 //! Task that owns the choice of upstreams and answers the exchange's tickets.
 
-use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -57,14 +57,21 @@
     dispatcher: Dispatcher,
     attempt: AttemptKey,
     ending: Ending,
+    /// When the upstream was last heard of, on any of its connections.
+    heard: Rc<Cell<Time>>,
+    answered: Cell<bool>,
 }
 
 impl Dispatcher {
     /// Spawns the task on the current thread.
-    pub fn spawn(zone: Arc<str>, upstreams: watch::Receiver<Rc<Vec<Entry>>>) -> Dispatcher {
+    pub fn spawn(
+        host: Arc<str>,
+        zone: Arc<str>,
+        upstreams: watch::Receiver<Rc<Vec<Entry>>>,
+    ) -> Dispatcher {
         let (messages, mailbox) = mpsc::unbounded_channel();
         let task = Task {
-            core: Placement::new(zone),
+            core: Placement::new(host, zone),
             waiting: BTreeMap::new(),
             actions: Vec::new(),
             upstreams,
@@ -82,8 +89,13 @@
         let stopped = || Error::new(Kind::Internal, "the dispatcher has stopped");
         self.messages.send(Message::Submit(Box::new(ticket), answer)).map_err(|_| stopped())?;
         let grant = decision.await.map_err(|_| stopped())??;
-        let guard =
-            Guard { dispatcher: self.clone(), attempt: grant.attempt, ending: Ending::Cancelled };
+        let guard = Guard {
+            dispatcher: self.clone(),
+            attempt: grant.attempt,
+            ending: Ending::Cancelled,
+            heard: grant.heard.clone(),
+            answered: Cell::new(false),
+        };
         Ok((grant, guard))
     }
 
@@ -119,9 +131,12 @@
 }
 
 impl Guard {
-    /// The first byte or event came.
-    pub fn answered(&self) {
-        self.dispatcher.tell(Message::Answered(self.attempt));
+    /// The upstream has sent something.
+    pub fn heard(&self) {
+        self.heard.set(Time::now());
+        if !self.answered.replace(true) {
+            self.dispatcher.tell(Message::Answered(self.attempt));
+        }
     }
 
     /// Ends the attempt.
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -1,6 +1,10 @@
 //! One request from its acceptance to its answer: tickets, attempts, retries and resumption.
 
-use std::{cell::Cell, rc::Rc, sync::Arc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
 
 use bytes::Bytes;
 use http::{
@@ -14,13 +18,14 @@
     error::{Error, Kind, Run},
     serving::{
         budget::Budget,
+        course::{Course, Loss, Rules},
         dialect::{Dialect, Orders, Prompt, Verdict},
         dispatcher::{Dispatcher, Guard},
         key::{TicketKey, UpstreamKey},
         link::{self, Link},
         links::Links,
         placement::{Grant, Ticket},
-        relay::Relay,
+        relay::{Relay, Resume},
         table::{Customer, Repeat, Route},
         usage::Meter,
     },
@@ -54,6 +59,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// Last event of the stream that the caller has, if it resumes one.
+    pub last_event: Option<u64>,
     /// The prompt, if the request is for an engine.
     pub prompt: Option<Prompt>,
     /// Priority, zero first.
@@ -110,27 +117,6 @@
     tickets: Cell<u64>,
 }
 
-/// Why an attempt has no answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Loss {
-    /// Kind of the error.
-    pub kind: Kind,
-    /// Whether the upstream may have run the request.
-    pub run: Run,
-    /// Whether the request reached the upstream, so that another send is a repeat.
-    pub arrived: bool,
-}
-
-/// What a request has been through.
-#[derive(Debug, Default)]
-pub struct Course {
-    /// Upstreams that may have run the request.
-    runs: u32,
-    /// Sends that reached an upstream.
-    arrivals: u32,
-    avoid: Vec<UpstreamKey>,
-}
-
 /// An answer that has begun, on its connection.
 #[derive(Debug)]
 pub struct Begun {
@@ -162,19 +148,31 @@
     /// # Errors
     /// Why the request has no answer, and whether it ran.
     pub async fn run(&self, job: Job) -> Result<Answer, Error> {
+        let job = Rc::new(job);
         let pool = self.pool(&job);
         self.shared.budget.request(&pool);
         let mut course = Course::default();
+        // An upstream's failure, which is passed on if no other upstream does better.
+        let mut failure = None;
         loop {
-            let loss = match self.begin(&job, &pool, &mut course, None).await {
-                Ok(begun) => match self.answer(&job, begun).await {
-                    Ok(answer) => return Ok(answer),
-                    Err(loss) => loss,
-                },
-                Err(error) => return Err(error),
+            let begun = match self.begin(&job, &pool, &mut course, None).await {
+                Ok(begun) => begun,
+                Err(error) => return failure.ok_or(error),
             };
-            if let Some(error) = self.lost(&job, &pool, &mut course, loss) {
-                return Err(error);
+            match self.answer(&job, &pool, &mut course, begun).await {
+                Ok(answer) if answer.status.is_server_error() => {
+                    if !self.may_repeat(&job, &pool, &course, true) {
+                        return Ok(answer);
+                    }
+                    failure = Some(answer);
+                }
+                Ok(answer) => return Ok(answer),
+                Err(loss) => {
+                    course.lose(loss);
+                    if !self.may_repeat(&job, &pool, &course, true) {
+                        return failure.ok_or(give_up(loss, &course));
+                    }
+                }
             }
         }
     }
@@ -190,7 +188,7 @@
     ///
     /// # Errors
     /// Why the request is given up.
-    pub async fn begin(
+    async fn begin(
         &self,
         job: &Job,
         pool: &Arc<str>,
@@ -202,37 +200,29 @@
             let left = job.deadline.since(Time::now());
             let placed = timeout(left.into(), self.shared.dispatcher.submit(ticket)).await;
             let late = |_| Error::new(Kind::QueueTimeout, "no upstream was free in time");
-            let (grant, guard) =
-                placed.map_err(late).flatten().map_err(|error| error.with_run(course.run()))?;
-            course.avoid.push(grant.upstream);
+            let placed = placed.map_err(late).flatten();
+            let (grant, guard) = placed.map_err(|error| error.with_run(course.run()))?;
+            course.send(grant.upstream);
             match self.send(job, &grant, guard, resume_after).await {
                 Ok(begun) => return Ok(begun),
                 Err(loss) => {
-                    if let Some(error) = self.lost(job, pool, course, loss) {
-                        return Err(error);
+                    course.lose(loss);
+                    if !self.may_repeat(job, pool, course, loss.arrived) {
+                        return Err(give_up(loss, course));
                     }
                 }
             }
         }
     }
 
-    /// Notes a loss and decides whether the request is given up.
-    fn lost(&self, job: &Job, pool: &Arc<str>, course: &mut Course, loss: Loss) -> Option<Error> {
-        course.arrivals += u32::from(loss.arrived);
-        course.runs += u32::from(loss.run != Run::No);
-        let given_up = || {
-            let error = Error::new(loss.kind, explain(loss.kind));
-            let error = if course.runs == 0 { not_run(error) } else { error };
-            Some(error.with_run(course.run()))
+    /// Whether a request may be sent again. A send that reached an upstream takes from the budget of repeats.
+    fn may_repeat(&self, job: &Job, pool: &Arc<str>, course: &Course, arrived: bool) -> bool {
+        let rules = Rules {
+            repeat: job.route.repeat,
+            attempts: job.route.attempts,
+            deadline: job.deadline,
         };
-        let may_repeat = course.runs == 0 || job.route.repeat != Repeat::Never;
-        if !may_repeat || course.runs >= job.route.attempts || Time::now() >= job.deadline {
-            return given_up();
-        }
-        if loss.arrived && !self.shared.budget.repeat(pool) {
-            return given_up();
-        }
-        None
+        course.may_repeat(Time::now(), rules) && (!arrived || self.shared.budget.repeat(pool))
     }
 
     /// Sends a request on a connection to its upstream and waits for the head of the answer.
@@ -248,12 +238,12 @@
             let taken = self.shared.links.take(grant.upstream, grant.address, repeatable).await;
             let Ok(mut link) = taken else {
                 guard.end(Ending::Refused);
-                return Err(Loss { kind: Kind::UpstreamConnect, run: Run::No, arrived: false });
+                return Err(Loss::unsent(Kind::UpstreamConnect));
             };
             let left = job.deadline.since(Time::now());
             if left == Span(0) {
                 guard.end(Ending::Unused);
-                return Err(Loss { kind: Kind::QueueTimeout, run: Run::No, arrived: false });
+                return Err(Loss::unsent(Kind::QueueTimeout));
             }
             let request = self.request(job, grant, left, resume_after);
             let used = link.used;
@@ -262,17 +252,16 @@
                 Ok(Err(link::Failure::Unsent)) if used => continue,
                 Ok(Err(link::Failure::Unsent)) => {
                     guard.end(Ending::Refused);
-                    return Err(Loss { kind: Kind::UpstreamConnect, run: Run::No, arrived: false });
+                    return Err(Loss::unsent(Kind::UpstreamConnect));
                 }
                 Ok(Err(link::Failure::Sent(why))) => {
                     log::debug!("request {:?} lost at {}: {why}", job.id, grant.instance);
                     guard.end(Ending::Failed);
-                    return Err(Loss { kind: Kind::UpstreamCut, run: Run::Unknown, arrived: true });
+                    return Err(Loss::sent(Kind::UpstreamCut));
                 }
                 Err(_) => {
                     guard.end(Ending::TimedOut);
-                    let kind = Kind::UpstreamTimeout;
-                    return Err(Loss { kind, run: Run::Unknown, arrived: true });
+                    return Err(Loss::sent(Kind::UpstreamTimeout));
                 }
             };
             return self.judge(job, grant, response, link, guard).await;
@@ -299,15 +288,15 @@
             Verdict::NotRun => {
                 guard.end(Ending::Refused);
                 self.finish(grant.upstream, body, link);
-                Err(Loss { kind: Kind::Shed, run: Run::No, arrived: true })
+                Err(Loss::refused(Kind::Shed))
             }
             Verdict::Misdirected => {
                 guard.end(Ending::Refused);
-                Err(Loss { kind: Kind::NoUpstream, run: Run::No, arrived: true })
+                Err(Loss::refused(Kind::NoUpstream))
             }
             Verdict::Invalid => {
                 guard.end(Ending::Invalid);
-                Err(Loss { kind: Kind::UpstreamInvalid, run: Run::Unknown, arrived: true })
+                Err(Loss::sent(Kind::UpstreamInvalid))
             }
         }
     }
@@ -323,11 +312,19 @@
     }
 
     /// Makes the caller's answer of an upstream's.
-    async fn answer(&self, job: &Job, begun: Begun) -> Result<Answer, Loss> {
+    async fn answer(
+        &self,
+        job: &Rc<Job>,
+        pool: &Arc<str>,
+        course: &mut Course,
+        begun: Begun,
+    ) -> Result<Answer, Loss> {
         let status = begun.response.status();
         let headers = answer_headers(begun.response.headers());
         if job.route.stream && status.is_success() {
-            let relay = Relay::begin(begun, self.shared.links.clone(), job.deadline);
+            let resume = self.clone().resume(job.clone(), pool.clone(), course);
+            let links = self.shared.links.clone();
+            let relay = Relay::begin(begun, job.last_event, links, job.deadline, resume);
             let relay = relay.first().await?;
             self.begun(job);
             let body = Body::Stream(Box::new(relay));
@@ -335,12 +332,44 @@
         }
         self.begun(job);
         let body = self.whole(job, begun).await?;
+        course.answer();
         Ok(Answer { status, headers, body: Body::Whole(body) })
     }
 
+    /// How a stream goes on at another upstream, if its route allows that.
+    fn resume(self, job: Rc<Job>, pool: Arc<str>, course: &mut Course) -> Resume {
+        let course = Rc::new(RefCell::new(std::mem::take(course)));
+        Box::new(move |after, loss| {
+            let (exchange, job, pool) = (self.clone(), job.clone(), pool.clone());
+            let course = course.clone();
+            Box::pin(async move {
+                let mut course = course.take();
+                course.lose(loss);
+                if job.route.repeat != Repeat::Resume
+                    || !exchange.may_repeat(&job, &pool, &course, true)
+                {
+                    return None;
+                }
+                let after = after.map(|it| it.to_string());
+                let begun = exchange.begin(&job, &pool, &mut course, after.as_deref()).await;
+                match begun {
+                    Ok(begun) if begun.response.status().is_success() => {
+                        log::info!("request {:?} goes on after event {after:?}", job.id);
+                        Some(begun)
+                    }
+                    Ok(_) => None,
+                    Err(error) => {
+                        log::info!("request {:?} cannot go on: {error}", job.id);
+                        None
+                    }
+                }
+            })
+        })
+    }
+
     async fn whole(&self, job: &Job, begun: Begun) -> Result<Bytes, Loss> {
         let Begun { response, link, guard, upstream } = begun;
-        let lost = |kind| Loss { kind, run: Run::Unknown, arrived: true };
+        guard.heard();
         let left = job.deadline.since(Time::now());
         let body = http_body_util::Limited::new(response.into_body(), MAX_WHOLE_BYTES);
         match timeout(left.into(), body.collect()).await {
@@ -351,11 +380,11 @@
             }
             Ok(Err(_)) => {
                 guard.end(Ending::Failed);
-                Err(lost(Kind::UpstreamCut))
+                Err(Loss::sent(Kind::UpstreamCut))
             }
             Err(_) => {
                 guard.end(Ending::TimedOut);
-                Err(lost(Kind::UpstreamTimeout))
+                Err(Loss::sent(Kind::UpstreamTimeout))
             }
         }
     }
@@ -417,15 +446,13 @@
     }
 }
 
-impl Course {
-    fn run(&self) -> Run {
-        if self.runs == 0 { Run::No } else { Run::Unknown }
+/// The error of a request that is given up after a loss. One that did not run may come back.
+fn give_up(loss: Loss, course: &Course) -> Error {
+    let error = Error::new(loss.kind, explain(loss.kind)).with_run(course.run());
+    if course.run() != Run::No {
+        return error;
     }
-}
-
-/// The error of a request that did not run: the caller may come back.
-fn not_run(error: Error) -> Error {
-    let kind = match error.kind {
+    let kind = match loss.kind {
         Kind::UpstreamConnect => Kind::NoUpstream,
         kind => kind,
     };
--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -138,6 +138,7 @@
         path: path.to_owned(),
         headers,
         body,
+        last_event: ask.last_event,
         prompt: ask.prompt,
         tier: customer.as_ref().and_then(|it| it.tier).unwrap_or(route.tier),
         customer,
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -93,7 +93,11 @@
         ports: Ports<S, D, P>,
     ) -> Result<Host> {
         let (upstreams_sender, upstreams) = watch::channel(Rc::default());
-        let dispatcher = Dispatcher::spawn(settings.zone.as_str().into(), upstreams.clone());
+        let dispatcher = Dispatcher::spawn(
+            settings.host.as_str().into(),
+            settings.zone.as_str().into(),
+            upstreams.clone(),
+        );
         // No earlier process of the host started at the same time.
         let writer = format!("{}-{}", settings.host, wall_ms());
         let meter = Meter::new(settings.usage_window, &writer);
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -3,7 +3,7 @@
 //! Every host chooses by itself. The load pattern it answers: many prompts that share their beginnings, some of them
 //! long, on engines that read one prompt after the other, so that a badly placed prompt delays all that follow it.
 
-use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{cell::Cell, cmp::Reverse, collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc};
 
 use crate::{
     error::Kind,
@@ -26,6 +26,9 @@
 /// Weight of the time to read a prompt against the time to wait for others: reading also delays those that come later.
 const READING_WEIGHT: u64 = 2;
 
+/// Upstreams of a pool that one host looks at.
+const MAX_SHARE: usize = 24;
+
 /// Fewest engines that are divided between tight streams and others.
 const MIN_SPLIT: usize = 3;
 
@@ -72,6 +75,8 @@
     pub instance: Arc<str>,
     /// Address of the upstream.
     pub address: SocketAddr,
+    /// When the upstream was last heard of, on any of its connections.
+    pub heard: Rc<Cell<Time>>,
 }
 
 /// Output of the core.
@@ -110,6 +115,7 @@
 /// State of the choice.
 #[derive(Debug)]
 pub struct Placement {
+    host: Arc<str>,
     zone: Arc<str>,
     /// Sorted by key.
     sites: Vec<(UpstreamKey, Site)>,
@@ -123,9 +129,10 @@
 }
 
 impl Placement {
-    /// A choice for the hosts of an availability zone.
-    pub fn new(zone: Arc<str>) -> Placement {
+    /// A choice for a host of an availability zone.
+    pub fn new(host: Arc<str>, zone: Arc<str>) -> Placement {
         Placement {
+            host,
             zone,
             sites: Vec::new(),
             running: BTreeMap::new(),
@@ -172,6 +179,7 @@
         site.pending[tier] -= pending;
         site.health.succeed();
         if first {
+            site.answering += 1;
             site.pace.observe(now, expected, took);
         }
     }
@@ -182,6 +190,7 @@
         let Some(site) = self.site_mut(running.upstream) else { return };
         site.pending[running.tier] -= running.pending;
         site.running -= 1;
+        site.answering -= u32::from(running.answered);
         match ending {
             Ending::Done => {
                 site.health.succeed();
@@ -258,18 +267,20 @@
             upstream: best.key,
             instance: site.entry.id.clone(),
             address: site.entry.address,
+            heard: site.heard.clone(),
         }
     }
 
     /// The upstream that costs least, among those that are not shunned if there are any.
     fn choose(&self, now: Time, ticket: &Ticket) -> Option<Candidate> {
         let serving = self.serving(&ticket.pool).filter(|(key, _)| !ticket.avoid.contains(key));
-        let any_healthy = serving.clone().any(|(_, site)| !site.health.is_shunned(now));
-        let open = serving.filter(|(_, site)| !any_healthy || !site.health.is_shunned(now));
+        let any_healthy = serving.clone().any(|(_, site)| !site.is_shunned(now));
+        let open = serving.filter(|(_, site)| !any_healthy || !site.is_shunned(now));
+        let open = self.considered(now, ticket, open.collect());
         let mix = self.mix(&ticket.pool);
         let quiet = self.quiet(now, &ticket.pool);
         let tight = mix.is_some_and(|it| it.is_tight(now, &ticket.route));
-        let candidates = open.map(|(key, site)| {
+        let candidates = open.into_iter().map(|(key, site)| {
             let mut candidate = self.candidate(now, ticket, *key, site);
             if !quiet.is_empty() && quiet.contains(key) != tight {
                 let stall = if tight { Span(0) } else { reading(ticket) };
@@ -280,6 +291,30 @@
         candidates.min_by_key(|it| (it.cost, it.rank))
     }
 
+    /// Upstreams that this host looks at: its own share of a large pool, and those that keep parts of the prompt.
+    ///
+    /// The load pattern it answers: many hosts that all learn a moment late which engine is free would all go there.
+    fn considered<'a>(
+        &self,
+        now: Time,
+        ticket: &Ticket,
+        mut open: Vec<&'a (UpstreamKey, Site)>,
+    ) -> Vec<&'a (UpstreamKey, Site)> {
+        if open.len() <= MAX_SHARE {
+            return open;
+        }
+        open.sort_by_cached_key(|(_, site)| {
+            rendezvous::hash(&[self.host.as_bytes(), site.entry.id.as_bytes()])
+        });
+        let (share, rest) = open.split_at(MAX_SHARE);
+        let keeps = |site: &Site| {
+            let prompt = ticket.prompt.as_ref();
+            prompt.is_some_and(|it| site.keeps_shared(now, it))
+        };
+        let holders = rest.iter().copied().filter(|(_, site)| keeps(site));
+        share.iter().copied().chain(holders).collect()
+    }
+
     fn candidate(&self, now: Time, ticket: &Ticket, key: UpstreamKey, site: &Site) -> Candidate {
         let way = if site.entry.zone == self.zone { Span(0) } else { ZONE_PENALTY };
         let tier = usize::from(ticket.tier).min(TIERS - 1);
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -1,72 +1,60 @@
-//! Passing of a streamed answer from an upstream to its caller, in whole events.
+//! Passing of a streamed answer from upstreams to its caller, in whole events.
 
-use bytes::{Bytes, BytesMut};
+use std::fmt;
+
+use bytes::Bytes;
+use futures::future::LocalBoxFuture;
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::{
-    error::{Kind, Run},
-    serving::{
-        dispatcher::Guard,
-        exchange::{Begun, Loss},
-        key::UpstreamKey,
-        link::Link,
-        links::Links,
-    },
-    sse,
+    error::Kind,
+    serving::{course::Loss, exchange::Begun, links::Links, stream::Events},
     time::Time,
     wire::Ending,
 };
 
+/// Goes on with a stream at another upstream, after the last event that the caller has. `None` if it cannot go on.
+pub type Resume = Box<dyn FnMut(Option<u64>, Loss) -> LocalBoxFuture<'static, Option<Begun>>>;
+
 /// A stream of events on its way to the caller.
-#[derive(Debug)]
 pub struct Relay {
-    body: Incoming,
-    /// Taken when the stream has ended.
-    link: Option<Link>,
-    guard: Option<Guard>,
-    upstream: UpstreamKey,
+    /// The answer in progress, absent after the end of the stream.
+    begun: Option<Begun>,
+    events: Events,
     links: Links,
-    /// Bytes after the last whole event.
-    tail: BytesMut,
+    resume: Resume,
     /// Events that came before the answer was begun.
     first: Option<Bytes>,
     deadline: Time,
 }
 
+impl fmt::Debug for Relay {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Relay").field("events", &self.events).finish_non_exhaustive()
+    }
+}
+
 impl Relay {
-    /// Takes over an answer.
-    pub fn begin(begun: Begun, links: Links, deadline: Time) -> Relay {
-        let Begun { response, link, guard, upstream } = begun;
-        Relay {
-            body: response.into_body(),
-            link: Some(link),
-            guard: Some(guard),
-            upstream,
-            links,
-            tail: BytesMut::new(),
-            first: None,
-            deadline,
-        }
+    /// Takes over an answer that follows an event which the caller has.
+    pub fn begin(
+        begun: Begun,
+        after: Option<u64>,
+        links: Links,
+        deadline: Time,
+        resume: Resume,
+    ) -> Relay {
+        let events = Events::after(after);
+        Relay { begun: Some(begun), events, links, resume, first: None, deadline }
     }
 
-    /// Waits for the first event.
+    /// Waits for the first events.
     ///
     /// # Errors
-    /// Why there is none.
+    /// Why there are none.
     pub async fn first(mut self) -> Result<Relay, Loss> {
-        match self.receive().await {
-            Ok(Some(events)) => {
-                self.first = Some(events);
-                if let Some(guard) = &self.guard {
-                    guard.answered();
-                }
-                Ok(self)
-            }
-            Ok(None) => Ok(self),
-            Err(kind) => Err(Loss { kind, run: Run::Unknown, arrived: true }),
-        }
+        self.first = self.receive().await.map_err(Loss::sent)?;
+        Ok(self)
     }
 
     /// The next whole events, or `None` after the end of the stream.
@@ -74,50 +62,54 @@
     /// # Errors
     /// The kind of loss that cut the stream.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Kind> {
-        match self.first.take() {
-            Some(events) => Ok(Some(events)),
-            None => self.receive().await,
+        if let Some(events) = self.first.take() {
+            return Ok(Some(events));
+        }
+        loop {
+            let kind = match self.receive().await {
+                Ok(events) => return Ok(events),
+                Err(kind) => kind,
+            };
+            self.events.cut();
+            self.begun = (self.resume)(self.events.last(), Loss::sent(kind)).await;
+            if self.begun.is_none() {
+                return Err(kind);
+            }
         }
     }
 
+    /// Events of the answer in progress.
     async fn receive(&mut self) -> Result<Option<Bytes>, Kind> {
         loop {
-            if self.link.is_none() {
-                return Ok(None);
-            }
+            let Some(begun) = &mut self.begun else { return Ok(None) };
             let left = self.deadline.since(Time::now());
-            let frame = match timeout(left.into(), self.body.frame()).await {
+            let frame = match timeout(left.into(), begun.response.body_mut().frame()).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(None) => return self.finish(),
+                Ok(None) => return Ok(self.finish()),
                 Ok(Some(Err(_))) => return Err(self.lose(Kind::UpstreamCut, Ending::Failed)),
                 Err(_) => return Err(self.lose(Kind::UpstreamTimeout, Ending::TimedOut)),
             };
-            self.tail.extend_from_slice(&frame.into_data().unwrap_or_default());
-            let (length, _) = sse::events(&self.tail);
-            if length > 0 {
-                return Ok(Some(self.tail.split_to(length).freeze()));
-            }
-            if self.tail.len() > sse::MAX_EVENT_BYTES {
-                return Err(self.lose(Kind::UpstreamInvalid, Ending::Invalid));
+            begun.guard.heard();
+            match self.events.push(&frame.into_data().unwrap_or_default()) {
+                Ok(events) if events.is_empty() => {}
+                Ok(events) => return Ok(Some(events)),
+                Err(_) => return Err(self.lose(Kind::UpstreamInvalid, Ending::Invalid)),
             }
         }
     }
 
-    fn finish(&mut self) -> Result<Option<Bytes>, Kind> {
-        if let Some(link) = self.link.take() {
-            self.links.keep(self.upstream, link);
-        }
-        if let Some(guard) = self.guard.take() {
+    fn finish(&mut self) -> Option<Bytes> {
+        if let Some(Begun { link, guard, upstream, .. }) = self.begun.take() {
+            self.links.keep(upstream, link);
             guard.end(Ending::Done);
         }
-        let rest = self.tail.split().freeze();
-        Ok((!rest.is_empty()).then_some(rest))
+        let rest = self.events.end();
+        (!rest.is_empty()).then_some(rest)
     }
 
     fn lose(&mut self, kind: Kind, ending: Ending) -> Kind {
-        self.link = None;
-        if let Some(guard) = self.guard.take() {
-            guard.end(ending);
+        if let Some(begun) = self.begun.take() {
+            begun.guard.end(ending);
         }
         kind
     }
--- a/src/serving/site.rs
+++ b/src/serving/site.rs
@@ -1,5 +1,7 @@
 //! What a host knows of one upstream.
 
+use std::{cell::Cell, rc::Rc};
+
 use crate::{
     rendezvous,
     serving::{
@@ -28,6 +30,10 @@
 /// Time that a request of a plain service takes, in microseconds, before others are known.
 const SERVICE_US: u64 = 20_000;
 
+/// Silence in the middle of answers after which an upstream is taken to be away; an engine that reads prompts sends an
+/// event each 0.3 s at the latest.
+const SILENCE: Span = Span::from_ms(700);
+
 /// First time for which an upstream that failed gets no request.
 const FIRST_EJECTION: Span = Span::from_ms(500);
 
@@ -70,6 +76,10 @@
     pub pending: [u64; TIERS],
     /// Attempts of this host without an end.
     pub running: u32,
+    /// Attempts of them whose answer has begun.
+    pub answering: u32,
+    /// When it was last heard of.
+    pub heard: Rc<Cell<Time>>,
     /// Its failures.
     pub health: Health,
     /// How slow it is.
@@ -96,6 +106,8 @@
             entry,
             pending: [0; TIERS],
             running: 0,
+            answering: 0,
+            heard: Rc::new(Cell::new(Time(0))),
             health: Health::default(),
             pace: Pace::default(),
             foreign: Foreign::default(),
@@ -114,9 +126,15 @@
         *self.entry.pool == *pool && self.entry.state == State::Ready
     }
 
+    /// Whether it gets no request now, as it failed or fell silent in the middle of answers.
+    pub fn is_shunned(&self, now: Time) -> bool {
+        now < self.health.until || (self.answering > 0 && now.since(self.heard.get()) > SILENCE)
+    }
+
     /// Load of this host, if there is anything to tell.
     pub fn load(&self, now: Time) -> Option<news::Load> {
-        let shunned = self.health.until.since(now).as_ms();
+        let silent = if self.is_shunned(now) { SILENCE } else { Span(0) };
+        let shunned = self.health.until.since(now).max(silent).as_ms();
         let load = news::Load {
             upstream: self.tag,
             pending: self.pending.map(|it| it.min(u64::from(u32::MAX)) as u32),
@@ -165,6 +183,12 @@
         u64::from(prompt.tokens).saturating_sub(kept)
     }
 
+    /// Whether it keeps all parts of a prompt that other requests may have too, more than the first of them.
+    pub fn keeps_shared(&self, now: Time, prompt: &Prompt) -> bool {
+        let shared = prompt.parts.len().saturating_sub(1);
+        shared > 1 && prompt.parts[..shared].iter().all(|it| self.keeps(now, it.id))
+    }
+
     /// Notes that a part of a prompt was sent there.
     pub fn remember(&mut self, now: Time, part: u64) {
         match self.parts.binary_search_by_key(&part, |it| it.0) {
@@ -192,11 +216,6 @@
 }
 
 impl Health {
-    /// Whether it gets no request now.
-    pub fn is_shunned(&self, now: Time) -> bool {
-        now < self.until
-    }
-
     /// Counts a failure of an attempt. Attempts from before the last ejection tell nothing new.
     pub fn fail(&mut self, now: Time, started: Time) {
         if started < self.until {
