Two hubs a group, and hubs that the store turns away yield

Ruled out: an older statement of the upstream, a lost event (hosts that followed the store had it within 10 ms). Change: the first two hosts by rank follow the store and are asked in turns; a host says whether it follows the store, and one that does not is passed over for 0.3 s; only the first hub writes counts; watches of upstreams wait 1 s.

--- a/src/serving/archive.rs
+++ b/src/serving/archive.rs
@@ -38,23 +38,32 @@
 const INTERVAL: Duration = Duration::from_millis(100);
 
 /// Questions of a host in a large fleet are sent at each so many intervals.
-const LARGE_FLEET_STRIDE: u32 = 2;
+const LARGE_FLEET_STRIDE: usize = 2;
 
 /// Age of the best proof beyond which other sources are asked: longer than two watches of the store and a question take.
 const STALE: Span = Span::from_ms(2_600);
 
+/// Hosts of a group that follow the store; the others ask them in turns, so that the loss of one delays nothing.
+const HUBS: usize = 2;
+
 /// Time for which a host that did not answer is passed over.
 const SHUN_TIME: Span = Span::from_ms(1_000);
 
+/// Time for which a host that does not follow the store is passed over as a hub.
+const BEHIND_TIME: Span = Span::from_ms(300);
+
+/// Time since the store's last answer after which a host no longer follows it: longer than a watch.
+const TOUCH_TIME: Span = Span::from_ms(1_400);
+
 /// Time for which a starting host asks others before it follows the store itself.
 const START_TIME: Span = Span::from_ms(250);
 
-/// Longest wait of a watch of the configuration, in milliseconds. The last answer but one proves that it is the newest,
-/// and a key's proof lasts for seconds.
-const CONFIGURATION_WAIT_MS: u64 = 1_000;
+/// Longest wait of a watch of the configuration or the upstreams, in milliseconds. A connection that fell silent is noticed
+/// after it, and the last answer but one proves that the configuration is the newest.
+const WAIT_MS: u64 = 1_000;
 
-/// Longest wait of the other watches, in milliseconds. A connection that fell silent is noticed after it.
-const WAIT_MS: u64 = 3_000;
+/// Longest wait of a watch of the fleet's own keys, in milliseconds.
+const FLEET_WAIT_MS: u64 = 5_000;
 
 /// First pause after a failed call to the store.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -65,6 +74,17 @@
 /// Messages that may wait at the task.
 const QUEUE: usize = 1_024;
 
+/// Place of a host among the hubs of its group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    /// The hub that writes the group's counts.
+    First,
+    /// Another hub.
+    Other,
+    /// No hub.
+    Member,
+}
+
 /// A followed prefix.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Topic {
@@ -190,6 +210,7 @@
         };
         task::spawn_local(follower.run(following.clone()));
     }
+    let place = Rc::new(watch::channel(Place::First).0);
     let asker = || Asker {
         host: options.host.clone(),
         zone: options.zone.clone(),
@@ -202,6 +223,7 @@
         meter: options.meter.clone(),
         messages: messages.clone(),
         shunned: Vec::new(),
+        place: place.clone(),
         counted: None,
         positions: Vec::new(),
     };
@@ -222,7 +244,6 @@
     let task = Task {
         decoding: options.decoding,
         host: options.host,
-        zone: options.zone,
         meter: options.meter,
         dispatcher,
         outputs,
@@ -232,6 +253,8 @@
         roll: Roll::default(),
         loads: Loads::default(),
         placed: placed::Log::default(),
+        place: place.subscribe(),
+        touched: Time(0),
         started: Time::now(),
         has_seeds: options.seeds.iter().any(|it| *it != options.address),
     };
@@ -287,8 +310,8 @@
             return Ok(Some(Some(News::Listing(items, revision))));
         }
         let wait_ms = match self.topic {
-            Topic::Configuration => CONFIGURATION_WAIT_MS,
-            Topic::Upstreams | Topic::Fleet => WAIT_MS,
+            Topic::Configuration | Topic::Upstreams => WAIT_MS,
+            Topic::Fleet => FLEET_WAIT_MS,
         };
         Ok(match self.store.watch(self.prefix, after, wait_ms).await? {
             Watch::Changes(changes, revision) => Some(Some(News::Changes(changes, revision))),
@@ -326,6 +349,8 @@
     messages: mpsc::Sender<Message>,
     /// Hosts that did not answer, and until when they are passed over.
     shunned: Vec<(SocketAddr, Time)>,
+    /// Place of this host among the hubs of its group.
+    place: Rc<watch::Sender<Place>>,
     /// Who has all of this host's counts so far.
     counted: Option<SocketAddr>,
     /// Positions in the parts of the hosts that were asked.
@@ -336,7 +361,7 @@
     async fn run(mut self, dispatcher: Dispatcher) {
         let mut interval = tokio::time::interval(INTERVAL);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut tick: u32 = 0;
+        let mut tick: usize = 0;
         loop {
             interval.tick().await;
             tick = tick.wrapping_add(1);
@@ -349,62 +374,75 @@
             if self.messages.send(Message::Sent(sent.clone())).await.is_err() {
                 return;
             }
-            let now = Time::now();
-            self.shunned.retain(|it| now < it.1);
-            let ranked = roster.ranked(&group);
-            let open = |it: &SocketAddr| self.shunned.iter().all(|shunned| shunned.0 != *it);
-            let hub = ranked.iter().map(|it| it.address).find(|it| open(it) || *it == self.address);
-            let proof = self.proofs.borrow()[Topic::Configuration as usize];
-            let stale = proof.is_none_or(|it| now.since(it) >= STALE);
-            match hub {
-                Some(hub) if hub != self.address => self.ask(hub, sent, None).await,
-                _ if stale => {
-                    let others: Vec<_> = roster
-                        .iter()
-                        .map(|it| it.address)
-                        .chain(self.seeds.iter().copied())
-                        .filter(|it| *it != self.address && open(it))
-                        .collect();
-                    if let Some(other) = pick(&others) {
-                        self.ask(other, sent, None).await;
-                    }
-                }
-                _ => {}
+            let hubs = self.hubs(&roster, &group);
+            let place = match hubs.iter().position(|it| *it == self.address) {
+                Some(0) => Place::First,
+                Some(_) => Place::Other,
+                None => Place::Member,
+            };
+            self.place.send_if_modified(|it| std::mem::replace(it, place) != place);
+            let others: Vec<_> = hubs.into_iter().filter(|it| *it != self.address).collect();
+            let turn = tick / LARGE_FLEET_STRIDE;
+            if let Some(hub) = others.get(turn % others.len().max(1)) {
+                self.ask(*hub, sent, None).await;
+            } else if self.is_behind() {
+                self.ask_anyone(&roster, sent).await;
             }
         }
     }
 
-    /// Asks the hubs of the other groups while this host is the hub of its own.
+    /// The hubs of this host's group, as far as they answer and follow the store.
+    fn hubs(&mut self, roster: &Roster, group: &str) -> Vec<SocketAddr> {
+        let now = Time::now();
+        self.shunned.retain(|it| now < it.1);
+        let ranked = roster.ranked(group).into_iter().map(|it| it.address);
+        let open = |it: &SocketAddr| self.shunned.iter().all(|shunned| shunned.0 != *it);
+        ranked.filter(|it| open(it) || *it == self.address).take(HUBS).collect()
+    }
+
+    fn is_behind(&self) -> bool {
+        let proof = self.proofs.borrow()[Topic::Configuration as usize];
+        proof.is_none_or(|it| Time::now().since(it) >= STALE)
+    }
+
+    /// Asks any host, as neither the store nor a hub can be asked.
+    async fn ask_anyone(&mut self, roster: &Roster, sent: Sent) {
+        let known = roster.iter().map(|it| it.address).chain(self.seeds.iter().copied());
+        let open = |it: &SocketAddr| self.shunned.iter().all(|shunned| shunned.0 != *it);
+        let others: Vec<_> = known.filter(|it| *it != self.address && open(it)).collect();
+        if let Some(other) = pick(&others) {
+            self.ask(other, sent, None).await;
+        }
+    }
+
+    /// Asks the hubs of the other groups while this host is a hub of its own.
     async fn run_as_hub(mut self) {
-        let mut interval = tokio::time::interval(INTERVAL * LARGE_FLEET_STRIDE);
+        let mut interval = tokio::time::interval(INTERVAL * LARGE_FLEET_STRIDE as u32);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while !self.messages.is_closed() {
             interval.tick().await;
-            let now = Time::now();
-            self.shunned.retain(|it| now < it.1);
             let roster = self.roster.borrow().clone();
             let group = roster.group(&self.zone).to_owned();
-            if roster.ranked(&group).first().is_none_or(|it| it.id != self.host) {
+            if group.is_empty() || *self.place.borrow() == Place::Member {
                 continue;
             }
-            for other in roster.other_hubs(&group) {
-                self.ask(other.address, Sent::default(), Some(group.clone())).await;
+            for other in roster.zones().into_iter().filter(|it| *it != group) {
+                if let Some(hub) = self.hubs(&roster, other).first() {
+                    self.ask(*hub, Sent::default(), Some(other.to_owned())).await;
+                }
             }
         }
     }
 
-    async fn ask(&mut self, address: SocketAddr, sent: Sent, hub_of: Option<String>) {
-        if self.shunned.iter().any(|it| it.0 == address) {
-            return;
-        }
-        let counts = match hub_of {
+    /// Asks a host; a hub of another group if one is named.
+    async fn ask(&mut self, address: SocketAddr, sent: Sent, group: Option<String>) {
+        let counts = match group {
             None => self.meter.changed(self.counted == Some(address)),
             Some(_) => Vec::new(),
         };
-        let from = hub_of.is_some().then(|| address.to_string());
         let question = Question {
             host: self.host.clone(),
-            hub_of,
+            is_hub: group.is_some(),
             revisions: self.revisions.borrow().to_vec(),
             loads: sent.loads,
             placed: sent.placed,
@@ -412,28 +450,26 @@
             counts,
         };
         let asked = Time::now();
-        match self.peers.ask(address, question).await {
-            Some(answer) => {
-                if from.is_none() {
-                    self.counted = Some(address);
-                }
-                self.set_position(address, answer.placed_next);
-                let message = Message::Answered(Box::new(answer), asked, from);
-                // The mailbox closes only when the host stops.
-                let _ = self.messages.send(message).await;
+        let Some(answer) = self.peers.ask(address, question).await else {
+            log::info!("the host at {address} does not answer");
+            if self.counted == Some(address) {
+                self.counted = None;
             }
-            None => {
-                log::info!("the host at {address} does not answer");
-                if self.counted == Some(address) {
-                    self.counted = None;
-                }
-                self.shunned.push((address, Time::now() + SHUN_TIME));
+            self.shunned.push((address, Time::now() + SHUN_TIME));
+            return;
+        };
+        if group.is_none() {
+            self.counted = Some(address);
+            if !answer.follows {
+                self.shunned.push((address, Time::now() + BEHIND_TIME));
             }
         }
+        self.set_position(address, answer.placed_next);
+        let message = Message::Answered(Box::new(answer), asked, group);
+        // The mailbox closes only when the host stops.
+        let _ = self.messages.send(message).await;
     }
-}
 
-impl Asker {
     /// Position in a host's parts up to which they are known.
     fn position(&self, address: SocketAddr) -> u64 {
         self.positions.iter().find(|it| it.0 == address).map_or(0, |it| it.1)
@@ -455,7 +491,6 @@
 struct Task {
     decoding: Decoding,
     host: String,
-    zone: String,
     meter: Meter,
     dispatcher: Dispatcher,
     outputs: Outputs,
@@ -467,6 +502,10 @@
     roll: Roll,
     loads: Loads,
     placed: placed::Log,
+    /// Place of this host among the hubs of its group.
+    place: watch::Receiver<Place>,
+    /// When the store last answered.
+    touched: Time,
     started: Time,
     has_seeds: bool,
 }
@@ -490,24 +529,30 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::News(topic, asked, news) => {
+                let now = Time::now();
+                self.touched = now;
                 if topic == Topic::Upstreams {
-                    self.roll.recover(Time::now());
+                    self.roll.recover(now);
                 }
                 self.learn(topic, news, Some(asked));
             }
-            Message::Failed(Topic::Upstreams) => self.roll.fail(),
-            Message::Failed(Topic::Configuration | Topic::Fleet) => {}
-            Message::Answered(answer, asked, hub) => self.take_answer(*answer, asked, hub),
+            Message::Failed(topic) => {
+                self.touched = Time(0);
+                if topic == Topic::Upstreams {
+                    self.roll.fail();
+                }
+            }
+            Message::Answered(answer, asked, group) => self.take_answer(*answer, asked, group),
             Message::Sent(sent) => {
                 self.loads.set_own(sent.loads);
                 self.placed.add_own(sent.placed);
-                let now = Time::now();
-                self.dispatcher.set_foreign(self.loads.foreign(now));
+                let loads = self.loads.foreign(Time::now(), *self.place.borrow() != Place::Member);
+                self.dispatcher.set_foreign(loads);
             }
         }
     }
 
-    fn take_answer(&mut self, answer: Answer, asked: Time, hub: Option<String>) {
+    fn take_answer(&mut self, answer: Answer, asked: Time, group: Option<String>) {
         let now = Time::now();
         for (topic, knowledge) in Topic::ALL.into_iter().zip(answer.knowledge) {
             let proof = knowledge.age_us.map(|it| asked - Span(it));
@@ -516,14 +561,17 @@
             }
             self.learn(topic, knowledge.update.map(read_update), proof);
         }
-        if hub.is_some() {
-            self.placed.add_group(answer.placed.clone());
+        match group {
+            Some(group) => {
+                self.placed.add_group(answer.placed.clone());
+                self.loads.set_group(now, &group, answer.loads);
+            }
+            None => {
+                self.placed.add_member(&answer.host, answer.placed.clone());
+                self.loads.set_others(now, answer.loads);
+            }
         }
         self.dispatcher.note_placed(answer.placed);
-        match hub {
-            Some(hub) => self.loads.set_group(now, &hub, answer.loads),
-            None => self.loads.set_others(now, answer.loads),
-        }
     }
 
     fn learn(&mut self, topic: Topic, news: Option<News>, proof: Option<Time>) {
@@ -634,10 +682,10 @@
             });
         }
         let after = question.placed_after;
-        let (loads, (placed, placed_next)) = match &question.hub_of {
+        let (loads, (placed, placed_next)) = match question.is_hub {
             // Each hub asks the others, so that a question tells nothing of loads.
-            Some(_) => (self.loads.own_group(now), self.placed.for_group(after)),
-            None => {
+            true => (self.loads.own_group(now), self.placed.for_group(after)),
+            false => {
                 self.loads.set_member(now, &question.host, question.loads);
                 self.placed.add_member(&question.host, question.placed.clone());
                 self.dispatcher.note_placed(question.placed);
@@ -647,7 +695,14 @@
         };
         self.meter.collect(question.counts);
         // The asking host may have given up.
-        let _ = answer.send(Answer { knowledge, loads, placed, placed_next });
+        let _ = answer.send(Answer {
+            host: self.host.clone(),
+            follows: now.since(self.touched) < TOUCH_TIME,
+            knowledge,
+            loads,
+            placed,
+            placed_next,
+        });
     }
 
     fn tick(&mut self) {
@@ -656,16 +711,14 @@
             self.roll.advance(now);
             self.publish_upstreams();
         }
-        let roster = self.outputs.roster.borrow().clone();
-        let group = roster.group(&self.zone);
-        let ranked = roster.ranked(group);
-        let is_hub = ranked.first().is_none_or(|it| it.id == self.host);
+        let place = *self.place.borrow();
+        let is_hub = place != Place::Member;
         let served = self.peer_proof.is_some_and(|it| now.since(it) < STALE);
         let starting = self.has_seeds && now.since(self.started) < START_TIME;
         let known = self.proofs[Topic::Configuration as usize].is_some();
         let follow = if known { is_hub || !served } else { !starting };
         set(&self.outputs.following, follow);
-        set(&self.outputs.collects, is_hub || !served);
+        set(&self.outputs.collects, place == Place::First || !(is_hub || served));
     }
 }
 
--- a/src/serving/ledger.rs
+++ b/src/serving/ledger.rs
@@ -61,13 +61,13 @@
     pub fn collect(&mut self, counts: Vec<Count>) {
         for count in counts {
             let (window, key) = (count.window, (count.window, count.writer.clone()));
-            match self.others.get_mut(&key) {
+            let changed = match self.others.get_mut(&key) {
                 Some(known) => merge(known, count),
-                None => {
-                    self.others.insert(key, count);
-                }
+                None => self.others.insert(key, count).is_none(),
+            };
+            if changed {
+                self.mark_unwritten(window);
             }
-            self.mark_unwritten(window);
         }
     }
 
@@ -147,12 +147,21 @@
     Count { writer: writer.to_owned(), window, ended: sheet.ended, counts: counts.collect() }
 }
 
-fn merge(known: &mut Count, told: Count) {
+/// Takes in counts of the same host and window. True if they tell something new.
+fn merge(known: &mut Count, told: Count) -> bool {
+    let mut changed = told.ended && !known.ended;
     known.ended |= told.ended;
     for (customer, count) in told.counts {
         match known.counts.binary_search_by(|it| it.0.cmp(&customer)) {
-            Ok(at) => known.counts[at].1 = known.counts[at].1.max(count),
-            Err(at) => known.counts.insert(at, (customer, count)),
+            Ok(at) => {
+                changed |= count > known.counts[at].1;
+                known.counts[at].1 = known.counts[at].1.max(count);
+            }
+            Err(at) => {
+                changed = true;
+                known.counts.insert(at, (customer, count));
+            }
         }
     }
+    changed
 }
--- a/src/serving/loads.rs
+++ b/src/serving/loads.rs
@@ -46,10 +46,13 @@
         self.groups.insert(group.to_owned(), (now, loads));
     }
 
-    /// Loads of all hosts but this one.
-    pub fn foreign(&self, now: Time) -> Vec<Load> {
-        let members = self.members.values().chain(&self.others).chain(self.groups.values());
-        sum(members.filter(|it| now.since(it.0) < LIFETIME).map(|it| it.1.as_slice()))
+    /// Loads of all hosts but this one. A hub knows them from those that ask it, another host from its hub.
+    pub fn foreign(&self, now: Time, is_hub: bool) -> Vec<Load> {
+        let members = self.members.values().filter(|_| is_hub);
+        let others = self.others.iter().filter(|_| !is_hub);
+        let groups = self.groups.values().filter(|_| is_hub);
+        let told = members.chain(others).chain(groups).filter(|it| now.since(it.0) < LIFETIME);
+        sum(told.map(|it| it.1.as_slice()))
     }
 
     /// Loads of all hosts but one that asks.
--- a/src/serving/news.rs
+++ b/src/serving/news.rs
@@ -73,11 +73,11 @@
 pub struct Question {
     /// Id of the asking host.
     pub host: String,
-    /// Group for which the loads speak, if the asking host is its hub.
-    pub hub_of: Option<String>,
+    /// Whether the asking host is a hub of another group, which tells no loads.
+    pub is_hub: bool,
     /// Revisions up to which the asking host knows the followed prefixes.
     pub revisions: Vec<u64>,
-    /// Loads of the asking host, or of its group if it is a hub.
+    /// Loads of the asking host.
     pub loads: Vec<Load>,
     /// Parts that the asking host sent since the last question, none if it is a hub.
     pub placed: Vec<Placed>,
@@ -90,6 +90,10 @@
 /// An answer with what the asked host knows.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
+    /// Id of the asked host.
+    pub host: String,
+    /// Whether the asked host follows the store itself.
+    pub follows: bool,
     /// One for each followed prefix.
     pub knowledge: Vec<Knowledge>,
     /// Loads of all other hosts, or of the asked host's group if the asking host is a hub.
--- a/src/serving/roster.rs
+++ b/src/serving/roster.rs
@@ -74,7 +74,7 @@
         if self.hosts.len() <= SMALL_FLEET { "" } else { zone }
     }
 
-    /// Hosts of a group in the order in which the group turns to them; the first one is its hub.
+    /// Hosts of a group in the order in which the group turns to them; the first ones are its hubs.
     pub fn ranked(&self, group: &str) -> Vec<&Host> {
         let hosts = self.hosts.iter().filter(|it| group.is_empty() || it.zone == group);
         let mut ranked: Vec<_> = hosts.collect();
@@ -84,15 +84,11 @@
         ranked
     }
 
-    /// Hubs of the other groups.
-    pub fn other_hubs(&self, group: &str) -> Vec<&Host> {
-        if group.is_empty() {
-            return Vec::new();
-        }
+    /// Availability zones of the hosts, sorted.
+    pub fn zones(&self) -> Vec<&str> {
         let mut zones: Vec<_> = self.hosts.iter().map(|it| it.zone.as_str()).collect();
         zones.sort_unstable();
         zones.dedup();
-        let others = zones.into_iter().filter(|it| *it != group);
-        others.filter_map(|it| self.ranked(it).first().copied()).collect()
+        zones
     }
 }
