Count forty streams to a step where engines are divided

Cause: engines kept for tight streams were a third of the pool and a quarter busy, while the others had queues of seconds in bursts. Change: the time that a stream takes of an engine counts a step shared by 40 streams instead of 16.

--- a/src/serving/mix.rs
+++ b/src/serving/mix.rs
@@ -14,7 +14,7 @@
 const STEP_MS: f64 = 5.3;
 
 /// Streams that share a step.
-const TYPICAL_BATCH: f64 = 16.0;
+const TYPICAL_BATCH: f64 = 40.0;
 
 /// Demand by route.
 #[derive(Debug, Default)]
