Prefer engines that keep a prompt's parts more, and follow single waits less

Cause: prompts were read again because a shorter wait elsewhere outweighed the parts that were kept, and one long wait moved an engine's pace for seconds. The window of the budget also kept every request until the next repeat. Ruled out: pace off (worse at grey engines), weights 4 and 16, zone penalties 3 and 30 ms. Change: weight of reading 8, zone penalty 10 ms, gain 0.05; the budget forgets as it counts.

--- a/src/serving/budget.rs
+++ b/src/serving/budget.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::VecDeque,
     rc::Rc,
     sync::Arc,
 };
@@ -22,8 +23,20 @@
 /// Repeats and requests of one pool at this host.
 #[derive(Debug, Default)]
 struct Ledger {
-    requests: Vec<Time>,
-    repeats: Vec<Time>,
+    /// Times within the window, the oldest first.
+    requests: VecDeque<Time>,
+    /// As `requests`.
+    repeats: VecDeque<Time>,
+}
+
+impl Ledger {
+    fn forget_until(&mut self, start: Time) {
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|it| *it <= start) {
+                times.pop_front();
+            }
+        }
+    }
 }
 
 /// The budget of one host; clones share it.
@@ -32,10 +45,12 @@
     terms: Terms,
     /// Hosts that share the allowance.
     hosts: Rc<Cell<usize>>,
-    /// Sorted by pool.
-    ledgers: Rc<RefCell<Vec<(Arc<str>, Ledger)>>>,
+    ledgers: Rc<RefCell<Ledgers>>,
 }
 
+/// Sorted by pool.
+type Ledgers = Vec<(Arc<str>, Ledger)>;
+
 impl Budget {
     /// A budget of which each of the hosts has the same part.
     pub fn new(terms: Terms) -> Budget {
@@ -52,7 +67,11 @@
     /// Counts a request.
     pub fn request(&self, pool: &Arc<str>) {
         let now = Time::now();
-        self.with(pool, |ledger| ledger.requests.push(now));
+        let start = now - self.terms.window;
+        self.with(pool, |ledger| {
+            ledger.forget_until(start);
+            ledger.requests.push_back(now);
+        });
     }
 
     /// Takes a repeat from the budget, if there is one left.
@@ -62,12 +81,11 @@
         let share = allowance / self.hosts.get() as f64;
         self.with(pool, |ledger| {
             let start = now - window;
-            ledger.requests.retain(|it| *it > start);
-            ledger.repeats.retain(|it| *it > start);
+            ledger.forget_until(start);
             let granted = ledger.repeats.len() as f64 + 1.0
                 <= ledger.requests.len() as f64 * ratio * RATIO_PART + share * ALLOWANCE_PART;
             if granted {
-                ledger.repeats.push(now);
+                ledger.repeats.push_back(now);
             }
             granted
         })
--- a/src/serving/links.rs
+++ b/src/serving/links.rs
@@ -22,10 +22,12 @@
 /// Idle connections of all upstreams; clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct Links {
-    /// Sorted by upstream; the newest connection of each last.
-    idle: Rc<RefCell<Vec<(UpstreamKey, Vec<Link>)>>>,
+    idle: Rc<RefCell<Idle>>,
 }
 
+/// Sorted by upstream; the newest connection of each last.
+type Idle = Vec<(UpstreamKey, Vec<Link>)>;
+
 impl Links {
     /// An idle connection, or a new one.
     ///
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -20,11 +20,12 @@
     wire::Ending,
 };
 
-/// Extra time to an upstream in another availability zone and back.
-const ZONE_PENALTY: Span = Span::from_ms(3);
+/// Delay that is put up with before a request goes to an upstream in another availability zone, whose bytes cost.
+const ZONE_PENALTY: Span = Span::from_ms(10);
 
-/// Weight of the time to read a prompt against the time to wait for others: reading also delays those that come later.
-const READING_WEIGHT: u64 = 2;
+/// Weight of the time to read a prompt against the time to wait for others: reading delays all that come later, here and
+/// wherever the same parts are wanted again.
+const READING_WEIGHT: u64 = 8;
 
 /// Upstreams of a pool that one host looks at.
 const MAX_SHARE: usize = 24;
--- a/src/serving/site.rs
+++ b/src/serving/site.rs
@@ -46,8 +46,8 @@
 /// Time after which half of what was measured of an upstream's pace is forgotten.
 const PACE_HALF_LIFE: Span = Span::from_ms(3_000);
 
-/// Share of a new sample in the pace.
-const PACE_GAIN: f64 = 0.3;
+/// Share of a new sample in the pace; larger ones follow single prompts that had to wait.
+const PACE_GAIN: f64 = 0.05;
 
 /// Time that is added to expected times, so that short ones do not make an upstream look slow.
 const PACE_FLOOR: f64 = 40_000.0;
