--- a/tests/burn.rs
+++ b/tests/burn.rs
@@ -358,6 +358,8 @@
         bad_request late: not counted
         body_too_large early: not counted
         body_too_large late: not counted
+        head_too_large early: not counted
+        head_too_large late: not counted
         read_timeout early: not counted
         read_timeout late: not counted
         missing_key early: not counted
