Order requests by customer, then by route, and watch beating upstreams less often

Ruled out: clamped priorities (only 0 to 2 are configured), requests without a prompt. Change: the engine's priority is the customer's before the route's; the backlog is told by the same places; a pause of 200 ms between watches of upstreams that returned changes.

--- a/src/serving.rs
+++ b/src/serving.rs
@@ -34,4 +34,5 @@
 pub mod site;
 pub mod stream;
 pub mod table;
+pub mod tier;
 pub mod usage;
--- a/src/serving/archive.rs
+++ b/src/serving/archive.rs
@@ -62,6 +62,10 @@
 /// after it, and the last answer but one proves that the configuration is the newest.
 const WAIT_MS: u64 = 1_000;
 
+/// Pause between watches of the upstreams that returned changes: each upstream writes its entry again as a beat, so that a
+/// large list changes all the time, and calls are paid for.
+const BEAT_PAUSE: Duration = Duration::from_millis(200);
+
 /// Longest wait of a watch of the fleet's own keys, in milliseconds.
 const FLEET_WAIT_MS: u64 = 5_000;
 
@@ -296,9 +300,13 @@
                     continue;
                 }
             };
+            let changed = matches!(message, Message::News(Topic::Upstreams, _, Some(_)));
             if self.messages.send(message).await.is_err() {
                 return;
             }
+            if changed {
+                sleep(BEAT_PAUSE).await;
+            }
         }
     }
 
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -63,7 +63,7 @@
     pub last_event: Option<u64>,
     /// The prompt, if the request is for an engine.
     pub prompt: Option<Prompt>,
-    /// Priority, zero first.
+    /// Place in the order of requests, zero first.
     pub tier: u8,
     /// Customer of the caller's key, if the request has one.
     pub customer: Option<Arc<Customer>>,
@@ -434,7 +434,7 @@
             instance: &grant.instance,
             left: job.patience.min(left),
             customer: job.customer.as_ref().map(|it| &*it.name),
-            priority: job.prompt.is_some().then(|| job.tier.saturating_mul(2)),
+            priority: job.prompt.is_some().then_some(job.tier),
             resume_after,
         };
         self.shared.dialect.instruct(&mut headers, &orders);
--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -21,6 +21,7 @@
         exchange::{Answer, Body, Exchange, Job},
         relay::Relay,
         table::{Customer, Route, Table},
+        tier,
     },
     time::{Span, Time},
 };
@@ -140,7 +141,7 @@
         body,
         last_event: ask.last_event,
         prompt: ask.prompt,
-        tier: customer.as_ref().and_then(|it| it.tier).unwrap_or(route.tier),
+        tier: tier::of(customer.as_ref().and_then(|it| it.tier), route.tier),
         customer,
         route,
         accepted,
--- a/src/serving/news.rs
+++ b/src/serving/news.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::serving::tier::TIERS;
+
 /// A change under a prefix of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Line {
@@ -39,7 +41,7 @@
     /// Identity of the upstream's life.
     pub upstream: u64,
     /// Prompt tokens without a first event yet, by priority.
-    pub pending: [u32; 3],
+    pub pending: [u32; TIERS],
     /// Attempts.
     pub running: u16,
     /// Time for which the upstream is shunned after a failure, in milliseconds.
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -14,7 +14,8 @@
         mix::Mix,
         news,
         registry::Entry,
-        site::{Site, TIERS, prefill},
+        site::{Site, prefill},
+        tier::TIERS,
     },
     time::{Span, Time},
     wire::Ending,
@@ -49,7 +50,7 @@
     pub key: TicketKey,
     /// Pool that is to run the request.
     pub pool: Arc<str>,
-    /// Priority, zero first.
+    /// Place in the order of requests, zero first.
     pub tier: u8,
     /// Name of the route.
     pub route: Arc<str>,
--- a/src/serving/site.rs
+++ b/src/serving/site.rs
@@ -8,13 +8,11 @@
         dialect::Prompt,
         news,
         registry::{Entry, State},
+        tier::TIERS,
     },
     time::{Span, Time},
 };
 
-/// Priorities that are told apart in what waits; lower ones count as the last.
-pub const TIERS: usize = 3;
-
 /// Prompt tokens that an engine reads in a millisecond; the users' engines read 38 to 41.
 const PREFILL_RATE: f64 = 40.0;
 
