Ask a store in trouble less often, and remove only counts that are settled

A window that still waited for a host lost its records when a later one was settled, and was reported as 0 requests. Change: one follower tries for all, members pause up to 1.6 s, writers stop at the first refusal and pause up to 4 s, followers of the roster pause as those of upstreams, the reporter removes only settled and old windows.

--- a/src/serving/archive.rs
+++ b/src/serving/archive.rs
@@ -9,7 +9,7 @@
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task,
-    time::{MissedTickBehavior, sleep},
+    time::{MissedTickBehavior, sleep, timeout},
 };
 
 use crate::{
@@ -62,19 +62,25 @@
 /// after it, and the last answer but one proves that the configuration is the newest.
 const WAIT_MS: u64 = 1_000;
 
-/// Pause between watches of the upstreams that returned changes: each upstream writes its entry again as a beat, so that a
-/// large list changes all the time, and calls are paid for.
+/// Pause of the first hub between watches that returned changes: each upstream writes its entry again as a beat, and hosts
+/// are restarted in series, so that a large list changes all the time, and calls are paid for.
 const BEAT_PAUSE: Duration = Duration::from_millis(200);
 
+/// The same for other hosts, from which the group hears of little first.
+const OTHER_BEAT_PAUSE: Duration = Duration::from_millis(600);
+
 /// Longest wait of a watch of the fleet's own keys, in milliseconds.
 const FLEET_WAIT_MS: u64 = 5_000;
 
 /// First pause after a failed call to the store.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
-/// Longest pause after failed calls to the store.
+/// Longest pause of a hub after failed calls to the store.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
 
+/// Longest pause of other hosts, all of which ask the store when their hubs are behind.
+const MEMBER_MAX_PAUSE: Duration = Duration::from_millis(1_600);
+
 /// Messages that may wait at the task.
 const QUEUE: usize = 1_024;
 
@@ -204,6 +210,8 @@
     let (following_sender, following) = watch::channel(false);
     let (proofs_sender, proofs) = watch::channel([None; 3]);
     let (messages, mailbox) = mpsc::channel(QUEUE);
+    let place = Rc::new(watch::channel(Place::First).0);
+    let reached = Rc::new(watch::channel(false).0);
     for topic in Topic::ALL {
         let follower = Follower {
             store: options.store.clone(),
@@ -211,10 +219,12 @@
             prefix: options.decoding.prefix(topic),
             revisions: revisions.clone(),
             messages: messages.clone(),
+            place: place.subscribe(),
+            reached: reached.clone(),
+            pause: FIRST_PAUSE,
         };
         task::spawn_local(follower.run(following.clone()));
     }
-    let place = Rc::new(watch::channel(Place::First).0);
     let asker = || Asker {
         host: options.host.clone(),
         zone: options.zone.clone(),
@@ -273,11 +283,15 @@
     prefix: &'static str,
     revisions: watch::Receiver<[u64; 3]>,
     messages: mpsc::Sender<Message>,
+    place: watch::Receiver<Place>,
+    /// Whether the store answered the last call of any follower.
+    reached: Rc<watch::Sender<bool>>,
+    /// Pause after the next failed call.
+    pause: Duration,
 }
 
 impl<S: Store> Follower<S> {
-    async fn run(self, mut following: watch::Receiver<bool>) {
-        let mut pause = FIRST_PAUSE;
+    async fn run(mut self, mut following: watch::Receiver<bool>) {
         let mut listed = false;
         loop {
             if following.wait_for(|it| *it).await.is_err() {
@@ -287,7 +301,8 @@
             let message = match self.ask(listed).await {
                 Ok(news) => {
                     listed = news.is_some();
-                    pause = FIRST_PAUSE;
+                    self.pause = FIRST_PAUSE;
+                    self.reached.send_replace(true);
                     Message::News(self.topic, asked, news.flatten())
                 }
                 Err(failure) => {
@@ -295,21 +310,46 @@
                     if self.messages.send(Message::Failed(self.topic)).await.is_err() {
                         return;
                     }
-                    sleep(pause).await;
-                    pause = (pause * 2).min(MAX_PAUSE);
+                    self.wait_for_store().await;
                     continue;
                 }
             };
-            let changed = matches!(message, Message::News(Topic::Upstreams, _, Some(_)));
+            let changed = matches!(message, Message::News(_, _, Some(_)));
             if self.messages.send(message).await.is_err() {
                 return;
             }
-            if changed {
-                sleep(BEAT_PAUSE).await;
+            if changed && self.topic != Topic::Configuration {
+                let first = *self.place.borrow() == Place::First;
+                sleep(if first { BEAT_PAUSE } else { OTHER_BEAT_PAUSE }).await;
             }
         }
     }
 
+    /// Waits after a failed call. One follower tries for all of this host, as calls are paid for that a store in trouble
+    /// turns away.
+    async fn wait_for_store(&mut self) {
+        self.reached.send_replace(false);
+        let next = self.next_pause();
+        let pause = std::mem::replace(&mut self.pause, next);
+        // Hosts that lost the store together do not all return together.
+        let pause = pause.mul_f64(rand::random_range(0.7..1.3));
+        if self.topic == Topic::Configuration {
+            sleep(pause).await;
+            return;
+        }
+        let mut reached = self.reached.subscribe();
+        // Without an answer to the others, this follower tries again by itself.
+        let _ = timeout(MEMBER_MAX_PAUSE.max(pause), reached.wait_for(|it| *it)).await;
+    }
+
+    fn next_pause(&self) -> Duration {
+        let longest = match *self.place.borrow() {
+            Place::First | Place::Other => MAX_PAUSE,
+            Place::Member => MEMBER_MAX_PAUSE,
+        };
+        (self.pause * 2).min(longest)
+    }
+
     /// `None` if the keys have to be listed again, an inner `None` if nothing changed.
     async fn ask(&self, listed: bool) -> Result<Option<Option<News>>, Failure> {
         let after = self.revisions.borrow()[self.topic as usize];
--- a/src/serving/registration.rs
+++ b/src/serving/registration.rs
@@ -16,7 +16,7 @@
 const RENEWAL: Duration = Duration::from_millis(2_500);
 
 /// Pause after a failed call.
-const PAUSE: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Spawns the task on the current thread; it ends the registration when `stopping` becomes true.
 pub fn spawn<S: Store>(store: S, host: Host, stopping: watch::Receiver<bool>) {
--- a/src/serving/usage.rs
+++ b/src/serving/usage.rs
@@ -26,6 +26,12 @@
 /// Interval between writes of counts.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Longest interval between writes while the store takes none.
+const MAX_FLUSH_INTERVAL: Duration = Duration::from_millis(4_000);
+
+/// Interval between writes of a host that stops.
+const LAST_FLUSH_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Time after a window's end until its requests are counted.
 const SETTLE: Span = Span::from_ms(150);
 
@@ -193,18 +199,24 @@
         mut stopping: watch::Receiver<bool>,
         stopped: watch::Sender<bool>,
     ) {
+        let mut interval = FLUSH_INTERVAL;
         loop {
             let stop = tokio::select! {
-                () = sleep(FLUSH_INTERVAL) => false,
+                () = sleep(interval) => false,
                 // The sender lives as long as the host.
                 _ = stopping.wait_for(|it| *it) => true,
             };
             // Counts that a hub holds already are handed over with the next question.
             let done = if *collects.borrow() { self.flush().await } else { stop };
+            interval =
+                if done || stop { FLUSH_INTERVAL } else { (interval * 2).min(MAX_FLUSH_INTERVAL) };
             if stop && done {
                 stopped.send_replace(true);
                 return;
             }
+            if stop {
+                sleep(LAST_FLUSH_INTERVAL).await;
+            }
         }
     }
 
@@ -214,6 +226,11 @@
         let batches = self.meter.ledger.borrow_mut().take_unwritten(open);
         let mut complete = true;
         for (window, counts) in batches {
+            if !complete {
+                // A store that took no record takes the next ones no sooner.
+                self.meter.ledger.borrow_mut().mark_unwritten(window);
+                continue;
+            }
             let revision = self.revisions.get(&window).copied().unwrap_or(0);
             let written = match self.write(window, &counts, revision).await {
                 Ok(written) => written,
@@ -373,9 +390,12 @@
         serde_json::from_slice(&value).map_err(|error| Failure::Invalid(error.to_string()))
     }
 
-    /// Removes the records of a window that is settled, and of older ones.
+    /// Removes the records of a window that is settled, and of those that are no longer reported.
     async fn clean(&self, window: u64, items: &[Item]) {
-        let old = items.iter().filter(|it| window_of(&it.key).is_some_and(|it| it <= window));
+        // Earlier windows may still wait for a host.
+        let kept = window.saturating_sub(REPEATED_WINDOWS);
+        let settled = |it: u64| it == window || it < kept;
+        let old = items.iter().filter(|it| window_of(&it.key).is_some_and(settled));
         let keys: Vec<_> = old.map(|it| it.key.clone()).collect();
         for delete in keys.chunks(MAX_DELETES) {
             let commit = Commit { delete: delete.to_vec(), ..Commit::default() };
