Say in log lines why requests failed, without ever waiting for the reader

Cause: lines were written on the thread that serves, so that a reader that stood still would stop the host, without bound; and nothing named a request's id with the reason of its end. Change: a thread writes, at most 200 lines a second, of which 120 below warnings; what is dropped is counted and told. Lost attempts, cut and resumed streams and refusals get a line with id, upstream, estimate, time, run and what follows. almondrackctl explain ID FILE... shows a request's lines of all hosts in order, with what these hosts learned meanwhile. Tests: the budget, a blocked pipe, the shown path. Not built: metrics, lines for admissions and budgets.

--- a/ctl/src/command.rs
+++ b/ctl/src/command.rs
@@ -8,6 +8,7 @@
 use crate::{
     apply::{self, check_kind, check_name},
     client::{Call, Client},
+    explain,
     failure::Failure,
     flags::{
         Almondrackctl, AlmondrackctlCmd, Apply, Delete, Get, Issue, KeyCmd, ReportCmd, Rotate,
@@ -41,6 +42,7 @@
         },
         AlmondrackctlCmd::Upstreams(_) => upstreams(client, json).await,
         AlmondrackctlCmd::Drain(it) => drain(client, &it.host, json).await,
+        AlmondrackctlCmd::Explain(it) => explain::execute(&it.id, &it.path),
     }
 }
 
--- a/ctl/src/flags.rs
+++ b/ctl/src/flags.rs
@@ -89,6 +89,13 @@
             /// Host id.
             required host: String
         }
+        /// Shows what became of a request, from collected log lines; asks no host.
+        cmd explain {
+            /// Id of the request.
+            required id: String
+            /// Files with the JSON lines of one or more hosts.
+            repeated path: String
+        }
     }
 }
 
@@ -106,10 +113,11 @@
     almondrackctl report burn --json
     almondrackctl report usage --window 5884460
     almondrackctl drain host-a1
+    almondrackctl explain 0b32cb2345351ac9 logs/*.log
 ";
 
 /// Forms of the commands, by the first word.
-const FORMS: [(&str, &str); 8] = [
+const FORMS: [(&str, &str); 9] = [
     ("apply", "apply PATH... [--dry-run] [--delete KIND/NAME]... [--if-revision N]"),
     ("get", "get KIND [NAME]"),
     ("delete", "delete KIND NAME [--if-revision N]"),
@@ -122,6 +130,7 @@
     ("report", "report burn, report usage [--window N]"),
     ("upstreams", "upstreams"),
     ("drain", "drain HOST"),
+    ("explain", "explain ID FILE..."),
 ];
 
 /// Adds to an error of the parser what would be accepted.
--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -15,12 +15,14 @@
 mod apply;
 mod client;
 mod command;
+mod explain;
 mod failure;
 mod flags;
 mod table;
 
 use client::Client;
 use failure::Failure;
+use flags::AlmondrackctlCmd;
 
 /// Time after which a command says what it waits for, and between such lines.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
@@ -58,6 +60,9 @@
         Err(error) if error.is_help() => return Ok(format!("{error}{}", flags::EXAMPLES)),
         Err(error) => return Err(flags::explain(&arguments, &error)),
     };
+    if let AlmondrackctlCmd::Explain(it) = &flags.subcommand {
+        return explain::execute(&it.id, &it.path);
+    }
     let (step, steps) = watch::channel(String::new());
     let client = Client::open(&flags, look_up, step)?;
     shown(command::execute(&flags, &client), steps, err).await
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -3,12 +3,19 @@
 use eyre::Result;
 use log4rs::{
     Config,
-    append::console::ConsoleAppender,
     config::{Appender, Logger, Root},
     encode::{Encode, json::JsonEncoder, pattern::PatternEncoder},
 };
 
-use crate::settings::LogFormat;
+use crate::{
+    logs::pipe::{Limits, Pipe},
+    settings::LogFormat,
+};
+
+pub mod pipe;
+
+/// Lines a second of one process, about what its collector takes without a share of the processor that callers notice.
+const LIMITS: Limits = Limits { all: 200, calm: 120 };
 
 /// Logger of this library; the libraries below it log each call and are held to warnings.
 const OWN_LOGGER: &str = "almondrack";
@@ -22,7 +29,7 @@
         LogFormat::Json => Box::new(JsonEncoder::new()),
         LogFormat::Text => Box::new(PatternEncoder::new("{d} {l} {t}: {m}{n}")),
     };
-    let console = ConsoleAppender::builder().encoder(encoder).build();
+    let console = Pipe::spawn(encoder, LIMITS);
     let others = level.min(log::LevelFilter::Warn);
     let config = Config::builder()
         .appender(Appender::builder().build("console", Box::new(console)))
--- a/src/main.rs
+++ b/src/main.rs
@@ -37,11 +37,15 @@
         let _ = writeln!(std::io::stdout(), "settings are valid");
         return ExitCode::SUCCESS;
     }
-    match run(settings) {
+    let ended = run(settings);
+    if let Err(error) = &ended {
+        log::error!("{error:#}");
+    }
+    log::logger().flush();
+    match ended {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(EXIT_FAILED),
         Err(error) => {
-            log::error!("{error:#}");
             let _ = writeln!(std::io::stderr(), "almondrackd: {error:#}");
             ExitCode::from(EXIT_FAILED)
         }
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -117,6 +117,13 @@
     tickets: Cell<u64>,
 }
 
+impl Job {
+    /// The id as it stands in log lines.
+    fn id_text(&self) -> &str {
+        self.id.to_str().unwrap_or("?")
+    }
+}
+
 /// An answer that has begun, on its connection.
 #[derive(Debug)]
 pub struct Begun {
@@ -203,11 +210,23 @@
             let placed = placed.map_err(late).flatten();
             let (grant, guard) = placed.map_err(|error| error.with_run(course.run()))?;
             course.send(grant.upstream);
+            let sent = Time::now();
             match self.send(job, &grant, guard, resume_after).await {
                 Ok(begun) => return Ok(begun),
                 Err(loss) => {
                     course.lose(loss);
-                    if !self.may_repeat(job, pool, course, loss.arrived) {
+                    let repeats = self.may_repeat(job, pool, course, loss.arrived);
+                    log::info!(
+                        "request {} got no answer from {}, expected in {} ms: {} after {} ms, run {}, {}",
+                        job.id_text(),
+                        grant.instance,
+                        grant.expected.as_ms(),
+                        loss.kind.answer().name,
+                        Time::now().since(sent).as_ms(),
+                        loss.run.as_str(),
+                        if repeats { "is sent again" } else { "is given up" },
+                    );
+                    if !repeats {
                         return Err(give_up(loss, course));
                     }
                 }
@@ -255,7 +274,7 @@
                     return Err(Loss::unsent(Kind::UpstreamConnect));
                 }
                 Ok(Err(link::Failure::Sent(why))) => {
-                    log::debug!("request {:?} lost at {}: {why}", job.id, grant.instance);
+                    log::debug!("request {} lost at {}: {why}", job.id_text(), grant.instance);
                     guard.end(Ending::Failed);
                     return Err(Loss::sent(Kind::UpstreamCut));
                 }
@@ -345,21 +364,34 @@
             Box::pin(async move {
                 let mut course = course.take();
                 course.lose(loss);
+                let id = job.id_text();
+                let after = after.map(|it| it.to_string());
+                let event = after.as_deref().unwrap_or("none");
                 if job.route.repeat != Repeat::Resume
                     || !exchange.may_repeat(&job, &pool, &course, true)
                 {
+                    log::info!(
+                        "stream {id} is cut after event {event}: {}, not resumed",
+                        loss.kind.answer().name
+                    );
                     return None;
                 }
-                let after = after.map(|it| it.to_string());
                 let begun = exchange.begin(&job, &pool, &mut course, after.as_deref()).await;
                 match begun {
                     Ok(begun) if begun.response.status().is_success() => {
-                        log::info!("request {:?} goes on after event {after:?}", job.id);
+                        log::info!(
+                            "stream {id} goes on after event {event}: {}",
+                            loss.kind.answer().name
+                        );
                         Some(begun)
                     }
-                    Ok(_) => None,
+                    Ok(begun) => {
+                        let status = begun.response.status();
+                        log::info!("stream {id} is cut after event {event}: answer {status}");
+                        None
+                    }
                     Err(error) => {
-                        log::info!("request {:?} cannot go on: {error}", job.id);
+                        log::info!("stream {id} is cut after event {event}: {error}");
                         None
                     }
                 }
--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -129,7 +129,14 @@
     let route = table.route(&host, request.uri().path()).ok_or_else(no_route)?.clone();
     check_head(request.headers(), path, table.limits.head_bytes)?;
     let ask = handler.dialect.ask(request.headers())?;
-    let customer = authenticate(handler, &table, &route, &ask, accepted)?;
+    let customer = authenticate(handler, &table, &route, &ask, accepted).inspect_err(|error| {
+        let id = ask.id.to_str().unwrap_or("?");
+        let left = handler.proven_until.borrow().since(accepted).as_ms();
+        let version = table.version;
+        log::info!(
+            "request {id} is refused: {error}; configuration {version}, valid for {left} ms"
+        );
+    })?;
     let timeout = Span::from_ms(route.timeout_ms);
     let patience = ask.patience.map_or(timeout, |it| it.min(timeout));
     let headers = forwarded(&*handler.dialect, request.headers(), ask.secret.as_deref());
@@ -148,7 +155,16 @@
         deadline: accepted + patience,
         patience: ask.patience.unwrap_or(timeout),
     };
-    Ok(handler.exchange.run(job).await?)
+    let id = job.id.clone();
+    let answer = handler.exchange.run(job).await;
+    Ok(answer.inspect_err(|error| {
+        let id = id.to_str().unwrap_or("?");
+        let waited = Time::now().since(accepted).as_ms();
+        log::info!(
+            "request {id} is refused after {waited} ms: {error}, run {}",
+            error.run.as_str()
+        );
+    })?)
 }
 
 /// The configuration in force; a host that has just started waits a moment for its first one.
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -77,6 +77,8 @@
     pub instance: Arc<str>,
     /// Address of the upstream.
     pub address: SocketAddr,
+    /// Time to the first byte as it was estimated.
+    pub expected: Span,
     /// When the upstream was last heard of, on any of its connections.
     pub heard: Rc<Cell<Time>>,
 }
@@ -269,6 +271,7 @@
             upstream: best.key,
             instance: site.entry.id.clone(),
             address: site.entry.address,
+            expected: best.expected,
             heard: site.heard.clone(),
         }
     }
