Hand counts over when a host stops, and pick ports that nothing goes out from

A test of the demo failed once beside load: its free port had gone to a connection that went out. Change: a host that stops tells the next hub all that it holds, and waits for that question; the demo picks its ports below the range of outgoing ones. Test: a_hub_that_stops_hands_over_what_it_holds_of_others, which failed before with 2 of 7.

--- a/src/serving/ledger.rs
+++ b/src/serving/ledger.rs
@@ -72,6 +72,8 @@
     }
 
     /// Counts of this host that its hub was not told, or all of them. `open` is the first window that has not ended.
+    ///
+    /// A host that stops also tells the counts of others, as it may be the last one that holds them.
     pub fn take_changed(&mut self, open: u64, only_new: bool) -> Vec<Count> {
         self.advance(open);
         let mut out = Vec::new();
@@ -80,6 +82,9 @@
                 out.push(write(&self.writer, *window, sheet));
             }
         }
+        if self.closed {
+            out.extend(self.others.values().cloned());
+        }
         out
     }
 
--- a/src/serving/usage.rs
+++ b/src/serving/usage.rs
@@ -210,8 +210,12 @@
                 // The sender lives as long as the host.
                 _ = stopping.wait_for(|it| *it) => true,
             };
-            // Counts that a hub holds already are handed over with the next question.
-            let done = if *collects.borrow() { self.flush().await } else { stop };
+            let collects = *collects.borrow();
+            if stop && !collects {
+                // The last counts are handed over with the next question to a hub.
+                sleep(LAST_FLUSH_INTERVAL).await;
+            }
+            let done = if collects { self.flush().await } else { stop };
             interval =
                 if done || stop { FLUSH_INTERVAL } else { (interval * 2).min(MAX_FLUSH_INTERVAL) };
             if stop && done {
--- a/stand-ins/src/demo.rs
+++ b/stand-ins/src/demo.rs
@@ -1,6 +1,7 @@
 //! Everything in one process: platform, entry hosts of two zones, engines and services.
 
 use std::{
+    io,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     time::{Duration, Instant},
 };
@@ -45,6 +46,9 @@
 /// Time between two looks at whether the hosts are ready.
 const START_PAUSE: Duration = Duration::from_millis(200);
 
+/// Ports below those that the system gives to connections that go out.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
 /// Requests of each form that a check sends to each host.
 const REQUESTS_PER_FORM: usize = 4;
 
@@ -198,7 +202,15 @@
 
 /// An address that is free at the moment.
 fn free() -> Result<SocketAddr> {
-    Ok(TcpListener::bind(local(0))?.local_addr()?)
+    // The system gives connections that go out their ports from the upper range, at any moment.
+    loop {
+        let port = rand::random_range(PORTS);
+        match TcpListener::bind(local(port)) {
+            Ok(listener) => return Ok(listener.local_addr()?),
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
 }
 
 fn secret() -> String {
--- a/tests/serving/usage.rs
+++ b/tests/serving/usage.rs
@@ -56,3 +56,17 @@
     hub.collect(new.take_changed(WINDOW + 1, false));
     assert_eq!(hub.sum(WINDOW), [("a".to_owned(), 8)]);
 }
+
+#[test]
+fn a_hub_that_stops_hands_over_what_it_holds_of_others() {
+    let (mut gone, mut hub) = (Ledger::new("gone-1"), Ledger::new("hub-1"));
+    count(&mut gone, "a", 5);
+    count(&mut hub, "a", 2);
+    hub.collect(gone.take_changed(WINDOW + 1, false));
+    // The host that counted was restarted, and the store takes nothing.
+    drop(gone);
+    hub.close();
+    let mut next = Ledger::new("next-1");
+    next.collect(hub.take_changed(WINDOW + 1, true));
+    assert_eq!(next.sum(WINDOW), [("a".to_owned(), 7)]);
+}
