--- a/ctl/tests/demo.rs
+++ b/ctl/tests/demo.rs
@@ -148,7 +148,7 @@
 
 /// Commands of the transcript with what they print.
 fn transcript() -> Vec<(String, String)> {
-    let page = include_str!("../../docs/OPERATING.md");
+    let page = include_str!("../../docs/OPERATIONS.md");
     let block = page.split("<!-- transcript -->\n```console\n").nth(1).unwrap();
     let block = block.split("```").next().unwrap();
     let step = |it: &str| {
