Remove the load that upstreams report with answers

Cause: it was read and passed on to a function that did nothing; placement uses what hosts sent and told one another. No decision changes.

--- a/src/serving/dialect.rs
+++ b/src/serving/dialect.rs
@@ -59,17 +59,6 @@
     pub resume_after: Option<&'a str>,
 }
 
-/// Load that an upstream reports with an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Load {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait in the upstream's own queue.
-    pub waiting: u32,
-    /// Requests that it runs at once.
-    pub slots: u32,
-}
-
 /// What the head of an upstream's answer means.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -100,9 +89,6 @@
     /// Judges the head of an answer to the request with an id.
     fn verdict(&self, id: &HeaderValue, head: &response::Parts) -> Verdict;
 
-    /// Load that an upstream reports with an answer.
-    fn load(&self, headers: &HeaderMap) -> Option<Load>;
-
     /// Status that tells a caller of a kind of error.
     fn status(&self, kind: Kind) -> StatusCode;
 }
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -11,8 +11,7 @@
 use crate::{
     error::{Error, Kind},
     serving::{
-        dialect::Load,
-        key::{AttemptKey, TicketKey, UpstreamKey},
+        key::{AttemptKey, TicketKey},
         news,
         placement::{Action, Grant, Placement, Ticket},
         registry::Entry,
@@ -29,7 +28,6 @@
     Submit(Box<Ticket>, oneshot::Sender<Result<Grant, Error>>),
     Answered(AttemptKey),
     Ended(AttemptKey, Ending),
-    Load(UpstreamKey, Load),
     Sent(oneshot::Sender<Sent>),
     Foreign(Vec<news::Load>),
     Placed(Vec<news::Placed>),
@@ -99,11 +97,6 @@
         Ok((grant, guard))
     }
 
-    /// Tells the load that an upstream reported.
-    pub fn report(&self, upstream: UpstreamKey, load: Load) {
-        self.tell(Message::Load(upstream, load));
-    }
-
     /// What this host has sent, for other hosts.
     pub async fn sent(&self) -> Sent {
         let (answer, sent) = oneshot::channel();
@@ -191,7 +184,6 @@
             }
             Message::Answered(attempt) => self.core.answered(now, attempt),
             Message::Ended(attempt, ending) => self.core.ended(now, attempt, ending),
-            Message::Load(upstream, load) => self.core.report(now, upstream, load),
             Message::Sent(answer) => {
                 let sent = Sent { loads: self.core.loads(now), placed: self.core.take_placed() };
                 // The asking task ends only with the host.
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -296,9 +296,6 @@
         guard: Guard,
     ) -> Result<Begun, Loss> {
         let (head, body) = response.into_parts();
-        if let Some(load) = self.shared.dialect.load(&head.headers) {
-            self.shared.dispatcher.report(grant.upstream, load);
-        }
         match self.shared.dialect.verdict(&job.id, &head) {
             Verdict::Answer => {
                 let response = Response::from_parts(head, body);
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -9,7 +9,7 @@
     error::Kind,
     rendezvous,
     serving::{
-        dialect::{Load, Prompt},
+        dialect::Prompt,
         key::{AttemptKey, TicketKey, UpstreamKey},
         mix::Mix,
         news,
@@ -209,9 +209,6 @@
         }
     }
 
-    /// An upstream reported its load.
-    pub fn report(&mut self, _now: Time, _upstream: UpstreamKey, _load: Load) {}
-
     /// What this host has sent to each upstream and that has not ended.
     pub fn loads(&self, now: Time) -> Vec<news::Load> {
         self.sites.iter().filter_map(|(_, site)| site.load(now)).collect()
