Make two tests stricter that passed without their mechanism

Cause: with the weight of reading at zero the test of kept parts still passed, as equal engines are ordered by session; with older listings taken in, the test of copies still passed, as later changes mend a copy.

--- a/tests/serving/knowledge.rs
+++ b/tests/serving/knowledge.rs
@@ -114,3 +114,15 @@
     hub.set_member(at(900), "two", vec![load(1, 100)]);
     assert_eq!(running(hub.foreign(at(1_100), true)), [(1, 100)]);
 }
+
+#[test]
+fn a_listing_that_was_under_way_for_long_takes_nothing_back() {
+    let mut store = Model::default();
+    store.write(0);
+    let old = store.listing();
+    store.write(1);
+    let mut copy = Mirror::default();
+    copy.take(store.listing());
+    assert!(copy.take(old).is_empty(), "an older listing tells nothing new");
+    assert_eq!(contents(&copy), Some(store.listing()));
+}
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -6,9 +6,11 @@
     error::Kind,
     serving::{
         key::TicketKey,
+        news::Load,
         placement::{Action, Placement},
         registry::State,
-        tier,
+        site::tag,
+        tier::{self, TIERS},
     },
     time::Span,
     wire::Ending,
@@ -57,7 +59,12 @@
     let (first, attempt) = place(&mut host, at(0), &ticket(1, shared.clone()));
     host.answered(at(200), attempt);
     host.ended(at(250), attempt, Ending::Done);
-    // Reading the parts anew takes 100 ms of an engine.
+    // Reading the parts anew takes 100 ms of an engine, and again wherever they are wanted next. Others have sent as
+    // much there as is read in 200 ms.
+    let keeper = engines(4).into_iter().find(|it| *it.id == *first).expect("it is listed");
+    let mut load = Load { upstream: tag(&keeper), pending: [0; TIERS], running: 1, shunned_ms: 0 };
+    load.pending[0] = 8_000;
+    host.set_foreign(at(300), &[load]);
     let (second, _) = place(&mut host, at(300), &ticket(2, shared.clone()));
     assert_eq!(first, second);
     let mut number = 3;
