Write counts at the ends of windows, and half as often otherwise

Cause: hubs wrote their counts each second, one call each, of which five in a window say nothing that the next does not; and a window's last counts came to the store up to 1 s late.

Change: writes each 2 s, and 0.7 s after each window's end.

--- a/src/serving/usage.rs
+++ b/src/serving/usage.rs
@@ -24,10 +24,14 @@
 const SEALED_PREFIX: &str = "almondrack/sealed/";
 
 /// Interval between writes of counts.
-const FLUSH_INTERVAL: Duration = Duration::from_millis(1_000);
+const FLUSH_INTERVAL: Duration = Duration::from_millis(2_000);
 
 /// Longest interval between writes while the store takes none.
-const MAX_FLUSH_INTERVAL: Duration = Duration::from_millis(2_000);
+const MAX_FLUSH_INTERVAL: Duration = Duration::from_millis(4_000);
+
+/// Time after a window's end at which its counts are written without waiting for the interval: hosts have told their hubs by
+/// then, and a report that is ready early is not held up by an outage that begins soon.
+const WINDOW_FLUSH_TIME: Span = Span::from_ms(700);
 
 /// Interval between writes of a host that stops.
 const LAST_FLUSH_INTERVAL: Duration = Duration::from_millis(250);
@@ -119,6 +123,13 @@
         self.clock.unix(now) / self.window.0.max(1)
     }
 
+    /// Time until the counts of the window that ends next, or has just ended, are written.
+    fn until_window_flush(&self, now: Time) -> Duration {
+        let window = self.window.0.max(1);
+        let passed = (self.clock.unix(now).saturating_sub(WINDOW_FLUSH_TIME.0)) % window;
+        Span(window - passed).into()
+    }
+
     /// Time since the end of a window, zero if it has not ended.
     fn since_end(&self, now: Time, window: u64) -> Span {
         Span(self.clock.unix(now).saturating_sub((window + 1) * self.window.0))
@@ -206,7 +217,7 @@
         let mut interval = FLUSH_INTERVAL;
         loop {
             let stop = tokio::select! {
-                () = sleep(interval) => false,
+                () = sleep(interval.min(self.meter.until_window_flush(Time::now()))) => false,
                 // The sender lives as long as the host.
                 _ = stopping.wait_for(|it| *it) => true,
             };
