--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,7 +4,8 @@
 
 use eyre::Result;
 use prometheus::{
-    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder, core::Collector as _,
 };
 
 use crate::error::Kind;
@@ -47,6 +48,7 @@
     tokens: IntCounterVec,
     wasted: IntCounterVec,
     first_token: HistogramVec,
+    store_calls: IntCounterVec,
     /// Requests accepted and not ended.
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
@@ -87,6 +89,11 @@
             "Tokens generated and not delivered.",
             &["class"],
         )?;
+        let store_calls = counter(
+            "almondrack_store_calls_total",
+            "Calls to the platform's store, by cause, call and outcome.",
+            &["cause", "call", "outcome"],
+        )?;
         let opts = HistogramOpts::new(
             "almondrack_first_token_seconds",
             "Time from acceptance to the first token or byte.",
@@ -104,6 +111,7 @@
             tokens,
             wasted,
             first_token,
+            store_calls,
             in_flight,
             revision,
         })
@@ -128,6 +136,22 @@
         self.first_token.with_label_values(&[class]).observe(elapsed.as_secs_f64());
     }
 
+    /// Counts a call to the platform's store.
+    pub fn store_called(&self, cause: &str, call: &str, outcome: &str) {
+        self.store_calls.with_label_values(&[cause, call, outcome]).inc();
+    }
+
+    /// Number of calls to the platform's store so far, by cause, call and outcome, for a log line.
+    pub fn store_calls(&self) -> String {
+        let families = self.store_calls.collect();
+        let counters = families.iter().flat_map(|it| it.get_metric());
+        let texts = counters.map(|it| {
+            let labels: Vec<_> = it.get_label().iter().map(|it| it.value()).collect();
+            format!("{} {}", labels.join("/"), it.get_counter().get_value())
+        });
+        texts.collect::<Vec<_>>().join(", ")
+    }
+
     /// All counters in the text format of Prometheus.
     pub fn render(&self) -> String {
         let mut out = Vec::new();
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -2,14 +2,17 @@
 
 pub mod account;
 pub mod archive;
+mod asker;
 pub mod begun;
 pub mod budget;
+pub mod calls;
 pub mod connection;
 pub mod course;
 pub mod dialect;
 pub mod dispatcher;
 pub mod duties;
 pub mod exchange;
+mod follower;
 pub mod handler;
 pub mod host;
 pub mod key;
--- a/src/serving/archive.rs
+++ b/src/serving/archive.rs
@@ -1,7 +1,8 @@
 //! Task that owns what a host knows: copies of the store's keys, the fleet's loads and counts.
 //!
-//! The hub of a group of hosts follows the store; the others of the group ask the hub several times a second. A host
-//! whose hub is silent or behind follows the store itself, and a host that the store turns away asks others.
+//! Two hosts of the fleet, in different availability zones, follow the store. The hubs of each group of hosts ask them, and the
+//! others of the group ask their hub, several times a second. A host that nobody serves follows the store itself, and
+//! one that the store turns away asks others.
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
@@ -9,12 +10,15 @@
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task,
-    time::{MissedTickBehavior, sleep, timeout},
+    time::MissedTickBehavior,
 };
 
 use crate::{
     serving::{
+        asker::{self, Asker},
+        calls::{Cause, Counted},
         dispatcher::{Dispatcher, Sent},
+        follower::{self, Follower, Pace, Rank},
         leadership::LEADER_KEY,
         loads::Loads,
         mirror::{Mirror, News},
@@ -27,7 +31,7 @@
         table::Table,
         usage::Meter,
     },
-    store::{Change, Failure, Item, Store, Watch},
+    store::{Change, Item, Store},
     time::{Span, Time},
 };
 
@@ -35,58 +39,29 @@
 pub const FLEET_PREFIX: &str = "almondrack/fleet/";
 
 /// Interval of the questions to the hub of a small fleet.
-const INTERVAL: Duration = Duration::from_millis(100);
+pub(super) const INTERVAL: Duration = Duration::from_millis(100);
 
-/// Questions of a host in a large fleet are sent at each so many intervals.
-const LARGE_FLEET_STRIDE: usize = 2;
+/// Age of its best proof beyond which a hub follows the store itself: longer than two watches of a follower and a question take.
+const HUB_STALE: Span = Span::from_ms(2_200);
 
-/// Age of the best proof beyond which other sources are asked: longer than two watches of the store and a question take.
-const STALE: Span = Span::from_ms(2_600);
+/// The same for other hosts, whose hubs are given time to follow first.
+const MEMBER_STALE: Span = Span::from_ms(2_800);
 
-/// Hosts of a group that follow the store; the others ask them in turns, so that the loss of one delays nothing.
-const HUBS: usize = 2;
-
-/// Time for which a host that did not answer is passed over.
-const SHUN_TIME: Span = Span::from_ms(1_000);
-
-/// Time for which a host that does not follow the store is passed over as a hub.
-const BEHIND_TIME: Span = Span::from_ms(300);
-
-/// Time since the store's last answer after which a host no longer follows it: longer than a watch.
-const TOUCH_TIME: Span = Span::from_ms(1_400);
+/// Age of a host's best proof beyond which others turn to another hub.
+const CURRENT_TIME: Span = Span::from_ms(2_000);
 
 /// Time for which a starting host asks others before it follows the store itself.
-const START_TIME: Span = Span::from_ms(250);
-
-/// Longest wait of a watch of the configuration or the upstreams, in milliseconds. A connection that fell silent is noticed
-/// after it, and the last answer but one proves that the configuration is the newest.
-const WAIT_MS: u64 = 1_000;
-
-/// Pause of the first hub between watches that returned changes: each upstream writes its entry again as a beat, and hosts
-/// are restarted in series, so that a large list changes all the time, and calls are paid for.
-const BEAT_PAUSE: Duration = Duration::from_millis(200);
-
-/// The same for other hosts, from which the group hears of little first.
-const OTHER_BEAT_PAUSE: Duration = Duration::from_millis(600);
-
-/// Longest wait of a watch of the fleet's own keys, in milliseconds.
-const FLEET_WAIT_MS: u64 = 5_000;
+const START_TIME: Span = Span::from_ms(300);
 
-/// First pause after a failed call to the store.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-
-/// Longest pause of a hub after failed calls to the store.
-const MAX_PAUSE: Duration = Duration::from_millis(400);
-
-/// Longest pause of other hosts, all of which ask the store when their hubs are behind.
-const MEMBER_MAX_PAUSE: Duration = Duration::from_millis(1_600);
+/// Most that is added to it by chance, so that a fleet that starts as a whole does not list everything at once.
+const START_SPREAD_MS: u64 = 900;
 
 /// Messages that may wait at the task.
 const QUEUE: usize = 1_024;
 
 /// Place of a host among the hubs of its group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Place {
+pub(super) enum Place {
     /// The hub that writes the group's counts.
     First,
     /// Another hub.
@@ -95,9 +70,46 @@
     Member,
 }
 
+/// What a host is to the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Role {
+    /// Its place in its group.
+    pub(super) place: Place,
+    /// Its place among those that follow the store for the fleet.
+    pub(super) rank: Rank,
+}
+
+impl Role {
+    /// Age of its best proof beyond which a host that is no hub follows the store itself.
+    pub(super) const MEMBER_STALE: Span = MEMBER_STALE;
+
+    pub(super) fn is_hub(self) -> bool {
+        self.place != Place::Member
+    }
+
+    /// Age of the best proof of other hosts beyond which they do not serve this one.
+    fn stale(self) -> Span {
+        if self.is_hub() { HUB_STALE } else { MEMBER_STALE }
+    }
+}
+
+/// How closely each prefix is followed.
+///
+/// Few hosts prove for all others that nothing is newer. Hubs hear of a new configuration from the store itself, so that
+/// a large one does not come to all of them over the links of a few.
+fn paces(role: Role, is_served: bool) -> [Pace; 3] {
+    if role.rank != Rank::None || !is_served {
+        [Pace::Prove; 3]
+    } else if role.is_hub() {
+        [Pace::Notice, Pace::Rest, Pace::Rest]
+    } else {
+        [Pace::Rest; 3]
+    }
+}
+
 /// A followed prefix.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Topic {
+pub(super) enum Topic {
     Configuration,
     Upstreams,
     Fleet,
@@ -105,6 +117,14 @@
 
 impl Topic {
     const ALL: [Topic; 3] = [Topic::Configuration, Topic::Upstreams, Topic::Fleet];
+
+    fn cause(self) -> Cause {
+        match self {
+            Topic::Configuration => Cause::Configuration,
+            Topic::Upstreams => Cause::Upstreams,
+            Topic::Fleet => Cause::Fleet,
+        }
+    }
 }
 
 /// How values of the store are read.
@@ -150,7 +170,7 @@
 /// What the task needs.
 pub struct Options<S> {
     /// The platform's store.
-    pub store: S,
+    pub store: Counted<S>,
     /// How its values are read.
     pub decoding: Decoding,
     /// Id of this host.
@@ -170,8 +190,8 @@
 }
 
 #[derive(Debug)]
-enum Message {
-    /// The store said something, or nothing new, when it was asked at a time.
+pub(super) enum Message {
+    /// The store answered when it was asked at a time; without news if the keys have to be listed again.
     News(Topic, Time, Option<News>),
     /// The store does not answer.
     Failed(Topic),
@@ -192,8 +212,8 @@
     collects: watch::Sender<bool>,
     /// Revisions of the copies, for the followers.
     revisions: watch::Sender<[u64; 3]>,
-    /// Whether the store is followed.
-    following: watch::Sender<bool>,
+    /// How closely the store is followed.
+    paces: watch::Sender<[Pace; 3]>,
     /// Time of the newest proof of each topic.
     proofs: watch::Sender<[Option<Time>; 3]>,
 }
@@ -207,23 +227,25 @@
     let (leader_sender, leader) = watch::channel(None);
     let (collects_sender, collects) = watch::channel(true);
     let (revisions_sender, revisions) = watch::channel([0; 3]);
-    let (following_sender, following) = watch::channel(false);
+    let (paces_sender, paces) = watch::channel([Pace::Rest; 3]);
     let (proofs_sender, proofs) = watch::channel([None; 3]);
     let (messages, mailbox) = mpsc::channel(QUEUE);
-    let place = Rc::new(watch::channel(Place::First).0);
+    let alone = Role { place: Place::First, rank: Rank::First };
+    let role = Rc::new(watch::channel(alone).0);
     let reached = Rc::new(watch::channel(false).0);
     for topic in Topic::ALL {
         let follower = Follower {
-            store: options.store.clone(),
+            store: options.store.for_cause(topic.cause()),
             topic,
             prefix: options.decoding.prefix(topic),
             revisions: revisions.clone(),
             messages: messages.clone(),
-            place: place.subscribe(),
+            role: role.subscribe(),
+            roster: roster.clone(),
             reached: reached.clone(),
-            pause: FIRST_PAUSE,
+            pause: follower::FIRST_PAUSE,
         };
-        task::spawn_local(follower.run(following.clone()));
+        task::spawn_local(follower.run(paces.clone()));
     }
     let asker = || Asker {
         host: options.host.clone(),
@@ -236,10 +258,8 @@
         proofs: proofs.clone(),
         meter: options.meter.clone(),
         messages: messages.clone(),
-        shunned: Vec::new(),
-        place: place.clone(),
-        counted: None,
-        positions: Vec::new(),
+        role: role.clone(),
+        memory: asker::Memory::default(),
     };
     task::spawn_local(asker().run(dispatcher.clone()));
     task::spawn_local(asker().run_as_hub());
@@ -252,7 +272,7 @@
         leader: leader_sender,
         collects: collects_sender,
         revisions: revisions_sender,
-        following: following_sender,
+        paces: paces_sender,
         proofs: proofs_sender,
     };
     let task = Task {
@@ -267,273 +287,21 @@
         roll: Roll::default(),
         loads: Loads::default(),
         placed: placed::Log::default(),
-        place: place.subscribe(),
-        touched: Time(0),
-        started: Time::now(),
-        has_seeds: options.seeds.iter().any(|it| *it != options.address),
+        role: role.subscribe(),
+        reached,
+        start_ends: start_ends(&options.seeds, options.address),
     };
     task::spawn_local(task.run(mailbox, options.calls));
     Archive { table, proven, listed, roster, leader, collects }
 }
 
-/// Follows one prefix of the store while it is told to.
-struct Follower<S> {
-    store: S,
-    topic: Topic,
-    prefix: &'static str,
-    revisions: watch::Receiver<[u64; 3]>,
-    messages: mpsc::Sender<Message>,
-    place: watch::Receiver<Place>,
-    /// Whether the store answered the last call of any follower.
-    reached: Rc<watch::Sender<bool>>,
-    /// Pause after the next failed call.
-    pause: Duration,
-}
-
-impl<S: Store> Follower<S> {
-    async fn run(mut self, mut following: watch::Receiver<bool>) {
-        let mut listed = false;
-        loop {
-            if following.wait_for(|it| *it).await.is_err() {
-                return;
-            }
-            let asked = Time::now();
-            let message = match self.ask(listed).await {
-                Ok(news) => {
-                    listed = news.is_some();
-                    self.pause = FIRST_PAUSE;
-                    self.reached.send_replace(true);
-                    Message::News(self.topic, asked, news.flatten())
-                }
-                Err(failure) => {
-                    log::info!("{} cannot be followed: {failure}", self.prefix);
-                    if self.messages.send(Message::Failed(self.topic)).await.is_err() {
-                        return;
-                    }
-                    self.wait_for_store().await;
-                    continue;
-                }
-            };
-            let changed = matches!(message, Message::News(_, _, Some(_)));
-            if self.messages.send(message).await.is_err() {
-                return;
-            }
-            if changed && self.topic != Topic::Configuration {
-                let first = *self.place.borrow() == Place::First;
-                sleep(if first { BEAT_PAUSE } else { OTHER_BEAT_PAUSE }).await;
-            }
-        }
-    }
-
-    /// Waits after a failed call. One follower tries for all of this host, as calls are paid for that a store in trouble
-    /// turns away.
-    async fn wait_for_store(&mut self) {
-        self.reached.send_replace(false);
-        let next = self.next_pause();
-        let pause = std::mem::replace(&mut self.pause, next);
-        // Hosts that lost the store together do not all return together.
-        let pause = pause.mul_f64(rand::random_range(0.7..1.3));
-        if self.topic == Topic::Configuration {
-            sleep(pause).await;
-            return;
-        }
-        let mut reached = self.reached.subscribe();
-        // Without an answer to the others, this follower tries again by itself.
-        let _ = timeout(MEMBER_MAX_PAUSE.max(pause), reached.wait_for(|it| *it)).await;
-    }
-
-    fn next_pause(&self) -> Duration {
-        let longest = match *self.place.borrow() {
-            Place::First | Place::Other => MAX_PAUSE,
-            Place::Member => MEMBER_MAX_PAUSE,
-        };
-        (self.pause * 2).min(longest)
-    }
-
-    /// `None` if the keys have to be listed again, an inner `None` if nothing changed.
-    async fn ask(&self, listed: bool) -> Result<Option<Option<News>>, Failure> {
-        let after = self.revisions.borrow()[self.topic as usize];
-        if after == 0 || !listed {
-            let (items, revision) = list(&self.store, self.prefix).await?;
-            return Ok(Some(Some(News::Listing(items, revision))));
-        }
-        let wait_ms = match self.topic {
-            Topic::Configuration | Topic::Upstreams => WAIT_MS,
-            Topic::Fleet => FLEET_WAIT_MS,
-        };
-        Ok(match self.store.watch(self.prefix, after, wait_ms).await? {
-            Watch::Changes(changes, revision) => Some(Some(News::Changes(changes, revision))),
-            Watch::Compacted => None,
-        })
-    }
-}
-
-/// Reads all pages of a listing. They are not of one revision; what changed since the first one is followed.
-async fn list<S: Store>(store: &S, prefix: &str) -> Result<(Vec<Item>, u64), Failure> {
-    let mut items: Vec<Item> = Vec::new();
-    let mut revision = None;
-    loop {
-        let after = items.last().map_or("", |it| it.key.as_str()).to_owned();
-        let page = store.list(prefix, &after).await?;
-        items.extend(page.items);
-        let first = *revision.get_or_insert(page.revision);
-        if !page.more {
-            return Ok((items, first));
-        }
+/// Until when a starting host asks others only. Seeds are asked by the others, and look for themselves.
+fn start_ends(seeds: &[SocketAddr], own: SocketAddr) -> Time {
+    let now = Time::now();
+    if seeds.is_empty() || seeds.contains(&own) {
+        return now;
     }
-}
-
-/// Asks other hosts.
-struct Asker {
-    host: String,
-    zone: String,
-    address: SocketAddr,
-    seeds: Vec<SocketAddr>,
-    peers: Peers,
-    roster: watch::Receiver<Rc<Roster>>,
-    revisions: watch::Receiver<[u64; 3]>,
-    proofs: watch::Receiver<[Option<Time>; 3]>,
-    meter: Meter,
-    messages: mpsc::Sender<Message>,
-    /// Hosts that did not answer, and until when they are passed over.
-    shunned: Vec<(SocketAddr, Time)>,
-    /// Place of this host among the hubs of its group.
-    place: Rc<watch::Sender<Place>>,
-    /// Who has all of this host's counts so far.
-    counted: Option<SocketAddr>,
-    /// Positions in the parts of the hosts that were asked.
-    positions: Vec<(SocketAddr, u64)>,
-}
-
-impl Asker {
-    async fn run(mut self, dispatcher: Dispatcher) {
-        let mut interval = tokio::time::interval(INTERVAL);
-        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut tick: usize = 0;
-        loop {
-            interval.tick().await;
-            tick = tick.wrapping_add(1);
-            let roster = self.roster.borrow().clone();
-            let group = roster.group(&self.zone).to_owned();
-            if !group.is_empty() && !tick.is_multiple_of(LARGE_FLEET_STRIDE) {
-                continue;
-            }
-            let sent = dispatcher.sent().await;
-            if self.messages.send(Message::Sent(sent.clone())).await.is_err() {
-                return;
-            }
-            let hubs = self.hubs(&roster, &group);
-            let place = match hubs.iter().position(|it| *it == self.address) {
-                Some(0) => Place::First,
-                Some(_) => Place::Other,
-                None => Place::Member,
-            };
-            self.place.send_if_modified(|it| std::mem::replace(it, place) != place);
-            let others: Vec<_> = hubs.into_iter().filter(|it| *it != self.address).collect();
-            let turn = tick / LARGE_FLEET_STRIDE;
-            if let Some(hub) = others.get(turn % others.len().max(1)) {
-                self.ask(*hub, sent, None).await;
-            } else if self.is_behind() {
-                self.ask_anyone(&roster, sent).await;
-            }
-        }
-    }
-
-    /// The hubs of this host's group, as far as they answer and follow the store.
-    fn hubs(&mut self, roster: &Roster, group: &str) -> Vec<SocketAddr> {
-        let now = Time::now();
-        self.shunned.retain(|it| now < it.1);
-        let ranked = roster.ranked(group).into_iter().map(|it| it.address);
-        let open = |it: &SocketAddr| self.shunned.iter().all(|shunned| shunned.0 != *it);
-        ranked.filter(|it| open(it) || *it == self.address).take(HUBS).collect()
-    }
-
-    fn is_behind(&self) -> bool {
-        let proof = self.proofs.borrow()[Topic::Configuration as usize];
-        proof.is_none_or(|it| Time::now().since(it) >= STALE)
-    }
-
-    /// Asks any host, as neither the store nor a hub can be asked.
-    async fn ask_anyone(&mut self, roster: &Roster, sent: Sent) {
-        let known = roster.iter().map(|it| it.address).chain(self.seeds.iter().copied());
-        let open = |it: &SocketAddr| self.shunned.iter().all(|shunned| shunned.0 != *it);
-        let others: Vec<_> = known.filter(|it| *it != self.address && open(it)).collect();
-        if let Some(other) = pick(&others) {
-            self.ask(other, sent, None).await;
-        }
-    }
-
-    /// Asks the hubs of the other groups while this host is a hub of its own.
-    async fn run_as_hub(mut self) {
-        let mut interval = tokio::time::interval(INTERVAL * LARGE_FLEET_STRIDE as u32);
-        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        while !self.messages.is_closed() {
-            interval.tick().await;
-            let roster = self.roster.borrow().clone();
-            let group = roster.group(&self.zone).to_owned();
-            if group.is_empty() || *self.place.borrow() == Place::Member {
-                continue;
-            }
-            for other in roster.zones().into_iter().filter(|it| *it != group) {
-                if let Some(hub) = self.hubs(&roster, other).first() {
-                    self.ask(*hub, Sent::default(), Some(other.to_owned())).await;
-                }
-            }
-        }
-    }
-
-    /// Asks a host; a hub of another group if one is named.
-    async fn ask(&mut self, address: SocketAddr, sent: Sent, group: Option<String>) {
-        let counts = match group {
-            None => self.meter.changed(self.counted == Some(address)),
-            Some(_) => Vec::new(),
-        };
-        let question = Question {
-            host: self.host.clone(),
-            is_hub: group.is_some(),
-            revisions: self.revisions.borrow().to_vec(),
-            loads: sent.loads,
-            placed: sent.placed,
-            placed_after: self.position(address),
-            counts,
-        };
-        let asked = Time::now();
-        let Some(answer) = self.peers.ask(address, question).await else {
-            log::info!("the host at {address} does not answer");
-            if self.counted == Some(address) {
-                self.counted = None;
-            }
-            self.shunned.push((address, Time::now() + SHUN_TIME));
-            return;
-        };
-        if group.is_none() {
-            self.counted = Some(address);
-            if !answer.follows {
-                self.shunned.push((address, Time::now() + BEHIND_TIME));
-            }
-        }
-        self.set_position(address, answer.placed_next);
-        let message = Message::Answered(Box::new(answer), asked, group);
-        // The mailbox closes only when the host stops.
-        let _ = self.messages.send(message).await;
-    }
-
-    /// Position in a host's parts up to which they are known.
-    fn position(&self, address: SocketAddr) -> u64 {
-        self.positions.iter().find(|it| it.0 == address).map_or(0, |it| it.1)
-    }
-
-    fn set_position(&mut self, address: SocketAddr, position: u64) {
-        match self.positions.iter_mut().find(|it| it.0 == address) {
-            Some(known) => known.1 = position,
-            None => self.positions.push((address, position)),
-        }
-    }
-}
-
-fn pick(addresses: &[SocketAddr]) -> Option<SocketAddr> {
-    let count = addresses.len();
-    (count > 0).then(|| addresses[rand::random_range(0..count)])
+    now + START_TIME + Span::from_ms(rand::random_range(0..START_SPREAD_MS))
 }
 
 struct Task {
@@ -550,12 +318,11 @@
     roll: Roll,
     loads: Loads,
     placed: placed::Log,
-    /// Place of this host among the hubs of its group.
-    place: watch::Receiver<Place>,
-    /// When the store last answered.
-    touched: Time,
-    started: Time,
-    has_seeds: bool,
+    /// What this host is to the others.
+    role: watch::Receiver<Role>,
+    /// Whether the store answered since this host was left alone.
+    reached: Rc<watch::Sender<bool>>,
+    start_ends: Time,
 }
 
 impl Task {
@@ -577,15 +344,13 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::News(topic, asked, news) => {
-                let now = Time::now();
-                self.touched = now;
                 if topic == Topic::Upstreams {
-                    self.roll.recover(now);
+                    self.roll.recover(Time::now());
                 }
+                let news = news.map(|it| self.without_beats(topic, it));
                 self.learn(topic, news, Some(asked));
             }
             Message::Failed(topic) => {
-                self.touched = Time(0);
                 if topic == Topic::Upstreams {
                     self.roll.fail();
                 }
@@ -594,14 +359,32 @@
             Message::Sent(sent) => {
                 self.loads.set_own(sent.loads);
                 self.placed.add_own(sent.placed);
-                let loads = self.loads.foreign(Time::now(), *self.place.borrow() != Place::Member);
+                let loads = self.loads.foreign(Time::now(), self.role.borrow().is_hub());
                 self.dispatcher.set_foreign(loads);
             }
         }
     }
 
+    /// Entries that say nothing new are not passed on: each upstream writes its own again each second or so, and news of
+    /// all of them would go to every host.
+    fn without_beats(&self, topic: Topic, news: News) -> News {
+        if topic != Topic::Upstreams {
+            return news;
+        }
+        let mirror = &self.mirrors[topic as usize];
+        let entry = |it: &Item| {
+            let entry = (self.decoding.entry)(&it.key, &it.value).ok()?;
+            Some(Entry { sequence: 0, ..entry })
+        };
+        news.without_repeats(|item| {
+            let known = mirror.get(&item.key).and_then(entry);
+            known.is_some() && known == entry(item)
+        })
+    }
+
     fn take_answer(&mut self, answer: Answer, asked: Time, group: Option<String>) {
         let now = Time::now();
+        self.roll.hear_of_outage(now, Span(answer.settles_us));
         for (topic, knowledge) in Topic::ALL.into_iter().zip(answer.knowledge) {
             let proof = knowledge.age_us.map(|it| asked - Span(it));
             if topic == Topic::Configuration {
@@ -634,8 +417,10 @@
                 self.outputs.proven.send_replace(self.proofs[index]);
             }
             Topic::Upstreams => {
-                changes.iter().for_each(|it| self.enrol(it));
-                self.publish_upstreams();
+                if !changes.is_empty() {
+                    changes.iter().for_each(|it| self.enrol(it));
+                    self.publish_upstreams();
+                }
                 if self.mirrors[index].revision() > 0 {
                     self.outputs.listed.send_replace(true);
                 }
@@ -745,7 +530,8 @@
         // The asking host may have given up.
         let _ = answer.send(Answer {
             host: self.host.clone(),
-            follows: now.since(self.touched) < TOUCH_TIME,
+            is_current: self.is_current(now),
+            settles_us: self.roll.settles_in(now).0,
             knowledge,
             loads,
             placed,
@@ -759,18 +545,30 @@
             self.roll.advance(now);
             self.publish_upstreams();
         }
-        let place = *self.place.borrow();
-        let is_hub = place != Place::Member;
-        let served = self.peer_proof.is_some_and(|it| now.since(it) < STALE);
-        let starting = self.has_seeds && now.since(self.started) < START_TIME;
+        let role = *self.role.borrow();
+        let served = self.peer_proof.is_some_and(|it| now.since(it) < role.stale());
         let known = self.proofs[Topic::Configuration as usize].is_some();
-        let follow = if known { is_hub || !served } else { !starting };
-        set(&self.outputs.following, follow);
-        set(&self.outputs.collects, place == Place::First || !(is_hub || served));
+        let paces =
+            if known || now >= self.start_ends { paces(role, served) } else { [Pace::Rest; 3] };
+        let was_served = self.outputs.paces.borrow()[Topic::Upstreams as usize] == Pace::Rest;
+        if was_served && paces != *self.outputs.paces.borrow() {
+            self.reached.send_replace(false);
+        }
+        set(&self.outputs.paces, paces);
+        // A host that nobody serves writes its counts itself, unless the store turns it away too.
+        let alone = !(role.is_hub() || served) && *self.reached.borrow();
+        let writes = role.place == Place::First || alone;
+        set(&self.outputs.collects, writes);
+    }
+
+    /// Whether the configuration is known to be the newest, as of a moment ago.
+    fn is_current(&self, now: Time) -> bool {
+        let proof = self.proofs[Topic::Configuration as usize];
+        proof.is_some_and(|it| now.since(it) < CURRENT_TIME)
     }
 }
 
-fn set(sender: &watch::Sender<bool>, value: bool) {
+fn set<T: Copy + PartialEq>(sender: &watch::Sender<T>, value: T) {
     sender.send_if_modified(|it| std::mem::replace(it, value) != value);
 }
 
--- /dev/null
+++ b/src/serving/calls.rs
@@ -0,0 +1,100 @@
+//! Counting of calls to the store by their cause, as each is paid for.
+
+use crate::{
+    metrics::Metrics,
+    store::{Commit, Committed, Failure, Item, LeaseId, Page, Store, Watch},
+};
+
+/// What a call to the store is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// Following the configuration.
+    Configuration,
+    /// Following the entries of upstreams.
+    Upstreams,
+    /// Following the fleet's own keys.
+    Fleet,
+    /// The host's own record.
+    Registration,
+    /// Winning and holding the lead.
+    Leadership,
+    /// Writing and settling counts.
+    Usage,
+}
+
+impl Cause {
+    /// Value of the `cause` label.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Cause::Configuration => "configuration",
+            Cause::Upstreams => "upstreams",
+            Cause::Fleet => "fleet",
+            Cause::Registration => "registration",
+            Cause::Leadership => "leadership",
+            Cause::Usage => "usage",
+        }
+    }
+}
+
+/// A store whose calls are counted for one cause.
+#[derive(Debug, Clone)]
+pub struct Counted<S> {
+    store: S,
+    metrics: Metrics,
+    cause: Cause,
+}
+
+impl<S> Counted<S> {
+    /// Counts the calls to a store.
+    pub fn new(store: S, metrics: Metrics, cause: Cause) -> Counted<S> {
+        Counted { store, metrics, cause }
+    }
+
+    fn count<T>(&self, call: &'static str, result: Result<T, Failure>) -> Result<T, Failure> {
+        let outcome = match &result {
+            Ok(_) => "ok",
+            Err(Failure::Refused(_)) => "refused",
+            Err(Failure::Unknown(_)) => "no_answer",
+            Err(Failure::Invalid(_)) => "invalid",
+        };
+        self.metrics.store_called(self.cause.as_str(), call, outcome);
+        result
+    }
+}
+
+impl<S: Store> Counted<S> {
+    /// The same store for another cause.
+    pub fn for_cause(&self, cause: Cause) -> Counted<S> {
+        Counted { cause, ..self.clone() }
+    }
+}
+
+impl<S: Store> Store for Counted<S> {
+    async fn get(&self, key: &str) -> Result<Option<Item>, Failure> {
+        self.count("get", self.store.get(key).await)
+    }
+
+    async fn list(&self, prefix: &str, after: &str) -> Result<Page, Failure> {
+        self.count("list", self.store.list(prefix, after).await)
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<Watch, Failure> {
+        self.count("watch", self.store.watch(prefix, after, wait_ms).await)
+    }
+
+    async fn commit(&self, commit: &Commit) -> Result<Committed, Failure> {
+        self.count("commit", self.store.commit(commit).await)
+    }
+
+    async fn open_lease(&self, ttl_ms: u64) -> Result<LeaseId, Failure> {
+        self.count("open_lease", self.store.open_lease(ttl_ms).await)
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<bool, Failure> {
+        self.count("renew_lease", self.store.renew_lease(lease).await)
+    }
+
+    async fn end_lease(&self, lease: LeaseId) -> Result<(), Failure> {
+        self.count("end_lease", self.store.end_lease(lease).await)
+    }
+}
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -16,6 +16,7 @@
     serving::{
         archive::{self, Archive, Decoding},
         budget::Budget,
+        calls::{Cause, Counted},
         connection::Connections,
         dialect::Dialect,
         dispatcher::Dispatcher,
@@ -47,6 +48,9 @@
 /// Interval between looks at idle connections to upstreams.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Interval between log lines with the calls to the store.
+const CALLS_INTERVAL: Duration = Duration::from_millis(15_000);
+
 /// Time for the balancer to see that the host is not ready; it asks once a second and takes two misses.
 const NOT_READY_NOTICE: Duration = Duration::from_millis(2_600);
 
@@ -113,8 +117,10 @@
             .wrap_err_with(|| format!("cannot listen for other hosts on {}", settings.peers))?;
         let (calls_sender, calls) = mpsc::channel(QUEUE);
         tokio::spawn(peers::serve(listener, calls_sender));
+        let metrics = Metrics::open()?;
+        let store = Counted::new(ports.store, metrics.clone(), Cause::Registration);
         let options = archive::Options {
-            store: ports.store.clone(),
+            store: store.clone(),
             decoding: ports.decoding,
             host: settings.host.clone(),
             zone: settings.zone.clone(),
@@ -134,7 +140,6 @@
         let exchange =
             Exchange::new(dialect.clone(), dispatcher, links, budget, meter.clone(), room);
         let (draining, draining_seen) = watch::channel(false);
-        let metrics = Metrics::open()?;
         let handler = Handler {
             dialect,
             table: archive.table.clone(),
@@ -148,6 +153,7 @@
             .await
             .wrap_err_with(|| format!("cannot listen for callers on {}", settings.callers))?;
         let readiness = bind(settings.readiness, readiness(&archive, &draining_seen)).await?;
+        task::spawn_local(tell_calls(metrics.clone()));
         let metrics = match settings.metrics {
             Some(address) => Some(bind(address, counters(metrics, &archive)).await?),
             None => None,
@@ -159,7 +165,7 @@
             zone: settings.zone.clone(),
             cpu_per_mille: settings.cpu_per_mille,
         };
-        registration::spawn(ports.store.clone(), record, draining_seen);
+        registration::spawn(store.clone(), record, draining_seen);
         let mut host = Host {
             callers: listener.address,
             listener,
@@ -171,7 +177,7 @@
             usage: None,
         };
         if let Some(duties) = ports.duties {
-            host.take_duties(settings, &archive, upstreams, ports.store, duties, (meter, writer));
+            host.take_duties(settings, &archive, upstreams, &store, duties, (meter, writer));
         }
         Ok(host)
     }
@@ -181,12 +187,12 @@
         settings: &Settings,
         archive: &Archive,
         upstreams: watch::Receiver<Rc<Vec<Entry>>>,
-        store: S,
+        store: &Counted<S>,
         duties: P,
         (meter, writer): (Meter, String),
     ) {
         let leadership = leadership::spawn(leadership::Options {
-            store: store.clone(),
+            store: store.for_cause(Cause::Leadership),
             host: settings.host.clone(),
             lease: settings.lease,
             leader: archive.leader.clone(),
@@ -195,7 +201,7 @@
         let zones = settings.zones.clone();
         scaling::spawn(duties.clone(), leadership.clone(), archive.table.clone(), upstreams, zones);
         let options = usage::Options {
-            store,
+            store: store.for_cause(Cause::Usage),
             duties,
             leadership: leadership.clone(),
             roster: archive.roster.clone(),
@@ -289,6 +295,14 @@
     receiver
 }
 
+/// States the calls to the store in the log, as these are paid for.
+async fn tell_calls(metrics: Metrics) {
+    loop {
+        sleep(CALLS_INTERVAL).await;
+        log::info!("calls to the store so far: {}", metrics.store_calls());
+    }
+}
+
 async fn sweep(links: Links) {
     loop {
         sleep(SWEEP_INTERVAL).await;
--- a/src/serving/mirror.rs
+++ b/src/serving/mirror.rs
@@ -16,6 +16,30 @@
     Changes(Vec<Change>, u64),
 }
 
+impl News {
+    /// Whether nothing happened.
+    pub fn is_empty(&self) -> bool {
+        matches!(self, News::Changes(changes, _) if changes.is_empty())
+    }
+
+    /// Leaves out items that say the same as the known ones, as their writers repeat themselves to show that they live.
+    ///
+    /// Not after another change of the same key, which the item then takes back.
+    #[must_use]
+    pub fn without_repeats(self, is_repeat: impl Fn(&Item) -> bool) -> News {
+        let News::Changes(changes, revision) = self else { return self };
+        let mut kept: Vec<Change> = Vec::new();
+        for change in changes {
+            let touched = kept.iter().any(|it| key_of(it) == key_of(&change));
+            let repeats = matches!(&change, Change::Put(item) if is_repeat(item));
+            if touched || !repeats {
+                kept.push(change);
+            }
+        }
+        News::Changes(kept, revision)
+    }
+}
+
 /// A copy with its recent changes.
 #[derive(Debug, Default)]
 pub struct Mirror {
@@ -34,6 +58,11 @@
         self.revision
     }
 
+    /// The item under a key.
+    pub fn get(&self, key: &str) -> Option<&Item> {
+        self.items.get(key)
+    }
+
     /// Takes in what a source says and returns what is new in it.
     pub fn take(&mut self, news: News) -> Vec<Change> {
         match news {
--- a/src/serving/news.rs
+++ b/src/serving/news.rs
@@ -94,8 +94,10 @@
 pub struct Answer {
     /// Id of the asked host.
     pub host: String,
-    /// Whether the asked host follows the store itself.
-    pub follows: bool,
+    /// Whether the asked host knows the configuration to be the newest, as of a moment ago.
+    pub is_current: bool,
+    /// Time that upstreams have to write their entries again, as the store has been away, in microseconds.
+    pub settles_us: u64,
     /// One for each followed prefix.
     pub knowledge: Vec<Knowledge>,
     /// Loads of all other hosts, or of the asked host's group if the asking host is a hub.
--- a/src/serving/registration.rs
+++ b/src/serving/registration.rs
@@ -9,13 +9,17 @@
     store::{Commit, Committed, Failure, LeaseId, Put, Store},
 };
 
-/// Length of the lease, in milliseconds. A host that died is in the roster for as long.
-const LEASE_MS: u64 = 8_000;
+/// Length of the lease, in milliseconds. A host that died is in the roster for as long; others find out sooner that it does not
+/// answer.
+const LEASE_MS: u64 = 24_000;
 
-/// Interval between renewals.
-const RENEWAL: Duration = Duration::from_millis(2_500);
+/// Interval between renewals, each of which is paid for. After a lost one, several more fit in.
+const RENEWAL: Duration = Duration::from_millis(8_000);
 
-/// Pause after a failed call.
+/// Pause after a failed renewal.
+const RENEWAL_PAUSE: Duration = Duration::from_millis(3_000);
+
+/// Pause after another failed call.
 const PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Spawns the task on the current thread; it ends the registration when `stopping` becomes true.
@@ -68,12 +72,16 @@
 
 /// Renews the lease until it has ended.
 async fn keep<S: Store>(store: &S, lease: LeaseId) {
+    let mut pause = RENEWAL;
     loop {
-        sleep(RENEWAL).await;
-        match store.renew_lease(lease).await {
-            Ok(true) => {}
+        sleep(pause).await;
+        pause = match store.renew_lease(lease).await {
+            Ok(true) => RENEWAL,
             Ok(false) => return,
-            Err(failure) => log::debug!("the registration cannot be renewed: {failure}"),
-        }
+            Err(failure) => {
+                log::debug!("the registration cannot be renewed: {failure}");
+                RENEWAL_PAUSE
+            }
+        };
     }
 }
--- a/src/serving/roll.rs
+++ b/src/serving/roll.rs
@@ -46,6 +46,16 @@
         }
     }
 
+    /// Another host says that the store has been away, and how long its upstreams have to write their entries again.
+    pub fn hear_of_outage(&mut self, now: Time, left: Span) {
+        self.settled = self.settled.max(now + left);
+    }
+
+    /// How long upstreams have to write their entries again after an outage; all of the time while the store is away.
+    pub fn settles_in(&self, now: Time) -> Span {
+        if self.is_away { RETURN_TIME } else { self.settled.since(now) }
+    }
+
     /// An entry was written. One that cannot be read names no upstream to use.
     pub fn put(&mut self, key: &str, entry: Result<Entry, Fault>) {
         match entry {
@@ -70,10 +80,11 @@
 
     /// An entry was removed.
     pub fn delete(&mut self, now: Time, key: &str) {
-        if now >= self.settled {
+        let left = self.settles_in(now);
+        if left == Span(0) {
             self.entries.remove(key);
         } else if let Some(listed) = self.entries.get_mut(key) {
-            listed.until.get_or_insert(self.settled);
+            listed.until.get_or_insert(now + left);
         }
     }
 
--- a/src/serving/roster.rs
+++ b/src/serving/roster.rs
@@ -84,6 +84,16 @@
         ranked
     }
 
+    /// All hosts in the order in which they follow the store for the fleet: the first hub of each zone before all others, so that
+    /// the loss of a zone leaves one that follows.
+    pub fn followers(&self) -> Vec<&Host> {
+        let ranked = self.ranked("");
+        let is_first = |at: usize| ranked[..at].iter().all(|it| it.zone != ranked[at].zone);
+        let (first, rest): (Vec<usize>, Vec<usize>) =
+            (0..ranked.len()).partition(|it| is_first(*it));
+        first.into_iter().chain(rest).map(|it| ranked[it]).collect()
+    }
+
     /// Availability zones of the hosts, sorted.
     pub fn zones(&self) -> Vec<&str> {
         let mut zones: Vec<_> = self.hosts.iter().map(|it| it.zone.as_str()).collect();
--- a/tests/roll.rs
+++ b/tests/roll.rs
@@ -91,3 +91,31 @@
     let states: Vec<_> = roll.entries().map(|it| it.state).collect();
     assert_eq!(states, [State::Ready], "a new life counts anew");
 }
+
+#[test]
+fn a_host_that_only_hears_of_an_outage_keeps_lapsed_entries_too() {
+    let mut roll = Roll::default();
+    roll.put("a", Ok(entry("a")));
+    roll.put("b", Ok(entry("b")));
+    // The host that it asks says that the store is back, and which entries are gone.
+    roll.hear_of_outage(at(10_000), Span::from_ms(1_500));
+    roll.delete(at(10_000), "a");
+    roll.delete(at(10_000), "b");
+    roll.put("b", Ok(entry("b")));
+    roll.advance(at(11_400));
+    expect!["a b"].assert_eq(&ids(&roll));
+    roll.advance(at(11_600));
+    expect!["b"].assert_eq(&ids(&roll));
+}
+
+#[test]
+fn an_entry_that_goes_while_the_store_is_away_may_come_back() {
+    let mut roll = Roll::default();
+    roll.put("a", Ok(entry("a")));
+    roll.fail();
+    roll.delete(at(0), "a");
+    roll.advance(at(1_000));
+    expect!["a"].assert_eq(&ids(&roll));
+    roll.advance(at(2_000));
+    expect![""].assert_eq(&ids(&roll));
+}
--- /dev/null
+++ b/tests/serving/followers.rs
@@ -0,0 +1,356 @@
+//! What a fleet asks of the store, and what its hosts know while the store turns some of them away.
+//!
+//! Hosts run in one process with real connections between them, before a store in memory.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use almondrack::{
+    metrics::Metrics,
+    serving::{
+        archive::{self, Archive, Decoding, FLEET_PREFIX},
+        calls::{Cause, Counted},
+        dispatcher::Dispatcher,
+        peers,
+        registry::{Entry, Fault, State},
+        roster::{self, Host, Roster},
+        table::Table,
+        usage::Meter,
+    },
+    store::{Change, Commit, Committed, Failure, Item, LeaseId, Page, Store, Watch},
+    time::{Span, Time},
+};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+    task::LocalSet,
+    time::{Instant, sleep, timeout},
+};
+
+use crate::fixture::engine;
+
+const CONFIGURATION: &str = "configuration";
+const UPSTREAMS: &str = "upstreams/";
+
+/// Upstreams, each of which writes its entry anew at each beat.
+const UPSTREAM_COUNT: usize = 20;
+
+/// Interval of the beats.
+const BEAT: Duration = Duration::from_millis(600);
+
+/// Most calls for upstreams in 3 s: two hosts, each of which pauses for 0.4 s at least after each change.
+const MOST_CALLS: usize = 15;
+
+/// Most calls in an outage of 8 s: two followers that pause for 0.28 s at least, three prefixes each, six hubs and all
+/// others that take turns of 80 ms.
+const MOST_OUTAGE_CALLS: usize = 2 * 3 * 29 + 4 * 8 + 100;
+
+/// Time in which a fleet has found its hubs.
+const SETTLING: Duration = Duration::from_millis(3_000);
+
+/// Time in which a leaving upstream gets its last request, on the strictest of the users' sites.
+const DRAIN_BOUND: Duration = Duration::from_millis(2_000);
+
+/// Age of a proof up to which keys may be used, less the margin for clocks, on the strictest of the users' sites.
+const KEY_BOUND: Span = Span::from_ms(4_800);
+
+#[derive(Debug, Default)]
+struct Content {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    history: Vec<Change>,
+    /// Calls so far by host and prefix.
+    calls: BTreeMap<(usize, String), usize>,
+    /// Hosts that are turned away.
+    refused: Vec<usize>,
+}
+
+/// The store as one host sees it.
+#[derive(Debug, Clone)]
+struct Memory {
+    content: Rc<RefCell<Content>>,
+    changed: watch::Sender<u64>,
+    host: usize,
+}
+
+impl Memory {
+    fn new() -> Memory {
+        Memory { content: Rc::default(), changed: watch::channel(0).0, host: usize::MAX }
+    }
+
+    fn put(&self, key: &str, value: &[u8]) {
+        let mut content = self.content.borrow_mut();
+        content.revision += 1;
+        let revision = content.revision;
+        let item = Item { key: key.to_owned(), value: value.to_vec().into(), revision };
+        content.items.insert(key.to_owned(), item.clone());
+        content.history.push(Change::Put(item));
+        self.changed.send_replace(revision);
+    }
+
+    fn call(&self, prefix: &str) -> Result<(), Failure> {
+        let mut content = self.content.borrow_mut();
+        *content.calls.entry((self.host, prefix.to_owned())).or_default() += 1;
+        if content.refused.contains(&self.host) { Err(Failure::Refused(503)) } else { Ok(()) }
+    }
+
+    fn changes(&self, prefix: &str, after: u64) -> Vec<Change> {
+        let newer = |it: &&Change| match it {
+            Change::Put(item) => item.revision > after && item.key.starts_with(prefix),
+            Change::Deleted(key, revision) => *revision > after && key.starts_with(prefix),
+        };
+        self.content.borrow().history.iter().filter(newer).cloned().collect()
+    }
+}
+
+impl Store for Memory {
+    async fn get(&self, _: &str) -> Result<Option<Item>, Failure> {
+        Err(Failure::Refused(404))
+    }
+
+    async fn list(&self, prefix: &str, _: &str) -> Result<Page, Failure> {
+        self.call(prefix)?;
+        let content = self.content.borrow();
+        let items = content.items.values().filter(|it| it.key.starts_with(prefix));
+        Ok(Page { items: items.cloned().collect(), more: false, revision: content.revision })
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<Watch, Failure> {
+        self.call(prefix)?;
+        let mut changed = self.changed.subscribe();
+        let heard = async {
+            while self.changes(prefix, after).is_empty() {
+                // The sender lives as long as the test.
+                let _ = changed.changed().await;
+            }
+        };
+        // Without a change the answer is empty.
+        let _ = timeout(Duration::from_millis(wait_ms), heard).await;
+        let revision = self.content.borrow().revision;
+        Ok(Watch::Changes(self.changes(prefix, after), revision))
+    }
+
+    async fn commit(&self, _: &Commit) -> Result<Committed, Failure> {
+        Err(Failure::Refused(403))
+    }
+
+    async fn open_lease(&self, _: u64) -> Result<LeaseId, Failure> {
+        Err(Failure::Refused(403))
+    }
+
+    async fn renew_lease(&self, _: LeaseId) -> Result<bool, Failure> {
+        Err(Failure::Refused(403))
+    }
+
+    async fn end_lease(&self, _: LeaseId) -> Result<(), Failure> {
+        Err(Failure::Refused(403))
+    }
+}
+
+/// An entry is written as the number of its upstream, its state and its sequence.
+fn read_entry(key: &str, value: &[u8]) -> Result<Entry, Fault> {
+    let unreadable = || Fault(format!("{key} is not an entry"));
+    let text = std::str::from_utf8(value).map_err(|_| unreadable())?;
+    let mut fields = text.split(' ').map(|it| it.parse::<u64>().ok());
+    let mut next = || fields.next().flatten().ok_or_else(unreadable);
+    let (index, state, sequence) = (next()?, next()?, next()?);
+    let state = if state == 0 { State::Ready } else { State::Leaving };
+    Ok(Entry { state, sequence, ..engine(index as usize) })
+}
+
+fn read_table(_: &[u8]) -> Result<Table, Fault> {
+    Err(Fault("these tests have no routes".to_owned()))
+}
+
+/// A fleet before its store.
+struct Fleet {
+    store: Memory,
+    hosts: Vec<Archive>,
+    /// Places of the hosts that follow the store.
+    followers: Vec<usize>,
+    upstreams: Vec<watch::Receiver<Rc<Vec<Entry>>>>,
+    leaving: Rc<Cell<bool>>,
+}
+
+impl Fleet {
+    /// Opens hosts in three availability zones, and lets them find their hubs.
+    async fn spawn(count: usize) -> Fleet {
+        let store = Memory::new();
+        store.put(CONFIGURATION, b"");
+        let leaving = Rc::new(Cell::new(false));
+        tokio::task::spawn_local(beat(store.clone(), leaving.clone()));
+        let mut listeners = Vec::new();
+        let mut roster = Roster::default();
+        for index in 0..count {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+            let address = listener.local_addr().expect("the socket is bound");
+            let zone = ["a", "b", "c"][index % 3];
+            let id = format!("host-{index:03}");
+            let host = Host { id: id.clone(), address, zone: zone.into(), cpu_per_mille: 100 };
+            let record = serde_json::to_vec(&host).expect("records can be written");
+            store.put(&format!("{}{id}", roster::PREFIX), &record);
+            roster.insert(host.clone());
+            listeners.push((listener, host));
+        }
+        let followers = roster.followers().into_iter().take(2);
+        let place = |id: &str| listeners.iter().position(|it| it.1.id == id);
+        let followers = followers.filter_map(|it| place(&it.id)).collect();
+        let seeds: Vec<_> = listeners.iter().take(3).map(|it| it.1.address).collect();
+        let mut fleet =
+            Fleet { store, hosts: Vec::new(), followers, upstreams: Vec::new(), leaving };
+        for (index, (listener, host)) in listeners.into_iter().enumerate() {
+            fleet.open(index, listener, host, seeds.clone());
+        }
+        sleep(SETTLING).await;
+        fleet
+    }
+
+    fn open(&mut self, index: usize, listener: TcpListener, host: Host, seeds: Vec<SocketAddr>) {
+        let (sender, upstreams) = watch::channel(Rc::default());
+        let (calls_sender, calls) = mpsc::channel(256);
+        tokio::spawn(peers::serve(listener, calls_sender));
+        let dispatcher = Dispatcher::spawn(host.id.as_str().into(), "a".into(), upstreams.clone());
+        let store = Memory { host: index, ..self.store.clone() };
+        let metrics = Metrics::open().expect("the names of counters are unique");
+        let options = archive::Options {
+            store: Counted::new(store, metrics, Cause::Fleet),
+            decoding: Decoding {
+                configuration_key: CONFIGURATION,
+                upstreams_prefix: UPSTREAMS,
+                table: read_table,
+                entry: read_entry,
+            },
+            host: host.id.clone(),
+            zone: host.zone,
+            address: host.address,
+            seeds,
+            upstreams: sender,
+            calls,
+            meter: Meter::new(Span::from_ms(60_000), &host.id),
+        };
+        self.hosts.push(archive::spawn(options, dispatcher));
+        self.upstreams.push(upstreams);
+    }
+
+    /// Calls by prefix in a time, and the number of hosts that made any.
+    async fn calls(&self, time: Duration) -> (BTreeMap<String, usize>, usize) {
+        self.store.content.borrow_mut().calls.clear();
+        sleep(time).await;
+        let content = self.store.content.borrow();
+        let mut sums = BTreeMap::new();
+        for ((_, prefix), count) in &content.calls {
+            *sums.entry(prefix.clone()).or_default() += count;
+        }
+        let mut hosts: Vec<_> = content.calls.keys().map(|it| it.0).collect();
+        hosts.dedup();
+        (sums, hosts.len())
+    }
+
+    /// Largest age of any host's proof that the configuration is the newest.
+    fn oldest_proof(&self) -> Span {
+        let now = Time::now();
+        let ages = self
+            .hosts
+            .iter()
+            .map(|it| it.proven.borrow().map_or(Span(u64::MAX), |at| now.since(at)));
+        ages.max().unwrap_or(Span(0))
+    }
+
+    fn heard_of_leaving(&self) -> usize {
+        let heard = |it: &&watch::Receiver<Rc<Vec<Entry>>>| {
+            it.borrow().iter().any(|entry| entry.state == State::Leaving)
+        };
+        self.upstreams.iter().filter(heard).count()
+    }
+}
+
+/// Writes the entries of all upstreams again and again. The first one leaves on demand.
+async fn beat(store: Memory, leaving: Rc<Cell<bool>>) {
+    for sequence in 1_u64.. {
+        for index in 0..UPSTREAM_COUNT {
+            let state = u8::from(index == 0 && leaving.get());
+            let entry = format!("{index} {state} {sequence}");
+            store.put(&format!("{UPSTREAMS}engine-{index}"), entry.as_bytes());
+        }
+        sleep(BEAT).await;
+    }
+}
+
+#[tokio::test]
+async fn calls_to_the_store_do_not_grow_with_the_hosts() {
+    let run = async {
+        let mut per_size = Vec::new();
+        for count in [15, 45] {
+            let fleet = Fleet::spawn(count).await;
+            let (calls, hosts) = fleet.calls(Duration::from_millis(3_000)).await;
+            // Both hubs of three zones.
+            assert!(hosts <= 6, "{hosts} of {count} hosts called the store");
+            assert!(!calls.contains_key(FLEET_PREFIX) || calls[FLEET_PREFIX] <= 4, "{calls:?}");
+            let upstreams = calls.get(UPSTREAMS).copied().unwrap_or(0);
+            assert!(upstreams <= MOST_CALLS, "{upstreams} calls for upstreams in 3 s");
+            per_size.push(calls.values().sum::<usize>());
+        }
+        assert!(
+            per_size[1] * 4 <= per_size[0] * 5,
+            "calls in 3 s at 15 and 45 hosts: {per_size:?}"
+        );
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+#[tokio::test]
+async fn every_host_hears_in_time_that_an_upstream_leaves() {
+    let run = async {
+        let fleet = Fleet::spawn(30).await;
+        fleet.leaving.set(true);
+        let start = Instant::now();
+        while fleet.heard_of_leaving() < fleet.hosts.len() {
+            let heard = fleet.heard_of_leaving();
+            // The entry is written with the next beat.
+            let limit = DRAIN_BOUND + BEAT;
+            assert!(start.elapsed() < limit, "{heard} of {} hosts heard", fleet.hosts.len());
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+#[tokio::test]
+async fn keys_stay_usable_when_the_store_turns_the_followers_away() {
+    let run = async {
+        let fleet = Fleet::spawn(30).await;
+        fleet.store.content.borrow_mut().refused = fleet.followers.clone();
+        let start = Instant::now();
+        let mut oldest = Span(0);
+        while start.elapsed() < Duration::from_millis(8_000) {
+            oldest = oldest.max(fleet.oldest_proof());
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert!(oldest < KEY_BOUND, "a host's proof was {} ms old", oldest.as_ms());
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+#[tokio::test]
+async fn an_outage_of_the_store_is_not_answered_by_a_herd() {
+    let run = async {
+        let fleet = Fleet::spawn(60).await;
+        fleet.store.content.borrow_mut().refused = (0..60).collect();
+        let (calls, _) = fleet.calls(Duration::from_millis(8_000)).await;
+        let calls: usize = calls.values().sum();
+        assert!(calls <= MOST_OUTAGE_CALLS, "{calls} calls in an outage of 8 s");
+        fleet.store.content.borrow_mut().refused = Vec::new();
+        let start = Instant::now();
+        while fleet.oldest_proof() >= KEY_BOUND {
+            let limit = Duration::from_millis(2_000);
+            assert!(start.elapsed() < limit, "a host's proof is old 2 s after the outage");
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
--- a/tests/serving/knowledge.rs
+++ b/tests/serving/knowledge.rs
@@ -126,3 +126,22 @@
     assert!(copy.take(old).is_empty(), "an older listing tells nothing new");
     assert_eq!(contents(&copy), Some(store.listing()));
 }
+
+fn put(key: &str, value: &str, revision: u64) -> Change {
+    Change::Put(Item { key: key.to_owned(), value: value.to_owned().into(), revision })
+}
+
+#[test]
+fn repeats_are_left_out_unless_something_else_came_between() {
+    let changes = vec![
+        put("a", "same", 2),
+        put("b", "new", 3),
+        put("b", "same", 4),
+        Change::Deleted("c".to_owned(), 5),
+        put("c", "same", 6),
+    ];
+    let kept = News::Changes(changes.clone(), 9).without_repeats(|it| *it.value == *b"same");
+    assert_eq!(kept, News::Changes(changes[1..].to_vec(), 9));
+    let listing = News::Listing(Vec::new(), 9);
+    assert_eq!(listing.clone().without_repeats(|_| true), listing);
+}
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -3,6 +3,7 @@
 mod course;
 mod exchange;
 mod fixture;
+mod followers;
 mod hostile;
 mod knowledge;
 mod page;
