Replace followers that the store turns away

In the replay of the first, the store turned exactly the two followers away; the others were served by nobody, looked for themselves once, told one another, and counted as served for another 2.8 s, so that they heard of leaving upstreams up to 3.3 s late. Ruled out: the pause after beats (0.4 s) and the way from hub to host (0.2 s) alone, by the test of 30 hosts in calm.

Change: answers say whether the store answers the host; one that it does not is passed over as a follower (and, in a small fleet, as a hub) for 1 s, and the next in the order follows. The two askers of a host share what they remember: with one memory each, hubs never heard it of the followers.

--- a/src/serving/archive.rs
+++ b/src/serving/archive.rs
@@ -4,7 +4,7 @@
 //! others of the group ask their hub, several times a second. A host that nobody serves follows the store itself, and
 //! one that the store turns away asks others.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use tokio::{
@@ -50,6 +50,9 @@
 /// Age of a host's best proof beyond which others turn to another hub.
 const CURRENT_TIME: Span = Span::from_ms(2_000);
 
+/// Time since the store's last answer after which a host no longer follows it: longer than the wait of a watch.
+const TOUCH_TIME: Span = Span::from_ms(1_000);
+
 /// Time for which a starting host asks others before it follows the store itself.
 const START_TIME: Span = Span::from_ms(300);
 
@@ -247,6 +250,7 @@
         };
         task::spawn_local(follower.run(paces.clone()));
     }
+    let memory = Rc::new(RefCell::new(asker::Memory::default()));
     let asker = || Asker {
         host: options.host.clone(),
         zone: options.zone.clone(),
@@ -259,7 +263,7 @@
         meter: options.meter.clone(),
         messages: messages.clone(),
         role: role.clone(),
-        memory: asker::Memory::default(),
+        memory: memory.clone(),
     };
     task::spawn_local(asker().run(dispatcher.clone()));
     task::spawn_local(asker().run_as_hub());
@@ -289,6 +293,7 @@
         placed: placed::Log::default(),
         role: role.subscribe(),
         reached,
+        touched: Time(0),
         start_ends: start_ends(&options.seeds, options.address),
     };
     task::spawn_local(task.run(mailbox, options.calls));
@@ -322,6 +327,8 @@
     role: watch::Receiver<Role>,
     /// Whether the store answered since this host was left alone.
     reached: Rc<watch::Sender<bool>>,
+    /// When the store last answered, zero after a failed call.
+    touched: Time,
     start_ends: Time,
 }
 
@@ -344,13 +351,15 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::News(topic, asked, news) => {
+                self.touched = Time::now();
                 if topic == Topic::Upstreams {
-                    self.roll.recover(Time::now());
+                    self.roll.recover(self.touched);
                 }
                 let news = news.map(|it| self.without_beats(topic, it));
                 self.learn(topic, news, Some(asked));
             }
             Message::Failed(topic) => {
+                self.touched = Time(0);
                 if topic == Topic::Upstreams {
                     self.roll.fail();
                 }
@@ -531,6 +540,7 @@
         let _ = answer.send(Answer {
             host: self.host.clone(),
             is_current: self.is_current(now),
+            follows: now.since(self.touched) < TOUCH_TIME,
             settles_us: self.roll.settles_in(now).0,
             knowledge,
             loads,
--- a/src/serving/asker.rs
+++ b/src/serving/asker.rs
@@ -1,6 +1,6 @@
 //! Questions of a host to others: what its hub knows, and what hubs of other groups know.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
 
 use tokio::{
     sync::{mpsc, watch},
@@ -36,6 +36,10 @@
 /// Time for which a host that does not know the newest configuration is passed over as a hub.
 const BEHIND_TIME: Span = Span::from_ms(300);
 
+/// Time for which a host that does not follow the store is passed over as one that does for the fleet; it is asked several times
+/// meanwhile.
+const UNFOLLOWED_TIME: Span = Span::from_ms(1_000);
+
 /// A host that did not answer, or could not help.
 #[derive(Debug)]
 struct Shunned {
@@ -59,13 +63,16 @@
     pub(super) messages: mpsc::Sender<Message>,
     /// What this host is to the others.
     pub(super) role: Rc<watch::Sender<Role>>,
-    pub(super) memory: Memory,
+    /// Shared by the askers of a host.
+    pub(super) memory: Rc<RefCell<Memory>>,
 }
 
 /// What is remembered of the hosts that were asked.
 #[derive(Debug, Default)]
 pub(super) struct Memory {
     shunned: Vec<Shunned>,
+    /// Hosts that do not follow the store, and until when they are held to be such.
+    idle: Vec<(SocketAddr, Time)>,
     /// Who has all of this host's counts so far.
     counted: Option<SocketAddr>,
     /// Positions in the parts of the hosts that were asked.
@@ -78,6 +85,18 @@
         self.shunned.iter().all(|it| it.address != address || now >= it.until)
     }
 
+    fn follows(&self, address: SocketAddr) -> bool {
+        let now = Time::now();
+        self.idle.iter().all(|it| it.0 != address || now >= it.1)
+    }
+
+    fn note_follows(&mut self, address: SocketAddr, follows: bool) {
+        self.idle.retain(|it| it.0 != address);
+        if !follows {
+            self.idle.push((address, Time::now() + UNFOLLOWED_TIME));
+        }
+    }
+
     /// The host did not answer.
     fn miss(&mut self, address: SocketAddr) {
         let known = self.shunned.iter().find(|it| it.address == address);
@@ -146,17 +165,23 @@
 
     /// The hubs of a group, as far as they answer.
     fn hubs(&self, roster: &Roster, group: &str) -> Vec<SocketAddr> {
-        let ranked = if group.is_empty() { roster.followers() } else { roster.ranked(group) };
-        self.first_open(ranked.into_iter().map(|it| it.address))
+        if !group.is_empty() {
+            return self.first_open(roster.ranked(group).into_iter().map(|it| it.address));
+        }
+        let able = |it: &SocketAddr| *it == self.address || self.memory.borrow().follows(*it);
+        self.first_open(roster.followers().into_iter().map(|it| it.address).filter(able))
     }
 
     fn first_open(&self, ranked: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
-        let open = |it: &SocketAddr| *it == self.address || self.memory.is_open(*it);
+        let open = |it: &SocketAddr| *it == self.address || self.memory.borrow().is_open(*it);
         ranked.filter(open).take(HUBS).collect()
     }
 
     fn role_among(&self, roster: &Roster, hubs: &[SocketAddr]) -> Role {
-        let followers = self.first_open(roster.followers().into_iter().map(|it| it.address));
+        // Those that the store turns away are replaced for as long.
+        let able = |it: &SocketAddr| *it == self.address || self.memory.borrow().follows(*it);
+        let followers = roster.followers().into_iter().map(|it| it.address).filter(able);
+        let followers = self.first_open(followers);
         let place = match hubs.iter().position(|it| *it == self.address) {
             Some(0) => Place::First,
             Some(_) => Place::Other,
@@ -178,7 +203,7 @@
     /// Asks any host, as neither the store nor a hub can be asked.
     async fn ask_anyone(&mut self, roster: &Roster, sent: Sent) {
         let known = roster.iter().map(|it| it.address).chain(self.seeds.iter().copied());
-        let open = known.filter(|it| *it != self.address && self.memory.is_open(*it));
+        let open = known.filter(|it| *it != self.address && self.memory.borrow().is_open(*it));
         if let Some(other) = pick(&open.collect::<Vec<_>>()) {
             self.ask(other, sent).await;
         }
@@ -219,7 +244,7 @@
 
     fn question(&self, address: SocketAddr, sent: Sent, is_hub: bool) -> Question {
         let counts = match is_hub {
-            false => self.meter.changed(self.memory.counted == Some(address)),
+            false => self.meter.changed(self.memory.borrow().counted == Some(address)),
             true => Vec::new(),
         };
         Question {
@@ -228,7 +253,7 @@
             revisions: self.revisions.borrow().to_vec(),
             loads: sent.loads,
             placed: sent.placed,
-            placed_after: self.memory.position(address),
+            placed_after: self.memory.borrow().position(address),
             counts,
         }
     }
@@ -243,15 +268,16 @@
     ) {
         let Some(answer) = answer else {
             log::info!("the host at {address} does not answer");
-            self.memory.miss(address);
+            self.memory.borrow_mut().miss(address);
             return;
         };
         if group.is_none() {
-            self.memory.counted = Some(address);
+            self.memory.borrow_mut().counted = Some(address);
         }
+        self.memory.borrow_mut().note_follows(address, answer.follows);
         let avoid = if group.is_some() || answer.is_current { Span(0) } else { BEHIND_TIME };
-        self.memory.hear(address, avoid);
-        self.memory.set_position(address, answer.placed_next);
+        self.memory.borrow_mut().hear(address, avoid);
+        self.memory.borrow_mut().set_position(address, answer.placed_next);
         let message = Message::Answered(Box::new(answer), asked, group);
         // The mailbox closes only when the host stops.
         let _ = self.messages.send(message).await;
--- a/src/serving/news.rs
+++ b/src/serving/news.rs
@@ -96,6 +96,8 @@
     pub host: String,
     /// Whether the asked host knows the configuration to be the newest, as of a moment ago.
     pub is_current: bool,
+    /// Whether the store has answered the asked host a moment ago.
+    pub follows: bool,
     /// Time that upstreams have to write their entries again, as the store has been away, in microseconds.
     pub settles_us: u64,
     /// One for each followed prefix.
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -261,6 +261,16 @@
         ages.max().unwrap_or(Span(0))
     }
 
+    /// Hosts that hold otherwise than the store whether an upstream leaves, and who follows it.
+    fn late(&self, leaving: bool) -> (Vec<usize>, &[usize]) {
+        let heard = |it: &watch::Receiver<Rc<Vec<Entry>>>| {
+            it.borrow().iter().any(|entry| entry.state == State::Leaving)
+        };
+        let hosts = 0..self.upstreams.len();
+        let late = hosts.filter(|it| heard(&self.upstreams[*it]) != leaving);
+        (late.collect(), &self.followers)
+    }
+
     fn heard_of_leaving(&self) -> usize {
         let heard = |it: &&watch::Receiver<Rc<Vec<Entry>>>| {
             it.borrow().iter().any(|entry| entry.state == State::Leaving)
@@ -336,6 +346,37 @@
     LocalSet::new().run_until(run).await;
 }
 
+#[tokio::test]
+async fn upstreams_that_leave_are_heard_of_while_the_store_turns_the_followers_away() {
+    let run = async {
+        for count in [6, 30] {
+            let fleet = Fleet::spawn(count).await;
+            fleet.store.content.borrow_mut().refused = fleet.followers.clone();
+            // Several times, as hosts may be served again by what one of them heard.
+            for round in 0..6 {
+                sleep(Duration::from_millis(700)).await;
+                for leaving in [true, false] {
+                    fleet.leaving.set(leaving);
+                    let start = Instant::now();
+                    let wanted = if leaving { count } else { 0 };
+                    while fleet.heard_of_leaving() != wanted {
+                        let heard = fleet.heard_of_leaving();
+                        let waited = start.elapsed();
+                        let limit = DRAIN_BOUND + BEAT;
+                        let late = fleet.late(leaving);
+                        assert!(
+                            waited < limit,
+                            "round {round}: {heard} of {count} heard, not {late:?}"
+                        );
+                        sleep(Duration::from_millis(20)).await;
+                    }
+                }
+            }
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 #[tokio::test]
 async fn an_outage_of_the_store_is_not_answered_by_a_herd() {
     let run = async {
