Give requests that are on their way an answer when a host stops

Cause: from 2.6 s after its signal, a host that stops closes connections without a request in progress. A connection that it has just accepted has none yet, and one whose request has come in half has none either: both were closed at once, with the request on its way and without an answer.

Ruled out: not accepting any more (the balancer uses all hosts of a zone when none is ready, so that callers would wait for their connection's time-out).

Change: such a connection stays for 1 s, the time after which callers leave a host that has not read their request; between requests, connections are closed at once as before. Before: `connections_that_a_stopping_host_accepts_get_answers` (a host process, a request in two parts 3 s after the signal) got an empty answer. After: it passes.

--- a/src/serving/connection.rs
+++ b/src/serving/connection.rs
@@ -32,6 +32,10 @@
 /// Time for a caller to close its side after the last answer, so that the answer is not lost to a reset.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for the rest of a request that has begun to come, or the first one of a new connection, before a host that stops closes the
+/// connection: callers leave a host that has not read their request after a second.
+const REQUEST_TIME: Duration = Duration::from_millis(1_000);
+
 /// A caller's connection. Clones share the socket.
 #[derive(Debug, Clone)]
 pub struct Connection {
@@ -47,6 +51,8 @@
     busy: Cell<bool>,
     /// Whether the server waits for bytes.
     reading: Cell<bool>,
+    /// Whether a request may be on its way: none was served yet, or bytes came after the last one.
+    expects: Cell<bool>,
     changed: Notify,
 }
 
@@ -59,6 +65,7 @@
 impl Drop for Busy {
     fn drop(&mut self) {
         self.connection.shared.busy.set(false);
+        self.connection.shared.expects.set(false);
         self.connection.shared.changed.notify_waiters();
     }
 }
@@ -71,6 +78,7 @@
             held: RefCell::default(),
             busy: Cell::new(false),
             reading: Cell::new(false),
+            expects: Cell::new(true),
             changed: Notify::new(),
         };
         Connection { shared: Rc::new(shared) }
@@ -107,10 +115,19 @@
         }
     }
 
-    /// Waits until the server waits for a request, with every earlier answer written.
+    /// Waits until the server waits for a request, with every earlier answer written, and none seems to be on its way.
     pub async fn idle(&self) {
-        while self.shared.busy.get() || !self.shared.reading.get() {
-            self.shared.changed.notified().await;
+        loop {
+            while self.shared.busy.get() || !self.shared.reading.get() {
+                self.shared.changed.notified().await;
+            }
+            if !self.shared.expects.get() {
+                return;
+            }
+            let came = timeout(REQUEST_TIME, self.shared.changed.notified()).await;
+            if came.is_err() {
+                return;
+            }
         }
     }
 
@@ -146,7 +163,10 @@
             let received = self.receive(&mut read).await;
             self.shared.reading.set(false);
             match received {
-                Ok(length) => read.truncate(length),
+                Ok(length) => {
+                    self.shared.expects.set(true);
+                    read.truncate(length);
+                }
                 Err(error) => return (Err(error), buf),
             }
             *self.shared.held.borrow_mut() = read.freeze();
