Ask another host while one hangs

Ruled out: a shorter time for answers; the largest configuration takes 0.84 s over the slowest link.

Change: each question is a task of its own; the next one goes to a hub that is not being waited for. Test: `followers::a_follower_that_hangs_holds_up_nobody`, bound 1.1 s, less than one hanging question takes. It was not tried with the mechanism taken out.

--- a/src/serving/asker.rs
+++ b/src/serving/asker.rs
@@ -71,6 +71,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Memory {
     shunned: Vec<Shunned>,
+    /// Hosts whose answers are waited for.
+    asked: Vec<SocketAddr>,
     /// Hosts that do not follow the store, and until when they are held to be such.
     idle: Vec<(SocketAddr, Time)>,
     /// Who has all of this host's counts so far.
@@ -134,31 +136,39 @@
 
 impl Asker {
     /// Tells the hub of this host's group what this host has sent, and asks what is new.
-    pub(super) async fn run(mut self, dispatcher: Dispatcher) {
+    ///
+    /// A host that hangs, as it is cut off, holds up no question to another one.
+    pub(super) async fn run(self, dispatcher: Dispatcher) {
+        let asker = Rc::new(self);
         let mut interval = tokio::time::interval(INTERVAL);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut tick: usize = 0;
         loop {
             interval.tick().await;
             tick = tick.wrapping_add(1);
-            let roster = self.roster.borrow().clone();
-            let group = roster.group(&self.zone).to_owned();
+            let roster = asker.roster.borrow().clone();
+            let group = roster.group(&asker.zone).to_owned();
             if !group.is_empty() && !tick.is_multiple_of(LARGE_FLEET_STRIDE) {
                 continue;
             }
             let sent = dispatcher.sent().await;
-            if self.messages.send(Message::Sent(sent.clone())).await.is_err() {
+            if asker.messages.send(Message::Sent(sent.clone())).await.is_err() {
                 return;
             }
-            let hubs = self.hubs(&roster, &group);
-            let role = self.role_among(&roster, &hubs);
-            self.role.send_if_modified(|it| std::mem::replace(it, role) != role);
-            let others: Vec<_> = hubs.into_iter().filter(|it| *it != self.address).collect();
+            let hubs = asker.hubs(&roster, &group);
+            let role = asker.role_among(&roster, &hubs);
+            asker.role.send_if_modified(|it| std::mem::replace(it, role) != role);
+            let others: Vec<_> = hubs.into_iter().filter(|it| *it != asker.address).collect();
             let turn = tick / LARGE_FLEET_STRIDE;
-            if let Some(hub) = others.get(turn % others.len().max(1)) {
-                self.ask(*hub, sent).await;
-            } else if self.is_behind() {
-                self.ask_anyone(&roster, sent).await;
+            let next = others.iter().cycle().skip(turn % others.len().max(1)).take(others.len());
+            let free = next.copied().find(|it| !asker.memory.borrow().asked.contains(it));
+            let other = match free {
+                None if others.is_empty() && asker.is_behind() => asker.anyone(&roster),
+                hub => hub,
+            };
+            if let Some(other) = other {
+                asker.memory.borrow_mut().asked.push(other);
+                tokio::task::spawn_local(asker.clone().ask(other, sent));
             }
         }
     }
@@ -200,17 +210,18 @@
         proof.is_none_or(|it| Time::now().since(it) >= Role::MEMBER_STALE)
     }
 
-    /// Asks any host, as neither the store nor a hub can be asked.
-    async fn ask_anyone(&mut self, roster: &Roster, sent: Sent) {
+    /// Any host, as neither the store nor a hub can be asked.
+    fn anyone(&self, roster: &Roster) -> Option<SocketAddr> {
         let known = roster.iter().map(|it| it.address).chain(self.seeds.iter().copied());
-        let open = known.filter(|it| *it != self.address && self.memory.borrow().is_open(*it));
-        if let Some(other) = pick(&open.collect::<Vec<_>>()) {
-            self.ask(other, sent).await;
-        }
+        let memory = self.memory.borrow();
+        let free = |it: &SocketAddr| {
+            *it != self.address && memory.is_open(*it) && !memory.asked.contains(it)
+        };
+        pick(&known.filter(free).collect::<Vec<_>>())
     }
 
     /// Asks the hubs of the other groups while this host is a hub of its own.
-    pub(super) async fn run_as_hub(mut self) {
+    pub(super) async fn run_as_hub(self) {
         let mut interval = tokio::time::interval(INTERVAL * LARGE_FLEET_STRIDE as u32);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while !self.messages.is_closed() {
@@ -235,10 +246,11 @@
     }
 
     /// Asks a host as one of its group.
-    async fn ask(&mut self, address: SocketAddr, sent: Sent) {
+    async fn ask(self: Rc<Asker>, address: SocketAddr, sent: Sent) {
         let question = self.question(address, sent, false);
         let asked = Time::now();
         let answer = self.peers.ask(address, question).await;
+        self.memory.borrow_mut().asked.retain(|it| *it != address);
         self.take(address, asked, answer, None).await;
     }
 
@@ -260,7 +272,7 @@
 
     /// Takes in the answer of a host to a question, of the hub of another group if one is named.
     async fn take(
-        &mut self,
+        &self,
         address: SocketAddr,
         asked: Time,
         answer: Option<Answer>,
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -56,6 +56,10 @@
 /// Time in which a leaving upstream gets its last request, on the strictest of the users' sites.
 const DRAIN_BOUND: Duration = Duration::from_millis(2_000);
 
+/// Time in which hosts hear from the other follower: its pause after beats and two rounds of questions, less than a hanging
+/// question takes.
+const HANG_BOUND: Duration = Duration::from_millis(1_100);
+
 /// Age of a proof up to which keys may be used, less the margin for clocks, on the strictest of the users' sites.
 const KEY_BOUND: Span = Span::from_ms(4_800);
 
@@ -174,6 +178,8 @@
     /// Places of the hosts that follow the store.
     followers: Vec<usize>,
     upstreams: Vec<watch::Receiver<Rc<Vec<Entry>>>>,
+    /// Passes questions to each host, and holds them back when it is told to.
+    gates: Vec<watch::Sender<bool>>,
     leaving: Rc<Cell<bool>>,
 }
 
@@ -201,8 +207,14 @@
         let place = |id: &str| listeners.iter().position(|it| it.1.id == id);
         let followers = followers.filter_map(|it| place(&it.id)).collect();
         let seeds: Vec<_> = listeners.iter().take(3).map(|it| it.1.address).collect();
-        let mut fleet =
-            Fleet { store, hosts: Vec::new(), followers, upstreams: Vec::new(), leaving };
+        let mut fleet = Fleet {
+            store,
+            hosts: Vec::new(),
+            followers,
+            upstreams: Vec::new(),
+            gates: Vec::new(),
+            leaving,
+        };
         for (index, (listener, host)) in listeners.into_iter().enumerate() {
             fleet.open(index, listener, host, seeds.clone());
         }
@@ -212,8 +224,18 @@
 
     fn open(&mut self, index: usize, listener: TcpListener, host: Host, seeds: Vec<SocketAddr>) {
         let (sender, upstreams) = watch::channel(Rc::default());
-        let (calls_sender, calls) = mpsc::channel(256);
+        let (calls_sender, mut questions) = mpsc::channel(256);
         tokio::spawn(peers::serve(listener, calls_sender));
+        let (passed, calls) = mpsc::channel(256);
+        let (gate, mut is_open) = watch::channel(true);
+        self.gates.push(gate);
+        tokio::spawn(async move {
+            while let Some(question) = questions.recv().await {
+                // Both ends live as long as the test.
+                let _ = is_open.wait_for(|it| *it).await;
+                let _ = passed.send(question).await;
+            }
+        });
         let dispatcher = Dispatcher::spawn(host.id.as_str().into(), "a".into(), upstreams.clone());
         let store = Memory { host: index, ..self.store.clone() };
         let metrics = Metrics::open().expect("the names of counters are unique");
@@ -237,6 +259,11 @@
         self.upstreams.push(upstreams);
     }
 
+    /// Leaves the questions of others to a host without answers from now on.
+    fn hang(&mut self, host: usize) {
+        self.gates[host].send_replace(false);
+    }
+
     /// Calls by prefix in a time, and the number of hosts that made any.
     async fn calls(&self, time: Duration) -> (BTreeMap<String, usize>, usize) {
         self.store.content.borrow_mut().calls.clear();
@@ -377,6 +404,23 @@
     LocalSet::new().run_until(run).await;
 }
 
+#[tokio::test]
+async fn a_follower_that_hangs_holds_up_nobody() {
+    let run = async {
+        let mut fleet = Fleet::spawn(6).await;
+        // Its connections stay open, and nothing answers on them.
+        fleet.hang(fleet.followers[0]);
+        fleet.leaving.set(true);
+        let start = Instant::now();
+        while fleet.heard_of_leaving() < 5 {
+            let limit = HANG_BOUND + BEAT;
+            assert!(start.elapsed() < limit, "{} of 5 hosts heard", fleet.heard_of_leaving());
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 #[tokio::test]
 async fn an_outage_of_the_store_is_not_answered_by_a_herd() {
     let run = async {
