Refuse requests that come late in a planned stop

Ruled out: closing the connections again, which leaves callers without an answer; waiting longer, as the grace time is the platform's.

Change: from 3 s after its signal a host refuses requests as not run, at once, so that callers go to another host. The balancer sends no new connections by then.

--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -1,6 +1,12 @@
 //! From a caller's HTTP request to a job of the exchange, and from its outcome to the answer.
 
-use std::{cell::RefCell, io, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Version, header};
@@ -61,6 +67,8 @@
     pub metrics: Metrics,
     /// Whether answers close their connections.
     pub draining: watch::Receiver<bool>,
+    /// From when requests are refused, as the host stops and they might not end.
+    pub refuses_from: Rc<Cell<Time>>,
 }
 
 impl<D> std::fmt::Debug for Handler<D> {
@@ -121,6 +129,10 @@
 ) -> Result<Answer, Refusal> {
     let accepted = Time::now();
     let request = context.req();
+    if accepted >= handler.refuses_from.get() {
+        let error = Error::new(Kind::Draining, "the host stops").with_retry_after_ms(0);
+        return Err(Refusal { error, close: true });
+    }
     let framed = check_framing(request.headers(), request.version(), request.method());
     framed.map_err(|error| Refusal { error, close: true })?;
     let table = table(handler).await;
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -1,6 +1,6 @@
 //! A running host: opens every task and stops them in order.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use eyre::{Result, WrapErr as _};
 use http::StatusCode;
@@ -54,6 +54,10 @@
 /// Time for the balancer to see that the host is not ready; it asks once a second and takes two misses.
 const NOT_READY_NOTICE: Duration = Duration::from_millis(2_600);
 
+/// Time from a planned stop for which requests are taken; those that come later are refused as not run, since a long one could not
+/// end. The balancer sends no new connections by then.
+const LAST_REQUEST_TIME: Span = Span::from_ms(3_000);
+
 /// Time to write the last counts.
 const FLUSH_TIME: Duration = Duration::from_millis(500);
 
@@ -89,6 +93,8 @@
     readiness: Page,
     metrics: Option<Page>,
     draining: watch::Sender<bool>,
+    /// From when requests are refused.
+    refuses_from: Rc<Cell<Time>>,
     grace: Duration,
     leadership: Option<Leadership>,
     usage: Option<Usage>,
@@ -140,6 +146,7 @@
         let exchange =
             Exchange::new(dialect.clone(), dispatcher, links, budget, meter.clone(), room);
         let (draining, draining_seen) = watch::channel(false);
+        let refuses_from = Rc::new(Cell::new(Time(u64::MAX)));
         let handler = Handler {
             dialect,
             table: archive.table.clone(),
@@ -148,6 +155,7 @@
             connections: Connections::default(),
             metrics: metrics.clone(),
             draining: draining_seen.clone(),
+            refuses_from: refuses_from.clone(),
         };
         let listener = Listener::bind(settings.callers, Rc::new(handler))
             .await
@@ -172,6 +180,7 @@
             readiness,
             metrics,
             draining,
+            refuses_from,
             grace: settings.grace,
             leadership: None,
             usage: None,
@@ -218,6 +227,7 @@
         let start = Time::now();
         log::info!("the host stops; {} connections are open", self.listener.connections.len());
         self.draining.send_replace(true);
+        self.refuses_from.set(start + LAST_REQUEST_TIME);
         if let Some(leadership) = &self.leadership {
             leadership.resign();
         }
