--- a/src/serving/asker.rs
+++ b/src/serving/asker.rs
@@ -23,10 +23,13 @@
 /// Questions of a host in a large fleet are sent at each so many intervals.
 const LARGE_FLEET_STRIDE: usize = 2;
 
-/// Hosts of a group that the others ask in turns, and hosts that follow the store for the fleet, so that the loss of one
-/// delays nothing.
+/// Hosts of a group that the others ask in turns, so that the loss of one delays nothing.
 const HUBS: usize = 2;
 
+/// Hosts that follow the store for the fleet, in different availability zones as far as there are any: one is left when the store is
+/// out of reach of some hosts and of a zone.
+const FOLLOWERS: usize = 3;
+
 /// Time for which a host that did not answer is passed over; twice as long each further time.
 const SHUN_TIME: Span = Span::from_ms(1_000);
 
@@ -176,22 +179,26 @@
     /// The hubs of a group, as far as they answer.
     fn hubs(&self, roster: &Roster, group: &str) -> Vec<SocketAddr> {
         if !group.is_empty() {
-            return self.first_open(roster.ranked(group).into_iter().map(|it| it.address));
+            return self.first_open(HUBS, roster.ranked(group).into_iter().map(|it| it.address));
         }
         let able = |it: &SocketAddr| *it == self.address || self.memory.borrow().follows(*it);
-        self.first_open(roster.followers().into_iter().map(|it| it.address).filter(able))
+        self.first_open(FOLLOWERS, roster.followers().into_iter().map(|it| it.address).filter(able))
     }
 
-    fn first_open(&self, ranked: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
+    fn first_open(
+        &self,
+        count: usize,
+        ranked: impl Iterator<Item = SocketAddr>,
+    ) -> Vec<SocketAddr> {
         let open = |it: &SocketAddr| *it == self.address || self.memory.borrow().is_open(*it);
-        ranked.filter(open).take(HUBS).collect()
+        ranked.filter(open).take(count).collect()
     }
 
     fn role_among(&self, roster: &Roster, hubs: &[SocketAddr]) -> Role {
         // Those that the store turns away are replaced for as long.
         let able = |it: &SocketAddr| *it == self.address || self.memory.borrow().follows(*it);
         let followers = roster.followers().into_iter().map(|it| it.address).filter(able);
-        let followers = self.first_open(followers);
+        let followers = self.first_open(FOLLOWERS, followers);
         let place = match hubs.iter().position(|it| *it == self.address) {
             Some(0) => Place::First,
             Some(_) => Place::Other,
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -43,10 +43,10 @@
 /// Interval of the beats.
 const BEAT: Duration = Duration::from_millis(600);
 
-/// Most calls for upstreams in 3 s: two hosts, each of which pauses for 0.4 s at least after each change.
+/// Most calls for upstreams in 3 s: three hosts, of which one pauses for 0.4 s and two for 0.8 s after each change.
 const MOST_CALLS: usize = 15;
 
-/// Most calls in an outage of 8 s: two followers that pause for 0.28 s at least, three prefixes each, six hubs and all
+/// Most calls in an outage of 8 s: three followers that pause for 0.28 s at least, of which two try three prefixes, six hubs and all
 /// others that take turns of 80 ms.
 const MOST_OUTAGE_CALLS: usize = 2 * 3 * 29 + 4 * 8 + 100;
 
@@ -203,7 +203,7 @@
             roster.insert(host.clone());
             listeners.push((listener, host));
         }
-        let followers = roster.followers().into_iter().take(2);
+        let followers = roster.followers().into_iter().take(3);
         let place = |id: &str| listeners.iter().position(|it| it.1.id == id);
         let followers = followers.filter_map(|it| place(&it.id)).collect();
         let seeds: Vec<_> = listeners.iter().take(3).map(|it| it.1.address).collect();
