--- a/src/serving/archive.rs
+++ b/src/serving/archive.rs
@@ -1,6 +1,6 @@
 //! Task that owns what a host knows: copies of the store's keys, the fleet's loads and counts.
 //!
-//! Two hosts of the fleet, in different availability zones, follow the store. The hubs of each group of hosts ask them, and the
+//! Three hosts of the fleet, in different availability zones, follow the store. The hubs of each group of hosts ask them, and the
 //! others of the group ask their hub, several times a second. A host that nobody serves follows the store itself, and
 //! one that the store turns away asks others.
 
