Read the rate limits that upstreams name, log and count them

Change: the adapter reads the header, the state of an upstream keeps the rate, a line is written when it is named, changes or ends, and almondrack_limited_sends_total counts sends to such upstreams by attempt. Placement does not use the rate yet.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -49,6 +49,7 @@
     wasted: IntCounterVec,
     first_token: HistogramVec,
     store_calls: IntCounterVec,
+    limited_sends: IntCounterVec,
     /// Requests accepted and not ended.
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
@@ -94,6 +95,11 @@
             "Calls to the platform's store, by cause, call and outcome.",
             &["cause", "call", "outcome"],
         )?;
+        let limited_sends = counter(
+            "almondrack_limited_sends_total",
+            "Requests sent to upstreams that name a rate limit, by attempt.",
+            &["attempt"],
+        )?;
         let opts = HistogramOpts::new(
             "almondrack_first_token_seconds",
             "Time from acceptance to the first token or byte.",
@@ -112,6 +118,7 @@
             wasted,
             first_token,
             store_calls,
+            limited_sends,
             in_flight,
             revision,
         })
@@ -141,6 +148,11 @@
         self.store_calls.with_label_values(&[cause, call, outcome]).inc();
     }
 
+    /// Counts a request that is sent to an upstream that names a rate limit: `first`, `retry` or `resume`.
+    pub fn limited_send(&self, attempt: &str) {
+        self.limited_sends.with_label_values(&[attempt]).inc();
+    }
+
     /// Number of calls to the platform's store so far, by cause, call and outcome, for a log line.
     pub fn store_calls(&self) -> String {
         let families = self.store_calls.collect();
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -27,6 +27,7 @@
 pub mod peers;
 pub mod placed_log;
 pub mod placement;
+pub mod rate_limit;
 pub mod registration;
 pub mod registry;
 pub mod relay;
--- a/src/serving/dialect.rs
+++ b/src/serving/dialect.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     error::{Error, Kind},
+    serving::rate_limit,
     time::Span,
 };
 
@@ -89,6 +90,9 @@
     /// Classifies the head of a response to the request with the given id.
     fn verdict(&self, id: &HeaderValue, head: &response::Parts) -> Verdict;
 
+    /// Reads the rate limit that an upstream names in a response of its own.
+    fn named_limit(&self, head: &response::Parts) -> rate_limit::Named;
+
     /// Returns the HTTP status for an error of the given kind.
     fn status(&self, kind: Kind) -> StatusCode;
 }
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -14,6 +14,7 @@
         key::{AttemptKey, TicketKey},
         messages,
         placement::{Action, Grant, Placement, Ticket},
+        rate_limit,
         registry::Entry,
     },
     time::Time,
@@ -27,6 +28,8 @@
 enum Message {
     Submit(Box<Ticket>, oneshot::Sender<Result<Grant, Error>>),
     Answered(AttemptKey),
+    /// A response to an attempt, which was sent at this time, and the limit that it names.
+    Limit(AttemptKey, Time, rate_limit::Named),
     Ended(AttemptKey, Ending),
     LocalLoad(oneshot::Sender<LocalLoad>),
     RemoteLoads(Vec<messages::Load>),
@@ -135,6 +138,11 @@
         }
     }
 
+    /// Records what the response to the attempt, which was sent at `sent_at`, says about the upstream's rate limit.
+    pub fn record_limit(&self, sent_at: Time, named: rate_limit::Named) {
+        self.dispatcher.send(Message::Limit(self.attempt, sent_at, named));
+    }
+
     /// Ends the attempt with the given ending.
     pub fn end(mut self, ending: Ending) {
         self.ending = ending;
@@ -186,6 +194,9 @@
                 self.placement.submit(now, &ticket, &mut self.actions);
             }
             Message::Answered(attempt) => self.placement.attempt_answered(now, attempt),
+            Message::Limit(attempt, sent_at, named) => {
+                self.placement.limit_named(now, (attempt, sent_at), named);
+            }
             Message::Ended(attempt, ending) => self.placement.attempt_ended(now, attempt, ending),
             Message::LocalLoad(answer) => {
                 let load = LocalLoad {
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     error::{Error, Kind, Run},
+    metrics::Metrics,
     serving::{
         attempt_history::{self, RetryRules},
         buffer_memory,
@@ -26,6 +27,7 @@
         key::TicketKey,
         outbound_connection,
         placement::{Grant, Ticket},
+        rate_limit,
         relay::{Relay, Resume},
         retry_budget,
         table::{Customer, RetryPolicy, Route},
@@ -117,6 +119,7 @@
     retry_budget: retry_budget::Budget,
     meter: Meter,
     buffer_memory: buffer_memory::Memory,
+    metrics: Metrics,
     tickets: Cell<u64>,
 }
 
@@ -136,6 +139,7 @@
         retry_budget: retry_budget::Budget,
         meter: Meter,
         buffer_memory: buffer_memory::Memory,
+        metrics: Metrics,
     ) -> Exchange<D> {
         let tickets = Cell::new(0);
         let shared = Shared {
@@ -145,6 +149,7 @@
             retry_budget,
             meter,
             buffer_memory,
+            metrics,
             tickets,
         };
         Exchange { shared: Rc::new(shared) }
@@ -213,6 +218,9 @@
             let late = |_| Error::new(Kind::QueueTimeout, "no upstream was free in time");
             let placed = placed.map_err(late).flatten();
             let (grant, guard) = placed.map_err(|error| error.with_run(history.run_status()))?;
+            if grant.limit.is_some() {
+                self.shared.metrics.limited_send(attempt_label(history, resume_after));
+            }
             history.record_send(grant.upstream);
             let sent_at = Time::now();
             match self.send(request, &grant, guard, resume_after).await {
@@ -281,6 +289,7 @@
             }
             let upstream_request = self.upstream_request(request, grant, time_left, resume_after);
             let used = connection.used;
+            let sent_at = Time::now();
             let response = match timeout(time_left.into(), connection.send(upstream_request)).await
             {
                 Ok(Ok(response)) => response,
@@ -299,20 +308,22 @@
                     return Err(attempt_history::Failure::sent(Kind::UpstreamTimeout));
                 }
             };
-            return self.check_response(request, grant, response, connection, guard).await;
+            return self.check_response(request, grant, (response, sent_at), connection, guard);
         }
     }
 
-    async fn check_response(
+    fn check_response(
         &self,
         request: &RoutedRequest,
         grant: &Grant,
-        response: Response<Incoming>,
+        (response, sent_at): (Response<Incoming>, Time),
         connection: outbound_connection::Connection,
         guard: AttemptGuard,
     ) -> Result<upstream_response::Response, attempt_history::Failure> {
         let (head, body) = response.into_parts();
-        match self.shared.dialect.verdict(&request.id, &head) {
+        let verdict = self.shared.dialect.verdict(&request.id, &head);
+        self.record_limit(grant, (&head, sent_at), verdict, &guard);
+        match verdict {
             Verdict::Valid => {
                 let response = Response::from_parts(head, body);
                 Ok(upstream_response::Response {
@@ -344,6 +355,26 @@
         }
     }
 
+    /// Records the rate limit that a response of the upstream names. A refusal without one does not end a limit, as the
+    /// upstream may refuse before it looks at its load.
+    fn record_limit(
+        &self,
+        grant: &Grant,
+        (head, sent_at): (&http::response::Parts, Time),
+        verdict: Verdict,
+        guard: &AttemptGuard,
+    ) {
+        let named = self.shared.dialect.named_limit(head);
+        match (verdict, named) {
+            (Verdict::Misdirected | Verdict::Invalid, _)
+            | (Verdict::NotRun, rate_limit::Named::Nothing) => {}
+            (Verdict::Valid | Verdict::NotRun, rate_limit::Named::Invalid) => {
+                log::warn!("upstream {} names a limit that is no rate; ignored", grant.instance);
+            }
+            (Verdict::Valid | Verdict::NotRun, named) => guard.record_limit(sent_at, named),
+        }
+    }
+
     /// Turns an upstream's response into the caller's: a stream after its first events, another one when it is complete
     /// or too large to buffer.
     async fn caller_response(
@@ -522,6 +553,15 @@
     Error { kind, ..error }.with_retry_after_ms(NOT_RUN_RETRY_AFTER_MS)
 }
 
+/// Label of the next attempt in metrics.
+fn attempt_label(history: &attempt_history::History, resume_after: Option<&str>) -> &'static str {
+    match resume_after {
+        Some(_) => "resume",
+        None if history.tried.is_empty() => "first",
+        None => "retry",
+    }
+}
+
 /// `Retry-After` of a request that did not run, in milliseconds.
 const NOT_RUN_RETRY_AFTER_MS: u64 = 100;
 
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -142,8 +142,15 @@
         let budget = retry_budget::Budget::new(settings.retries);
         task::spawn_local(divide_retry_budget(budget.clone(), fleet.roster.clone()));
         let room = buffer_memory::Memory::new(settings.memory_bytes / BUFFER_DIVISOR);
-        let exchange =
-            Exchange::new(dialect.clone(), dispatcher, links, budget, meter.clone(), room);
+        let exchange = Exchange::new(
+            dialect.clone(),
+            dispatcher,
+            links,
+            budget,
+            meter.clone(),
+            room,
+            metrics.clone(),
+        );
         let (draining, draining_seen) = watch::channel(false);
         let reject_from = Rc::new(Cell::new(Time(u64::MAX)));
         let handler = Handler {
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -15,6 +15,7 @@
         dialect::Prompt,
         key::{AttemptKey, TicketKey, UpstreamKey},
         messages,
+        rate_limit::{self, Rate},
         registry::Entry,
         tier::TIERS,
         upstream_state::{self, prefill},
@@ -83,6 +84,8 @@
     pub expected_first_byte: Span,
     /// Time of the last bytes from the upstream, shared by all its connections.
     pub last_activity: Rc<Cell<Time>>,
+    /// Rate limit that the upstream names, if any.
+    pub limit: Option<Rate>,
 }
 
 /// Decision about a ticket.
@@ -199,6 +202,29 @@
         }
     }
 
+    /// Records what the response to an attempt says about its upstream's rate limit.
+    pub fn limit_named(
+        &mut self,
+        now: Time,
+        (attempt, sent_at): (AttemptKey, Time),
+        named: rate_limit::Named,
+    ) {
+        let Some(running) = self.running.get(&attempt) else { return };
+        let key = running.upstream;
+        let Some(upstream) = self.upstream_mut(key) else { return };
+        match upstream.limit.record(now, sent_at, named) {
+            rate_limit::Change::Unchanged => {}
+            rate_limit::Change::Changed(rate) => log::info!(
+                "upstream {} names a limit of {} requests a second",
+                upstream.entry.id,
+                rate.per_second()
+            ),
+            rate_limit::Change::Ended => {
+                log::info!("upstream {} names no limit any more", upstream.entry.id);
+            }
+        }
+    }
+
     /// Records the end of an attempt. Attempts that have already ended are ignored.
     pub fn attempt_ended(&mut self, now: Time, attempt: AttemptKey, ending: Ending) {
         let Some(running) = self.running.remove(&attempt) else { return };
@@ -286,6 +312,7 @@
             address: upstream.entry.address,
             expected_first_byte: best.expected_first_byte,
             last_activity: upstream.last_activity.clone(),
+            limit: upstream.limit.rate(),
         }
     }
 
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -6,7 +6,7 @@
     rendezvous,
     serving::{
         dialect::Prompt,
-        messages,
+        messages, rate_limit,
         registry::{self, Entry},
         tier::TIERS,
     },
@@ -83,6 +83,8 @@
     pub health: Health,
     /// How much slower it is than expected.
     pub slowdown: Slowdown,
+    /// Rate limit that it names.
+    pub limit: rate_limit::Limit,
     remote: RemoteLoad,
     /// Prompt parts that were sent there, with the time of their last use. Sorted by part.
     cached_parts: Vec<(u64, Time)>,
@@ -109,6 +111,7 @@
             last_activity: Rc::new(Cell::new(Time(0))),
             health: Health::default(),
             slowdown: Slowdown::default(),
+            limit: rate_limit::Limit::default(),
             remote: RemoteLoad::default(),
             cached_parts: Vec::new(),
         }
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -4,11 +4,13 @@
 
 use almondrack::{
     error::{Error, Kind},
+    metrics::Metrics,
     serving::{
         buffer_memory, connection_cache,
         dialect::{CallerHeaders, Dialect, RouterHeaders, Verdict},
         dispatcher::Dispatcher,
         exchange::{Body, CallerResponse, Exchange, RoutedRequest},
+        rate_limit,
         registry::Entry,
         retry_budget,
         table::{Customer, Destination, RetryPolicy, Route},
@@ -48,6 +50,10 @@
         }
     }
 
+    fn named_limit(&self, _: &response::Parts) -> rate_limit::Named {
+        rate_limit::Named::Nothing
+    }
+
     fn status(&self, kind: Kind) -> StatusCode {
         StatusCode::from_u16(kind.answer().status).expect("the status is valid")
     }
@@ -204,6 +210,7 @@
         budget,
         meter.clone(),
         buffer_memory,
+        Metrics::open().expect("the names of the counters are unique"),
     );
     let response = exchange.run(request).await;
     let counts = meter.take_changed(false).into_iter().flat_map(|it| it.counts);
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -9,6 +9,7 @@
 mod page;
 mod peers;
 mod placement;
+mod rate_limit;
 mod retry_budget;
 mod stream;
 mod usage;
