Send limited upstreams only what the whole fleet may send

What callers and upstreams saw: an upstream that names a limit of N requests a second got several times as many from hosts that it had told. Cause: hosts forwarded the limit to callers and did not use it; and nothing that a single host counts could have kept it, since the limit is of all hosts together and state of upstreams was kept by each host. Change: a request goes to a limited upstream only with a permit. The roster ranks three hosts for each upstream, in different zones first; the first one that answers grants permits from a token bucket. Lower ranks grant a fifth and a tenth of the rate, so that hosts which ask different ones keep the limit together; a bucket starts empty, so that a restart grants no burst. A permit expires 300 ms after it was asked for, checked when the request is sent. Without a permit a request goes to another upstream, waits by tier while it can still meet its target, or is refused as not run with the time of room. An upstream that takes nothing is tried every five seconds, as only its answers tell that the limit has ended. Permits are a method of their own between hosts, so that sync requests of old hosts stay as they are.

--- a/src/serving.rs
+++ b/src/serving.rs
@@ -18,6 +18,7 @@
 pub mod key;
 pub mod leadership;
 pub mod ledger;
+pub mod limiter;
 pub mod listener;
 pub mod loads;
 pub mod messages;
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -11,8 +11,8 @@
 use crate::{
     error::{Error, Kind},
     serving::{
-        key::{AttemptKey, TicketKey},
-        messages,
+        key::{AttemptKey, TicketKey, UpstreamKey},
+        limiter, messages,
         placement::{Action, Grant, Placement, Ticket},
         rate_limit,
         registry::Entry,
@@ -33,6 +33,7 @@
     Ended(AttemptKey, Ending),
     LocalLoad(oneshot::Sender<LocalLoad>),
     RemoteLoads(Vec<messages::Load>),
+    Permit(PermitAnswer),
     Placed(Vec<messages::Placement>),
 }
 
@@ -45,6 +46,21 @@
     pub placed: Vec<messages::Placement>,
 }
 
+/// Answer to the request for a permit.
+#[derive(Debug, Clone, Copy)]
+pub struct PermitAnswer {
+    /// Ticket for which the permit was requested.
+    pub ticket: TicketKey,
+    /// Upstream that names the limit.
+    pub upstream: UpstreamKey,
+    /// When the permit was requested.
+    pub asked_at: Time,
+    /// Whether the request may be sent.
+    pub decision: rate_limit::Decision,
+    /// The limit as the answering host knows it.
+    pub limit: rate_limit::Limit,
+}
+
 /// Handle to the dispatcher task; clones share it.
 #[derive(Debug, Clone)]
 pub struct Dispatcher {
@@ -65,11 +81,13 @@
 }
 
 impl Dispatcher {
-    /// Spawns the task on the current thread, which follows the list of upstreams.
+    /// Spawns the task on the current thread, which follows the list of upstreams and requests permits from the
+    /// limiters.
     pub fn spawn(
         host: Arc<str>,
         zone: Arc<str>,
         upstreams: watch::Receiver<Rc<Vec<Entry>>>,
+        limiter: mpsc::UnboundedSender<limiter::Message>,
     ) -> Dispatcher {
         let (messages, mailbox) = mpsc::unbounded_channel();
         let task = Task {
@@ -77,6 +95,7 @@
             waiting: BTreeMap::new(),
             actions: Vec::new(),
             upstreams,
+            limiter,
         };
         task::spawn_local(task.run(mailbox));
         Dispatcher { messages }
@@ -123,6 +142,11 @@
         self.send(Message::RemoteLoads(loads));
     }
 
+    /// Passes on the answer to a request for a permit.
+    pub fn permit_answered(&self, answer: PermitAnswer) {
+        self.send(Message::Permit(answer));
+    }
+
     fn send(&self, message: Message) {
         // Fails only while the host stops, when no request is placed any more.
         let _ = self.messages.send(message);
@@ -161,6 +185,7 @@
     waiting: BTreeMap<TicketKey, oneshot::Sender<Result<Grant, Error>>>,
     actions: Vec<Action>,
     upstreams: watch::Receiver<Rc<Vec<Entry>>>,
+    limiter: mpsc::UnboundedSender<limiter::Message>,
 }
 
 impl Task {
@@ -175,7 +200,7 @@
                     self.handle(message);
                 }
                 Ok(()) = self.upstreams.changed() => self.update_upstreams(),
-                _ = interval.tick(), if !self.waiting.is_empty() => {}
+                _ = interval.tick(), if !self.waiting.is_empty() => self.place_waiting(),
             }
             self.execute_actions();
         }
@@ -195,7 +220,7 @@
             }
             Message::Answered(attempt) => self.placement.attempt_answered(now, attempt),
             Message::Limit(attempt, sent_at, named) => {
-                self.placement.limit_named(now, (attempt, sent_at), named);
+                self.placement.limit_named(now, (attempt, sent_at), named, &mut self.actions);
             }
             Message::Ended(attempt, ending) => self.placement.attempt_ended(now, attempt, ending),
             Message::LocalLoad(answer) => {
@@ -207,10 +232,33 @@
                 let _ = answer.send(load);
             }
             Message::Placed(placed) => self.placement.record_placed(now, &placed),
+            Message::Permit(answer) => {
+                let PermitAnswer { ticket, upstream, asked_at, decision, limit } = answer;
+                self.placement.permit_answered(
+                    now,
+                    (ticket, upstream),
+                    asked_at,
+                    (decision, limit),
+                    &mut self.actions,
+                );
+            }
             Message::RemoteLoads(loads) => self.placement.set_remote_loads(now, &loads),
         }
     }
 
+    /// Withdraws the tickets whose callers have left and places those that wait for room.
+    fn place_waiting(&mut self) {
+        let placement = &mut self.placement;
+        self.waiting.retain(|ticket, answer| {
+            let has_left = answer.is_closed();
+            if has_left {
+                placement.withdraw(*ticket);
+            }
+            !has_left
+        });
+        placement.place_waiting(Time::now(), &mut self.actions);
+    }
+
     fn execute_actions(&mut self) {
         for action in std::mem::take(&mut self.actions) {
             match action {
@@ -222,8 +270,15 @@
                         self.placement.attempt_ended(Time::now(), attempt, Ending::Unused);
                     }
                 }
+                // The limiter task runs until the host stops.
+                Action::Ask(ticket, upstream, ask) => {
+                    let _ = self.limiter.send(limiter::Message::Ask(ticket, upstream, ask));
+                }
+                Action::Report(ask) => {
+                    let _ = self.limiter.send(limiter::Message::Report(ask));
+                }
                 Action::Refuse(ticket, kind, delay) => {
-                    let mut error = Error::new(kind, "no upstream can take the request");
+                    let mut error = Error::new(kind, refusal_message(kind));
                     error.retry_after_ms = delay.map(|it| it.as_ms());
                     if let Some(answer) = self.waiting.remove(&ticket) {
                         // Fails if the request was cancelled, which needs no answer.
@@ -234,3 +289,10 @@
         }
     }
 }
+
+fn refusal_message(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Shed => "the rate limits of the upstreams leave no room in time",
+        _ => "no upstream can take the request",
+    }
+}
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -287,6 +287,10 @@
                 guard.end(Ending::Unused);
                 return Err(attempt_history::Failure::unsent(Kind::QueueTimeout));
             }
+            if grant.send_by.is_some_and(|it| Time::now() >= it) {
+                guard.end(Ending::Unused);
+                return Err(attempt_history::Failure::unsent(Kind::Shed));
+            }
             let upstream_request = self.upstream_request(request, grant, time_left, resume_after);
             let used = connection.used;
             let sent_at = Time::now();
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -23,6 +23,7 @@
         fleet_state::{self, Decoding},
         handler::Handler,
         leadership::{self, Leadership},
+        limiter,
         listener::{Listener, Stage},
         page::{self, Content},
         peers, registration,
@@ -43,6 +44,9 @@
 /// Capacity of the queue of sync requests of other hosts.
 const SYNC_QUEUE_CAPACITY: usize = 256;
 
+/// Capacity of the queue of other hosts' requests for permits.
+const PERMIT_QUEUE_CAPACITY: usize = 256;
+
 /// Interval between sweeps of idle connections to upstreams.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -109,10 +113,12 @@
         ports: Ports<S, D, P>,
     ) -> Result<Host> {
         let (upstreams_sender, upstreams) = watch::channel(Rc::default());
+        let (limiter_messages, messages) = mpsc::unbounded_channel();
         let dispatcher = Dispatcher::spawn(
             settings.host.as_str().into(),
             settings.zone.as_str().into(),
             upstreams.clone(),
+            limiter_messages,
         );
         // Unique, as no two processes of a host start in the same millisecond.
         let writer = format!("{}-{}", settings.host, wall_ms());
@@ -121,7 +127,9 @@
             .await
             .wrap_err_with(|| format!("cannot listen for other hosts on {}", settings.peers))?;
         let (calls_sender, calls) = mpsc::channel(SYNC_QUEUE_CAPACITY);
-        tokio::spawn(peers::serve(listener, calls_sender));
+        let (permits_sender, permits) = mpsc::channel(PERMIT_QUEUE_CAPACITY);
+        let mailboxes = peers::Mailboxes { calls: calls_sender, permits: permits_sender };
+        tokio::spawn(peers::serve(listener, mailboxes));
         let metrics = Metrics::open()?;
         let store = counted_store::Counted::new(ports.store, metrics.clone(), Cause::Registration);
         let options = fleet_state::Options {
@@ -136,6 +144,13 @@
             meter: meter.clone(),
         };
         let fleet = fleet_state::spawn(options, dispatcher.clone());
+        limiter::spawn(limiter::Options {
+            host: settings.host.clone(),
+            roster: fleet.roster.clone(),
+            messages,
+            calls: permits,
+            dispatcher: dispatcher.clone(),
+        });
         let links = connection_cache::Cache::default();
         task::spawn_local(sweep(links.clone()));
         let dialect = Rc::new(ports.dialect);
--- a/src/serving/messages.rs
+++ b/src/serving/messages.rs
@@ -117,9 +117,41 @@
     pub placed_next: u64,
 }
 
+/// Request for a permit to send one request to an upstream that names a rate limit.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// Hash of the upstream's id and start time.
+    pub upstream: u64,
+    /// Requests per second that the upstream named, `None` if it no longer names a limit.
+    pub rate: Option<f64>,
+    /// Time since the requesting host heard of it, in microseconds.
+    pub age_us: u64,
+    /// Priority tier of the request, zero first.
+    pub tier: u8,
+    /// Whether the host only reports the limit and needs no permit.
+    pub is_report: bool,
+}
+
+/// Decision about a permit, with the limit as the responding host knows it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct PermitResponse {
+    /// Whether one request may be sent.
+    pub granted: bool,
+    /// Time before which no request may be sent if it was not granted, in microseconds.
+    pub retry_after_us: u64,
+    /// Requests per second that the upstream named, `None` if it no longer names a limit.
+    pub rate: Option<f64>,
+    /// Time since the responding host heard of it, in microseconds.
+    pub age_us: u64,
+}
+
 /// RPC service of each host for the others.
 #[tarpc::service]
 pub trait Peer {
     /// Exchanges updates, loads and counts between two hosts.
     async fn sync(request: Request) -> Response;
+
+    /// Asks for a permit to send to an upstream that names a rate limit. Hosts of earlier versions
+    /// close the connection.
+    async fn permit(request: PermitRequest) -> PermitResponse;
 }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -24,6 +24,9 @@
 /// nothing else.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time-out of a request for a permit, including a connect. A permit is of no use much later.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Pause after a connection that could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -33,25 +36,48 @@
 /// A sync request with the channel for its response.
 pub type Call = (messages::Request, oneshot::Sender<messages::Response>);
 
-/// Forwards the requests of other hosts to a mailbox and returns the responses.
+/// A request for a permit with the channel for its response.
+pub type PermitCall = (messages::PermitRequest, oneshot::Sender<messages::PermitResponse>);
+
+/// Mailboxes for the requests of other hosts.
 #[derive(Debug, Clone)]
-struct Server {
-    calls: mpsc::Sender<Call>,
+pub struct Mailboxes {
+    /// Sync requests.
+    pub calls: mpsc::Sender<Call>,
+    /// Requests for permits.
+    pub permits: mpsc::Sender<PermitCall>,
 }
 
+/// Forwards the requests of other hosts to mailboxes and returns the responses.
+#[derive(Debug, Clone)]
+struct Server(Mailboxes);
+
 impl Peer for Server {
     async fn sync(self, _: context::Context, request: messages::Request) -> messages::Response {
         let (reply, response) = oneshot::channel();
         // The mailbox is closed while the host stops; the response is then empty.
-        if self.calls.send((request, reply)).await.is_err() {
+        if self.0.calls.send((request, reply)).await.is_err() {
             return messages::Response::default();
         }
         response.await.unwrap_or_default()
     }
+
+    async fn permit(
+        self,
+        _: context::Context,
+        request: messages::PermitRequest,
+    ) -> messages::PermitResponse {
+        let (reply, response) = oneshot::channel();
+        // The mailbox is closed while the host stops; the response then grants nothing.
+        if self.0.permits.send((request, reply)).await.is_err() {
+            return messages::PermitResponse::default();
+        }
+        response.await.unwrap_or_default()
+    }
 }
 
-/// Accepts connections of other hosts and forwards their requests to `calls`. Does not return.
-pub async fn serve(listener: TcpListener, calls: mpsc::Sender<Call>) {
+/// Accepts connections of other hosts and forwards their requests to the mailboxes. Does not return.
+pub async fn serve(listener: TcpListener, mailboxes: Mailboxes) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -67,7 +93,7 @@
         }
         let transport = serde_transport::new(framing().new_framed(stream), Bincode::default());
         let channel = BaseChannel::new(server::Config::default(), transport);
-        let requests = channel.execute(Server { calls: calls.clone() }.serve());
+        let requests = channel.execute(Server(mailboxes.clone()).serve());
         tokio::spawn(async move {
             let mut requests = pin!(requests);
             while let Some(request) = requests.next().await {
@@ -91,25 +117,44 @@
         address: SocketAddr,
         request: messages::Request,
     ) -> Option<messages::Response> {
-        let response = timeout(SYNC_TIMEOUT, self.exchange(address, request)).await.ok().flatten();
-        if response.is_none() {
-            self.close(address);
-        }
-        response
+        self.exchange(address, SYNC_TIMEOUT, async move |client, context| {
+            client.sync(context, request).await.ok()
+        })
+        .await
     }
 
-    async fn exchange(
+    /// Asks a host for a permit. `None` if it failed or timed out; its connection is then closed.
+    pub async fn permit(
         &self,
         address: SocketAddr,
-        request: messages::Request,
-    ) -> Option<messages::Response> {
-        let client = match self.get(address) {
-            Some(client) => client,
-            None => self.connect(address).await?,
+        request: messages::PermitRequest,
+    ) -> Option<messages::PermitResponse> {
+        self.exchange(address, PERMIT_TIMEOUT, async move |client, context| {
+            client.permit(context, request).await.ok()
+        })
+        .await
+    }
+
+    async fn exchange<T>(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+        call: impl AsyncFnOnce(PeerClient, context::Context) -> Option<T>,
+    ) -> Option<T> {
+        let exchange = async {
+            let client = match self.get(address) {
+                Some(client) => client,
+                None => self.connect(address).await?,
+            };
+            let mut context = context::current();
+            context.deadline = Instant::now().into_std() + limit;
+            call(client, context).await
         };
-        let mut context = context::current();
-        context.deadline = Instant::now().into_std() + SYNC_TIMEOUT;
-        client.sync(context, request).await.ok()
+        let response = timeout(limit, exchange).await.ok().flatten();
+        if response.is_none() {
+            self.close(address);
+        }
+        response
     }
 
     fn get(&self, address: SocketAddr) -> Option<PeerClient> {
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -43,6 +43,10 @@
 /// Cost of sending a request to an upstream that another host has ejected.
 const REMOTE_EJECTION_PENALTY: Span = Span::from_ms(300);
 
+/// Longest additional retry delay after a refusal for the upstreams' rate limits, as a multiple of the delay itself.
+/// Callers return spread over this time.
+const RETRY_SPREAD: f64 = 1.0;
+
 /// Retry delay returned when no upstream is ready; one usually returns within this time.
 const NO_UPSTREAM_RETRY_AFTER: Span = Span::from_ms(500);
 
@@ -86,6 +90,8 @@
     pub last_activity: Rc<Cell<Time>>,
     /// Rate limit that the upstream names, if any.
     pub limit: Option<Rate>,
+    /// Time until which the request must be sent if there is a limit, as the permit expires.
+    pub send_by: Option<Time>,
 }
 
 /// Decision about a ticket.
@@ -93,6 +99,10 @@
 pub enum Action {
     /// The request may be sent.
     Grant(TicketKey, Grant),
+    /// The ticket waits for a permit to send to an upstream that names a rate limit.
+    Ask(TicketKey, UpstreamKey, rate_limit::Ask),
+    /// The limit of an upstream ended, which the hosts that grant permits need to know.
+    Report(rate_limit::Ask),
     /// The request is refused, with the delay after which a retry may succeed.
     Refuse(TicketKey, Kind, Option<Span>),
 }
@@ -109,6 +119,27 @@
     answered: bool,
 }
 
+/// A ticket that waits for room within the rate limits of the upstreams.
+#[derive(Debug)]
+struct WaitingTicket {
+    ticket: Ticket,
+    /// Time after which the request would be late and is refused.
+    start_by: Time,
+    /// Whether the answer to a request for a permit is outstanding.
+    is_asking: bool,
+}
+
+/// Where a ticket goes.
+#[derive(Debug, Clone, Copy)]
+enum Choice {
+    /// To this upstream.
+    Upstream(Candidate),
+    /// Nowhere before this time, as rate limits leave no room; the best upstream then.
+    Later(Time, Candidate),
+    /// Nowhere.
+    Nothing,
+}
+
 /// An upstream with its estimates for one ticket.
 #[derive(Debug, Clone, Copy)]
 struct Candidate {
@@ -137,6 +168,8 @@
     demands: Vec<(Arc<str>, demand::Demand)>,
     /// Prompt parts sent since the last [`Placement::take_placed`].
     placed: Vec<messages::Placement>,
+    /// Sorted by tier, then in the order of arrival.
+    waiting: Vec<WaitingTicket>,
 }
 
 impl Placement {
@@ -151,6 +184,7 @@
             last_upstream: 0,
             demands: Vec::new(),
             placed: Vec::new(),
+            waiting: Vec::new(),
         }
     }
 
@@ -174,16 +208,111 @@
     /// Places a ticket and appends the decision to `actions`.
     pub fn submit(&mut self, now: Time, ticket: &Ticket, actions: &mut Vec<Action>) {
         self.demand_mut(&ticket.pool).observe(now, ticket);
-        let Some(best) = self.choose(now, ticket) else {
-            actions.push(Action::Refuse(
+        self.place(now, ticket, None, actions);
+    }
+
+    /// Places a ticket, makes it wait or refuses it. `start_by` is set if it has waited already.
+    fn place(
+        &mut self,
+        now: Time,
+        ticket: &Ticket,
+        start_by: Option<Time>,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.choose(now, ticket) {
+            Choice::Upstream(best) => {
+                let Some(upstream) = self.upstream_mut(best.key) else {
+                    unreachable!("a selected candidate is one of the listed upstreams")
+                };
+                if upstream.limit.rate().is_none() {
+                    let grant = self.grant(now, ticket, best);
+                    actions.push(Action::Grant(ticket.key, grant));
+                    return;
+                }
+                upstream.is_asking = true;
+                let ask = rate_limit::Ask {
+                    upstream: upstream.incarnation,
+                    limit: upstream.limit,
+                    tier: tier_index(ticket),
+                };
+                actions.push(Action::Ask(ticket.key, best.key, ask));
+                let start_by = start_by.unwrap_or_else(|| latest_start(now, ticket, best));
+                self.wait(ticket, start_by, true);
+            }
+            Choice::Later(room_at, best) => {
+                let start_by = start_by.unwrap_or_else(|| latest_start(now, ticket, best));
+                if room_at.max(now) <= start_by {
+                    self.wait(ticket, start_by, false);
+                } else {
+                    let delay = spread(ticket, room_at.since(now));
+                    actions.push(Action::Refuse(ticket.key, Kind::Shed, Some(delay)));
+                }
+            }
+            Choice::Nothing => actions.push(Action::Refuse(
                 ticket.key,
                 Kind::NoUpstream,
                 Some(NO_UPSTREAM_RETRY_AFTER),
-            ));
-            return;
-        };
-        let grant = self.grant(now, ticket, best);
-        actions.push(Action::Grant(ticket.key, grant));
+            )),
+        }
+    }
+
+    fn wait(&mut self, ticket: &Ticket, start_by: Time, is_asking: bool) {
+        let order = |it: &Ticket| (it.tier, it.key);
+        let at = self.waiting.partition_point(|it| order(&it.ticket) < order(ticket));
+        self.waiting.insert(at, WaitingTicket { ticket: ticket.clone(), start_by, is_asking });
+    }
+
+    /// Records the answer to a request for a permit that was sent at `asked_at`.
+    pub fn permit_answered(
+        &mut self,
+        now: Time,
+        (ticket, upstream): (TicketKey, UpstreamKey),
+        asked_at: Time,
+        (decision, limit): (rate_limit::Decision, rate_limit::Limit),
+        actions: &mut Vec<Action>,
+    ) {
+        let is_in_time = now < asked_at + rate_limit::PERMIT_LIFETIME;
+        let mut is_granted = decision == rate_limit::Decision::Granted && is_in_time;
+        match self.upstream_mut(upstream) {
+            Some(state) => {
+                state.is_asking = false;
+                let change = state.limit.merge(limit);
+                log_change(&state.entry, change, "as another host reports");
+                if let rate_limit::Decision::Denied(delay) = decision {
+                    state.no_permit_until = now + delay;
+                }
+            }
+            None => is_granted = false,
+        }
+        if let Some(at) = self.waiting.iter().position(|it| it.ticket.key == ticket) {
+            let waiting = self.waiting.remove(at);
+            let state = self.upstreams.binary_search_by_key(&upstream, |it| it.0);
+            match state.map(|at| &self.upstreams[at].1) {
+                Ok(state) if is_granted && state.serves(&waiting.ticket.pool) => {
+                    let best = self.candidate(now, &waiting.ticket, upstream, state);
+                    let mut grant = self.grant(now, &waiting.ticket, best);
+                    grant.send_by = Some(asked_at + rate_limit::PERMIT_LIFETIME);
+                    actions.push(Action::Grant(ticket, grant));
+                }
+                _ => self.place(now, &waiting.ticket, Some(waiting.start_by), actions),
+            }
+        }
+        self.place_waiting(now, actions);
+    }
+
+    /// Places the tickets that wait for room, most urgent first.
+    pub fn place_waiting(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let (asking, ready) =
+            std::mem::take(&mut self.waiting).into_iter().partition(|it| it.is_asking);
+        self.waiting = asking;
+        for it in ready {
+            self.place(now, &it.ticket, Some(it.start_by), actions);
+        }
+    }
+
+    /// Forgets a ticket whose caller has left.
+    pub fn withdraw(&mut self, ticket: TicketKey) {
+        self.waiting.retain(|it| it.ticket.key != ticket);
     }
 
     /// Records that the first byte or event of an attempt has arrived.
@@ -208,20 +337,17 @@
         now: Time,
         (attempt, sent_at): (AttemptKey, Time),
         named: rate_limit::Named,
+        actions: &mut Vec<Action>,
     ) {
         let Some(running) = self.running.get(&attempt) else { return };
         let key = running.upstream;
         let Some(upstream) = self.upstream_mut(key) else { return };
-        match upstream.limit.record(now, sent_at, named) {
-            rate_limit::Change::Unchanged => {}
-            rate_limit::Change::Changed(rate) => log::info!(
-                "upstream {} names a limit of {} requests a second",
-                upstream.entry.id,
-                rate.per_second()
-            ),
-            rate_limit::Change::Ended => {
-                log::info!("upstream {} names no limit any more", upstream.entry.id);
-            }
+        let change = upstream.limit.record(now, sent_at, named);
+        log_change(&upstream.entry, change, "in a response");
+        if change == rate_limit::Change::Ended {
+            let ask =
+                rate_limit::Ask { upstream: upstream.incarnation, limit: upstream.limit, tier: 0 };
+            actions.push(Action::Report(ask));
         }
     }
 
@@ -282,7 +408,7 @@
     fn grant(&mut self, now: Time, ticket: &Ticket, best: Candidate) -> Grant {
         self.last_attempt += 1;
         let attempt = AttemptKey(self.last_attempt);
-        let tier = usize::from(ticket.tier).min(TIERS - 1);
+        let tier = tier_index(ticket);
         let Ok(at) = self.upstreams.binary_search_by_key(&best.key, |it| it.0) else {
             unreachable!("a selected candidate is one of the listed upstreams")
         };
@@ -313,15 +439,36 @@
             expected_first_byte: best.expected_first_byte,
             last_activity: upstream.last_activity.clone(),
             limit: upstream.limit.rate(),
+            send_by: None,
         }
     }
 
-    /// Selects the upstream with the least cost. Ejected upstreams are considered only if all are.
-    fn choose(&self, now: Time, ticket: &Ticket) -> Option<Candidate> {
+    /// Selects the upstream with the least cost. Ejected upstreams are considered only if all are, and those whose rate
+    /// limits leave no room only if there are no others.
+    fn choose(&self, now: Time, ticket: &Ticket) -> Choice {
         let serving = self.serving(&ticket.pool).filter(|(key, _)| !ticket.tried.contains(key));
-        let any_healthy = serving.clone().any(|(_, upstream)| !upstream.is_ejected(now));
-        let eligible = serving.filter(|(_, upstream)| !any_healthy || !upstream.is_ejected(now));
-        let eligible = self.subset(now, ticket, eligible.collect());
+        let (open, full): (Vec<_>, Vec<_>) =
+            serving.partition(|(_, upstream)| upstream.may_have_room(now));
+        if let Some(best) = self.best(now, ticket, open) {
+            return Choice::Upstream(best);
+        }
+        let room_at = full.iter().map(|it| it.1.no_permit_until).min();
+        match (room_at, self.best(now, ticket, full)) {
+            (Some(room_at), Some(best)) => Choice::Later(room_at, best),
+            _ => Choice::Nothing,
+        }
+    }
+
+    fn best<'a>(
+        &'a self,
+        now: Time,
+        ticket: &Ticket,
+        mut eligible: Vec<&'a (UpstreamKey, upstream_state::State)>,
+    ) -> Option<Candidate> {
+        if eligible.iter().any(|(_, upstream)| !upstream.is_ejected(now)) {
+            eligible.retain(|(_, upstream)| !upstream.is_ejected(now));
+        }
+        let eligible = self.subset(now, ticket, eligible);
         let demand = self.demand(&ticket.pool);
         let reserved = self.reserved(now, &ticket.pool);
         let latency_sensitive =
@@ -375,7 +522,7 @@
         state: &upstream_state::State,
     ) -> Candidate {
         let zone_penalty = if state.entry.zone == self.zone { Span(0) } else { ZONE_PENALTY };
-        let tier = usize::from(ticket.tier).min(TIERS - 1);
+        let tier = tier_index(ticket);
         let (queueing, prefill) = match &ticket.prompt {
             Some(prompt) => (state.backlog(now, tier), prefill(state.uncached_tokens(now, prompt))),
             None => (state.service_wait(), Span(0)),
@@ -448,6 +595,36 @@
     }
 }
 
+fn tier_index(ticket: &Ticket) -> usize {
+    usize::from(ticket.tier).min(TIERS - 1)
+}
+
+/// Returns the time by which a request must be sent to meet its target, or its deadline once the target has passed.
+fn latest_start(now: Time, ticket: &Ticket, best: Candidate) -> Time {
+    let end = if now < ticket.target { ticket.target } else { ticket.deadline };
+    end - best.expected_first_byte
+}
+
+/// Returns a retry delay that differs by ticket, not below the given one.
+fn spread(ticket: &Ticket, delay: Span) -> Span {
+    let drawn = rendezvous::hash(&[b"retry", &ticket.key.0.to_be_bytes()]) % 1_000;
+    Span((delay.0 as f64 * (1.0 + RETRY_SPREAD * drawn as f64 / 1_000.0)) as u64)
+}
+
+fn log_change(entry: &Entry, change: rate_limit::Change, source: &str) {
+    match change {
+        rate_limit::Change::Unchanged => {}
+        rate_limit::Change::Changed(rate) => log::info!(
+            "upstream {} takes {} requests a second from all hosts, {source}",
+            entry.id,
+            rate.per_second()
+        ),
+        rate_limit::Change::Ended => {
+            log::info!("upstream {} has no rate limit any more, {source}", entry.id);
+        }
+    }
+}
+
 /// Returns what distinguishes the incarnations of upstreams.
 fn incarnation(entry: &Entry) -> (Arc<str>, u64, SocketAddr) {
     (entry.id.clone(), entry.started_ms, entry.address)
--- a/src/serving/rate_limit.rs
+++ b/src/serving/rate_limit.rs
@@ -1,6 +1,9 @@
-//! Rate limits that upstreams name in their responses.
+//! Rate limits that upstreams name in their responses, and their division among the hosts of the fleet.
 
-use crate::time::Time;
+use crate::{
+    serving::tier::TIERS,
+    time::{Span, Time},
+};
 
 /// Requests per second that an upstream takes from all hosts together.
 ///
@@ -56,6 +59,25 @@
         self.rate
     }
 
+    /// Creates what another host knows: a rate or the end of a limit, heard at this time.
+    pub fn new(rate: Option<Rate>, heard_at: Time) -> Limit {
+        Limit { rate, heard_at }
+    }
+
+    /// Time since the limit was heard of.
+    pub fn age(self, now: Time) -> Span {
+        now.since(self.heard_at)
+    }
+
+    /// Takes over the limit as another host knows it if it was heard later.
+    pub fn merge(&mut self, other: Limit) -> Change {
+        if other.heard_at <= self.heard_at {
+            return Change::Unchanged;
+        }
+        let previous = std::mem::replace(self, other).rate;
+        Change::between(previous, other.rate)
+    }
+
     /// Records what a response says to a request that was sent at `sent_at`.
     ///
     /// Responses on different connections can overtake each other. A lower limit applies at once; a higher one and the
@@ -75,6 +97,12 @@
         if rate.is_some() || previous.is_some() {
             self.heard_at = now;
         }
+        Change::between(previous, rate)
+    }
+}
+
+impl Change {
+    fn between(previous: Option<Rate>, rate: Option<Rate>) -> Change {
         match rate {
             _ if rate == previous => Change::Unchanged,
             Some(rate) => Change::Changed(rate),
@@ -82,3 +110,147 @@
         }
     }
 }
+
+/// Divides the rates of limited upstreams among the hosts of the fleet, one permit for each request.
+///
+/// The roster ranks a few hosts for each upstream, and each of them grants its own part of the rate, so that hosts
+/// which ask different ones, as some do not answer, still keep the limit together. In any span of `t` seconds the hosts
+/// of one roster grant at most 1.3 × rate × t permits and one burst for each rank.
+#[derive(Debug, Default)]
+pub struct Limiter {
+    /// Sorted by the id of the upstream's incarnation.
+    buckets: Vec<(u64, Bucket)>,
+}
+
+/// Part of a rate that each rank grants. All hosts ask the first rank while it answers.
+const RANK_SHARES: [f64; RANKS] = [1.0, 0.2, 0.1];
+
+/// Hosts that grant permits for one upstream.
+pub const RANKS: usize = 3;
+
+/// Time from the request for a permit within which it must be used.
+pub const PERMIT_LIFETIME: Span = Span::from_ms(300);
+
+/// Time in which the largest burst is refilled, in seconds.
+const BURST_S: f64 = 0.25;
+
+/// Rate at which an upstream that takes less is tried, in requests per second. Only its answers say that its limit has
+/// risen or ended.
+const MIN_RATE: f64 = 0.2;
+
+/// Time for which a permit is kept for a more urgent request that has to ask again.
+const CLAIM_MARGIN: Span = Span::from_ms(100);
+
+/// One of this many permits goes to the first request that asks, whatever its tier, so that none is starved.
+const OPEN_TURN: u32 = 4;
+
+/// Time without requests after which a bucket is dropped. A new one is empty.
+const BUCKET_LIFETIME: Span = Span::from_ms(60_000);
+
+/// Retry delay from a host that has no part of the rate, as its roster differs from that of the asking host.
+const NOT_RANKED_DELAY: Span = Span::from_ms(200);
+
+/// Request for a permit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ask {
+    /// Id of the upstream's incarnation.
+    pub upstream: u64,
+    /// The limit as the asking host knows it.
+    pub limit: Limit,
+    /// Priority tier of the request, zero first.
+    pub tier: usize,
+}
+
+/// Answer to the request for a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// One request may be sent.
+    Granted,
+    /// No request may be sent before the delay has passed.
+    Denied(Span),
+}
+
+/// Token bucket of one upstream.
+#[derive(Debug)]
+struct Bucket {
+    limit: Limit,
+    /// At most `capacity`.
+    tokens: f64,
+    filled_at: Time,
+    asked_at: Time,
+    /// Until when each tier has precedence over less urgent ones, as it was denied a permit.
+    claims: [Time; TIERS],
+    /// Permits granted so far.
+    granted: u32,
+}
+
+impl Limiter {
+    /// Decides about a permit. `rank` is the rank of this host for the upstream, `None` if it has none.
+    pub fn ask(&mut self, now: Time, rank: Option<usize>, ask: Ask) -> Decision {
+        let bucket = self.bucket(now, ask.upstream);
+        bucket.limit.merge(ask.limit);
+        let Some(limit) = bucket.limit.rate() else { return Decision::Granted };
+        let share = rank.and_then(|it| RANK_SHARES.get(it));
+        let Some(share) = share else { return Decision::Denied(NOT_RANKED_DELAY) };
+        bucket.take(now, limit.per_second().max(MIN_RATE) * share, ask.tier.min(TIERS - 1))
+    }
+
+    /// Records a limit as another host knows it.
+    pub fn report(&mut self, now: Time, upstream: u64, limit: Limit) {
+        self.bucket(now, upstream).limit.merge(limit);
+    }
+
+    /// Limit of an upstream as this host knows it from others.
+    pub fn limit(&self, upstream: u64) -> Limit {
+        let found = self.buckets.binary_search_by_key(&upstream, |it| it.0);
+        found.map_or(Limit::default(), |at| self.buckets[at].1.limit)
+    }
+
+    fn bucket(&mut self, now: Time, upstream: u64) -> &mut Bucket {
+        self.buckets.retain(|it| it.0 == upstream || now.since(it.1.asked_at) < BUCKET_LIFETIME);
+        let at = match self.buckets.binary_search_by_key(&upstream, |it| it.0) {
+            Ok(found) => found,
+            Err(at) => {
+                self.buckets.insert(at, (upstream, Bucket::new(now)));
+                at
+            }
+        };
+        let bucket = &mut self.buckets[at].1;
+        bucket.asked_at = now;
+        bucket
+    }
+}
+
+impl Bucket {
+    fn new(now: Time) -> Bucket {
+        Bucket {
+            limit: Limit::default(),
+            tokens: 0.0,
+            filled_at: now,
+            asked_at: now,
+            claims: [Time(0); TIERS],
+            granted: 0,
+        }
+    }
+
+    /// Takes a token at a rate in requests per second.
+    fn take(&mut self, now: Time, rate: f64, tier: usize) -> Decision {
+        let elapsed = now.since(self.filled_at).0 as f64 / 1e6;
+        let capacity = (rate * BURST_S).max(1.0);
+        self.tokens = (self.tokens + elapsed * rate).min(capacity);
+        self.filled_at = now;
+        let is_open_turn = self.granted % OPEN_TURN == OPEN_TURN - 1;
+        let is_claimed = !is_open_turn && self.claims[..tier].iter().any(|until| now < *until);
+        if self.tokens >= 1.0 && !is_claimed {
+            self.tokens -= 1.0;
+            self.granted = self.granted.wrapping_add(1);
+            self.claims[tier] = Time(0);
+            return Decision::Granted;
+        }
+        // A claimed token is followed by another one after the time of a whole token.
+        let missing = if self.tokens < 1.0 { 1.0 - self.tokens } else { 1.0 };
+        let delay = Span((missing / rate * 1e6).ceil() as u64);
+        self.claims[tier] = now + delay + CLAIM_MARGIN;
+        Decision::Denied(delay)
+    }
+}
--- a/src/serving/roster.rs
+++ b/src/serving/roster.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::rendezvous;
+use crate::{rendezvous, serving::rate_limit};
 
 /// Prefix of the keys that hold the records of hosts.
 pub const PREFIX: &str = "almondrack/fleet/hosts/";
@@ -91,12 +91,19 @@
     /// the highest-ranked host of each zone before all others, so that a follower remains when a
     /// zone is lost.
     pub fn followers(&self) -> Vec<&Host> {
-        let ranked = self.ranked("");
-        let is_first =
-            |index: usize| ranked[..index].iter().all(|it| it.zone != ranked[index].zone);
-        let (first, rest): (Vec<usize>, Vec<usize>) =
-            (0..ranked.len()).partition(|it| is_first(*it));
-        first.into_iter().chain(rest).map(|it| ranked[it]).collect()
+        one_of_each_zone_first(&self.ranked(""))
+    }
+
+    /// Returns the hosts that grant permits for a rate-limited upstream, in the order in which they are asked: the first
+    /// two in different zones, if there are several.
+    pub fn limiters(&self, upstream: u64) -> Vec<&Host> {
+        let mut ranked: Vec<_> = self.hosts.iter().collect();
+        ranked.sort_by_cached_key(|it| {
+            rendezvous::hash(&[b"limit", &upstream.to_be_bytes(), it.id.as_bytes()])
+        });
+        let mut limiters = one_of_each_zone_first(&ranked);
+        limiters.truncate(rate_limit::RANKS);
+        limiters
     }
 
     /// Returns the availability zones of the hosts, sorted and without duplicates.
@@ -107,3 +114,10 @@
         zones
     }
 }
+
+/// Returns ranked hosts with the highest-ranked host of each zone before all others.
+fn one_of_each_zone_first<'a>(ranked: &[&'a Host]) -> Vec<&'a Host> {
+    let is_first = |index: usize| ranked[..index].iter().all(|it| it.zone != ranked[index].zone);
+    let (first, rest): (Vec<usize>, Vec<usize>) = (0..ranked.len()).partition(|it| is_first(*it));
+    first.into_iter().chain(rest).map(|it| ranked[it]).collect()
+}
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -85,6 +85,10 @@
     pub slowdown: Slowdown,
     /// Rate limit that it names.
     pub limit: rate_limit::Limit,
+    /// Time before which no permit to send within its limit is granted.
+    pub no_permit_until: Time,
+    /// Whether the answer to a request for a permit is outstanding.
+    pub is_asking: bool,
     remote: RemoteLoad,
     /// Prompt parts that were sent there, with the time of their last use. Sorted by part.
     cached_parts: Vec<(u64, Time)>,
@@ -112,6 +116,8 @@
             health: Health::default(),
             slowdown: Slowdown::default(),
             limit: rate_limit::Limit::default(),
+            no_permit_until: Time(0),
+            is_asking: false,
             remote: RemoteLoad::default(),
             cached_parts: Vec::new(),
         }
@@ -122,6 +128,11 @@
         *self.entry.pool == *pool && self.entry.state == registry::State::Ready
     }
 
+    /// Returns whether its rate limit may leave room for a request.
+    pub fn may_have_room(&self, now: Time) -> bool {
+        self.limit.rate().is_none() || (!self.is_asking && now >= self.no_permit_until)
+    }
+
     /// Returns whether it is ejected after a failure, or has sent nothing during answers for too
     /// long.
     pub fn is_ejected(&self, now: Time) -> bool {
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -23,7 +23,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{mpsc, watch},
     task::LocalSet,
 };
 
@@ -197,7 +197,8 @@
         entries.push(upstream(index, script, counters).await);
     }
     let (_entries, upstreams) = watch::channel(Rc::new(entries));
-    let dispatcher = Dispatcher::spawn("host".into(), "a".into(), upstreams);
+    let dispatcher =
+        Dispatcher::spawn("host".into(), "a".into(), upstreams, mpsc::unbounded_channel().0);
     let budget_config =
         retry_budget::Limits { window: Span::from_ms(10_000), ratio: 0.2, allowance: 1_000.0 };
     let meter = Meter::new(Span::from_ms(60_000), "host-1");
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -236,7 +236,10 @@
     ) {
         let (sender, upstreams) = watch::channel(Rc::default());
         let (calls_sender, mut requests) = mpsc::channel(256);
-        tokio::spawn(peers::serve(listener, calls_sender));
+        tokio::spawn(peers::serve(
+            listener,
+            peers::Mailboxes { calls: calls_sender, permits: mpsc::channel(1).0 },
+        ));
         let (passed, calls) = mpsc::channel(256);
         let (gate, mut is_open) = watch::channel(true);
         self.gates.push(gate);
@@ -247,7 +250,12 @@
                 let _ = passed.send(request).await;
             }
         });
-        let dispatcher = Dispatcher::spawn(host.id.as_str().into(), "a".into(), upstreams.clone());
+        let dispatcher = Dispatcher::spawn(
+            host.id.as_str().into(),
+            "a".into(),
+            upstreams.clone(),
+            mpsc::unbounded_channel().0,
+        );
         let store = MemoryStore { host: index, ..self.store.clone() };
         let metrics = Metrics::open().expect("the names of metrics are unique");
         let options = fleet_state::Options {
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -5,14 +5,15 @@
 use almondrack::{
     error::Kind,
     serving::{
-        key::TicketKey,
+        key::{TicketKey, UpstreamKey},
         messages::Load,
-        placement::{Action, Placement},
+        placement::{Action, Placement, Ticket},
+        rate_limit::{Decision, Limit, Named, Rate},
         registry::State,
         tier::{self, TIERS},
         upstream_state::incarnation_id,
     },
-    time::Span,
+    time::{Span, Time},
     wire::Ending,
 };
 use expect_test::expect;
@@ -221,3 +222,122 @@
         other => panic!("expected a refusal: {other:?}"),
     }
 }
+
+/// A host whose first request taught it that the only two engines take two requests a second.
+fn host_before_limited_engines() -> Placement {
+    let mut host = host("host", &engines(2));
+    let mut actions = Vec::new();
+    for number in 1..=2 {
+        let mut ticket = ticket(number, prompt(&[], 0, 100));
+        ticket.tried = vec![UpstreamKey(3 - number as u32)];
+        let (_, attempt) = place(&mut host, at(0), &ticket);
+        let named = Named::Rate(Rate::new(2.0).expect("the rate is valid"));
+        host.limit_named(at(10), (attempt, at(0)), named, &mut actions);
+        host.attempt_ended(at(10), attempt, Ending::Done);
+    }
+    assert!(actions.is_empty(), "{actions:?}");
+    host
+}
+
+/// Submits a request with a target of 1,000 ms and returns the upstream of which it needs a permit.
+fn ask(host: &mut Placement, now: Time, number: u64) -> UpstreamKey {
+    let mut actions = Vec::new();
+    host.submit(now, &limited_ticket(number), &mut actions);
+    match actions.pop() {
+        Some(Action::Ask(key, upstream, _)) if key == TicketKey(number) => upstream,
+        other => panic!("no permit was requested: {other:?}"),
+    }
+}
+
+fn limited_ticket(number: u64) -> Ticket {
+    Ticket { target: at(1_000), ..ticket(number, prompt(&[], 0, 100)) }
+}
+
+/// Answers the request for a permit and returns what follows.
+fn answer(
+    host: &mut Placement,
+    (now, asked_at): (Time, Time),
+    (number, upstream): (u64, UpstreamKey),
+    decision: Decision,
+) -> Vec<Action> {
+    let mut actions = Vec::new();
+    let ids = (TicketKey(number), upstream);
+    host.permit_answered(now, ids, asked_at, (decision, Limit::default()), &mut actions);
+    actions
+}
+
+#[test]
+fn a_limited_engine_gets_a_request_only_with_a_permit_that_is_fresh() {
+    let mut host = host_before_limited_engines();
+    let upstream = ask(&mut host, at(100), 3);
+    let granted = answer(&mut host, (at(110), at(100)), (3, upstream), Decision::Granted);
+    let [Action::Grant(_, grant)] = granted.as_slice() else { panic!("{granted:?}") };
+    assert_eq!((grant.upstream, grant.send_by), (upstream, Some(at(400))));
+    // The host stood still between the question and the answer.
+    let upstream = ask(&mut host, at(500), 4);
+    let late = answer(&mut host, (at(900), at(500)), (4, upstream), Decision::Granted);
+    assert!(matches!(late.as_slice(), [Action::Ask(..)]), "{late:?}");
+}
+
+#[test]
+fn a_request_without_a_permit_goes_elsewhere_then_waits_then_is_refused_with_the_time_of_room() {
+    let mut host = host_before_limited_engines();
+    let first = ask(&mut host, at(100), 3);
+    let denied = Decision::Denied(Span::from_ms(300));
+    let actions = answer(&mut host, (at(110), at(100)), (3, first), denied);
+    let [Action::Ask(_, second, _)] = actions.as_slice() else { panic!("{actions:?}") };
+    assert_ne!(first, *second);
+    let actions = answer(&mut host, (at(120), at(110)), (3, *second), denied);
+    assert!(actions.is_empty(), "the request waits: {actions:?}");
+    // A place comes at 410 ms.
+    let mut actions = Vec::new();
+    host.place_waiting(at(405), &mut actions);
+    assert!(actions.is_empty(), "{actions:?}");
+    host.place_waiting(at(410), &mut actions);
+    let [Action::Ask(_, again, _)] = actions.as_slice() else { panic!("{actions:?}") };
+    assert_eq!(*again, first);
+    // No place comes in time.
+    let long = Decision::Denied(Span::from_ms(5_000));
+    let actions = answer(&mut host, (at(420), at(410)), (3, first), long);
+    let [Action::Ask(_, second, _)] = actions.as_slice() else { panic!("{actions:?}") };
+    let actions = answer(&mut host, (at(430), at(420)), (3, *second), long);
+    let [Action::Refuse(_, Kind::Shed, Some(delay))] = actions.as_slice() else {
+        panic!("{actions:?}")
+    };
+    assert!((4_990..=9_980).contains(&delay.as_ms()), "{delay:?}");
+}
+
+#[test]
+fn waiting_requests_go_by_tier_and_not_after_their_callers_have_left() {
+    let mut host = host_before_limited_engines();
+    let denied = Decision::Denied(Span::from_ms(300));
+    let first = ask(&mut host, at(100), 3);
+    let actions = answer(&mut host, (at(100), at(100)), (3, first), denied);
+    let [Action::Ask(_, second, _)] = actions.as_slice() else { panic!("{actions:?}") };
+    answer(&mut host, (at(100), at(100)), (3, *second), denied);
+    let mut actions = Vec::new();
+    for (number, tier) in [(5, 7), (6, 1), (7, 3)] {
+        host.submit(at(110), &Ticket { tier, ..limited_ticket(number) }, &mut actions);
+    }
+    host.withdraw(TicketKey(6));
+    host.place_waiting(at(400), &mut actions);
+    let asked = actions.iter().map(|it| match it {
+        Action::Ask(ticket, ..) => ticket.0,
+        other => panic!("{other:?}"),
+    });
+    assert_eq!(asked.collect::<Vec<_>>(), [7, 3]);
+}
+
+#[test]
+fn an_engine_whose_limit_has_ended_needs_no_permit_and_the_limiters_hear_of_it() {
+    let mut host = host_before_limited_engines();
+    let upstream = ask(&mut host, at(100), 3);
+    let granted = answer(&mut host, (at(110), at(100)), (3, upstream), Decision::Granted);
+    let [Action::Grant(_, grant)] = granted.as_slice() else { panic!("{granted:?}") };
+    let mut actions = Vec::new();
+    host.limit_named(at(200), (grant.attempt, at(110)), Named::Nothing, &mut actions);
+    assert!(matches!(actions.as_slice(), [Action::Report(it)] if it.limit.rate().is_none()));
+    host.attempt_ended(at(200), grant.attempt, Ending::Done);
+    let ticket = Ticket { tried: vec![UpstreamKey(3 - upstream.0)], ..limited_ticket(4) };
+    assert_eq!(place(&mut host, at(300), &ticket).0, grant.instance.to_string());
+}
