--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -34,6 +34,7 @@
     LocalLoad(oneshot::Sender<LocalLoad>),
     RemoteLoads(Vec<messages::Load>),
     Permit(PermitAnswer),
+    RemoteLimits(Vec<(u64, rate_limit::Limit)>),
     Placed(Vec<messages::Placement>),
 }
 
@@ -44,6 +45,8 @@
     pub loads: Vec<messages::Load>,
     /// Prompt parts sent since the last report.
     pub placed: Vec<messages::Placement>,
+    /// Rate limits of upstreams, by incarnation.
+    pub limits: Vec<(u64, rate_limit::Limit)>,
 }
 
 /// Answer to the request for a permit.
@@ -142,6 +145,13 @@
         self.send(Message::RemoteLoads(loads));
     }
 
+    /// Records rate limits that another host reports, by incarnation.
+    pub fn merge_limits(&self, limits: Vec<(u64, rate_limit::Limit)>) {
+        if !limits.is_empty() {
+            self.send(Message::RemoteLimits(limits));
+        }
+    }
+
     /// Passes on the answer to a request for a permit.
     pub fn permit_answered(&self, answer: PermitAnswer) {
         self.send(Message::Permit(answer));
@@ -227,6 +237,7 @@
                 let load = LocalLoad {
                     loads: self.placement.local_loads(now),
                     placed: self.placement.take_placed(),
+                    limits: self.placement.limits(now),
                 };
                 // The receiver is dropped only when the host stops.
                 let _ = answer.send(load);
@@ -242,6 +253,7 @@
                     &mut self.actions,
                 );
             }
+            Message::RemoteLimits(limits) => self.placement.merge_limits(&limits),
             Message::RemoteLoads(loads) => self.placement.set_remote_loads(now, &loads),
         }
     }
--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -24,7 +24,7 @@
         messages,
         mirror::{Mirror, Update},
         peers::{Call, Peers},
-        placed_log,
+        placed_log, rate_limit,
         registry::{DecodeError, Entry},
         roster::{self, Roster},
         sync_client,
@@ -296,6 +296,7 @@
         peer_verified_at: None,
         upstream_list: upstream_list::List::default(),
         loads: Loads::default(),
+        limits: Vec::new(),
         placed: placed_log::Log::default(),
         role: role.subscribe(),
         store_reachable,
@@ -329,6 +330,8 @@
     peer_verified_at: Option<Time>,
     upstream_list: upstream_list::List,
     loads: Loads,
+    /// Rate limits of upstreams that this host knows, by incarnation.
+    limits: Vec<(u64, rate_limit::Limit)>,
     placed: placed_log::Log,
     role: watch::Receiver<Role>,
     /// Whether the store answered the last call since this host began to follow it.
@@ -373,6 +376,7 @@
             Message::Response(reply, sent_at, group) => self.apply_response(*reply, sent_at, group),
             Message::LocalLoad(load) => {
                 self.loads.set_own(load.loads);
+                self.limits = load.limits;
                 self.placed.add_own(load.placed);
                 let loads = self.loads.remote(Time::now(), self.role.borrow().is_hub());
                 self.dispatcher.set_remote_loads(loads);
@@ -405,6 +409,9 @@
     ) {
         let now = Time::now();
         self.upstream_list.outage_reported(now, Span(response.outage_grace_us));
+        if let Some(limits) = response.prefixes.get(Topic::ALL.len()) {
+            self.dispatcher.merge_limits(limits.limits(sent_at));
+        }
         for (topic, state) in Topic::ALL.into_iter().zip(response.prefixes) {
             let verified_at = state.age_us.map(|it| sent_at - Span(it));
             if topic == Topic::Configuration {
@@ -534,6 +541,9 @@
                 update: self.mirrors[index].since(after).map(encode_update),
             });
         }
+        if !self.limits.is_empty() {
+            prefixes.push(messages::Prefix::from_limits(now, &self.limits));
+        }
         let after = request.placed_after;
         let (loads, (placed, placed_next)) = match request.is_hub {
             // Hubs send each other no loads in requests, since each requests those of the others.
--- a/src/serving/messages.rs
+++ b/src/serving/messages.rs
@@ -5,7 +5,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::serving::tier::TIERS;
+use crate::{
+    serving::{
+        rate_limit::{Limit, Rate},
+        tier::TIERS,
+    },
+    time::{Span, Time},
+};
 
 /// A change of a key in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +45,36 @@
     pub update: Option<Update>,
 }
 
+impl Prefix {
+    /// Encodes rate limits, with the ids of the upstreams as keys, the ages in microseconds as revisions and the rates
+    /// as values.
+    pub fn from_limits(now: Time, limits: &[(u64, Limit)]) -> Prefix {
+        let change = |(upstream, limit): &(u64, Limit)| Change {
+            key: upstream.to_string(),
+            revision: limit.age(now).0,
+            value: limit.rate().map(|it| it.per_second().to_le_bytes().to_vec()),
+        };
+        let changes = limits.iter().map(change).collect();
+        Prefix { age_us: None, update: Some(Update { is_listing: true, changes, revision: 0 }) }
+    }
+
+    /// Decodes rate limits from the response to a request that was sent at `sent_at`. Leaves out those that are not
+    /// valid.
+    pub fn limits(&self, sent_at: Time) -> Vec<(u64, Limit)> {
+        let changes = self.update.iter().flat_map(|it| &it.changes);
+        let limit = |it: &Change| {
+            let rate = match &it.value {
+                Some(bytes) => {
+                    Some(Rate::new(f64::from_le_bytes(bytes.as_slice().try_into().ok()?))?)
+                }
+                None => None,
+            };
+            Some((it.key.parse().ok()?, Limit::new(rate, sent_at - Span(it.revision))))
+        };
+        changes.filter_map(limit).collect()
+    }
+}
+
 /// Attempts in progress at one upstream, as sent by one or more hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -107,7 +143,8 @@
     /// Remaining time in which upstreams rewrite their entries after an outage of the store, in
     /// microseconds.
     pub outage_grace_us: u64,
-    /// One for each followed prefix.
+    /// One for each followed prefix, and one with the rate limits of upstreams if there are any, which hosts of earlier
+    /// versions ignore.
     pub prefixes: Vec<Prefix>,
     /// Loads of all other hosts, or of the responding host's group if the requesting host is a hub.
     pub loads: Vec<Load>,
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -47,6 +47,9 @@
 /// Callers return spread over this time.
 const RETRY_SPREAD: f64 = 1.0;
 
+/// Limits that are kept of incarnations which are not listed.
+const MAX_UNLISTED_LIMITS: usize = 1_024;
+
 /// Retry delay returned when no upstream is ready; one usually returns within this time.
 const NO_UPSTREAM_RETRY_AFTER: Span = Span::from_ms(500);
 
@@ -170,6 +173,8 @@
     placed: Vec<messages::Placement>,
     /// Sorted by tier, then in the order of arrival.
     waiting: Vec<WaitingTicket>,
+    /// Limits of incarnations that are not listed now, as an entry can lapse while its upstream goes on.
+    unlisted_limits: Vec<(u64, rate_limit::Limit)>,
 }
 
 impl Placement {
@@ -185,6 +190,7 @@
             demands: Vec::new(),
             placed: Vec::new(),
             waiting: Vec::new(),
+            unlisted_limits: Vec::new(),
         }
     }
 
@@ -196,13 +202,23 @@
                 state.entry = entry.clone();
                 true
             }
-            None => false,
+            None => {
+                if state.limit.rate().is_some() {
+                    self.unlisted_limits.push((state.incarnation, state.limit));
+                }
+                false
+            }
         });
         for entry in listed.into_values() {
             self.last_upstream += 1;
-            self.upstreams
-                .push((UpstreamKey(self.last_upstream), upstream_state::State::new(entry.clone())));
+            let mut state = upstream_state::State::new(entry.clone());
+            if let Some(at) = self.unlisted_limits.iter().position(|it| it.0 == state.incarnation) {
+                state.limit = self.unlisted_limits.swap_remove(at).1;
+            }
+            self.upstreams.push((UpstreamKey(self.last_upstream), state));
         }
+        let excess = self.unlisted_limits.len().saturating_sub(MAX_UNLISTED_LIMITS);
+        self.unlisted_limits.drain(..excess);
     }
 
     /// Places a ticket and appends the decision to `actions`.
@@ -351,6 +367,23 @@
         }
     }
 
+    /// Returns the rate limits that other hosts need to know, by incarnation.
+    pub fn limits(&self, now: Time) -> Vec<(u64, rate_limit::Limit)> {
+        let limits = self.upstreams.iter().map(|(_, it)| (it.incarnation, it.limit));
+        limits.filter(|it| it.1.is_news(now)).collect()
+    }
+
+    /// Records the rate limits that another host reports.
+    pub fn merge_limits(&mut self, limits: &[(u64, rate_limit::Limit)]) {
+        for (incarnation, limit) in limits {
+            let known = self.upstreams.iter_mut().find(|it| it.1.incarnation == *incarnation);
+            if let Some((_, upstream)) = known {
+                let change = upstream.limit.merge(*limit);
+                log_change(&upstream.entry, change, "as another host reports");
+            }
+        }
+    }
+
     /// Records the end of an attempt. Attempts that have already ended are ignored.
     pub fn attempt_ended(&mut self, now: Time, attempt: AttemptKey, ending: Ending) {
         let Some(running) = self.running.remove(&attempt) else { return };
--- a/src/serving/rate_limit.rs
+++ b/src/serving/rate_limit.rs
@@ -64,6 +64,11 @@
         Limit { rate, heard_at }
     }
 
+    /// Whether other hosts need to know of it: a limit, or the end of one that was heard not long ago.
+    pub fn is_news(self, now: Time) -> bool {
+        self.rate.is_some() || (self.heard_at > Time(0) && self.age(now) < ENDED_LIFETIME)
+    }
+
     /// Time since the limit was heard of.
     pub fn age(self, now: Time) -> Span {
         now.since(self.heard_at)
@@ -122,6 +127,9 @@
     buckets: Vec<(u64, Bucket)>,
 }
 
+/// Time for which hosts tell each other that a limit has ended.
+const ENDED_LIFETIME: Span = Span::from_ms(30_000);
+
 /// Part of a rate that each rank grants. All hosts ask the first rank while it answers.
 const RANK_SHARES: [f64; RANKS] = [1.0, 0.2, 0.1];
 
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -6,7 +6,7 @@
     error::Kind,
     serving::{
         key::{TicketKey, UpstreamKey},
-        messages::Load,
+        messages::{Change, Load, Prefix},
         placement::{Action, Placement, Ticket},
         rate_limit::{Decision, Limit, Named, Rate},
         registry::State,
@@ -341,3 +341,33 @@
     let ticket = Ticket { tried: vec![UpstreamKey(3 - upstream.0)], ..limited_ticket(4) };
     assert_eq!(place(&mut host, at(300), &ticket).0, grant.instance.to_string());
 }
+
+#[test]
+fn a_limit_reaches_hosts_that_did_not_hear_it_and_outlives_a_lapsed_entry() {
+    let engines = engines(1);
+    let incarnation = incarnation_id(&engines[0]);
+    let rate = Rate::new(2.0);
+    let news = Prefix::from_limits(at(1_000), &[(incarnation, Limit::new(rate, at(900)))]);
+    let limits = news.limits(at(980));
+    assert_eq!(limits, [(incarnation, Limit::new(rate, at(880)))]);
+    let mut host = host("host", &engines);
+    host.merge_limits(&limits);
+    ask(&mut host, at(1_000), 1);
+    host.set_upstreams(&[]);
+    host.set_upstreams(&engines);
+    ask(&mut host, at(1_100), 2);
+    assert_eq!(host.limits(at(1_100)), limits);
+}
+
+#[test]
+fn limits_that_cannot_be_decoded_are_left_out() {
+    let mut news = Prefix::from_limits(at(1_000), &[(1, Limit::new(Rate::new(2.0), at(900)))]);
+    let changes = &mut news.update.as_mut().expect("there are limits").changes;
+    let bad = |value: Option<Vec<u8>>, key: &str| Change { value, key: key.into(), revision: 1 };
+    changes.push(bad(Some(vec![1, 2, 3]), "2"));
+    changes.push(bad(Some(f64::NAN.to_le_bytes().to_vec()), "3"));
+    changes.push(bad(None, "no number"));
+    changes.push(bad(None, "4"));
+    let upstreams: Vec<_> = news.limits(at(1_000)).into_iter().map(|it| it.0).collect();
+    assert_eq!(upstreams, [1, 4]);
+}
