Count the requests for permits by outcome

Cause: the log has a line when a limit is named, changes or ends and when no host answers about it, but the rate at which permits are granted and denied was not seen. Change: almondrack_permits_total{outcome}.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -50,6 +50,7 @@
     first_token: HistogramVec,
     store_calls: IntCounterVec,
     limited_sends: IntCounterVec,
+    permits: IntCounterVec,
     /// Requests accepted and not ended.
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
@@ -100,6 +101,11 @@
             "Requests sent to upstreams that name a rate limit, by attempt.",
             &["attempt"],
         )?;
+        let permits = counter(
+            "almondrack_permits_total",
+            "Requests of this host for permits to send to rate-limited upstreams, by outcome.",
+            &["outcome"],
+        )?;
         let opts = HistogramOpts::new(
             "almondrack_first_token_seconds",
             "Time from acceptance to the first token or byte.",
@@ -119,6 +125,7 @@
             first_token,
             store_calls,
             limited_sends,
+            permits,
             in_flight,
             revision,
         })
@@ -153,6 +160,11 @@
         self.limited_sends.with_label_values(&[attempt]).inc();
     }
 
+    /// Counts a request for a permit: `granted`, `denied` or `unanswered`.
+    pub fn permit_asked(&self, outcome: &str) {
+        self.permits.with_label_values(&[outcome]).inc();
+    }
+
     /// Number of calls to the platform's store so far, by cause, call and outcome, for a log line.
     pub fn store_calls(&self) -> String {
         let families = self.store_calls.collect();
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -150,6 +150,7 @@
             messages,
             calls: permits,
             dispatcher: dispatcher.clone(),
+            metrics: metrics.clone(),
         });
         let links = connection_cache::Cache::default();
         task::spawn_local(sweep(links.clone()));
--- a/src/serving/limiter.rs
+++ b/src/serving/limiter.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::{
+    metrics::Metrics,
     serving::{
         dispatcher::{Dispatcher, PermitAnswer},
         key::{TicketKey, UpstreamKey},
@@ -46,15 +47,18 @@
     pub calls: mpsc::Receiver<PermitCall>,
     /// Receives the answers.
     pub dispatcher: Dispatcher,
+    /// Metrics of this host.
+    pub metrics: Metrics,
 }
 
 /// Spawns the task on the current thread.
 pub fn spawn(options: Options) {
-    let Options { host, roster, mut messages, mut calls, dispatcher } = options;
+    let Options { host, roster, mut messages, mut calls, dispatcher, metrics } = options;
     let task = Rc::new(Task {
         host,
         roster,
         dispatcher,
+        metrics,
         limiter: RefCell::default(),
         peers: Peers::default(),
         skipped: RefCell::default(),
@@ -79,6 +83,7 @@
     host: String,
     roster: watch::Receiver<Rc<Roster>>,
     dispatcher: Dispatcher,
+    metrics: Metrics,
     limiter: RefCell<Limiter>,
     peers: Peers,
     /// Hosts that did not answer, each with the time until which it is not asked.
@@ -91,6 +96,11 @@
             Message::Ask(ticket, upstream, ask) => {
                 let asked_at = Time::now();
                 let response = self.call(request(asked_at, ask, false)).await;
+                self.metrics.permit_asked(match response {
+                    Some(response) if response.granted => "granted",
+                    Some(_) => "denied",
+                    None => "unanswered",
+                });
                 let answer = match response {
                     Some(response) => answer((ticket, upstream, asked_at), response),
                     None => {
