Place waiting requests before new ones, and end limits by successes only

Cause: by reading. A request that arrived just when a permit was to be had was placed before more urgent ones that waited for it, as those looked again only each 20 ms. Each look also compared all upstreams of the pool although none had room. And a failure without the header ended a limit, which an upstream may send before it looks at its load.

--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -359,8 +359,8 @@
         }
     }
 
-    /// Records the rate limit that a response of the upstream names. A refusal without one does not end a limit, as the
-    /// upstream may refuse before it looks at its load.
+    /// Records the rate limit that a response of the upstream names. A refusal or failure without one does not end a
+    /// limit, as it may come from before the upstream looked at its load.
     fn record_limit(
         &self,
         grant: &Grant,
@@ -370,9 +370,9 @@
     ) {
         let named = self.shared.dialect.named_limit(head);
         match (verdict, named) {
-            (Verdict::Misdirected | Verdict::Invalid, _)
-            | (Verdict::NotRun, rate_limit::Named::Nothing) => {}
-            (Verdict::Valid | Verdict::NotRun, rate_limit::Named::Invalid) => {
+            (Verdict::Misdirected | Verdict::Invalid, _) => {}
+            (_, rate_limit::Named::Nothing) if !head.status.is_success() => {}
+            (_, rate_limit::Named::Invalid) => {
                 log::warn!("upstream {} names a limit that is no rate; ignored", grant.instance);
             }
             (Verdict::Valid | Verdict::NotRun, named) => guard.record_limit(sent_at, named),
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -126,8 +126,8 @@
 #[derive(Debug)]
 struct WaitingTicket {
     ticket: Ticket,
-    /// Time after which the request would be late and is refused.
-    start_by: Time,
+    /// Time after which the request would be late and is refused; `None` before the first attempt to place it.
+    start_by: Option<Time>,
     /// Whether the answer to a request for a permit is outstanding.
     is_asking: bool,
 }
@@ -137,8 +137,8 @@
 enum Choice {
     /// To this upstream.
     Upstream(Candidate),
-    /// Nowhere before this time, as rate limits leave no room; the best upstream then.
-    Later(Time, Candidate),
+    /// Nowhere before this time, as rate limits leave no room.
+    Later(Time),
     /// Nowhere.
     Nothing,
 }
@@ -224,7 +224,12 @@
     /// Places a ticket and appends the decision to `actions`.
     pub fn submit(&mut self, now: Time, ticket: &Ticket, actions: &mut Vec<Action>) {
         self.demand_mut(&ticket.pool).observe(now, ticket);
-        self.place(now, ticket, None, actions);
+        if self.waiting.is_empty() {
+            self.place(now, ticket, None, actions);
+        } else {
+            self.wait(ticket, None, false);
+            self.place_waiting(now, actions);
+        }
     }
 
     /// Places a ticket, makes it wait or refuses it. `start_by` is set if it has waited already.
@@ -252,13 +257,17 @@
                     tier: tier_index(ticket),
                 };
                 actions.push(Action::Ask(ticket.key, best.key, ask));
-                let start_by = start_by.unwrap_or_else(|| latest_start(now, ticket, best));
-                self.wait(ticket, start_by, true);
+                let start_by =
+                    start_by.unwrap_or_else(|| latest_start(now, ticket, best.expected_first_byte));
+                self.wait(ticket, Some(start_by), true);
             }
-            Choice::Later(room_at, best) => {
-                let start_by = start_by.unwrap_or_else(|| latest_start(now, ticket, best));
+            Choice::Later(room_at) => {
+                let start_by = start_by.unwrap_or_else(|| {
+                    let best = self.best(now, ticket, self.untried(ticket).collect());
+                    latest_start(now, ticket, best.map_or(Span(0), |it| it.expected_first_byte))
+                });
                 if room_at.max(now) <= start_by {
-                    self.wait(ticket, start_by, false);
+                    self.wait(ticket, Some(start_by), false);
                 } else {
                     let delay = spread(ticket, room_at.since(now));
                     actions.push(Action::Refuse(ticket.key, Kind::Shed, Some(delay)));
@@ -272,7 +281,7 @@
         }
     }
 
-    fn wait(&mut self, ticket: &Ticket, start_by: Time, is_asking: bool) {
+    fn wait(&mut self, ticket: &Ticket, start_by: Option<Time>, is_asking: bool) {
         let order = |it: &Ticket| (it.tier, it.key);
         let at = self.waiting.partition_point(|it| order(&it.ticket) < order(ticket));
         self.waiting.insert(at, WaitingTicket { ticket: ticket.clone(), start_by, is_asking });
@@ -310,7 +319,7 @@
                     grant.send_by = Some(asked_at + rate_limit::PERMIT_LIFETIME);
                     actions.push(Action::Grant(ticket, grant));
                 }
-                _ => self.place(now, &waiting.ticket, Some(waiting.start_by), actions),
+                _ => self.place(now, &waiting.ticket, waiting.start_by, actions),
             }
         }
         self.place_waiting(now, actions);
@@ -322,7 +331,7 @@
             std::mem::take(&mut self.waiting).into_iter().partition(|it| it.is_asking);
         self.waiting = asking;
         for it in ready {
-            self.place(now, &it.ticket, Some(it.start_by), actions);
+            self.place(now, &it.ticket, it.start_by, actions);
         }
     }
 
@@ -476,22 +485,26 @@
         }
     }
 
-    /// Selects the upstream with the least cost. Ejected upstreams are considered only if all are, and those whose rate
-    /// limits leave no room only if there are no others.
+    /// Selects the upstream with the least cost among those whose rate limits may leave room.
     fn choose(&self, now: Time, ticket: &Ticket) -> Choice {
-        let serving = self.serving(&ticket.pool).filter(|(key, _)| !ticket.tried.contains(key));
         let (open, full): (Vec<_>, Vec<_>) =
-            serving.partition(|(_, upstream)| upstream.may_have_room(now));
+            self.untried(ticket).partition(|(_, upstream)| upstream.may_have_room(now));
         if let Some(best) = self.best(now, ticket, open) {
             return Choice::Upstream(best);
         }
         let room_at = full.iter().map(|it| it.1.no_permit_until).min();
-        match (room_at, self.best(now, ticket, full)) {
-            (Some(room_at), Some(best)) => Choice::Later(room_at, best),
-            _ => Choice::Nothing,
-        }
+        room_at.map_or(Choice::Nothing, Choice::Later)
+    }
+
+    /// Returns the upstreams of a ticket's pool to which the request was not sent yet.
+    fn untried<'a>(
+        &'a self,
+        ticket: &'a Ticket,
+    ) -> impl Iterator<Item = &'a (UpstreamKey, upstream_state::State)> + 'a {
+        self.serving(&ticket.pool).filter(|(key, _)| !ticket.tried.contains(key))
     }
 
+    /// Selects among upstreams. Ejected ones are considered only if all are.
     fn best<'a>(
         &'a self,
         now: Time,
@@ -633,9 +646,9 @@
 }
 
 /// Returns the time by which a request must be sent to meet its target, or its deadline once the target has passed.
-fn latest_start(now: Time, ticket: &Ticket, best: Candidate) -> Time {
+fn latest_start(now: Time, ticket: &Ticket, expected_first_byte: Span) -> Time {
     let end = if now < ticket.target { ticket.target } else { ticket.deadline };
-    end - best.expected_first_byte
+    end - expected_first_byte
 }
 
 /// Returns a retry delay that differs by ticket, not below the given one.
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -328,6 +328,19 @@
     assert_eq!(asked.collect::<Vec<_>>(), [7, 3]);
 }
 
+#[test]
+fn a_request_that_arrives_when_there_is_room_does_not_pass_a_more_urgent_one_that_waits() {
+    let mut host = host_before_limited_engines();
+    let denied = Decision::Denied(Span::from_ms(300));
+    let first = ask(&mut host, at(100), 3);
+    let actions = answer(&mut host, (at(100), at(100)), (3, first), denied);
+    let [Action::Ask(_, second, _)] = actions.as_slice() else { panic!("{actions:?}") };
+    answer(&mut host, (at(100), at(100)), (3, *second), Decision::Denied(Span::from_ms(900)));
+    let mut actions = Vec::new();
+    host.submit(at(400), &Ticket { tier: 9, ..limited_ticket(4) }, &mut actions);
+    assert!(matches!(actions.as_slice(), [Action::Ask(TicketKey(3), ..)]), "{actions:?}");
+}
+
 #[test]
 fn an_engine_whose_limit_has_ended_needs_no_permit_and_the_limiters_hear_of_it() {
     let mut host = host_before_limited_engines();
