Refuse requests while a stopping host writes its last counts

Cause: once no connection was open the host wrote its last usage counts, for up to 0.5 s, and still accepted connections and requests; then it closed all connections. Change: requests that come while the counts are written are refused as not run, which also keeps them from running without being counted, and the host waits for their connections.

--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -256,13 +256,15 @@
         sleep(UNREADY_NOTICE_TIME).await;
         self.listener.set_stage(Stage::Draining);
         let limit = Span((self.grace.saturating_sub(EXIT_TIME)).as_micros() as u64);
-        while Time::now().since(start) < limit && !self.listener.connections.is_empty() {
-            sleep(DRAIN_INTERVAL).await;
-        }
-        let aborted = self.listener.connections.len();
+        self.wait_for_connections(start + limit).await;
+        // The counts are written only once, so that no further request may run.
+        self.reject_from.set(Time::now().min(self.reject_from.get()));
         if let Some(usage) = &self.usage {
             usage.close(FLUSH_TIMEOUT).await;
         }
+        // Connections that were accepted meanwhile still get their refusals.
+        self.wait_for_connections(start + limit).await;
+        let aborted = self.listener.connections.len();
         self.listener.set_stage(Stage::Closed);
         self.readiness.close();
         if let Some(metrics) = &self.metrics {
@@ -270,6 +272,13 @@
         }
         log::info!("host has stopped; {aborted} connections were aborted");
     }
+
+    /// Waits until no caller's connection is open, at most until `end`.
+    async fn wait_for_connections(&self, end: Time) {
+        while Time::now() < end && !self.listener.connections.is_empty() {
+            sleep(DRAIN_INTERVAL).await;
+        }
+    }
 }
 
 async fn bind(address: SocketAddr, content: Content) -> Result<page::Page> {
