Answer a request that may have run with its failure, not with a refusal

Cause: a request that failed at an upstream, was to be sent again and found no place got the error of the placement; its kind decides the status, whatever the error says about the run. Seen since limits refuse requests; 'no upstream' could do the same before, and a refusal by the second upstream. Only requests that may be repeated are sent again after such a failure. Change: the history of attempts remembers the failure that may have run and puts its kind in place of a refusal's.

--- a/src/serving/attempt_history.rs
+++ b/src/serving/attempt_history.rs
@@ -1,7 +1,7 @@
 //! Attempts of one request so far, and whether it may be sent again.
 
 use crate::{
-    error::{Kind, Run},
+    error::{Error, Kind, Run},
     serving::{key::UpstreamKey, table::RetryPolicy},
     time::{Span, Time},
 };
@@ -57,6 +57,8 @@
 pub struct History {
     /// Attempts that an upstream has run or may have run.
     runs: u32,
+    /// Kind of the last failure of an attempt that an upstream has run or may have run.
+    run_failure: Option<Kind>,
     /// Sends so far, whether or not they reached an upstream.
     sends: u32,
     /// Upstreams to which the request was sent.
@@ -84,7 +86,20 @@
 
     /// Records the failure of an attempt.
     pub fn record_failure(&mut self, failure: Failure) {
-        self.runs += u32::from(failure.run != Run::No);
+        if failure.run != Run::No {
+            self.runs += 1;
+            self.run_failure = Some(failure.kind);
+        }
+    }
+
+    /// Returns the error for the caller. The kind of a refusal says that the request did not run; if an upstream may
+    /// have run it, the kind of that attempt's failure takes its place.
+    pub fn caller_error(&self, error: Error) -> Error {
+        if self.run_status() == Run::No {
+            return error;
+        }
+        let kind = self.run_failure.unwrap_or(Kind::UpstreamCut);
+        Error::new(kind, error.message).with_run(self.run_status())
     }
 
     /// Returns whether any upstream may have run the request.
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -217,7 +217,7 @@
             let placed = timeout(time_left.into(), self.shared.dispatcher.submit(ticket)).await;
             let late = |_| Error::new(Kind::QueueTimeout, "no upstream was free in time");
             let placed = placed.map_err(late).flatten();
-            let (grant, guard) = placed.map_err(|error| error.with_run(history.run_status()))?;
+            let (grant, guard) = placed.map_err(|error| history.caller_error(error))?;
             if grant.limit.is_some() {
                 self.shared.metrics.limited_send(attempt_label(history, resume_after));
             }
@@ -545,10 +545,9 @@
 /// Returns the error for the caller after the last failed attempt. A request that did not run may be retried by the
 /// caller.
 fn final_error(failure: attempt_history::Failure, history: &attempt_history::History) -> Error {
-    let error =
-        Error::new(failure.kind, error_message(failure.kind)).with_run(history.run_status());
+    let error = Error::new(failure.kind, error_message(failure.kind));
     if history.run_status() != Run::No {
-        return error;
+        return history.caller_error(error);
     }
     let kind = match failure.kind {
         Kind::UpstreamConnect => Kind::NoUpstream,
--- a/tests/serving/attempt_history.rs
+++ b/tests/serving/attempt_history.rs
@@ -1,7 +1,7 @@
 //! Attempts of a request, and when it may be sent again.
 
 use almondrack::{
-    error::{Kind, Run},
+    error::{Error, Kind, Run},
     serving::{
         attempt_history::{self, RetryRules},
         key::UpstreamKey,
@@ -67,3 +67,16 @@
     assert!(history.may_retry(at(900), rules));
     assert!(!history.may_retry(at(990), rules));
 }
+
+#[test]
+fn a_refusal_after_an_attempt_that_may_have_run_does_not_say_that_nothing_ran() {
+    let refusal = || Error::new(Kind::Shed, "no room").with_retry_after_ms(100);
+    let mut history = attempt_history::History::default();
+    history.record_failure(attempt_history::Failure::refused(Kind::Shed));
+    assert_eq!(history.caller_error(refusal()), refusal());
+    history.record_failure(attempt_history::Failure::sent(Kind::UpstreamTimeout));
+    history.record_failure(attempt_history::Failure::unsent(Kind::UpstreamConnect));
+    let error = history.caller_error(refusal());
+    assert_eq!((error.kind, error.run), (Kind::UpstreamTimeout, Run::Unknown));
+    assert_eq!((error.kind.answer().status, error.retry_after_ms), (504, None));
+}
