Log and count cut attempts by their parts and the state of the answer

The logs could not tell whether ends of upstreams follow the requests with one part, their repeats, or chance: a request that was cut after the head of its answer wrote no line of its attempt, and no line named parts or said how much of the answer had arrived.

Adds parts and the decision about a retry to the lines of failed attempts, a line for an attempt that fails after the head, and the counter almondrack_cut_attempts_total{answer}.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -51,6 +51,7 @@
     store_calls: IntCounterVec,
     limited_sends: IntCounterVec,
     permits: IntCounterVec,
+    cut_attempts: IntCounterVec,
     /// Requests accepted and not ended.
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
@@ -106,6 +107,11 @@
             "Requests of this host for permits to send to rate-limited upstreams, by outcome.",
             &["outcome"],
         )?;
+        let cut_attempts = counter(
+            "almondrack_cut_attempts_total",
+            "Attempts that ended as the upstream closed the connection, by how much of the answer had arrived.",
+            &["answer"],
+        )?;
         let opts = HistogramOpts::new(
             "almondrack_first_token_seconds",
             "Time from acceptance to the first token or byte.",
@@ -126,6 +132,7 @@
             store_calls,
             limited_sends,
             permits,
+            cut_attempts,
             in_flight,
             revision,
         })
@@ -165,6 +172,12 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts an attempt whose connection the upstream closed: with `none` of the answer, after its `head`, or with a
+    /// stream `begun`.
+    pub fn attempt_cut(&self, answer: &str) {
+        self.cut_attempts.with_label_values(&[answer]).inc();
+    }
+
     /// Number of calls to the platform's store so far, by cause, call and outcome, for a log line.
     pub fn store_calls(&self) -> String {
         let families = self.store_calls.collect();
--- a/src/serving/dialect.rs
+++ b/src/serving/dialect.rs
@@ -30,6 +30,14 @@
     pub expected_output: Option<u32>,
 }
 
+impl Prompt {
+    /// Returns the ids of the parts that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> + '_ {
+        let count = self.parts.len().saturating_sub(1);
+        self.parts[..count].iter().map(|it| it.id)
+    }
+}
+
 /// Values read from the headers of a caller's request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CallerHeaders {
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -128,6 +128,13 @@
     fn log_id(&self) -> &str {
         self.id.to_str().unwrap_or("?")
     }
+
+    /// Returns the ids of the prompt's shared parts for log lines, `none` without any.
+    fn log_parts(&self) -> String {
+        let shared = self.prompt.iter().flat_map(Prompt::shared_parts);
+        let ids: Vec<_> = shared.map(|it| format!("{it:x}")).collect();
+        if ids.is_empty() { "none".to_owned() } else { ids.join(",") }
+    }
 }
 
 impl<D: Dialect> Exchange<D> {
@@ -172,6 +179,7 @@
                     Ok(upstream_response) => upstream_response,
                     Err(error) => return server_error.ok_or(error),
                 };
+            let instance = upstream_response.instance.clone();
             match self.caller_response(&request, &pool, &mut history, upstream_response).await {
                 Ok(response) if response.status.is_server_error() => {
                     if !self.may_retry(&request, &pool, &history, true) {
@@ -182,7 +190,16 @@
                 Ok(response) => return Ok(response),
                 Err(failure) => {
                     history.record_failure(failure);
-                    if !self.may_retry(&request, &pool, &history, true) {
+                    self.count_cut(failure, "head");
+                    let retry = self.may_retry(&request, &pool, &history, true);
+                    log::info!(
+                        "request {} failed at {instance} after the head of the answer: {}, parts {}, {}",
+                        request.log_id(),
+                        failure.kind.answer().name,
+                        request.log_parts(),
+                        retry_text(retry),
+                    );
+                    if !retry {
                         return server_error.ok_or(final_error(failure, &history));
                     }
                 }
@@ -227,16 +244,18 @@
                 Ok(response) => return Ok(response),
                 Err(failure) => {
                     history.record_failure(failure);
+                    self.count_cut(failure, "none");
                     let retry = self.may_retry(request, pool, history, failure.reached_upstream);
                     log::info!(
-                        "request {} failed at {}, first byte expected after {} ms: {} after {} ms, run {}, {}",
+                        "request {} failed at {}, first byte expected after {} ms: {} after {} ms, run {}, parts {}, {}",
                         request.log_id(),
                         grant.instance,
                         grant.expected_first_byte.as_ms(),
                         failure.kind.answer().name,
                         Time::now().since(sent_at).as_ms(),
                         failure.run.as_str(),
-                        if retry { "retrying" } else { "not retried" },
+                        request.log_parts(),
+                        retry_text(retry),
                     );
                     if !retry {
                         return Err(final_error(failure, history));
@@ -246,6 +265,13 @@
         }
     }
 
+    /// Counts an attempt that the upstream cut; `answer` says how much of the answer had arrived.
+    fn count_cut(&self, failure: attempt_history::Failure, answer: &str) {
+        if failure.kind == Kind::UpstreamCut {
+            self.shared.metrics.attempt_cut(answer);
+        }
+    }
+
     /// Whether a request may be retried. An attempt that reached an upstream makes the retry count against the retry
     /// budget.
     fn may_retry(
@@ -335,6 +361,7 @@
                     connection,
                     guard,
                     upstream: grant.upstream,
+                    instance: grant.instance.clone(),
                 })
             }
             Verdict::NotRun => {
@@ -455,6 +482,7 @@
         let (id, why) = (request.log_id(), failure.kind.answer().name);
         let after = after.map(|it| it.to_string());
         let event = after.as_deref().unwrap_or("none");
+        self.count_cut(failure, "begun");
         if request.route.retry_policy != RetryPolicy::Resume
             || !self.may_retry(request, pool, history, true)
         {
@@ -556,6 +584,10 @@
     Error { kind, ..error }.with_retry_after_ms(NOT_RUN_RETRY_AFTER_MS)
 }
 
+fn retry_text(retry: bool) -> &'static str {
+    if retry { "retrying" } else { "not retried" }
+}
+
 /// Label of the next attempt in metrics.
 fn attempt_label(history: &attempt_history::History, resume_after: Option<&str>) -> &'static str {
     match resume_after {
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -459,7 +459,7 @@
         upstream.pending_tokens[tier] += pending;
         upstream.running += 1;
         if let Some(prompt) = &ticket.prompt {
-            for part in shared_parts(prompt) {
+            for part in prompt.shared_parts() {
                 upstream.record_part(now, part);
                 self.placed.push(messages::Placement { part, upstream: upstream.incarnation });
             }
@@ -546,7 +546,7 @@
             return eligible;
         }
         // Requests with the same shared parts consider the same upstreams on all hosts.
-        let session = ticket.prompt.as_ref().and_then(|it| shared_parts(it).last());
+        let session = ticket.prompt.as_ref().and_then(|it| it.shared_parts().last());
         let session = session.map(u64::to_be_bytes);
         let seed = session.as_ref().map_or(self.host.as_bytes(), |it| it.as_slice());
         eligible
@@ -676,15 +676,9 @@
     (entry.id.clone(), entry.started_ms, entry.address)
 }
 
-/// Returns the parts of a prompt that other requests may share: all but the last one.
-fn shared_parts(prompt: &Prompt) -> impl Iterator<Item = u64> + '_ {
-    let count = prompt.parts.len().saturating_sub(1);
-    prompt.parts[..count].iter().map(|it| it.id)
-}
-
 /// Returns the first shared part; requests that have it in common prefer the same upstreams.
 fn affinity_part(prompt: &Prompt) -> Option<u64> {
-    shared_parts(prompt).next()
+    prompt.shared_parts().next()
 }
 
 /// Returns the time to prefill a whole prompt without cached parts.
--- a/src/serving/upstream_response.rs
+++ b/src/serving/upstream_response.rs
@@ -1,5 +1,7 @@
 //! Response of an upstream of which the body is still being received.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
@@ -23,6 +25,8 @@
     pub guard: AttemptGuard,
     /// Upstream that sends the response.
     pub upstream: UpstreamKey,
+    /// Id of the upstream, for log lines.
+    pub instance: Arc<str>,
 }
 
 impl Response {
