Refuse requests with content that crashes upstreams

Callers saw the upstreams of one pool crash one after the other, and their own requests cut, as each request with the deadly part was placed like any other, at any host, and repeated where its route allows it. Cause: the end of an upstream was charged to the upstream alone; nothing related it to what the requests on it held. The class: a request that harms whatever serves it is judged by the server's failures.

Hosts now keep evidence (crash_evidence): a crash is charged to the parts and to the whole of each request whose answer had not gone on, and an answer clears all of a request. Content is quarantined after three separate crashes without an answer in between (two if five upstreams ended) that no other content explains better: one charged with more of them, or one whose request had just begun to be answered. It is refused as not run, and tried again by few hosts after 30 s, 60 s and so on; after a second as long as no other request was answered between the crashes, since then the upstreams may be the cause. Suspects are not repeated and are placed away from others. A cut of an upstream that goes on answering is no crash. Hosts report evidence to their hub and get it with its sync responses, beside hosts of earlier versions.

The own path keeps its rule of two crashes of a fingerprint; both use suspicion::Suspects for the charges.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,6 +78,7 @@
 pub mod settings;
 pub mod sse;
 pub mod store;
+pub mod suspicion;
 pub mod tally;
 pub mod time;
 pub mod upstream;
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     dispatch::UpstreamKey,
+    suspicion::{Charge, CrashKey, Rules, Suspects},
     time::{Span, Time},
 };
 
@@ -18,13 +19,9 @@
 /// Time after which a suspect's crash no longer counts.
 const SUSPICION_TIMEOUT: Span = Span::from_ms(600_000);
 
-/// Maximum number of suspects, and maximum number of quarantined fingerprints.
+/// Maximum number of suspects, and of quarantined fingerprints.
 const MAX_ENTRIES: usize = 4_096;
 
-/// Identifies a crash of an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct CrashKey(u64);
-
 /// The last crash of an upstream.
 #[derive(Debug, Clone, Copy)]
 struct Crash {
@@ -34,24 +31,32 @@
     attributed: bool,
 }
 
-/// Crash during which a fingerprint was running on the upstream.
-#[derive(Debug, Clone, Copy)]
-struct Suspect {
-    crash: CrashKey,
-    at: Time,
-}
+/// Crashes after which a fingerprint is quarantined.
+const MAX_CRASHES: usize = 2;
 
 /// Suspected and quarantined fingerprints of a dispatcher.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Quarantine {
     crashes: BTreeMap<UpstreamKey, Crash>,
-    /// At most `MAX_ENTRIES`.
-    suspects: BTreeMap<u64, Suspect>,
+    suspects: Suspects<u64>,
     /// End of each quarantine. At most `MAX_ENTRIES`.
     quarantined: BTreeMap<u64, Time>,
     next_crash: u64,
 }
 
+impl Default for Quarantine {
+    fn default() -> Quarantine {
+        let rules =
+            Rules { min_interval: Span(0), lifetime: SUSPICION_TIMEOUT, max_suspects: MAX_ENTRIES };
+        Quarantine {
+            crashes: BTreeMap::new(),
+            suspects: Suspects::new(rules),
+            quarantined: BTreeMap::new(),
+            next_crash: 0,
+        }
+    }
+}
+
 impl Quarantine {
     /// Records that an attempt granted at `granted` ended with a crash of its upstream.
     ///
@@ -64,32 +69,27 @@
         fingerprint: u64,
     ) -> Option<Time> {
         let crash = self.crash_of(now, upstream, granted);
-        let earlier = self.suspects.get(&fingerprint).copied();
-        let earlier = earlier.filter(|it| now.since(it.at) < SUSPICION_TIMEOUT);
-        if let Some(earlier) = earlier {
-            if earlier.crash == crash.key {
-                return None;
-            }
-            self.attribute(upstream, crash.key);
-            let until = now + QUARANTINE_PERIOD;
-            self.insert(now, fingerprint, until);
-            return Some(until);
+        if crash.attributed && self.suspects.crashes(now, fingerprint) == 0 {
+            return None;
         }
-        if !crash.attributed {
-            self.evict(now);
-            self.suspects.insert(fingerprint, Suspect { crash: crash.key, at: now });
+        self.suspects.charge(now, fingerprint, Charge { crash: crash.key, at: now, began: false });
+        if self.suspects.crashes(now, fingerprint) < MAX_CRASHES {
+            return None;
         }
-        None
+        self.attribute(now, upstream, crash.key);
+        let until = now + QUARANTINE_PERIOD;
+        self.insert(now, fingerprint, until);
+        Some(until)
     }
 
     /// Clears a suspect whose request completed.
     pub fn record_success(&mut self, fingerprint: u64) {
-        self.suspects.remove(&fingerprint);
+        self.suspects.clear(fingerprint, Time(u64::MAX));
     }
 
     /// Quarantines a fingerprint until a time. An existing quarantine is never shortened.
     pub fn insert(&mut self, now: Time, fingerprint: u64, until: Time) {
-        self.suspects.remove(&fingerprint);
+        self.suspects.clear(fingerprint, Time(u64::MAX));
         self.evict(now);
         let end = self.quarantined.entry(fingerprint).or_insert(until);
         *end = until.max(*end);
@@ -102,7 +102,7 @@
 
     /// Returns whether a fingerprint ran on an upstream that crashed and has not completed since.
     pub fn is_suspect(&self, fingerprint: u64) -> bool {
-        self.suspects.contains_key(&fingerprint)
+        !self.suspects.charges(fingerprint).is_empty()
     }
 
     /// Returns the quarantined fingerprints and the ends of their quarantine.
@@ -133,23 +133,17 @@
     }
 
     /// Attributes a crash to a quarantined fingerprint and clears the other suspects of that crash.
-    fn attribute(&mut self, upstream: UpstreamKey, key: CrashKey) {
+    fn attribute(&mut self, now: Time, upstream: UpstreamKey, key: CrashKey) {
         if let Some(crash) = self.crashes.get_mut(&upstream) {
             crash.attributed = true;
         }
-        self.suspects.retain(|_, suspect| suspect.crash != key);
+        self.suspects.withdraw(key, now);
     }
 
     fn evict(&mut self, now: Time) {
-        if self.suspects.len() >= MAX_ENTRIES {
-            self.suspects.retain(|_, suspect| now.since(suspect.at) < SUSPICION_TIMEOUT);
-        }
         if self.quarantined.len() >= MAX_ENTRIES {
             self.quarantined.retain(|_, end| now < *end);
         }
-        while self.suspects.len() >= MAX_ENTRIES {
-            self.suspects.pop_first();
-        }
         while self.quarantined.len() >= MAX_ENTRIES {
             self.quarantined.pop_first();
         }
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -11,6 +11,7 @@
 use crate::{
     error::{Error, Kind},
     serving::{
+        crash_evidence::Reason,
         key::{AttemptKey, TicketKey, UpstreamKey},
         limiter, messages,
         placement::{Action, Grant, Placement, Ticket},
@@ -35,6 +36,10 @@
     RemoteLoads(Vec<messages::Load>),
     Permit(PermitAnswer),
     RemoteLimits(Vec<(u64, rate_limit::Limit)>),
+    Began(AttemptKey),
+    Proceeded(AttemptKey),
+    /// Evidence of another host, and a time at which it had not sent this yet.
+    RemoteEvidence(Time, messages::Evidence),
     Placed(Vec<messages::Placement>),
 }
 
@@ -47,6 +52,8 @@
     pub placed: Vec<messages::Placement>,
     /// Rate limits of upstreams, by incarnation.
     pub limits: Vec<(u64, rate_limit::Limit)>,
+    /// What other hosts need to know of content that crashes upstreams.
+    pub evidence: messages::Evidence,
 }
 
 /// Answer to the request for a permit.
@@ -81,6 +88,10 @@
     /// Time of the last bytes from the upstream, shared by all its connections.
     last_activity: Rc<Cell<Time>>,
     answered: Cell<bool>,
+    /// Whether the head of the response has arrived.
+    began: Cell<bool>,
+    /// Groups of complete events that were forwarded.
+    forwarded: Cell<u32>,
 }
 
 impl Dispatcher {
@@ -120,6 +131,8 @@
             ending: Ending::Cancelled,
             last_activity: grant.last_activity.clone(),
             answered: Cell::new(false),
+            began: Cell::new(false),
+            forwarded: Cell::new(0),
         };
         Ok((grant, guard))
     }
@@ -152,6 +165,13 @@
         }
     }
 
+    /// Merges evidence of another host about crashes. `sent_at` is a time at which it had not sent this yet.
+    pub fn merge_evidence(&self, sent_at: Time, news: messages::Evidence) {
+        if !news.is_empty() {
+            self.send(Message::RemoteEvidence(sent_at, news));
+        }
+    }
+
     /// Passes on the answer to a request for a permit.
     pub fn permit_answered(&self, answer: PermitAnswer) {
         self.send(Message::Permit(answer));
@@ -172,6 +192,25 @@
         }
     }
 
+    /// Records that the head of the upstream's response has arrived.
+    pub fn record_head(&self) {
+        self.began.set(true);
+    }
+
+    /// Records that complete events of a stream arrived. An upstream that crashes while it begins to answer gets no
+    /// further than the first ones.
+    pub fn record_events(&self) {
+        self.forwarded.set(self.forwarded.get().saturating_add(1));
+        if self.forwarded.get() == 2 {
+            self.dispatcher.send(Message::Proceeded(self.attempt));
+        }
+    }
+
+    /// Whether complete events of a stream arrived.
+    pub fn has_events(&self) -> bool {
+        self.forwarded.get() > 0
+    }
+
     /// Records what the response to the attempt, which was sent at `sent_at`, says about the upstream's rate limit.
     pub fn record_limit(&self, sent_at: Time, named: rate_limit::Named) {
         self.dispatcher.send(Message::Limit(self.attempt, sent_at, named));
@@ -185,6 +224,9 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
+        if self.began.get() && self.ending == Ending::Failed {
+            self.dispatcher.send(Message::Began(self.attempt));
+        }
         self.dispatcher.send(Message::Ended(self.attempt, self.ending));
     }
 }
@@ -238,6 +280,7 @@
                     loads: self.placement.local_loads(now),
                     placed: self.placement.take_placed(),
                     limits: self.placement.limits(now),
+                    evidence: self.placement.evidence_news(now),
                 };
                 // The receiver is dropped only when the host stops.
                 let _ = answer.send(load);
@@ -253,6 +296,11 @@
                     &mut self.actions,
                 );
             }
+            Message::Began(attempt) => self.placement.attempt_began(attempt),
+            Message::Proceeded(attempt) => self.placement.attempt_proceeded(now, attempt),
+            Message::RemoteEvidence(sent_at, news) => {
+                self.placement.merge_evidence(now, sent_at, &news);
+            }
             Message::RemoteLimits(limits) => self.placement.merge_limits(&limits),
             Message::RemoteLoads(loads) => self.placement.set_remote_loads(now, &loads),
         }
@@ -292,14 +340,27 @@
                 Action::Refuse(ticket, kind, delay) => {
                     let mut error = Error::new(kind, refusal_message(kind));
                     error.retry_after_ms = delay.map(|it| it.as_ms());
-                    if let Some(answer) = self.waiting.remove(&ticket) {
-                        // Fails if the request was cancelled, which needs no answer.
-                        let _ = answer.send(Err(error));
-                    }
+                    self.refuse(ticket, error);
+                }
+                Action::Quarantine(ticket, reason) => {
+                    let Reason { content, crashes, age, retry_after } = reason;
+                    let message = format!(
+                        "{crashes} upstreams crashed while they began to answer requests with {content}, the last {} ms ago",
+                        age.as_ms()
+                    );
+                    let error = Error::new(Kind::Quarantined, message);
+                    self.refuse(ticket, error.with_retry_after_ms(retry_after.as_ms()));
                 }
             }
         }
     }
+
+    fn refuse(&mut self, ticket: TicketKey, error: Error) {
+        if let Some(answer) = self.waiting.remove(&ticket) {
+            // Fails if the request was cancelled, which needs no answer.
+            let _ = answer.send(Err(error));
+        }
+    }
 }
 
 fn refusal_message(kind: Kind) -> &'static str {
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -17,11 +17,13 @@
 use crate::{
     error::{Error, Kind, Run},
     metrics::Metrics,
+    rendezvous,
     serving::{
         attempt_history::{self, RetryRules},
         buffer_memory,
         buffered::{self, LargeResponse},
         connection_cache,
+        crash_evidence::Content,
         dialect::{Dialect, Prompt, RouterHeaders, Verdict},
         dispatcher::{AttemptGuard, Dispatcher},
         key::TicketKey,
@@ -65,6 +67,8 @@
     pub last_event_id: Option<u64>,
     /// Description of the prompt, if the request is for an engine.
     pub prompt: Option<Prompt>,
+    /// What in the request may crash upstreams.
+    pub contents: Vec<Content>,
     /// Priority; tier 0 is served first.
     pub tier: u8,
     /// Customer of the request's key; `None` if the request has no valid key.
@@ -123,6 +127,26 @@
     tickets: Cell<u64>,
 }
 
+/// Returns what in a request may crash upstreams: each part of the prompt that other requests may share, and the request
+/// as a whole.
+pub fn contents(
+    customer: Option<&str>,
+    path: &str,
+    body: &[u8],
+    prompt: Option<&Prompt>,
+) -> Vec<Content> {
+    let parts = prompt.map_or(&[][..], |it| &it.parts);
+    let ids: Vec<_> = parts.iter().flat_map(|it| it.id.to_be_bytes()).collect();
+    let customer = customer.unwrap_or_default().as_bytes();
+    let hash = rendezvous::hash(&[customer, path.as_bytes(), body, &ids]);
+    let mut contents: Vec<_> =
+        prompt.iter().flat_map(|it| it.shared_parts()).map(Content::Part).collect();
+    contents.push(Content::Request(hash));
+    contents.sort_unstable();
+    contents.dedup();
+    contents
+}
+
 impl RoutedRequest {
     /// Returns the id for log lines, `?` if it is not visible ASCII.
     fn log_id(&self) -> &str {
@@ -355,6 +379,7 @@
         self.record_limit(grant, (&head, sent_at), verdict, &guard);
         match verdict {
             Verdict::Valid => {
+                guard.record_head();
                 let response = Response::from_parts(head, body);
                 Ok(upstream_response::Response {
                     http: response,
@@ -543,6 +568,7 @@
             target: request.accepted_at + Span::from_ms(request.route.target_ms),
             deadline: request.deadline,
             tried: history.tried.clone(),
+            contents: request.contents.clone(),
         }
     }
 
--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -263,6 +263,7 @@
         address: options.address,
         seeds: options.seeds.clone(),
         peers: Peers::default(),
+        report_peers: Peers::default(),
         roster: roster.clone(),
         revisions: revisions.clone(),
         verified: verified.clone(),
@@ -297,6 +298,8 @@
         upstream_list: upstream_list::List::default(),
         loads: Loads::default(),
         limits: Vec::new(),
+        evidence: messages::Evidence::default(),
+        evidence_at: Time(0),
         placed: placed_log::Log::default(),
         role: role.subscribe(),
         store_reachable,
@@ -332,6 +335,9 @@
     loads: Loads,
     /// Rate limits of upstreams that this host knows, by incarnation.
     limits: Vec<(u64, rate_limit::Limit)>,
+    /// What other hosts need to know of content that crashes upstreams.
+    evidence: messages::Evidence,
+    evidence_at: Time,
     placed: placed_log::Log,
     role: watch::Receiver<Role>,
     /// Whether the store answered the last call since this host began to follow it.
@@ -377,6 +383,8 @@
             Message::LocalLoad(load) => {
                 self.loads.set_own(load.loads);
                 self.limits = load.limits;
+                self.evidence = load.evidence;
+                self.evidence_at = Time::now();
                 self.placed.add_own(load.placed);
                 let loads = self.loads.remote(Time::now(), self.role.borrow().is_hub());
                 self.dispatcher.set_remote_loads(loads);
@@ -412,6 +420,10 @@
         if let Some(limits) = response.prefixes.get(Topic::ALL.len()) {
             self.dispatcher.merge_limits(limits.limits(sent_at));
         }
+        let evidence = response.prefixes.get(Topic::ALL.len() + 1);
+        if let Some(evidence) = evidence.and_then(messages::Prefix::evidence) {
+            self.dispatcher.merge_evidence(sent_at, evidence);
+        }
         for (topic, state) in Topic::ALL.into_iter().zip(response.prefixes) {
             let verified_at = state.age_us.map(|it| sent_at - Span(it));
             if topic == Topic::Configuration {
@@ -541,9 +553,13 @@
                 update: self.mirrors[index].since(after).map(encode_update),
             });
         }
-        if !self.limits.is_empty() {
+        if !self.limits.is_empty() || !self.evidence.is_empty() {
             prefixes.push(messages::Prefix::from_limits(now, &self.limits));
         }
+        if !self.evidence.is_empty() {
+            let evidence = self.evidence.clone().aged(now.since(self.evidence_at));
+            prefixes.push(messages::Prefix::from_evidence(&evidence));
+        }
         let after = request.placed_after;
         let (loads, (placed, placed_next)) = match request.is_hub {
             // Hubs send each other no loads in requests, since each requests those of the others.
--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -26,7 +26,7 @@
         buffered::LargeResponse,
         caller_connection::{self, RequestGuard},
         dialect::{CallerHeaders, Dialect},
-        exchange::{Body, CallerResponse, Exchange, RoutedRequest},
+        exchange::{self, Body, CallerResponse, Exchange, RoutedRequest},
         relay::Relay,
         request_metrics,
         table::{Customer, Route, Table},
@@ -166,7 +166,14 @@
     let time_limit = caller_headers.caller_timeout.map_or(timeout, |it| it.min(timeout));
     let headers =
         upstream_headers(&*handler.dialect, request.headers(), caller_headers.api_key.as_deref());
+    let contents = exchange::contents(
+        customer.as_ref().map(|it| &*it.name),
+        path,
+        &body,
+        caller_headers.prompt.as_ref(),
+    );
     let routed = RoutedRequest {
+        contents,
         id: caller_headers.id,
         method: request.method().clone(),
         path: path.to_owned(),
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -25,6 +25,7 @@
         leadership::{self, Leadership},
         limiter,
         listener::{Listener, Stage},
+        messages,
         page::{self, Content},
         peers, registration,
         registry::Entry,
@@ -47,6 +48,12 @@
 /// Capacity of the queue of other hosts' requests for permits.
 const PERMIT_QUEUE_CAPACITY: usize = 256;
 
+/// Capacity of the queue of other hosts' evidence about crashes.
+const EVIDENCE_QUEUE_CAPACITY: usize = 256;
+
+/// Assumed upper bound of the time for which a report of evidence is on its way.
+const REPORT_TIME: Span = Span::from_ms(200);
+
 /// Interval between sweeps of idle connections to upstreams.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -128,7 +135,13 @@
             .wrap_err_with(|| format!("cannot listen for other hosts on {}", settings.peers))?;
         let (calls_sender, calls) = mpsc::channel(SYNC_QUEUE_CAPACITY);
         let (permits_sender, permits) = mpsc::channel(PERMIT_QUEUE_CAPACITY);
-        let mailboxes = peers::Mailboxes { calls: calls_sender, permits: permits_sender };
+        let (evidence_sender, evidence) = mpsc::channel(EVIDENCE_QUEUE_CAPACITY);
+        task::spawn_local(merge_evidence(evidence, dispatcher.clone()));
+        let mailboxes = peers::Mailboxes {
+            calls: calls_sender,
+            permits: permits_sender,
+            evidence: evidence_sender,
+        };
         tokio::spawn(peers::serve(listener, mailboxes));
         let metrics = Metrics::open()?;
         let store = counted_store::Counted::new(ports.store, metrics.clone(), Cause::Registration);
@@ -310,6 +323,13 @@
     })
 }
 
+/// Passes on evidence about crashes that other hosts report.
+async fn merge_evidence(mut evidence: mpsc::Receiver<messages::Evidence>, dispatcher: Dispatcher) {
+    while let Some(news) = evidence.recv().await {
+        dispatcher.merge_evidence(Time::now() - REPORT_TIME, news);
+    }
+}
+
 /// Divides the retry budget by the number of registered hosts.
 async fn divide_retry_budget(
     budget: retry_budget::Budget,
--- a/src/serving/messages.rs
+++ b/src/serving/messages.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     serving::{
+        crash_evidence::Content,
         rate_limit::{Limit, Rate},
         tier::TIERS,
     },
@@ -75,6 +76,74 @@
     }
 }
 
+/// Key under which a response holds evidence about crashes.
+const EVIDENCE_KEY: &str = "crash-evidence";
+
+/// What a host knows of content that may crash upstreams. Stored as JSON in responses.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Contents whose state changed a short time ago, and all that are quarantined.
+    pub suspicions: Vec<Suspicion>,
+    /// Upstreams that are alive although they were thought to have crashed: the incarnation, and the time in
+    /// microseconds since a request was sent that they answered.
+    pub survivors: Vec<(u64, u64)>,
+}
+
+impl Evidence {
+    /// Whether it says nothing.
+    pub fn is_empty(&self) -> bool {
+        self.suspicions.is_empty() && self.survivors.is_empty()
+    }
+
+    /// The same evidence as of some time later.
+    #[must_use]
+    pub fn aged(mut self, by: Span) -> Evidence {
+        for suspicion in &mut self.suspicions {
+            suspicion.charges.iter_mut().for_each(|it| it.1 += by.0);
+            suspicion.cleared_age_us = suspicion.cleared_age_us.map(|it| it + by.0);
+        }
+        self.survivors.iter_mut().for_each(|it| it.1 += by.0);
+        self
+    }
+}
+
+/// Content that was running on upstreams when they crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspicion {
+    /// The content.
+    pub content: Content,
+    /// Hash of the name of its pool.
+    pub pool: u64,
+    /// Incarnations of the upstreams that crashed, each with the time since in microseconds, and whether it had begun to
+    /// answer a request with the content.
+    pub charges: Vec<(u64, u64, bool)>,
+    /// Whether requests with the content are refused.
+    pub is_quarantined: bool,
+    /// Whether other requests were answered between its first and last crash.
+    pub is_confirmed: bool,
+    /// Time since an answer cleared it in microseconds, `None` if none has.
+    pub cleared_age_us: Option<u64>,
+}
+
+impl Prefix {
+    /// Encodes evidence as JSON under a key of its own.
+    pub fn from_evidence(evidence: &Evidence) -> Prefix {
+        // A struct of numbers can always be encoded.
+        let value = serde_json::to_vec(evidence).ok();
+        let change = Change { key: EVIDENCE_KEY.to_owned(), revision: 0, value };
+        let update = Update { is_listing: true, changes: vec![change], revision: 0 };
+        Prefix { age_us: None, update: Some(update) }
+    }
+
+    /// Decodes evidence. `None` if there is none or it cannot be decoded.
+    pub fn evidence(&self) -> Option<Evidence> {
+        let change = self.update.as_ref()?.changes.first()?;
+        let value = change.value.as_ref().filter(|_| change.key == EVIDENCE_KEY)?;
+        let decoded = serde_json::from_slice(value);
+        decoded.inspect_err(|it| log::warn!("evidence of a host cannot be decoded: {it}")).ok()
+    }
+}
+
 /// Attempts in progress at one upstream, as sent by one or more hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -143,8 +212,8 @@
     /// Remaining time in which upstreams rewrite their entries after an outage of the store, in
     /// microseconds.
     pub outage_grace_us: u64,
-    /// One for each followed prefix, and one with the rate limits of upstreams if there are any, which hosts of earlier
-    /// versions ignore.
+    /// One for each followed prefix, one with the rate limits of upstreams, and one with evidence about crashes. The
+    /// last two are left out if there are none, and hosts of earlier versions ignore them.
     pub prefixes: Vec<Prefix>,
     /// Loads of all other hosts, or of the responding host's group if the requesting host is a hub.
     pub loads: Vec<Load>,
@@ -191,4 +260,7 @@
     /// Asks for a permit to send to an upstream that names a rate limit. Hosts of earlier versions
     /// close the connection.
     async fn permit(request: PermitRequest) -> PermitResponse;
+
+    /// Reports evidence about crashes. Hosts of earlier versions close the connection.
+    async fn report(evidence: Evidence);
 }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -39,6 +39,9 @@
 /// A request for a permit with the channel for its response.
 pub type PermitCall = (messages::PermitRequest, oneshot::Sender<messages::PermitResponse>);
 
+/// Time-out of a report of evidence, including a connect. It is repeated as long as it is news.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Mailboxes for the requests of other hosts.
 #[derive(Debug, Clone)]
 pub struct Mailboxes {
@@ -46,6 +49,8 @@
     pub calls: mpsc::Sender<Call>,
     /// Requests for permits.
     pub permits: mpsc::Sender<PermitCall>,
+    /// Evidence about crashes.
+    pub evidence: mpsc::Sender<messages::Evidence>,
 }
 
 /// Forwards the requests of other hosts to mailboxes and returns the responses.
@@ -74,6 +79,11 @@
         }
         response.await.unwrap_or_default()
     }
+
+    async fn report(self, _: context::Context, evidence: messages::Evidence) {
+        // Fails only while the host stops, when it sends nothing any more.
+        let _ = self.0.evidence.send(evidence).await;
+    }
 }
 
 /// Accepts connections of other hosts and forwards their requests to the mailboxes. Does not return.
@@ -135,6 +145,14 @@
         .await
     }
 
+    /// Reports evidence about crashes to a host. `None` if it failed or timed out; its connection is then closed.
+    pub async fn report(&self, address: SocketAddr, evidence: messages::Evidence) -> Option<()> {
+        self.exchange(address, REPORT_TIMEOUT, async move |client, context| {
+            client.report(context, evidence).await.ok()
+        })
+        .await
+    }
+
     async fn exchange<T>(
         &self,
         address: SocketAddr,
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -11,6 +11,7 @@
     error::Kind,
     rendezvous,
     serving::{
+        crash_evidence::{Content, Evidence, Reason, Verdict},
         demand,
         dialect::Prompt,
         key::{AttemptKey, TicketKey, UpstreamKey},
@@ -43,6 +44,9 @@
 /// Cost of sending a request to an upstream that another host has ejected.
 const REMOTE_EJECTION_PENALTY: Span = Span::from_ms(300);
 
+/// Cost of each request beside which a request is placed whose content may crash the upstream.
+const SUSPECT_COMPANY_PENALTY: Span = Span::from_ms(50);
+
 /// Longest additional retry delay after a refusal for the upstreams' rate limits, as a multiple of the delay itself.
 /// Callers return spread over this time.
 const RETRY_SPREAD: f64 = 1.0;
@@ -74,6 +78,8 @@
     pub deadline: Time,
     /// Upstreams of earlier attempts, which are not selected again.
     pub tried: Vec<UpstreamKey>,
+    /// What in the request may crash upstreams.
+    pub contents: Vec<Content>,
 }
 
 /// Permission to send a request to an upstream.
@@ -108,11 +114,18 @@
     Report(rate_limit::Ask),
     /// The request is refused, with the delay after which a retry may succeed.
     Refuse(TicketKey, Kind, Option<Span>),
+    /// The request is refused as its content crashes upstreams.
+    Quarantine(TicketKey, Reason),
 }
 
 #[derive(Debug)]
 struct RunningAttempt {
     upstream: UpstreamKey,
+    incarnation: u64,
+    pool: Arc<str>,
+    contents: Vec<Content>,
+    /// Whether the head of the answer has arrived.
+    began: bool,
     tier: usize,
     /// Prompt tokens that the engine still has to prefill; zero after the first event.
     pending_tokens: u64,
@@ -175,12 +188,14 @@
     waiting: Vec<WaitingTicket>,
     /// Limits of incarnations that are not listed now, as an entry can lapse while its upstream goes on.
     unlisted_limits: Vec<(u64, rate_limit::Limit)>,
+    evidence: Evidence,
 }
 
 impl Placement {
     /// Creates the placement of a host in an availability zone, without upstreams.
     pub fn new(host: Arc<str>, zone: Arc<str>) -> Placement {
         Placement {
+            evidence: Evidence::new(rendezvous::hash(&[host.as_bytes()])),
             host,
             zone,
             upstreams: Vec::new(),
@@ -240,7 +255,12 @@
         start_by: Option<Time>,
         actions: &mut Vec<Action>,
     ) {
-        match self.choose(now, ticket) {
+        let verdict = self.evidence.judge(now, &ticket.contents, !ticket.tried.is_empty());
+        if let Verdict::Quarantined(reason) = verdict {
+            actions.push(Action::Quarantine(ticket.key, reason));
+            return;
+        }
+        match self.choose(now, ticket, verdict == Verdict::Suspect) {
             Choice::Upstream(best) => {
                 let Some(upstream) = self.upstream_mut(best.key) else {
                     unreachable!("a selected candidate is one of the listed upstreams")
@@ -263,7 +283,7 @@
             }
             Choice::Later(room_at) => {
                 let start_by = start_by.unwrap_or_else(|| {
-                    let best = self.best(now, ticket, self.untried(ticket).collect());
+                    let best = self.best(now, ticket, self.untried(ticket).collect(), false);
                     latest_start(now, ticket, best.map_or(Span(0), |it| it.expected_first_byte))
                 });
                 if room_at.max(now) <= start_by {
@@ -311,6 +331,9 @@
         }
         if let Some(at) = self.waiting.iter().position(|it| it.ticket.key == ticket) {
             let waiting = self.waiting.remove(at);
+            let is_repeat = !waiting.ticket.tried.is_empty();
+            let verdict = self.evidence.judge(now, &waiting.ticket.contents, is_repeat);
+            is_granted &= !matches!(verdict, Verdict::Quarantined(_));
             let state = self.upstreams.binary_search_by_key(&upstream, |it| it.0);
             match state.map(|at| &self.upstreams[at].1) {
                 Ok(state) if is_granted && state.serves(&waiting.ticket.pool) => {
@@ -344,6 +367,7 @@
     pub fn attempt_answered(&mut self, now: Time, attempt: AttemptKey) {
         let Some(running) = self.running.get_mut(&attempt) else { return };
         let (key, tier) = (running.upstream, running.tier);
+        self.evidence.record_alive(now, running.incarnation, running.started);
         let pending = std::mem::take(&mut running.pending_tokens);
         let (expected, took) = (running.expected_first_byte, now.since(running.started));
         let first = !std::mem::replace(&mut running.answered, true);
@@ -356,6 +380,33 @@
         }
     }
 
+    /// Records that the head of the answer to an attempt has arrived.
+    pub fn attempt_began(&mut self, attempt: AttemptKey) {
+        if let Some(running) = self.running.get_mut(&attempt) {
+            running.began = true;
+        }
+    }
+
+    /// Records that the answer to an attempt went on after its begin.
+    pub fn attempt_proceeded(&mut self, now: Time, attempt: AttemptKey) {
+        let Some(running) = self.running.get_mut(&attempt) else { return };
+        // Nothing of the request is the cause if the upstream crashes later on.
+        let contents = std::mem::take(&mut running.contents);
+        self.evidence.record_answer(now, pool_hash(&running.pool), &contents);
+    }
+
+    /// Merges what another host knows of content that crashes upstreams. `sent_at` is a time at which it had not sent
+    /// this yet.
+    pub fn merge_evidence(&mut self, now: Time, sent_at: Time, news: &messages::Evidence) {
+        self.evidence.merge(now, sent_at, news);
+    }
+
+    /// Returns what other hosts need to know of content that crashes upstreams.
+    pub fn evidence_news(&mut self, now: Time) -> messages::Evidence {
+        self.evidence.review(now);
+        self.evidence.news(now)
+    }
+
     /// Records what the response to an attempt says about its upstream's rate limit.
     pub fn limit_named(
         &mut self,
@@ -396,6 +447,18 @@
     /// Records the end of an attempt. Attempts that have already ended are ignored.
     pub fn attempt_ended(&mut self, now: Time, attempt: AttemptKey, ending: Ending) {
         let Some(running) = self.running.remove(&attempt) else { return };
+        // Empty if the answer has cleared the request's content already.
+        if !running.contents.is_empty() {
+            let pool = pool_hash(&running.pool);
+            match ending {
+                Ending::Done => self.evidence.record_answer(now, pool, &running.contents),
+                Ending::Failed => {
+                    let crash = (running.incarnation, running.began);
+                    self.evidence.record_crash(now, pool, crash, &running.contents);
+                }
+                _ => {}
+            }
+        }
         let Some(upstream) = self.upstream_mut(running.upstream) else { return };
         upstream.pending_tokens[running.tier] -= running.pending_tokens;
         upstream.running -= 1;
@@ -466,6 +529,10 @@
         }
         let running = RunningAttempt {
             upstream: best.key,
+            incarnation: upstream.incarnation,
+            pool: ticket.pool.clone(),
+            contents: ticket.contents.clone(),
+            began: false,
             tier,
             pending_tokens: pending,
             expected_first_byte: best.expected_first_byte,
@@ -486,10 +553,10 @@
     }
 
     /// Selects the upstream with the least cost among those whose rate limits may leave room.
-    fn choose(&self, now: Time, ticket: &Ticket) -> Choice {
+    fn choose(&self, now: Time, ticket: &Ticket, is_suspect: bool) -> Choice {
         let (open, full): (Vec<_>, Vec<_>) =
             self.untried(ticket).partition(|(_, upstream)| upstream.may_have_room(now));
-        if let Some(best) = self.best(now, ticket, open) {
+        if let Some(best) = self.best(now, ticket, open, is_suspect) {
             return Choice::Upstream(best);
         }
         let room_at = full.iter().map(|it| it.1.no_permit_until).min();
@@ -504,12 +571,14 @@
         self.serving(&ticket.pool).filter(|(key, _)| !ticket.tried.contains(key))
     }
 
-    /// Selects among upstreams. Ejected ones are considered only if all are.
+    /// Selects among upstreams. Ejected ones are considered only if all are. A request that may crash its upstream is
+    /// placed where it takes the fewest others along.
     fn best<'a>(
         &'a self,
         now: Time,
         ticket: &Ticket,
         mut eligible: Vec<&'a (UpstreamKey, upstream_state::State)>,
+        is_suspect: bool,
     ) -> Option<Candidate> {
         if eligible.iter().any(|(_, upstream)| !upstream.is_ejected(now)) {
             eligible.retain(|(_, upstream)| !upstream.is_ejected(now));
@@ -525,6 +594,9 @@
                 let prefill = if latency_sensitive { Span(0) } else { prompt_prefill_time(ticket) };
                 candidate.cost.0 += RESERVATION_PENALTY.0 + prefill.0 * 2;
             }
+            if is_suspect {
+                candidate.cost.0 += SUSPECT_COMPANY_PENALTY.0 * u64::from(upstream.company());
+            }
             candidate
         });
         candidates.min_by_key(|it| (it.cost, it.rank))
@@ -641,6 +713,10 @@
     }
 }
 
+fn pool_hash(pool: &str) -> u64 {
+    rendezvous::hash(&[pool.as_bytes()])
+}
+
 fn tier_index(ticket: &Ticket) -> usize {
     usize::from(ticket.tier).min(TIERS - 1)
 }
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -108,7 +108,10 @@
             let fits = self.reservation.try_resize(self.events.buffered_bytes());
             match events {
                 Ok(events) if fits && events.is_empty() => {}
-                Ok(events) if fits => return Ok(Some(events)),
+                Ok(events) if fits => {
+                    response.guard.record_events();
+                    return Ok(Some(events));
+                }
                 Ok(_) | Err(_) => return Err(self.fail(Kind::UpstreamInvalid, Ending::Invalid)),
             }
         }
--- a/src/serving/sync_client.rs
+++ b/src/serving/sync_client.rs
@@ -44,6 +44,9 @@
 /// It receives several requests within this time.
 const NOT_FOLLOWING_TIME: Span = Span::from_ms(1_000);
 
+/// Time for which a host that did not take evidence gets none.
+const NO_REPORT_TIME: Span = Span::from_ms(3_000);
+
 /// A host that is skipped after a failed request or as it is not current.
 #[derive(Debug)]
 struct Skipped {
@@ -60,6 +63,8 @@
     pub(super) address: SocketAddr,
     pub(super) seeds: Vec<SocketAddr>,
     pub(super) peers: Peers,
+    /// Connections for evidence, as hosts of earlier versions close them.
+    pub(super) report_peers: Peers,
     pub(super) roster: watch::Receiver<Rc<Roster>>,
     pub(super) revisions: watch::Receiver<[u64; 3]>,
     pub(super) verified: watch::Receiver<[Option<Time>; 3]>,
@@ -80,6 +85,8 @@
     /// Hosts that reported that they do not follow the store, each with the time until which they
     /// are skipped as followers.
     not_following: Vec<(SocketAddr, Time)>,
+    /// Hosts that did not take evidence, each with the time until which they get none.
+    not_reporting: Vec<(SocketAddr, Time)>,
     /// Hub that has received all usage counts of this host so far.
     counts_hub: Option<SocketAddr>,
     /// Position in the placed parts of each host up to which they were received.
@@ -173,6 +180,9 @@
                 hub => hub,
             };
             if let Some(other) = other {
+                if !load.evidence.is_empty() {
+                    tokio::task::spawn_local(client.clone().report(other, load.evidence.clone()));
+                }
                 client.tracker.borrow_mut().in_flight.push(other);
                 tokio::task::spawn_local(client.clone().send_request(other, load));
             }
@@ -261,6 +271,20 @@
         }
     }
 
+    /// Reports evidence about crashes to a hub, whose responses pass it on.
+    async fn report(self: Rc<Client>, address: SocketAddr, evidence: messages::Evidence) {
+        let now = Time::now();
+        self.tracker.borrow_mut().not_reporting.retain(|it| now < it.1);
+        if self.tracker.borrow().not_reporting.iter().any(|it| it.0 == address) {
+            return;
+        }
+        if self.report_peers.report(address, evidence).await.is_none() {
+            log::info!("the host at {address} takes no evidence about crashes");
+            let until = Time::now() + NO_REPORT_TIME;
+            self.tracker.borrow_mut().not_reporting.push((address, until));
+        }
+    }
+
     /// Sends a request as a member of the group.
     async fn send_request(self: Rc<Client>, address: SocketAddr, load: LocalLoad) {
         let request = self.request(address, load, false);
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -175,15 +175,20 @@
         let remote: u64 = self.remote.pending_tokens[..=tier].iter().sum();
         // The engine has prefilled some of the other hosts' tokens since their report.
         let prefilled = now.since(self.remote.received_at).0 as f64 / 1_000.0 * PREFILL_RATE;
-        let running = u64::from(self.running + self.remote.running);
+        let running = u64::from(self.company());
         Span(
             prefill(own + remote.saturating_sub(prefilled as u64)).0 + running * RUNNING_REQUEST_US,
         )
     }
 
+    /// Returns the number of attempts of all hosts that run there.
+    pub fn company(&self) -> u32 {
+        self.running + self.remote.running
+    }
+
     /// Returns the expected time of a new request to a plain service, by its load.
     pub fn service_wait(&self) -> Span {
-        let running = self.running + self.remote.running;
+        let running = self.company();
         let over_slots = (running + 1).saturating_sub(self.entry.slots);
         Span(SERVICE_TIME_US + u64::from(running) * 1_000 + u64::from(over_slots) * SERVICE_TIME_US)
     }
--- /dev/null
+++ b/tests/serving/crash_evidence.rs
@@ -0,0 +1,331 @@
+//! Content that crashes upstreams, under the load patterns in which it has to be told from content that does not.
+
+use almondrack::{
+    serving::{
+        crash_evidence::{Content, Evidence, Verdict},
+        exchange::contents,
+        messages,
+    },
+    time::{Span, Time},
+};
+use expect_test::expect;
+
+use crate::fixture::{at, prompt};
+
+const POOL: u64 = 1;
+
+/// Part of all prompts.
+const COMMON: Content = Content::Part(0xa);
+
+/// Part that crashes upstreams.
+const DEADLY: Content = Content::Part(0xdead);
+
+/// Part that always comes with the deadly one.
+const COMPANION: Content = Content::Part(0xc0);
+
+/// A part of a few requests.
+const RARE: Content = Content::Part(0xb);
+
+/// Interval at which hosts exchange news.
+const NEWS_INTERVAL_MS: u64 = 200;
+
+/// Hosts that exchange news directly, each with all others, and delayed.
+struct Fleet {
+    hosts: Vec<Evidence>,
+    now_ms: u64,
+    /// Hosts that exchange no news.
+    cut_off: Vec<usize>,
+    crashes: u64,
+}
+
+impl Fleet {
+    fn new(hosts: u64) -> Fleet {
+        let hosts = (0..hosts).map(Evidence::new).collect();
+        Fleet { hosts, now_ms: 0, cut_off: Vec::new(), crashes: 0 }
+    }
+
+    fn now(&self) -> Time {
+        at(self.now_ms)
+    }
+
+    /// Lets time pass with an exchange of news at each interval.
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / NEWS_INTERVAL_MS {
+            let sent_at = self.now();
+            self.hosts.iter_mut().for_each(|it| it.review(sent_at));
+            let news: Vec<_> = self.hosts.iter().map(|it| it.news(sent_at)).collect();
+            self.now_ms += NEWS_INTERVAL_MS;
+            let now = self.now();
+            for (to, host) in self.hosts.iter_mut().enumerate() {
+                for (from, news) in news.iter().enumerate() {
+                    let cut = self.cut_off.contains(&to) || self.cut_off.contains(&from);
+                    if to != from && !cut {
+                        let aged = news.clone().aged(Span::from_ms(NEWS_INTERVAL_MS));
+                        host.merge(now, now, &aged);
+                    }
+                }
+            }
+        }
+        self.now_ms += ms % NEWS_INTERVAL_MS;
+    }
+
+    /// An upstream crashes with requests of some hosts, of which the first one's answer had begun.
+    fn crash(&mut self, requests: &[(usize, &[Content])]) {
+        self.crashes += 1;
+        let now = self.now();
+        for (index, (host, contents)) in requests.iter().enumerate() {
+            self.hosts[*host].record_crash(now, POOL, (self.crashes, index == 0), contents);
+        }
+    }
+
+    fn answer(&mut self, host: usize, contents: &[Content]) {
+        let now = self.now();
+        self.hosts[host].record_answer(now, POOL, contents);
+    }
+
+    /// Answers to some requests of each host.
+    fn answer_others(&mut self, contents: &[Content]) {
+        for host in 0..self.hosts.len() {
+            (0..3).for_each(|_| self.answer(host, contents));
+        }
+    }
+
+    fn judge(&mut self, host: usize, content: Content) -> Verdict {
+        let now = self.now();
+        self.hosts[host].judge(now, &[content], false)
+    }
+
+    /// Hosts that send requests with the content.
+    fn senders(&mut self, content: Content) -> Vec<usize> {
+        let hosts = 0..self.hosts.len();
+        hosts.filter(|it| !matches!(self.judge(*it, content), Verdict::Quarantined(_))).collect()
+    }
+}
+
+/// Upstreams crash one after the other under requests with the deadly part, each at another host.
+fn tainted(hosts: u64, crashes: usize) -> Fleet {
+    let mut fleet = Fleet::new(hosts);
+    for crash in 0..crashes {
+        let guilty = crash % hosts as usize;
+        let victim = (crash + 1) % hosts as usize;
+        fleet.crash(&[(guilty, &[COMMON, COMPANION, DEADLY]), (victim, &[COMMON, RARE])]);
+        fleet.pass(300);
+        fleet.answer_others(&[COMMON]);
+        fleet.pass(500);
+    }
+    fleet
+}
+
+#[test]
+fn all_hosts_refuse_a_part_after_crashes_that_each_saw_once() {
+    let mut fleet = tainted(8, 3);
+    assert_eq!(fleet.senders(DEADLY), [0; 0]);
+    assert_eq!(fleet.senders(COMMON).len(), 8);
+    assert_eq!(fleet.senders(RARE).len(), 8, "its crashes are explained by the deadly part");
+    let Verdict::Quarantined(reason) = fleet.judge(0, DEADLY) else { panic!("it is refused") };
+    expect![[r#"
+        Reason {
+            content: Part(
+                57005,
+            ),
+            crashes: 3,
+            age: Span(
+                800000,
+            ),
+            retry_after: Span(
+                29200000,
+            ),
+        }
+    "#]]
+    .assert_debug_eq(&reason);
+}
+
+#[test]
+fn two_crashes_are_no_proof_but_end_repeats() {
+    let mut fleet = tainted(8, 2);
+    assert_eq!(fleet.judge(5, DEADLY), Verdict::Suspect);
+    let now = fleet.now();
+    let repeat = fleet.hosts[5].judge(now, &[DEADLY], true);
+    assert!(matches!(repeat, Verdict::Quarantined(_)), "{repeat:?}");
+}
+
+#[test]
+fn a_hot_part_under_many_crashes_at_once_is_not_quarantined() {
+    let mut fleet = Fleet::new(8);
+    for _ in 0..12 {
+        for host in 0..8 {
+            fleet.crash(&[(host, &[COMMON])]);
+        }
+        fleet.pass(200);
+        for host in 0..8 {
+            fleet.answer(host, &[COMMON]);
+            assert_ne!(fleet.senders(COMMON).len(), 0, "at {} ms", fleet.now_ms);
+        }
+        fleet.pass(400);
+        assert_eq!(fleet.senders(COMMON).len(), 8, "at {} ms", fleet.now_ms);
+    }
+}
+
+#[test]
+fn a_rare_part_under_one_failure_of_many_upstreams_is_not_quarantined() {
+    let mut fleet = Fleet::new(8);
+    for host in 0..8 {
+        fleet.crash(&[(host, &[RARE])]);
+        fleet.now_ms += 10;
+    }
+    fleet.answer_others(&[COMMON]);
+    fleet.pass(2_000);
+    assert_eq!(fleet.senders(RARE).len(), 8);
+}
+
+#[test]
+fn a_quarantine_without_any_answer_is_tried_again_soon_and_lifted_everywhere() {
+    // Upstreams crash under all requests.
+    let mut fleet = Fleet::new(24);
+    for host in 0..8 {
+        fleet.crash(&[(host, &[COMMON])]);
+        fleet.pass(400);
+    }
+    assert!(fleet.senders(COMMON).len() < 24);
+    fleet.pass(2_000);
+    let trying = fleet.senders(COMMON);
+    assert!(!trying.is_empty(), "nobody tries after two seconds");
+    fleet.answer(trying[0], &[COMMON]);
+    fleet.pass(600);
+    assert_eq!(fleet.senders(COMMON).len(), 24);
+}
+
+#[test]
+fn answers_to_others_while_content_is_held_back_prove_nothing() {
+    // All upstreams crash with a rare sound part among their requests. The host with the guilty ones is killed.
+    let mut fleet = Fleet::new(4);
+    for upstream in 0..4 {
+        fleet.crash(&[(upstream % 2, &[COMMON, RARE])]);
+        fleet.pass(400);
+    }
+    fleet.pass(600);
+    let all = fleet.senders(COMMON).len();
+    fleet.answer_others(&[COMMON]);
+    fleet.pass(600);
+    assert_eq!(fleet.senders(COMMON).len(), 4, "{all} hosts sent before");
+    // The first trial clears it.
+    let mut waited_ms = 0;
+    while fleet.senders(RARE).is_empty() {
+        fleet.answer_others(&[COMMON]);
+        fleet.pass(200);
+        waited_ms += 200;
+        assert!(waited_ms <= 5_000, "nobody tries");
+    }
+}
+
+#[test]
+fn few_hosts_try_a_quarantined_part_and_ever_less_often() {
+    let mut fleet = tainted(8, 3);
+    let mut trials = Vec::new();
+    while fleet.now_ms < 590_000 {
+        fleet.pass(200);
+        for host in fleet.senders(DEADLY) {
+            // The host sends one request, which crashes its upstream.
+            trials.push(fleet.now_ms / 1_000);
+            fleet.crash(&[(host, &[DEADLY])]);
+        }
+        fleet.answer_others(&[COMMON]);
+    }
+    assert!(trials.first().is_some_and(|it| *it >= 30), "{trials:?}");
+    let minutes: Vec<_> =
+        (0..3).map(|it| trials.iter().filter(|s| **s / 60 == it).count()).collect();
+    assert!(trials.len() <= 5 && minutes.iter().all(|it| *it <= 2), "{trials:?}");
+}
+
+#[test]
+fn a_part_that_is_sound_again_is_served_by_all_hosts() {
+    let mut fleet = tainted(8, 3);
+    while fleet.senders(DEADLY).is_empty() {
+        fleet.pass(200);
+        assert!(fleet.now_ms < 300_000, "nobody tries");
+    }
+    let trying = fleet.senders(DEADLY);
+    // The look above was a trial; it succeeds.
+    assert_eq!(trying, [0; 0], "one request is a trial");
+    fleet.answer(3, &[DEADLY]);
+    fleet.pass(600);
+    assert_eq!(fleet.senders(DEADLY).len(), 8);
+}
+
+#[test]
+fn a_host_that_was_cut_off_or_starts_later_hears_of_the_quarantine() {
+    let mut fleet = Fleet::new(8);
+    fleet.cut_off = vec![6];
+    for crash in 0..3 {
+        fleet.crash(&[(crash, &[DEADLY])]);
+        fleet.pass(300);
+        fleet.answer_others(&[COMMON]);
+        fleet.pass(500);
+    }
+    fleet.pass(5_000);
+    assert_eq!(fleet.senders(DEADLY), [6]);
+    fleet.cut_off.clear();
+    fleet.hosts[7] = Evidence::new(7);
+    fleet.pass(400);
+    assert_eq!(fleet.senders(DEADLY), [0; 0]);
+}
+
+#[test]
+fn an_upstream_that_goes_on_answering_has_not_crashed() {
+    let mut fleet = Fleet::new(2);
+    for upstream in 1..=3 {
+        fleet.crash(&[(0, &[RARE])]);
+        fleet.pass(200);
+        let now = fleet.now();
+        // Only its connections were cut, which another host notices.
+        fleet.hosts[1].record_alive(now, upstream, now - Span::from_ms(50));
+        fleet.answer_others(&[COMMON]);
+        fleet.pass(600);
+    }
+    assert_eq!(fleet.senders(RARE).len(), 2);
+    assert_eq!(fleet.judge(0, RARE), Verdict::Clear);
+}
+
+#[test]
+fn a_flood_of_suspects_keeps_memory_bounded_and_the_guilty_one() {
+    let mut fleet = Fleet::new(1);
+    for crash in 0..6 {
+        let flood: Vec<_> = (0..2_000).map(|it| Content::Part(1_000_000 * crash + it)).collect();
+        fleet.crash(&[(0, &[DEADLY]), (0, &flood)]);
+        fleet.pass(300);
+        fleet.answer_others(&[COMMON]);
+        fleet.pass(500);
+    }
+    assert_eq!(fleet.senders(DEADLY), [0; 0]);
+    let news = fleet.hosts[0].news(fleet.now());
+    assert!(news.suspicions.len() <= 128, "{} suspicions in a message", news.suspicions.len());
+    assert_eq!(news.suspicions[0].content, DEADLY);
+    // Answers to prompts that share nothing.
+    for part in 0..100_000 {
+        fleet.answer(0, &[Content::Part(1 << 32 | part)]);
+    }
+    let size = format!("{:?}", fleet.hosts[0]).len();
+    assert!(size < 2_000_000, "the evidence is {size} bytes of text");
+}
+
+#[test]
+fn evidence_survives_its_way_to_another_host() {
+    let fleet = tainted(8, 3);
+    let news = fleet.hosts[0].news(fleet.now());
+    assert!(!news.is_empty());
+    assert_eq!(messages::Prefix::from_evidence(&news).evidence(), Some(news));
+    let other = messages::Prefix::from_limits(fleet.now(), &[]);
+    assert_eq!(other.evidence(), None);
+}
+
+#[test]
+fn the_last_part_is_only_of_its_request() {
+    let of = |prompt| contents(Some("customer"), "/path", b"body", Some(&prompt));
+    let parts = |it: &[Content]| it.iter().filter(|it| matches!(it, Content::Part(_))).count();
+    assert_eq!(parts(&of(prompt(&[], 0, 10))), 0, "a prompt of one part shares none");
+    assert_eq!(parts(&of(prompt(&[7, 7, 8, 7], 10, 10))), 2, "a repeated part counts once");
+    let same = contents(None, "/path", b"body", None);
+    assert_eq!(same, contents(None, "/path", b"body", None));
+    assert_ne!(same, contents(Some("customer"), "/path", b"body", None));
+    assert_ne!(same, contents(None, "/path", b"other", None));
+}
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -84,6 +84,7 @@
         body: Bytes::new(),
         last_event_id: None,
         prompt: None,
+        contents: Vec::new(),
         tier: 0,
         customer: Some(Arc::new(Customer { name: "customer".into(), priority: None })),
         route: Arc::new(route),
--- a/tests/serving/fixture.rs
+++ b/tests/serving/fixture.rs
@@ -62,6 +62,7 @@
         target: at(10_000),
         deadline: at(10_000),
         tried: Vec::new(),
+        contents: Vec::new(),
     }
 }
 
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -238,7 +238,11 @@
         let (calls_sender, mut requests) = mpsc::channel(256);
         tokio::spawn(peers::serve(
             listener,
-            peers::Mailboxes { calls: calls_sender, permits: mpsc::channel(1).0 },
+            peers::Mailboxes {
+                calls: calls_sender,
+                permits: mpsc::channel(1).0,
+                evidence: mpsc::channel(1).0,
+            },
         ));
         let (passed, calls) = mpsc::channel(256);
         let (gate, mut is_open) = watch::channel(true);
--- a/tests/serving/peers.rs
+++ b/tests/serving/peers.rs
@@ -44,7 +44,10 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = listener.local_addr().expect("the socket is bound");
     let (calls, mut mailbox) = mpsc::channel::<peers::Call>(8);
-    tokio::spawn(peers::serve(listener, peers::Mailboxes { calls, permits: mpsc::channel(1).0 }));
+    tokio::spawn(peers::serve(
+        listener,
+        peers::Mailboxes { calls, permits: mpsc::channel(1).0, evidence: mpsc::channel(1).0 },
+    ));
     tokio::spawn(async move {
         while let Some((_, reply)) = mailbox.recv().await {
             sleep(time).await;
