Treat a stream that ends with its connection inside an event as broken off

Callers got such a stream as complete, with half of an event at its end, and a stream that ended before its first event as an empty success. Cause: the relay passed the rest of the buffer on at the end of any body, which is right where a length or chunks say that the body is complete. It now fails the attempt as cut if the bytes did not end with an event, so that the stream goes on elsewhere where its route allows it. The end of such an answer is neither a success for the upstream's health nor proof that its content is sound, as an upstream that crashes ends it as well.

--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -382,6 +382,7 @@
                 guard.record_head();
                 let response = Response::from_parts(head, body);
                 Ok(upstream_response::Response {
+                    ends_with_connection: upstream_response::ends_with_connection(&response),
                     http: response,
                     connection,
                     guard,
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -101,6 +101,9 @@
             let Some(response) = &mut self.response else { return Ok(None) };
             let bytes = match response.receive(self.deadline).await {
                 Ok(Some(bytes)) => bytes,
+                Ok(None) if response.ends_with_connection && !self.ends_after_event() => {
+                    return Err(self.fail(Kind::UpstreamCut, Ending::Failed));
+                }
                 Ok(None) => return Ok(self.finish()),
                 Err((kind, ending)) => return Err(self.fail(kind, ending)),
             };
@@ -117,6 +120,12 @@
         }
     }
 
+    /// Whether the last bytes from the current upstream completed an event.
+    fn ends_after_event(&self) -> bool {
+        let has_events = self.response.as_ref().is_some_and(|it| it.guard.has_events());
+        has_events && self.events.buffered_bytes() == 0
+    }
+
     fn finish(&mut self) -> Option<Bytes> {
         if let Some(response) = self.response.take() {
             response.finish(&self.connections);
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -50,7 +50,8 @@
         if self.tail.len() > sse::MAX_EVENT_BYTES { Err(InvalidEvent) } else { Ok(out.freeze()) }
     }
 
-    /// Returns the bytes after the last complete event. Called at the end of a complete response, which they belong to.
+    /// Returns the bytes after the last complete event. Called at the end of a response with a length or chunks, which they
+    /// belong to.
     pub fn finish(&mut self) -> Bytes {
         self.tail.split().freeze()
     }
--- a/src/serving/upstream_response.rs
+++ b/src/serving/upstream_response.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use http::header;
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use tokio::time::timeout;
 
 use crate::{
@@ -27,6 +28,15 @@
     pub upstream: UpstreamKey,
     /// Id of the upstream, for log lines.
     pub instance: Arc<str>,
+    /// Whether the body has neither a length nor chunks, so that only the end of the connection ends it. An upstream that
+    /// crashes may end it as well.
+    pub ends_with_connection: bool,
+}
+
+/// Whether the body of a response has neither a length nor chunks.
+pub fn ends_with_connection(response: &http::Response<Incoming>) -> bool {
+    let is_chunked = response.headers().contains_key(header::TRANSFER_ENCODING);
+    !is_chunked && response.body().size_hint().exact().is_none()
 }
 
 impl Response {
@@ -57,8 +67,14 @@
         }
     }
 
-    /// Ends the attempt after the complete body and returns the connection to the cache.
+    /// Ends the attempt after the complete body and returns the connection to the cache, unless it has ended with the
+    /// body.
     pub fn finish(self, connections: &connection_cache::Cache) {
+        if self.ends_with_connection {
+            // Says nothing about the upstream's health.
+            self.guard.end(Ending::Unused);
+            return;
+        }
         connections.put(self.upstream, self.connection);
         self.guard.end(Ending::Done);
     }
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -1,6 +1,6 @@
 //! Requests that the exchange sends to upstreams on loopback sockets.
 
-use std::{cell::Cell, rc::Rc, sync::Arc};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use almondrack::{
     error::{Error, Kind},
@@ -123,6 +123,8 @@
     Close,
     /// Sends nothing more and keeps the connection open.
     Stall,
+    /// Resets the connection, after the router had time to read the bytes.
+    Reset,
     /// Sends the bytes repeatedly until the router closes the connection.
     Repeat(&'static str),
 }
@@ -163,6 +165,13 @@
         written.set(written.get() + bytes.len());
         match script.then {
             Continuation::Close => return,
+            Continuation::Reset => {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                // Closing the socket then discards what it holds and resets the connection.
+                let reset = router.set_zero_linger();
+                reset.expect("the socket is open");
+                return;
+            }
             Continuation::Stall => {
                 // Returns when the router closes the connection.
                 let _ = router.read(&mut request).await;
@@ -190,34 +199,50 @@
     script: Script,
     buffer_memory: buffer_memory::Memory,
 ) -> Observation {
-    let (sent, written, open) =
-        (SharedCounter::default(), ByteCounter::default(), SharedCounter::default());
+    let counters =
+        (SharedCounter::default(), ByteCounter::default(), SharedCounter::<u32>::default());
+    let meter = Meter::new(Span::from_ms(60_000), "host-1");
+    let exchange = open(script, buffer_memory, meter.clone(), counters.clone()).await;
+    let response = exchange.run(request).await;
+    let counts = meter.take_changed(false).into_iter().flat_map(|it| it.counts);
+    let billed = counts.filter(|it| it.0 == "customer").map(|it| it.1).sum();
+    let (sent, written, open) = counters;
+    Observation { response, billed, sent, written, open }
+}
+
+/// Opens an exchange with four upstreams that follow the same script.
+pub(crate) async fn open_exchange(
+    script: Script,
+    buffer_memory: buffer_memory::Memory,
+) -> Exchange<impl Dialect> {
+    let meter = Meter::new(Span::from_ms(60_000), "host-1");
+    open(script, buffer_memory, meter, Default::default()).await
+}
+
+async fn open(
+    script: Script,
+    buffer_memory: buffer_memory::Memory,
+    meter: Meter,
+    counters: (SharedCounter<u32>, ByteCounter, SharedCounter<u32>),
+) -> Exchange<TestDialect> {
     let mut entries = Vec::new();
     for index in 0..4 {
-        let counters = (sent.clone(), written.clone(), open.clone());
-        entries.push(upstream(index, script, counters).await);
+        entries.push(upstream(index, script, counters.clone()).await);
     }
-    let (_entries, upstreams) = watch::channel(Rc::new(entries));
+    let upstreams = watch::channel(Rc::new(entries)).1;
     let dispatcher =
         Dispatcher::spawn("host".into(), "a".into(), upstreams, mpsc::unbounded_channel().0);
     let budget_config =
         retry_budget::Limits { window: Span::from_ms(10_000), ratio: 0.2, allowance: 1_000.0 };
-    let meter = Meter::new(Span::from_ms(60_000), "host-1");
-    let connections = connection_cache::Cache::default();
-    let budget = retry_budget::Budget::new(budget_config);
-    let exchange = Exchange::new(
+    Exchange::new(
         Rc::new(TestDialect),
         dispatcher,
-        connections,
-        budget,
-        meter.clone(),
+        connection_cache::Cache::default(),
+        retry_budget::Budget::new(budget_config),
+        meter,
         buffer_memory,
         Metrics::open().expect("the names of the counters are unique"),
-    );
-    let response = exchange.run(request).await;
-    let counts = meter.take_changed(false).into_iter().flat_map(|it| it.counts);
-    let billed = counts.filter(|it| it.0 == "customer").map(|it| it.1).sum();
-    Observation { response, billed, sent, written, open }
+    )
 }
 
 const EVENTS: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 18\r\n\r\n\
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -13,4 +13,5 @@
 mod rate_limit;
 mod retry_budget;
 mod stream;
+mod unframed;
 mod usage;
--- /dev/null
+++ b/tests/serving/unframed.rs
@@ -0,0 +1,144 @@
+//! Answers of upstreams with neither a length nor chunks, which end with their connection.
+
+use almondrack::{
+    error::{Error, Kind},
+    serving::{
+        buffer_memory,
+        exchange::{Body, CallerResponse},
+        table::RetryPolicy,
+    },
+};
+use http::Method;
+use tokio::task::LocalSet;
+
+use crate::exchange::{Continuation, Script, routed_request, run_script};
+
+/// What the caller got of an answer.
+#[derive(Debug, PartialEq, Eq)]
+enum Got {
+    Whole(String),
+    /// Bytes, and why no more came.
+    Cut(String, Kind),
+    /// No answer.
+    Nothing(Kind),
+}
+
+const EVENTS: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+
+/// Runs a request before four upstreams that all answer alike. Returns what the caller got, and the requests that were
+/// sent.
+async fn run(stream: bool, policy: RetryPolicy, script: Script) -> (Got, u32) {
+    let request = routed_request(stream, policy);
+    let observed = run_script(request, script, buffer_memory::Memory::new(1 << 20)).await;
+    (read(observed.response).await, observed.sent.get())
+}
+
+async fn read(response: Result<CallerResponse, Error>) -> Got {
+    let text = |bytes: &[u8]| String::from_utf8(bytes.to_vec()).expect("the answer is text");
+    let mut relay = match response {
+        Err(error) => return Got::Nothing(error.kind),
+        Ok(CallerResponse { body: Body::Complete(bytes), .. }) => return Got::Whole(text(&bytes)),
+        Ok(CallerResponse { body: Body::Stream(relay), .. }) => relay,
+        Ok(other) => panic!("the answer is small: {other:?}"),
+    };
+    let mut all = String::new();
+    loop {
+        match relay.next().await {
+            Ok(Some(bytes)) => all += &text(&bytes),
+            Ok(None) => return Got::Whole(all),
+            Err(kind) => return Got::Cut(all, kind),
+        }
+    }
+}
+
+/// Plays an answer to a stream that is sent at most once.
+async fn stream(first: &'static str, then: Continuation) -> (Got, u32) {
+    LocalSet::new().run_until(run(true, RetryPolicy::Never, Script { first, then })).await
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_after_an_event_is_complete() {
+    let first = "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+    assert_eq!(stream(first, Continuation::Close).await, (Got::Whole(EVENTS.to_owned()), 1));
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_inside_an_event_is_broken_off() {
+    let first = "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: one\n\nid: 2\ndata: t";
+    let got = Got::Cut("id: 1\ndata: one\n\n".to_owned(), Kind::UpstreamCut);
+    assert_eq!(stream(first, Continuation::Close).await, (got, 1));
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_before_its_first_event_is_no_answer() {
+    for first in ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nid: 1\nda"] {
+        assert_eq!(stream(first, Continuation::Close).await, (Got::Nothing(Kind::UpstreamCut), 1));
+    }
+}
+
+#[tokio::test]
+async fn a_stream_that_is_reset_after_an_event_is_broken_off() {
+    let first = "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: one\n\n";
+    let got = Got::Cut("id: 1\ndata: one\n\n".to_owned(), Kind::UpstreamCut);
+    assert_eq!(stream(first, Continuation::Reset).await, (got, 1));
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_inside_an_event_goes_on_at_another_upstream() {
+    let first = "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: one\n\nid: 2\ndata: t";
+    let script = Script { first, then: Continuation::Close };
+    let (got, sent) = LocalSet::new().run_until(run(true, RetryPolicy::Resume, script)).await;
+    // The second upstream breaks off in the same event.
+    assert_eq!(got, Got::Cut("id: 1\ndata: one\n\n".to_owned(), Kind::UpstreamCut));
+    assert_eq!(sent, 2);
+}
+
+#[tokio::test]
+async fn an_end_inside_the_head_is_no_answer() {
+    let first = "HTTP/1.1 200 OK\r\ncontent-ty";
+    assert_eq!(stream(first, Continuation::Close).await, (Got::Nothing(Kind::UpstreamCut), 1));
+}
+
+#[tokio::test]
+async fn a_whole_answer_ends_with_its_connection_but_not_with_a_reset() {
+    let whole = |then| {
+        let script = Script { first: "HTTP/1.1 200 OK\r\n\r\nall of it", then };
+        run(false, RetryPolicy::Never, script)
+    };
+    let got = LocalSet::new().run_until(whole(Continuation::Close)).await;
+    assert_eq!(got, (Got::Whole("all of it".to_owned()), 1));
+    let got = LocalSet::new().run_until(whole(Continuation::Reset)).await;
+    assert_eq!(got, (Got::Nothing(Kind::UpstreamCut), 1));
+}
+
+#[tokio::test]
+async fn answers_without_a_body_do_not_wait_for_the_end_of_the_connection() {
+    let play = async {
+        let stall = |first| Script { first, then: Continuation::Stall };
+        let memory = || buffer_memory::Memory::new(1 << 20);
+        let no_content = stall("HTTP/1.1 204 No Content\r\n\r\n");
+        let request = routed_request(false, RetryPolicy::Never);
+        let observed = run_script(request, no_content, memory()).await;
+        assert_eq!(read(observed.response).await, Got::Whole(String::new()));
+        let mut request = routed_request(false, RetryPolicy::Never);
+        request.method = Method::HEAD;
+        let observed = run_script(request, stall("HTTP/1.1 200 OK\r\n\r\n"), memory()).await;
+        assert_eq!(read(observed.response).await, Got::Whole(String::new()));
+    };
+    LocalSet::new().run_until(play).await;
+}
+
+#[tokio::test]
+async fn the_connection_of_an_answer_that_ended_with_it_is_not_used_again() {
+    let play = async {
+        let script =
+            Script { first: "HTTP/1.1 200 OK\r\n\r\nall of it", then: Continuation::Close };
+        let memory = buffer_memory::Memory::new(1 << 20);
+        let exchange = crate::exchange::open_exchange(script, memory).await;
+        for _ in 0..8 {
+            let response = exchange.run(routed_request(false, RetryPolicy::Never)).await;
+            assert_eq!(read(response).await, Got::Whole("all of it".to_owned()));
+        }
+    };
+    LocalSet::new().run_until(play).await;
+}
