Log and count the store's eras and the listings that copies ignore

The logs could not tell whether hosts heard nothing from the store after its return, or heard it and kept their copies: a listing that a copy ignores wrote no line, and the era that the store names in its answers was not read.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -56,6 +56,8 @@
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
     pub revision: IntGauge,
+    /// Number of times that the platform's store came back from an older copy.
+    pub store_era: IntGauge,
 }
 
 impl Metrics {
@@ -122,6 +124,10 @@
         let in_flight = gauge("almondrack_in_flight", "Requests accepted and not ended.")?;
         let revision =
             gauge("almondrack_config_revision", "Revision of the configuration in force.")?;
+        let store_era = gauge(
+            "almondrack_store_era",
+            "Number of times that the platform's store came back from an older copy.",
+        )?;
         Ok(Metrics {
             registry,
             requests,
@@ -135,6 +141,7 @@
             cut_attempts,
             in_flight,
             revision,
+            store_era,
         })
     }
 
--- a/src/serving/counted_store.rs
+++ b/src/serving/counted_store.rs
@@ -44,7 +44,7 @@
     cause: Cause,
 }
 
-impl<S> Counted<S> {
+impl<S: Store> Counted<S> {
     /// Wraps a store and counts its calls under a cause.
     pub fn new(store: S, metrics: Metrics, cause: Cause) -> Counted<S> {
         Counted { store, metrics, cause }
@@ -58,11 +58,10 @@
             Err(Failure::Invalid(_)) => "invalid",
         };
         self.metrics.store_called(self.cause.as_str(), call, outcome);
+        self.metrics.store_era.set(i64::try_from(self.store.era()).unwrap_or(i64::MAX));
         result
     }
-}
 
-impl<S: Store> Counted<S> {
     /// Returns a clone that counts its calls under another cause.
     pub fn for_cause(&self, cause: Cause) -> Counted<S> {
         Counted { cause, ..self.clone() }
@@ -70,6 +69,10 @@
 }
 
 impl<S: Store> Store for Counted<S> {
+    fn era(&self) -> u64 {
+        self.store.era()
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Item>, Failure> {
         self.count("get", self.store.get(key).await)
     }
--- a/src/serving/mirror.rs
+++ b/src/serving/mirror.rs
@@ -90,6 +90,10 @@
     /// Applies a listing. One that is older than the copy is ignored.
     fn apply_listing(&mut self, items: Vec<Item>, revision: u64) -> Vec<Change> {
         if revision < self.revision || revision == 0 {
+            log::info!(
+                "ignoring a listing as of revision {revision}: the copy is of revision {}",
+                self.revision
+            );
             return Vec::new();
         }
         let mut changes = Vec::new();
--- a/src/store.rs
+++ b/src/store.rs
@@ -107,6 +107,10 @@
 /// Calls to the store. Each may fail with any [`Failure`]. Clones share connections.
 #[expect(async_fn_in_trait, reason = "every host runs its tasks on one thread")]
 pub trait Store: Clone + 'static {
+    /// Number of times that the store came back from an older copy of its keys, as its answers say. Zero for a store
+    /// that does not say.
+    fn era(&self) -> u64;
+
     /// Reads a key. Returns `None` if it does not exist.
     async fn get(&self, key: &str) -> Result<Option<Item>, Failure>;
 
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -117,6 +117,10 @@
 }
 
 impl Store for MemoryStore {
+    fn era(&self) -> u64 {
+        0
+    }
+
     async fn get(&self, _: &str) -> Result<Option<Item>, Failure> {
         Err(Failure::Refused(404))
     }
