Try quarantined content host by host after the collapse of a pool

All six upstreams had crashed within 300 ms under requests of all kinds. When they came back, the turns of most hosts had passed, so that many tried at once, and a customer's part that was not answered among three others was taken for proven.

A quarantine is confirmed by three separate crashes with five answers to others in between.

--- a/src/serving/crash_evidence.rs
+++ b/src/serving/crash_evidence.rs
@@ -28,7 +28,7 @@
 
 /// Answers to other requests of the pool between the first and the last crash that confirm a quarantine. If nothing is
 /// answered, the upstreams may be the cause.
-const CONTRAST_ANSWERS: usize = 3;
+const CONTRAST_ANSWERS: usize = 5;
 
 /// Answers of a pool whose times are kept.
 const MAX_ANSWER_TIMES: usize = 16;
@@ -54,6 +54,9 @@
 /// Time over which these turns are spread, as a multiple of the delay before a trial.
 const TRIAL_SPREAD: u64 = 4;
 
+/// The same for content whose quarantine is not confirmed, as the delay is short beside the time that news takes.
+const UNCONFIRMED_TRIAL_SPREAD: u64 = 8;
+
 /// Age from which a charge counts. By then other hosts have reported answers to the content, and requests that are more
 /// likely the cause of the crash.
 const SETTLE_TIME: Span = Span::from_ms(400);
@@ -126,6 +129,8 @@
     is_confirmed: bool,
     /// When this host last sent the content to try it again.
     tried_at: Option<Time>,
+    /// When this host first got an answer to another request of the pool after the last crash.
+    answered_since: Option<Time>,
     /// When an answer last cleared it.
     cleared_at: Option<Time>,
     changed_at: Time,
@@ -172,7 +177,12 @@
         if self.suspects.is_empty() {
             return Verdict::Clear;
         }
-        let reasons = contents.iter().filter_map(|it| self.reason(now, *it, is_repeat));
+        let is_unconfirmed = |it: &&Content| {
+            self.state(**it).is_some_and(|it| it.is_quarantined && !it.is_confirmed)
+        };
+        let unconfirmed = contents.iter().filter(is_unconfirmed).count();
+        let reasons =
+            contents.iter().filter_map(|it| self.reason(now, *it, (is_repeat, unconfirmed)));
         if let Some(reason) = reasons.max_by_key(|it| (it.crashes, it.retry_after)) {
             return Verdict::Quarantined(reason);
         }
@@ -230,6 +240,11 @@
         for content in contents {
             self.clear(now, *content, now);
         }
+        for state in &mut self.states {
+            if state.pool == pool && state.is_quarantined {
+                state.answered_since.get_or_insert(now);
+            }
+        }
     }
 
     /// Records that an upstream answered an attempt, which was sent at `sent_at`. If that was after its supposed crash,
@@ -301,8 +316,14 @@
         }
     }
 
-    /// Returns why content must not be sent now, if so.
-    fn reason(&self, now: Time, content: Content, is_repeat: bool) -> Option<Reason> {
+    /// Returns why content must not be sent now, if so. `unconfirmed` is the number of contents of the request whose
+    /// quarantine is not confirmed.
+    fn reason(
+        &self,
+        now: Time,
+        content: Content,
+        (is_repeat, unconfirmed): (bool, usize),
+    ) -> Option<Reason> {
         let last = self.suspects.charges(content).last()?.at;
         let state = self.state(content)?;
         let crashes = self.suspects.crashes(now, content);
@@ -317,20 +338,21 @@
             });
         }
         let doublings = crashes.saturating_sub(QUARANTINE_CRASHES).min(MAX_DOUBLINGS);
-        let delay = match state.is_confirmed {
-            true => Span(TRIAL_DELAY.0 << doublings),
-            false => UNCONFIRMED_TRIAL_DELAY,
+        // Of several contents that may be the cause, a request with few of them is tried first.
+        let (delay, spread) = match state.is_confirmed {
+            true => (TRIAL_DELAY.0 << doublings, TRIAL_SPREAD),
+            false => (UNCONFIRMED_TRIAL_DELAY.0 * unconfirmed as u64, UNCONFIRMED_TRIAL_SPREAD),
         };
-        let since = state.tried_at.map_or(last, |it| it.max(last));
-        // Hosts have turns, so that one of them tries and the others hear of the result.
+        let delay = Span(delay);
+        // After a time without any answer, turns begin with the first one.
+        let since = state.tried_at.max(state.answered_since).map_or(last, |it| it.max(last));
+        // Hosts have turns, so that one of them tries and the others hear of the result. A host's turn is the same for all
+        // content, as a request is sent only if it is the turn of all its content.
         let turn = match state.tried_at {
             Some(tried_at) if tried_at > last => TRIAL_TURNS,
-            _ => {
-                rendezvous::hash(&[&self.host.to_be_bytes(), content.to_string().as_bytes()])
-                    % TRIAL_TURNS
-            }
+            _ => rendezvous::hash(&[b"trial", &self.host.to_be_bytes()]) % TRIAL_TURNS,
         };
-        let own_turn = since + delay + Span(delay.0 * TRIAL_SPREAD * turn / TRIAL_TURNS);
+        let own_turn = since + delay + Span(delay.0 * spread * turn / TRIAL_TURNS);
         let is_trial = now >= own_turn && !is_repeat;
         let retry_after = Span(delay.0.saturating_sub(now.since(since).0)).max(MIN_CRASH_INTERVAL);
         (!is_trial).then_some(Reason { content, crashes, age: now.since(last), retry_after })
@@ -344,10 +366,12 @@
         if is_cleared || !self.suspects.charge(now, content, charge) {
             return false;
         }
-        let has_contrast = self.has_contrast(pool, content);
+        let is_proven = self.suspects.crashes(now, content) >= QUARANTINE_CRASHES
+            && self.has_contrast(pool, content);
         let state = self.state_or_insert(now, (pool, content));
         state.changed_at = now;
-        state.is_confirmed |= has_contrast;
+        state.is_confirmed |= is_proven;
+        state.answered_since = None;
         // Entries whose suspects were evicted.
         if self.states.len() > 2 * MAX_SUSPECTS {
             let suspects = &self.suspects;
@@ -515,6 +539,7 @@
                     is_quarantined: false,
                     is_confirmed: false,
                     tried_at: None,
+                    answered_since: None,
                     cleared_at: None,
                     changed_at: now,
                 };
