Order what the store says by its era and revision

Callers got 404 on a route that had been added and confirmed, and upstreams that had said that they leave got requests, after the store had come back from an older copy. Cause: copies, logs, sync between hosts, conditions of writes, leases and fencing numbers took revisions to grow for ever. After the return the store counts from the copy's revision again, hosts ignored its listings and listed in a loop until the count had passed the old one. The class: an order that its giver may take back.

The adapter now reads Store-Era from all answers and gives out revisions of (era, count), a watch, condition or lease of an earlier era is never asked of the store, and an answer of another era than the question's counts as history that is gone. The rest follows from that order, and from these: - A configuration with a lower version than the one in force and an older version of an upstream's entry are replaced by the known ones in the copy, so that other hosts get these too. An upstream that left and is listed by the copy is used only if its entry remains for 5 s; one that is missing is kept for the grace period. - Keys are not held to be verified by an older copy for 2 s, unless the configuration is written again. - Hosts register again when their lease of an earlier era ends with the next renewal, which spreads the calls; counts and seals are written again. A window that may have been reported before is reported only with its seal. - A claim of a new era waits a whole lease, as the last one may still act.

--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -32,7 +32,7 @@
         upstream_list,
         usage::Meter,
     },
-    store::{Change, Item, Store},
+    store::{self, Change, Item, Store, era_of},
     time::{Span, Time},
 };
 
@@ -57,6 +57,10 @@
 /// Longer than the wait of a watch.
 const STORE_ANSWER_MAX_AGE: Span = Span::from_ms(1_000);
 
+/// Time after the return of the store from an older copy in which the operator writes the newest configuration again.
+/// Until then the store does not verify that no newer one exists.
+const REWRITE_TIME: Span = Span::from_ms(2_000);
+
 /// Time for which a starting host only synchronizes with others before it follows the store itself.
 const STARTUP_WAIT: Span = Span::from_ms(300);
 
@@ -294,6 +298,7 @@
         outputs,
         mirrors: Default::default(),
         verified: [None; 3],
+        restored_at: None,
         peer_verified_at: None,
         upstream_list: upstream_list::List::default(),
         loads: Loads::default(),
@@ -329,6 +334,8 @@
     mirrors: [Mirror; 3],
     /// When each copy was last verified to be the newest.
     verified: [Option<Time>; 3],
+    /// When the configuration was first read from an older copy of the store, until it is written again.
+    restored_at: Option<Time>,
     /// The same for the configuration, as other hosts reported it.
     peer_verified_at: Option<Time>,
     upstream_list: upstream_list::List,
@@ -444,20 +451,86 @@
         self.dispatcher.record_placed(response.placed);
     }
 
+    /// Replaces older versions of entries by those that this host knows. A store that comes back from a copy serves
+    /// them until their writers have written the newest ones again.
+    fn without_outdated(&self, topic: Topic, update: Update) -> Update {
+        let mirror = &self.mirrors[topic as usize];
+        let table = self.outputs.table.borrow().clone();
+        update.map_items(|item| {
+            let Some(known) = mirror.get(&item.key) else { return };
+            let is_outdated = match topic {
+                Topic::Configuration => {
+                    let newest = table.as_ref().map_or(0, |it| it.version);
+                    // One that cannot be decoded is logged when it is applied.
+                    let version = (self.decoding.table)(&item.value).map_or(newest, |it| it.version);
+                    if version < newest {
+                        log::warn!(
+                            "the store serves configuration {version} of an older copy; {newest} stays in force"
+                        );
+                    }
+                    version < newest
+                }
+                Topic::Upstreams => {
+                    let entry = |it: &Item| (self.decoding.entry)(&it.key, &it.value).ok();
+                    let (old, new) = (entry(known), entry(item));
+                    old.zip(new).is_some_and(|(old, new)| {
+                        old.started_ms == new.started_ms && new.sequence < old.sequence
+                    })
+                }
+                Topic::Fleet => false,
+            };
+            if is_outdated {
+                item.value = known.value.clone();
+            }
+        })
+    }
+
+    /// Prepares for a listing of a store that came back from an older copy.
+    fn store_restored(&mut self, topic: Topic, update: &Update) {
+        let now = Time::now();
+        log::warn!(
+            "reading {} from an older copy of the store: revision {} after {}",
+            self.decoding.prefix(topic),
+            store::display(update.revision()),
+            store::display(self.mirrors[topic as usize].revision())
+        );
+        match topic {
+            Topic::Configuration => self.restored_at = Some(now),
+            Topic::Upstreams => self.upstream_list.store_restored(now),
+            // Hosts and the leader write their keys again.
+            Topic::Fleet => {}
+        }
+    }
+
     fn apply_update(&mut self, topic: Topic, update: Option<Update>, verified_at: Option<Time>) {
-        let changes = update.map(|it| self.mirrors[topic as usize].apply(it)).unwrap_or_default();
         let index = topic as usize;
+        let known = self.mirrors[index].revision();
+        let update = update.map(|it| self.without_outdated(topic, it));
+        let is_restored =
+            |it: &Update| known > 0 && it.is_listing() && era_of(it.revision()) > era_of(known);
+        let is_restored = update.as_ref().is_some_and(is_restored);
+        if let Some(update) = update.as_ref().filter(|_| is_restored) {
+            self.store_restored(topic, update);
+        }
+        let changes = update.map(|it| self.mirrors[index].apply(it)).unwrap_or_default();
         if self.mirrors[index].revision() > 0 {
             self.verified[index] = self.verified[index].max(verified_at);
         }
         match topic {
             Topic::Configuration => {
+                if !is_restored && changes.iter().any(|it| matches!(it, Change::Put(_))) {
+                    self.restored_at = None;
+                }
                 changes.iter().for_each(|it| self.apply_configuration(it));
-                self.outputs.verified_at.send_replace(self.verified[index]);
+                let verified = self.verified[index];
+                // An older copy does not tell whether a newer configuration exists.
+                if self.restored_at.is_none_or(|at| verified >= Some(at + REWRITE_TIME)) {
+                    self.outputs.verified_at.send_replace(verified);
+                }
             }
             Topic::Upstreams => {
                 if !changes.is_empty() {
-                    changes.iter().for_each(|it| self.apply_upstream(it));
+                    changes.iter().for_each(|it| self.apply_upstream(it, is_restored));
                     self.publish_upstreams();
                 }
                 if self.mirrors[index].revision() > 0 {
@@ -485,23 +558,28 @@
                 log::info!(
                     "configuration {} is in force, revision {}",
                     table.version,
-                    item.revision
+                    store::display(item.revision)
                 );
                 self.outputs.table.send_replace(Some(Arc::new(table)));
             }
             Err(error) => {
                 log::error!(
                     "the configuration of revision {} cannot be decoded: {error}",
-                    item.revision
+                    store::display(item.revision)
                 );
             }
         }
     }
 
-    fn apply_upstream(&mut self, change: &Change) {
+    /// Applies a change. `is_restored` tells whether it comes from an older copy of the store.
+    fn apply_upstream(&mut self, change: &Change, is_restored: bool) {
         match change {
             Change::Put(item) => {
-                self.upstream_list.put(&item.key, (self.decoding.entry)(&item.key, &item.value));
+                let entry = (self.decoding.entry)(&item.key, &item.value);
+                match is_restored {
+                    true => self.upstream_list.put_restored(Time::now(), &item.key, entry),
+                    false => self.upstream_list.put(&item.key, entry),
+                }
             }
             Change::Deleted(key, _) => self.upstream_list.delete(Time::now(), key),
         }
@@ -588,8 +666,8 @@
 
     fn tick(&mut self) {
         let now = Time::now();
-        if self.upstream_list.next_expiry().is_some_and(|it| it <= now) {
-            self.upstream_list.remove_expired(now);
+        if self.upstream_list.next_due().is_some_and(|it| it <= now) {
+            self.upstream_list.apply_due(now);
             self.publish_upstreams();
         }
         let role = *self.role.borrow();
--- a/src/serving/follower.rs
+++ b/src/serving/follower.rs
@@ -16,7 +16,7 @@
         mirror::Update,
         roster::Roster,
     },
-    store::{Failure, Item, Store, Watch},
+    store::{Failure, Item, Store, Watch, era_of},
     time::Time,
 };
 
@@ -209,6 +209,10 @@
         let page = store.list(prefix, &after).await?;
         items.extend(page.items);
         let first = *revision.get_or_insert(page.revision);
+        if era_of(page.revision) != era_of(first) {
+            let why = "the store came back from an older copy during a listing";
+            return Err(Failure::Unknown(why.to_owned()));
+        }
         if !page.more {
             return Ok((items, first));
         }
--- a/src/serving/leadership.rs
+++ b/src/serving/leadership.rs
@@ -8,14 +8,14 @@
 
 use crate::{
     serving::roster::Roster,
-    store::{Commit, Committed, Failure, Item, LeaseId, Put, Store},
+    store::{self, Commit, Committed, Failure, Item, LeaseId, Put, Store},
     time::{Span, Time},
 };
 
 /// Key that the leader holds under its lease.
 pub const LEADER_KEY: &str = "almondrack/fleet/leader";
 
-/// Key with the id of the last leader. It has no lease and outlives the leader's key.
+/// Key with the id of the last leader and the era of its claim. It has no lease and outlives the leader's key.
 const LAST_LEADER_KEY: &str = "almondrack/last-leader";
 
 /// Part of a lease by which its holder stops early, for clock drift, in thousandths.
@@ -36,7 +36,8 @@
 /// A term of leadership within the bounds on which its holder can rely.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Term {
-    /// Fencing number: the revision of the claim, which increases with each new holder.
+    /// Fencing number: the revision of the claim, which increases with each new holder, also after the store came back
+    /// from an older copy.
     pub number: u64,
     /// Time of the first permitted action. Later than the claim if another host held the last term,
     /// so that holders do not alternate within one lease.
@@ -91,6 +92,14 @@
     Leadership { term, stop: Rc::new(stop) }
 }
 
+/// Record of the last leader. In the first era it holds the host alone, as hosts of earlier versions write it.
+fn last_leader(host: &str, era: u64) -> String {
+    match era {
+        0 => host.to_owned(),
+        era => format!("{host} {era}"),
+    }
+}
+
 struct Candidate<S> {
     options: Options<S>,
     term: watch::Sender<Option<Term>>,
@@ -162,8 +171,10 @@
             sleep(LOST_CLAIM_PAUSE).await;
             return Ok(None);
         };
-        let was_last = last.as_ref().is_none_or(|it| *it.value == *host.as_bytes());
-        let wait = if was_last { Span(0) } else { Span(lease.0 * 6 / 10) };
+        let wait = match last {
+            Some(last) => self.wait_after(&last.value, store::era_of(number)),
+            None => Span(0),
+        };
         Ok(Some(HeldLease {
             lease: id,
             number,
@@ -172,6 +183,20 @@
         }))
     }
 
+    /// Returns the time from a claim to the first action, so that holders do not alternate. `last` is the record of the
+    /// last leader, and `era` that of the claim.
+    fn wait_after(&self, last: &[u8], era: u64) -> Span {
+        let Options { host, lease, .. } = &self.options;
+        let last = String::from_utf8_lossy(last);
+        let (last_host, last_era) = last.rsplit_once(' ').unwrap_or((&last, "0"));
+        if last_era.parse() != Ok(era) {
+            // The store came back from an older copy, which has lost the last claim. Its holder acts until it hears of
+            // that or its lease ends.
+            return *lease;
+        }
+        if last_host == host { Span(0) } else { Span(lease.0 * 6 / 10) }
+    }
+
     /// Returns the delay of this host's claim, which gives precedence to hosts that rank before it.
     fn claim_delay(&self) -> Duration {
         let roster = self.options.roster.borrow();
@@ -184,7 +209,7 @@
     async fn claim(&self, lease: LeaseId) -> Result<Option<u64>, Failure> {
         // Contains the lease, which distinguishes a claim whose answer was lost from one of an
         // earlier process of this host.
-        let claim = format!("{} {}", self.options.host, lease.0);
+        let claim = format!("{} {} {}", self.options.host, lease.id, lease.era);
         let put = |key: &str, value: &str, lease| Put {
             key: key.to_owned(),
             value: Bytes::copy_from_slice(value.as_bytes()),
@@ -194,7 +219,11 @@
             expect: vec![(LEADER_KEY.to_owned(), 0)],
             put: vec![
                 put(LEADER_KEY, &claim, Some(lease)),
-                put(LAST_LEADER_KEY, &self.options.host, None),
+                put(
+                    LAST_LEADER_KEY,
+                    &last_leader(&self.options.host, self.options.store.era()),
+                    None,
+                ),
             ],
             delete: Vec::new(),
         };
--- a/src/serving/ledger.rs
+++ b/src/serving/ledger.rs
@@ -102,6 +102,13 @@
         windows.into_iter().map(|it| (it, self.all_counts(it))).collect()
     }
 
+    /// Marks all windows as having counts that are not in the store.
+    pub fn mark_all_unwritten(&mut self) {
+        let windows: Vec<_> =
+            self.own.keys().copied().chain(self.others.keys().map(|it| it.0)).collect();
+        windows.into_iter().for_each(|it| self.mark_unwritten(it));
+    }
+
     /// Marks a window as having counts that are not in the store.
     pub fn mark_unwritten(&mut self, window: u64) {
         if let Err(at) = self.unwritten.binary_search(&window) {
--- a/src/serving/mirror.rs
+++ b/src/serving/mirror.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::store::{Change, Item};
+use crate::store::{self, Change, Item};
 
 /// Number of changes in the log from which other hosts are updated. Hosts that are further behind
 /// receive a listing.
@@ -23,6 +23,32 @@
         matches!(self, Update::Changes(changes, _) if changes.is_empty())
     }
 
+    /// Revision up to which it goes.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Update::Listing(_, revision) | Update::Changes(_, revision) => *revision,
+        }
+    }
+
+    /// Whether it lists all items.
+    pub fn is_listing(&self) -> bool {
+        matches!(self, Update::Listing(..))
+    }
+
+    /// Applies a function to each item that was written.
+    #[must_use]
+    pub fn map_items(mut self, mut change: impl FnMut(&mut Item)) -> Update {
+        match &mut self {
+            Update::Listing(items, _) => items.iter_mut().for_each(change),
+            Update::Changes(changes, _) => changes.iter_mut().for_each(|it| {
+                if let Change::Put(item) = it {
+                    change(item);
+                }
+            }),
+        }
+        self
+    }
+
     /// Drops heartbeats, i.e. writes that `is_repeat` finds equal to the stored item.
     ///
     /// A write that follows another change of the same key is kept, as it reverts that change.
@@ -45,7 +71,7 @@
 #[derive(Debug, Default)]
 pub struct Mirror {
     /// Revision up to which every change is applied; zero before the first listing. Never
-    /// decreases.
+    /// decreases, as revisions of later eras are greater.
     revision: u64,
     items: BTreeMap<String, Item>,
     /// The last changes in the order of their revisions.
@@ -91,8 +117,9 @@
     fn apply_listing(&mut self, items: Vec<Item>, revision: u64) -> Vec<Change> {
         if revision < self.revision || revision == 0 {
             log::info!(
-                "ignoring a listing as of revision {revision}: the copy is of revision {}",
-                self.revision
+                "ignoring a listing as of revision {}: the copy is of revision {}",
+                store::display(revision),
+                store::display(self.revision)
             );
             return Vec::new();
         }
--- a/src/serving/upstream_list.rs
+++ b/src/serving/upstream_list.rs
@@ -3,8 +3,11 @@
 //! During an outage of the store, entries expire with their leases. Upstreams that still run write
 //! them again soon after the outage. Expired entries are kept until then, so that the list is not
 //! empty when the store recovers.
+//!
+//! A store that comes back from an older copy lists upstreams that have left since, and lacks those
+//! that have come.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::{
     serving::registry::{DecodeError, Entry},
@@ -15,6 +18,24 @@
 /// to the platform. An upstream that has left must get no request after about the same time.
 const GRACE_PERIOD: Span = Span::from_ms(1_900);
 
+/// Time for which an upstream that was removed is not used again because an older copy of the store
+/// still lists it. The store removes the entry after three missed heartbeats if the upstream is gone.
+const RETURN_DELAY: Span = Span::from_ms(5_000);
+
+/// Time for which a removed upstream is remembered; longer than a copy of the store is old.
+const REMOVED_LIFETIME: Span = Span::from_ms(120_000);
+
+/// Most removed upstreams that are remembered.
+const MAX_REMOVED: usize = 1_024;
+
+/// An upstream that was removed, and when.
+#[derive(Debug)]
+struct RemovedUpstream {
+    key: String,
+    started_ms: u64,
+    at: Time,
+}
+
 /// An entry with the time of its removal.
 #[derive(Debug)]
 struct ListedUpstream {
@@ -28,6 +49,11 @@
 pub struct List {
     /// By key in the store.
     entries: BTreeMap<String, ListedUpstream>,
+    /// Oldest first.
+    removed: VecDeque<RemovedUpstream>,
+    /// Entries of removed upstreams in an older copy of the store, each with the time from which the
+    /// upstream is used unless its entry is removed again.
+    returning: Vec<(String, Entry, Time)>,
     /// Whether the last call to the store failed.
     store_is_down: bool,
     /// End of the grace period after the last outage.
@@ -47,6 +73,34 @@
         }
     }
 
+    /// Records that the store came back from an older copy. Upstreams that are missing in it write
+    /// their entries again within the grace period.
+    pub fn store_restored(&mut self, now: Time) {
+        self.grace_end = self.grace_end.max(now + GRACE_PERIOD);
+    }
+
+    /// Records an entry in an older copy of the store. An upstream that was removed since is not used
+    /// at once.
+    pub fn put_restored(&mut self, now: Time, key: &str, entry: Result<Entry, DecodeError>) {
+        let was_removed = |it: &Entry| {
+            let same = |removed: &&RemovedUpstream| {
+                removed.key == key && removed.started_ms == it.started_ms
+            };
+            self.removed
+                .iter()
+                .any(|removed| same(&removed) && now.since(removed.at) < REMOVED_LIFETIME)
+        };
+        match entry {
+            Ok(entry) if !self.entries.contains_key(key) && was_removed(&entry) => {
+                log::info!(
+                    "upstream entry {key} is of an older copy of the store; the upstream has left"
+                );
+                self.returning.push((key.to_owned(), entry, now + RETURN_DELAY));
+            }
+            entry => self.put(key, entry),
+        }
+    }
+
     /// Records an outage that another host reports, with the rest of its grace period.
     pub fn outage_reported(&mut self, now: Time, left: Span) {
         self.grace_end = self.grace_end.max(now + left);
@@ -60,6 +114,7 @@
 
     /// Records that an entry was written. One that cannot be parsed removes the upstream.
     pub fn put(&mut self, key: &str, entry: Result<Entry, DecodeError>) {
+        self.returning.retain(|it| it.0 != key);
         match entry {
             Ok(entry) if self.is_outdated(key, &entry) => {
                 log::info!("ignoring an older version of upstream entry {key}");
@@ -83,6 +138,13 @@
     /// Records that an entry was removed from the store. During an outage and its grace period the
     /// upstream is kept for the rest of that period.
     pub fn delete(&mut self, now: Time, key: &str) {
+        self.returning.retain(|it| it.0 != key);
+        if let Some(listed) = self.entries.get(key) {
+            let started_ms = listed.entry.started_ms;
+            self.removed.push_back(RemovedUpstream { key: key.to_owned(), started_ms, at: now });
+            let excess = self.removed.len().saturating_sub(MAX_REMOVED);
+            self.removed.drain(..excess);
+        }
         let left = self.grace_left(now);
         if left == Span(0) {
             self.entries.remove(key);
@@ -106,14 +168,23 @@
         }
     }
 
-    /// Removes upstreams whose entries were not written again in time.
-    pub fn remove_expired(&mut self, now: Time) {
+    /// Removes upstreams whose entries were not written again in time, and adds those that an older
+    /// copy of the store still lists although they were removed.
+    pub fn apply_due(&mut self, now: Time) {
         self.entries.retain(|_, it| it.remove_at.is_none_or(|until| now < until));
+        let due: Vec<_> = self.returning.extract_if(.., |it| it.2 <= now).collect();
+        for (key, entry, _) in due {
+            log::info!(
+                "upstream entry {key} of an older copy of the store remains; using the upstream"
+            );
+            self.put(&key, Ok(entry));
+        }
     }
 
-    /// Returns when [`List::remove_expired`] removes the next upstream, if any.
-    pub fn next_expiry(&self) -> Option<Time> {
-        self.entries.values().filter_map(|it| it.remove_at).min()
+    /// Returns when [`List::apply_due`] has to be called, if at all.
+    pub fn next_due(&self) -> Option<Time> {
+        let removals = self.entries.values().filter_map(|it| it.remove_at);
+        removals.chain(self.returning.iter().map(|it| it.2)).min()
     }
 
     /// Returns the upstreams that may be used, sorted by key.
--- a/src/serving/usage.rs
+++ b/src/serving/usage.rs
@@ -195,6 +195,7 @@
         name: options.writer,
         meter: meter.clone(),
         revisions: BTreeMap::new(),
+        era: 0,
     };
     task::spawn_local(writer.run(options.writes_usage, stopping, stopped_sender));
     let reporter = Reporter {
@@ -204,6 +205,11 @@
         roster: options.roster,
         delay: options.delay,
         reported: Vec::new(),
+        sealed: Vec::new(),
+        era: 0,
+        restored_at: None,
+        led_from: None,
+        led_before_restore: None,
     };
     task::spawn_local(reporter.run(options.leadership));
     Usage { meter, stop: Rc::new(stop), stopped }
@@ -216,6 +222,8 @@
     meter: Meter,
     /// Revision of the record of each window.
     revisions: BTreeMap<u64, u64>,
+    /// Era of the store in which the records were written.
+    era: u64,
 }
 
 impl<S: Store> Writer<S> {
@@ -253,6 +261,10 @@
     /// Writes the windows whose counts changed. Returns whether all were written.
     async fn flush(&mut self) -> bool {
         let open = self.meter.open_window();
+        if std::mem::replace(&mut self.era, self.store.era()) != self.era {
+            // The store came back from an older copy, which lacks the last records.
+            self.meter.ledger.borrow_mut().mark_all_unwritten();
+        }
         let batches = self.meter.ledger.borrow_mut().take_unwritten(open);
         let mut complete = true;
         for (window, counts) in batches {
@@ -324,6 +336,16 @@
     delay: Span,
     /// Windows that were reported in this term, in ascending order.
     reported: Vec<u64>,
+    /// Sums that this host sealed, in ascending order of their windows.
+    sealed: Vec<(u64, Counts)>,
+    /// Era of the store in which the seals were written.
+    era: u64,
+    /// When this host first heard of the era, unless it is the store's first one.
+    restored_at: Option<Time>,
+    /// Since when this host has led.
+    led_from: Option<Time>,
+    /// Since when this host had led when it heard of the era.
+    led_before_restore: Option<Time>,
 }
 
 impl<S: Store, P: Duties> Reporter<S, P> {
@@ -331,7 +353,14 @@
         let mut last_term = None;
         loop {
             sleep(REPORT_INTERVAL).await;
+            if std::mem::replace(&mut self.era, self.store.era()) != self.era {
+                self.restored_at = Some(Time::now());
+                self.led_before_restore = self.led_from;
+                last_term = None;
+                self.write_seals().await;
+            }
             let term = *leadership.term.borrow();
+            self.led_from = term.map(|it| self.led_from.unwrap_or(it.from));
             let Some(term) = term else { continue };
             if last_term != Some(term.number) {
                 last_term = Some(term.number);
@@ -358,15 +387,27 @@
         let items = self.list_records().await?;
         for window in due {
             let late = self.meter.since_end(now, window).0 + REPORT_LEAD.0 >= self.delay.0;
-            let Some(counts) = self.sum_if_complete(&items, window, late) else { continue };
+            let counts = match self.sealed_counts(now, window).await? {
+                Sealed::Counts(counts) => counts,
+                Sealed::Lost => {
+                    log::warn!(
+                        "usage of window {window} is not reported: an older copy of the store may lack its seal"
+                    );
+                    self.mark_reported(window);
+                    continue;
+                }
+                Sealed::No => {
+                    let Some(counts) = self.sum_if_complete(&items, window, late) else { continue };
+                    counts
+                }
+            };
             let counts = self.seal(window, counts, &items).await?;
             let Some(number) = permitted_number(leadership, term) else { return Ok(()) };
             match self.duties.report(number, window, &counts).await {
                 Ok(()) => {
                     let total: u64 = counts.iter().map(|it| it.1).sum();
                     log::info!("usage of window {window} reported: {total} requests");
-                    let at = self.reported.partition_point(|it| *it < window);
-                    self.reported.insert(at, window);
+                    self.mark_reported(window);
                 }
                 Err(failure) => {
                     log::warn!("usage report of window {window} failed: {failure}");
@@ -376,6 +417,51 @@
         Ok(())
     }
 
+    fn mark_reported(&mut self, window: u64) {
+        let at = self.reported.partition_point(|it| *it < window);
+        self.reported.insert(at, window);
+    }
+
+    /// Returns what is known of a window's seal. After the store came back from an older copy, a window that may have been
+    /// reported before is reported again only with the counts of its seal.
+    async fn sealed_counts(&self, now: Time, window: u64) -> Result<Sealed, Failure> {
+        if let Ok(at) = self.sealed.binary_search_by_key(&window, |it| it.0) {
+            return Ok(Sealed::Counts(self.sealed[at].1.clone()));
+        }
+        let Some(restored_at) = self.restored_at else { return Ok(Sealed::No) };
+        let since_end = self.meter.since_end(now, window).0;
+        let until_restored = now.since(restored_at).0 + COLLECT_TIME.0;
+        // No other host sealed windows that ended while this one led.
+        let has_led = self.led_before_restore.is_some_and(|from| now - Span(since_end) >= from);
+        if since_end < until_restored || has_led {
+            return Ok(Sealed::No);
+        }
+        match self.store.get(&format!("{SEALED_PREFIX}{window}")).await? {
+            Some(item) => decode_counts(&item.value).map(Sealed::Counts),
+            None => Ok(Sealed::Lost),
+        }
+    }
+
+    /// Writes the seals of this host again that an older copy of the store may lack.
+    async fn write_seals(&self) {
+        for (window, counts) in &self.sealed {
+            let key = format!("{SEALED_PREFIX}{window}");
+            let written = match encode(counts) {
+                Ok(value) => {
+                    let put = vec![Put { key: key.clone(), value, lease: None }];
+                    let commit = Commit { expect: vec![(key, 0)], put, ..Commit::default() };
+                    self.store.commit(&commit).await.map(|_| ())
+                }
+                Err(failure) => Err(failure),
+            };
+            if let Err(failure) = written {
+                log::warn!(
+                    "the seal of usage window {window} could not be written again: {failure}"
+                );
+            }
+        }
+    }
+
     /// Lists all records of counts in the store.
     async fn list_records(&self) -> Result<Vec<Item>, Failure> {
         let mut items: Vec<Item> = Vec::new();
@@ -405,7 +491,12 @@
     }
 
     /// Seals the sums of a window. Returns the stored ones if it was sealed before.
-    async fn seal(&self, window: u64, counts: Counts, items: &[Item]) -> Result<Counts, Failure> {
+    async fn seal(
+        &mut self,
+        window: u64,
+        counts: Counts,
+        items: &[Item],
+    ) -> Result<Counts, Failure> {
         let key = format!("{SEALED_PREFIX}{window}");
         let old = format!("{SEALED_PREFIX}{}", window.saturating_sub(KEPT_SEALED_WINDOWS));
         let commit = Commit {
@@ -415,11 +506,20 @@
         };
         if let Committed::Done(_) = self.store.commit(&commit).await? {
             self.remove_records(window, items).await;
+            self.keep_seal(window, &counts);
             return Ok(counts);
         }
         let sealed = self.store.get(&key).await?;
-        let value = sealed.map_or_else(Bytes::new, |it| it.value);
-        serde_json::from_slice(&value).map_err(|error| Failure::Invalid(error.to_string()))
+        let counts = decode_counts(&sealed.map_or_else(Bytes::new, |it| it.value))?;
+        self.keep_seal(window, &counts);
+        Ok(counts)
+    }
+
+    fn keep_seal(&mut self, window: u64, counts: &Counts) {
+        if let Err(at) = self.sealed.binary_search_by_key(&window, |it| it.0) {
+            self.sealed.insert(at, (window, counts.clone()));
+        }
+        self.sealed.retain(|it| it.0 + KEPT_SEALED_WINDOWS >= window);
     }
 
     /// Removes the records of a sealed window, and of those that are too old to be reported.
@@ -438,6 +538,20 @@
     }
 }
 
+/// What is known of a window's seal.
+enum Sealed {
+    /// It is sealed with these sums.
+    Counts(Counts),
+    /// It has no seal, as far as this host knows.
+    No,
+    /// It may have been sealed and reported before the store came back from an older copy.
+    Lost,
+}
+
+fn decode_counts(value: &[u8]) -> Result<Counts, Failure> {
+    serde_json::from_slice(value).map_err(|error| Failure::Invalid(error.to_string()))
+}
+
 fn permitted_number(leadership: &Leadership, term: Term) -> Option<u64> {
     let held = (*leadership.term.borrow())?;
     (held.number == term.number).then(|| held.permits(Time::now(), MAX_REPORT_TIME)).flatten()
--- a/src/store.rs
+++ b/src/store.rs
@@ -4,9 +4,43 @@
 
 use bytes::Bytes;
 
-/// Identity of a lease, never zero.
+/// Bits of a revision that count the changes within an era.
+const CHANGE_BITS: u32 = 40;
+
+/// Returns the revision after a number of changes in an era of the store.
+///
+/// A store that comes back from an older copy counts from the copy's revision again. Revisions of later eras are greater
+/// than all earlier ones, so that they grow for ever and none is given out twice.
+pub fn revision(era: u64, changes: u64) -> u64 {
+    (era << CHANGE_BITS) | (changes & ((1 << CHANGE_BITS) - 1))
+}
+
+/// Returns the era of a revision.
+pub fn era_of(revision: u64) -> u64 {
+    revision >> CHANGE_BITS
+}
+
+/// Returns the number of changes that the store itself counts at a revision.
+pub fn changes_of(revision: u64) -> u64 {
+    revision & ((1 << CHANGE_BITS) - 1)
+}
+
+/// Returns a revision for log lines: the store's own count, and the era unless it is the first one.
+pub fn display(revision: u64) -> String {
+    match era_of(revision) {
+        0 => changes_of(revision).to_string(),
+        era => format!("{} of era {era}", changes_of(revision)),
+    }
+}
+
+/// Identity of a lease. A store that comes back from an older copy may give out an id again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId {
+    /// Id that the store gave out, never zero.
+    pub id: u64,
+    /// Era of the store in which the lease was opened.
+    pub era: u64,
+}
 
 /// A key with its value.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -15,7 +49,7 @@
     pub key: String,
     /// Value that was written last.
     pub value: Bytes,
-    /// Revision of the store at which the key was written last.
+    /// Revision of the store at which the key was written last, in the era in which it was read.
     pub revision: u64,
 }
 
@@ -44,7 +78,7 @@
 pub enum Watch {
     /// Changes in the order of their revisions, none if the wait timed out, and the revision for the next watch.
     Changes(Vec<Change>, u64),
-    /// The store no longer has all changes after the revision; the keys must be listed again.
+    /// The store no longer has all changes after the revision, or it is of another era; the keys must be listed again.
     Compacted,
 }
 
@@ -62,7 +96,8 @@
 /// An atomic write of several keys.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Commit {
-    /// Conditions: keys and the revisions at which they were last written; zero if a key must not exist.
+    /// Conditions: keys and the revisions at which they were last written; zero if a key must not exist. A revision of an
+    /// earlier era is never met.
     pub expect: Vec<(String, u64)>,
     /// Keys to write, with their values.
     pub put: Vec<Put>,
@@ -77,7 +112,7 @@
     Done(u64),
     /// A key has another revision than expected; nothing was written.
     Conflict,
-    /// The lease of a key to write does not exist or has ended; nothing was written.
+    /// The lease of a key to write does not exist, has ended or is of an earlier era; nothing was written.
     LeaseEnded,
 }
 
@@ -107,8 +142,8 @@
 /// Calls to the store. Each may fail with any [`Failure`]. Clones share connections.
 #[expect(async_fn_in_trait, reason = "every host runs its tasks on one thread")]
 pub trait Store: Clone + 'static {
-    /// Number of times that the store came back from an older copy of its keys, as its answers say. Zero for a store
-    /// that does not say.
+    /// Latest era that the store's answers name: the number of times that it came back from an older copy of its keys.
+    /// What was written since the copy is then gone, leases too. Zero for a store that does not say.
     fn era(&self) -> u64;
 
     /// Reads a key. Returns `None` if it does not exist.
--- a/tests/upstream_list.rs
+++ b/tests/upstream_list.rs
@@ -54,14 +54,14 @@
     list.delete(at(5_010), "b");
     expect!["a b"].assert_eq(&ids(&list));
     list.put("b", Ok(entry("b")));
-    let expiry = list.next_expiry().expect("the expired entry has a time of removal");
+    let expiry = list.next_due().expect("the expired entry has a time of removal");
     assert!(
         expiry <= at(7_000),
         "an upstream that has left must not be used for more than two seconds"
     );
-    list.remove_expired(expiry);
+    list.apply_due(expiry);
     expect!["b"].assert_eq(&ids(&list));
-    assert_eq!(list.next_expiry(), None);
+    assert_eq!(list.next_due(), None);
 }
 
 #[test]
@@ -105,9 +105,9 @@
     list.delete(at(10_000), "a");
     list.delete(at(10_000), "b");
     list.put("b", Ok(entry("b")));
-    list.remove_expired(at(11_400));
+    list.apply_due(at(11_400));
     expect!["a b"].assert_eq(&ids(&list));
-    list.remove_expired(at(11_600));
+    list.apply_due(at(11_600));
     expect!["b"].assert_eq(&ids(&list));
 }
 
@@ -117,8 +117,8 @@
     list.put("a", Ok(entry("a")));
     list.store_failed();
     list.delete(at(0), "a");
-    list.remove_expired(at(1_000));
+    list.apply_due(at(1_000));
     expect!["a"].assert_eq(&ids(&list));
-    list.remove_expired(at(2_000));
+    list.apply_due(at(2_000));
     expect![""].assert_eq(&ids(&list));
 }
