--- a/tests/serving/knowledge.rs
+++ b/tests/serving/knowledge.rs
@@ -9,18 +9,20 @@
         mirror::{Mirror, Update},
         tier::TIERS,
     },
-    store::{Change, Item},
+    store::{self, Change, Item},
 };
 use quickcheck::quickcheck;
 
 use crate::fixture::at;
 
-/// Reference model of a store with its complete history.
+/// Reference model of a store with the complete history of its era.
 #[derive(Default)]
 struct Model {
     revision: u64,
     items: BTreeMap<String, Item>,
     history: Vec<Change>,
+    /// State at some time, from which the store can come back.
+    copy: (u64, BTreeMap<String, Item>),
 }
 
 impl Model {
@@ -37,6 +39,29 @@
         self.history.push(Change::Put(item));
     }
 
+    fn copy(&mut self) {
+        self.copy = (self.revision, self.items.clone());
+    }
+
+    /// Comes back from the copy. Its items are then read as of the new era.
+    fn restore(&mut self) {
+        let era = store::era_of(self.revision) + 1;
+        let as_of_era = |it: u64| store::revision(era, store::changes_of(it));
+        let (revision, items) = self.copy.clone();
+        self.revision = as_of_era(revision);
+        self.items = items;
+        self.items.values_mut().for_each(|it| it.revision = as_of_era(it.revision));
+        self.history.clear();
+    }
+
+    /// Answer to a watch after a revision, a listing if the history does not reach back.
+    fn watch(&self, after: u64) -> Update {
+        match store::era_of(after) == store::era_of(self.revision) {
+            true => self.since(after),
+            false => self.listing(),
+        }
+    }
+
     fn listing(&self) -> Update {
         Update::Listing(self.items.values().cloned().collect(), self.revision)
     }
@@ -87,6 +112,59 @@
     }
 }
 
+quickcheck! {
+    fn copies_agree_with_a_store_that_comes_back_from_older_copies(steps: Vec<(u8, u8)>) -> bool {
+        let mut store = Model::default();
+        store.write(0);
+        store.copy();
+        let (mut hub, mut member) = (Mirror::default(), Mirror::default());
+        let mut late = store.listing();
+        hub.apply(store.listing());
+        for (step, key) in steps {
+            match step % 8 {
+                0 | 1 => store.write(key),
+                2 => drop(hub.apply(store.watch(hub.revision()))),
+                3 => drop(hub.apply(store.listing())),
+                4 => {
+                    if let Some(update) = hub.since(member.revision()) {
+                        member.apply(update);
+                    }
+                }
+                5 => store.copy(),
+                6 => store.restore(),
+                // An answer of an earlier era comes after one of a later era.
+                _ => {
+                    let update = std::mem::replace(&mut late, store.listing());
+                    member.apply(update.clone());
+                    hub.apply(update);
+                }
+            }
+        }
+        let revision = hub.revision();
+        hub.apply(store.watch(hub.revision()));
+        if let Some(update) = hub.since(member.revision()) {
+            member.apply(update);
+        }
+        hub.revision() >= revision
+            && contents(&hub) == Some(store.listing())
+            && contents(&member) == Some(store.listing())
+    }
+}
+
+#[test]
+fn revisions_of_a_later_era_are_greater_and_keep_the_stores_count() {
+    let (old, new) = (store::revision(1, u64::from(u32::MAX)), store::revision(2, 7));
+    assert!(old < new);
+    assert_eq!((store::era_of(new), store::changes_of(new)), (2, 7));
+    assert_eq!(
+        store::revision(0, 7),
+        7,
+        "hosts of earlier versions count the same in the first era"
+    );
+    assert_eq!(store::display(7), "7");
+    assert_eq!(store::display(new), "7 of era 2");
+}
+
 fn load(upstream: u64, running: u16) -> Load {
     Load { upstream, pending: [0; TIERS], running, ejected_ms: 0 }
 }
--- a/tests/upstream_list.rs
+++ b/tests/upstream_list.rs
@@ -122,3 +122,59 @@
     list.apply_due(at(2_000));
     expect![""].assert_eq(&ids(&list));
 }
+
+#[test]
+fn an_upstream_that_left_is_not_used_because_an_older_copy_of_the_store_lists_it() {
+    let mut list = upstream_list::List::default();
+    list.put("a", Ok(entry("a")));
+    list.put("b", Ok(entry("b")));
+    list.delete(at(1_000), "a");
+    list.store_restored(at(2_000));
+    list.put_restored(at(2_000), "a", Ok(entry("a")));
+    list.put_restored(at(2_000), "b", Ok(entry("b")));
+    expect!["b"].assert_eq(&ids(&list));
+    // The store removes the entry, as the upstream does not renew it.
+    list.delete(at(5_000), "a");
+    list.apply_due(at(20_000));
+    expect!["b"].assert_eq(&ids(&list));
+    assert_eq!(list.next_due(), None);
+}
+
+#[test]
+fn a_removed_upstream_whose_entry_remains_in_an_older_copy_is_used_later() {
+    let mut list = upstream_list::List::default();
+    list.put("a", Ok(entry("a")));
+    list.delete(at(1_000), "a");
+    list.store_restored(at(2_000));
+    list.put_restored(at(2_000), "a", Ok(entry("a")));
+    let due = list.next_due().expect("the entry waits");
+    assert!(due >= at(2_000 + 3_600), "three heartbeats of 1.2 s must have passed");
+    list.apply_due(due);
+    expect!["a"].assert_eq(&ids(&list));
+}
+
+#[test]
+fn a_removed_upstream_that_writes_its_entry_again_is_used_at_once() {
+    let mut list = upstream_list::List::default();
+    list.put("a", Ok(entry("a")));
+    list.delete(at(1_000), "a");
+    list.store_restored(at(2_000));
+    list.put_restored(at(2_000), "a", Ok(entry("a")));
+    list.put("a", Ok(Entry { sequence: 9, ..entry("a") }));
+    expect!["a"].assert_eq(&ids(&list));
+    // Another run under the same key is another upstream.
+    list.delete(at(3_000), "a");
+    list.put_restored(at(3_000), "a", Ok(Entry { started_ms: 2, ..entry("a") }));
+    assert_eq!(list.entries().next().map(|it| it.started_ms), Some(2));
+}
+
+#[test]
+fn an_upstream_that_an_older_copy_lacks_is_kept_until_it_had_time_to_write_its_entry() {
+    let mut list = upstream_list::List::default();
+    list.put("a", Ok(entry("a")));
+    list.store_restored(at(2_000));
+    list.delete(at(2_000), "a");
+    expect!["a"].assert_eq(&ids(&list));
+    list.apply_due(at(4_000));
+    expect![""].assert_eq(&ids(&list));
+}
