Do not take history that is gone as proof that a copy is current

The withdrawal was lost to four hosts as the store was away from just after it. When it came back from an older copy, each watch from a revision of the earlier era was answered as history that is gone, without a listing, as the store was away again; such an answer set the time of the last verification, and with it the time until which keys are accepted. Before eras a watch that got 410 did the same, so that the cause is older.

Only a listing or changes verify a copy now.

--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -372,13 +372,15 @@
 
     fn handle(&mut self, message: Message) {
         match message {
-            Message::Update(topic, sent_at, update) => {
+            // The history is gone, which says nothing about the copy.
+            Message::Update(_, _, None) => {}
+            Message::Update(topic, sent_at, Some(update)) => {
                 self.store_answered_at = Time::now();
                 if topic == Topic::Upstreams {
                     self.upstream_list.store_recovered(self.store_answered_at);
                 }
-                let update = update.map(|it| self.without_heartbeats(topic, it));
-                self.apply_update(topic, update, Some(sent_at));
+                let update = self.without_heartbeats(topic, update);
+                self.apply_update(topic, Some(update), Some(sent_at));
             }
             Message::Failed(topic) => {
                 self.store_answered_at = Time(0);
