Count a trial of quarantined content when it is sent

A host's turn at a trial ended when a request was judged, also if no upstream was there to take it, as right after the collapse of a pool, so that the next turn was nine delays away.

The turn now ends when the request is sent. Tests of placement: requests with a part under which engines crashed are refused while others go on, and a suspect goes where it takes the fewest requests along.

--- a/src/serving/crash_evidence.rs
+++ b/src/serving/crash_evidence.rs
@@ -173,7 +173,7 @@
     /// Decides about a request. `is_repeat` tells whether it was sent before.
     ///
     /// Quarantined content is tried again from time to time, with one request.
-    pub fn judge(&mut self, now: Time, contents: &[Content], is_repeat: bool) -> Verdict {
+    pub fn judge(&self, now: Time, contents: &[Content], is_repeat: bool) -> Verdict {
         if self.suspects.is_empty() {
             return Verdict::Clear;
         }
@@ -186,12 +186,16 @@
         if let Some(reason) = reasons.max_by_key(|it| (it.crashes, it.retry_after)) {
             return Verdict::Quarantined(reason);
         }
-        let mut is_suspect = false;
+        let is_suspect = |it: &Content| self.suspects.crashes(now, *it) >= SUSPECT_CRASHES;
+        if contents.iter().any(is_suspect) { Verdict::Suspect } else { Verdict::Clear }
+    }
+
+    /// Records that a request is sent. If it has quarantined content, it is a trial, and this host's turn is over.
+    pub fn record_send(&mut self, now: Time, contents: &[Content]) {
+        if self.suspects.is_empty() {
+            return;
+        }
         for content in contents {
-            if self.suspects.crashes(now, *content) < SUSPECT_CRASHES {
-                continue;
-            }
-            is_suspect = true;
             if let Some(state) = self.state_mut(*content)
                 && state.is_quarantined
             {
@@ -199,7 +203,6 @@
                 state.tried_at = Some(now);
             }
         }
-        if is_suspect { Verdict::Suspect } else { Verdict::Clear }
     }
 
     /// Records that an upstream of a pool crashed before its answer to an attempt went on. `began` tells whether the
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -511,6 +511,7 @@
     }
 
     fn grant(&mut self, now: Time, ticket: &Ticket, best: Candidate) -> Grant {
+        self.evidence.record_send(now, &ticket.contents);
         self.last_attempt += 1;
         let attempt = AttemptKey(self.last_attempt);
         let tier = tier_index(ticket);
--- a/tests/serving/crash_evidence.rs
+++ b/tests/serving/crash_evidence.rs
@@ -90,9 +90,18 @@
         }
     }
 
+    /// Judges a request, and sends it if it may be sent.
     fn judge(&mut self, host: usize, content: Content) -> Verdict {
+        self.send(host, &[content])
+    }
+
+    fn send(&mut self, host: usize, contents: &[Content]) -> Verdict {
         let now = self.now();
-        self.hosts[host].judge(now, &[content], false)
+        let verdict = self.hosts[host].judge(now, contents, false);
+        if !matches!(verdict, Verdict::Quarantined(_)) {
+            self.hosts[host].record_send(now, contents);
+        }
+        verdict
     }
 
     /// Hosts that send requests with the content.
@@ -248,8 +257,7 @@
         let is_deadly = drawn / 1_000 % 100 < deadly_percent;
         let last = if is_deadly { DEADLY } else { document(drawn / 7) };
         let contents = [COMMON, customer(drawn / 3), last];
-        let now = fleet.now();
-        let verdict = fleet.hosts[host].judge(now, &contents, false);
+        let verdict = fleet.send(host, &contents);
         let is_sent = !matches!(verdict, Verdict::Quarantined(_));
         match (is_deadly, is_sent) {
             (true, true) => {
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -5,8 +5,9 @@
 use almondrack::{
     error::Kind,
     serving::{
+        crash_evidence::Content,
         key::{TicketKey, UpstreamKey},
-        messages::{Change, Load, Prefix},
+        messages::{Change, Evidence, Load, Prefix, Suspicion},
         placement::{Action, Placement, Ticket},
         rate_limit::{Decision, Limit, Named, Rate},
         registry::State,
@@ -384,3 +385,66 @@
     let upstreams: Vec<_> = news.limits(at(1_000)).into_iter().map(|it| it.0).collect();
     assert_eq!(upstreams, [1, 4]);
 }
+
+#[test]
+fn requests_with_a_part_under_which_engines_crashed_are_refused_and_others_go_on() {
+    let mut engines = engines(8);
+    let mut host = host("host", &engines);
+    let with_part = |number: u64, part: u64| {
+        let mut ticket = ticket(number, prompt(&[part], 100, 100));
+        ticket.contents = vec![Content::Part(part)];
+        ticket
+    };
+    let mut ms = 0;
+    for crash in 0..3 {
+        let (crashed, attempt) = place(&mut host, at(ms), &with_part(100 + crash, 0xdead));
+        host.attempt_began(attempt);
+        host.attempt_ended(at(ms + 50), attempt, Ending::Failed);
+        // It starts again under the same id.
+        engines.iter_mut().filter(|it| *it.id == *crashed).for_each(|it| it.started_ms += 1);
+        host.set_upstreams(&engines);
+        for number in 0..6 {
+            let (_, attempt) = place(&mut host, at(ms + 100), &with_part(200 + number, 0xa));
+            host.attempt_answered(at(ms + 150), attempt);
+            host.attempt_proceeded(at(ms + 160), attempt);
+            host.attempt_ended(at(ms + 200), attempt, Ending::Done);
+        }
+        ms += 1_000;
+        host.evidence_news(at(ms));
+    }
+    let mut actions = Vec::new();
+    host.submit(at(ms), &with_part(300, 0xdead), &mut actions);
+    let refusal = actions.pop();
+    assert!(matches!(refusal, Some(Action::Quarantine(TicketKey(300), _))), "{refusal:?}");
+    place(&mut host, at(ms), &with_part(301, 0xa));
+}
+
+#[test]
+fn a_suspect_goes_where_it_takes_the_fewest_requests_along() {
+    let mut host = host("host", &engines(2));
+    let mut suspect = ticket(1, prompt(&[7], 2_000, 100));
+    suspect.contents = vec![Content::Part(7)];
+    let (first, attempt) = place(&mut host, at(0), &suspect);
+    host.attempt_ended(at(50), attempt, Ending::Cancelled);
+    // The engine caches the part, and serves other requests.
+    let running: Vec<_> =
+        (10..22).map(|it| place(&mut host, at(60), &ticket(it, prompt(&[7], 2_000, 10)))).collect();
+    assert!(running.iter().all(|it| it.0 == first), "{running:?}");
+    let (same, _) = place(&mut host, at(70), &suspect);
+    assert_eq!(same, first, "without a crash the cached part decides");
+    let charges = [(1, 1_000_000, true), (2, 300_000, true)];
+    let news = Evidence {
+        suspicions: vec![Suspicion {
+            content: Content::Part(7),
+            pool: 1,
+            charges: charges.to_vec(),
+            is_quarantined: false,
+            is_confirmed: false,
+            cleared_age_us: None,
+        }],
+        survivors: Vec::new(),
+    };
+    host.merge_evidence(at(80), at(80), &news);
+    let (other, _) = place(&mut host, at(90), &suspect);
+    assert_ne!(other, first);
+}
