Confirm a quarantine only by crashes of upstreams that had begun to answer

All four upstreams had crashed under requests with it, the host with the guilty ones was killed, and its first trial was ruined by another request; the answers to others while it was held back then counted as contrast.

--- a/src/serving/crash_evidence.rs
+++ b/src/serving/crash_evidence.rs
@@ -20,6 +20,13 @@
 /// Separate crashes without an answer in between after which content is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
 
+/// Separate crashes that confirm a quarantine whether or not answers had begun.
+const PROOF_CRASHES: usize = 6;
+
+/// Crashes of upstreams that had begun to answer a request with the content, without which fewer separate ones do not
+/// confirm a quarantine.
+const PROOF_BEGUN: usize = 2;
+
 /// Crashes, whether separate or not, after which two separate ones are enough.
 const BURST_CRASHES: usize = 5;
 
@@ -369,8 +376,7 @@
         if is_cleared || !self.suspects.charge(now, content, charge) {
             return false;
         }
-        let is_proven = self.suspects.crashes(now, content) >= QUARANTINE_CRASHES
-            && self.has_contrast(pool, content);
+        let is_proven = self.has_proof(now, content) && self.has_contrast(pool, content);
         let state = self.state_or_insert(now, (pool, content));
         state.changed_at = now;
         state.is_confirmed |= is_proven;
@@ -420,6 +426,14 @@
         separate >= QUARANTINE_CRASHES || (separate > 1 && rest.len() >= BURST_CRASHES)
     }
 
+    /// Whether the charges are more than bad luck: upstreams had begun to answer requests with the content, or crashed
+    /// many times.
+    fn has_proof(&self, now: Time, content: Content) -> bool {
+        let crashes = self.suspects.crashes(now, content);
+        let began = self.suspects.charges(content).iter().filter(|it| it.began).count();
+        crashes >= PROOF_CRASHES || (crashes >= QUARANTINE_CRASHES && began >= PROOF_BEGUN)
+    }
+
     /// Whether this host got answers to other requests of the pool between the first and the last charge. Answers to the
     /// content itself would have cleared it.
     fn has_contrast(&self, pool: u64, content: Content) -> bool {
--- a/tests/serving/crash_evidence.rs
+++ b/tests/serving/crash_evidence.rs
@@ -227,6 +227,34 @@
     }
 }
 
+#[test]
+fn a_trial_that_another_request_ruins_does_not_keep_content_out() {
+    let mut fleet = Fleet::new(4);
+    for upstream in 0..4 {
+        fleet.crash(&[(3, &[DEADLY]), (upstream % 3, &[RARE])]);
+        fleet.pass(400);
+    }
+    // The host that had the guilty requests is killed, so that nothing explains the crashes of the sound part.
+    fleet.hosts = (0..4).map(Evidence::new).collect();
+    for upstream in 0..4 {
+        fleet.crash(&[(3, &[COMMON]), (upstream % 3, &[RARE])]);
+        fleet.answer_others(&[COMMON]);
+        fleet.pass(400);
+    }
+    fleet.pass(600);
+    for _ in 0..2 {
+        let mut waited_ms = 0;
+        while fleet.senders(RARE).is_empty() {
+            fleet.answer_others(&[COMMON]);
+            fleet.pass(200);
+            waited_ms += 200;
+            assert!(waited_ms <= 12_000, "nobody tries after 12 s");
+        }
+        // The upstream of the trial crashes as well, before it begins to answer.
+        fleet.crash(&[(3, &[COMMON]), (0, &[RARE])]);
+    }
+}
+
 /// Upstreams of a pool that all crash within 250 ms and are back after three seconds. Each host gets requests all the
 /// time, some of them with the deadly part. Returns the deadly requests that are sent after the return, and the share of
 /// the sound ones that are sent from three seconds after it.
