Let the first claim of a restored store wait also without a record of the last one

A store that comes back from a copy of before the first claim has no record of the last leader, and a new one acted at once, while the lost claim's holder may act for the rest of its lease. Such a claim waits a whole lease now, as one beside a record of an earlier era does.

--- a/src/serving/leadership.rs
+++ b/src/serving/leadership.rs
@@ -171,9 +171,10 @@
             sleep(LOST_CLAIM_PAUSE).await;
             return Ok(None);
         };
-        let wait = match last {
-            Some(last) => self.wait_after(&last.value, store::era_of(number)),
-            None => Span(0),
+        let wait = match (last, store::era_of(number)) {
+            (Some(last), era) => self.wait_after(&last.value, era),
+            (None, 0) => Span(0),
+            (None, _) => *lease,
         };
         Ok(Some(HeldLease {
             lease: id,
@@ -185,13 +186,14 @@
 
     /// Returns the time from a claim to the first action, so that holders do not alternate. `last` is the record of the
     /// last leader, and `era` that of the claim.
+    ///
+    /// If the store came back from an older copy, which has lost the last claim, its holder acts until it hears of that
+    /// or its lease ends.
     fn wait_after(&self, last: &[u8], era: u64) -> Span {
         let Options { host, lease, .. } = &self.options;
         let last = String::from_utf8_lossy(last);
         let (last_host, last_era) = last.rsplit_once(' ').unwrap_or((&last, "0"));
         if last_era.parse() != Ok(era) {
-            // The store came back from an older copy, which has lost the last claim. Its holder acts until it hears of
-            // that or its lease ends.
             return *lease;
         }
         if last_host == host { Span(0) } else { Span(lease.0 * 6 / 10) }
