Log and count the answers of upstreams by what they are taken for and the id they echo

The lines of a failed attempt said `shed`, `run no`, and neither the status of the answer nor whether it echoed the request's id, so that a refusal of another request could not be told from one of this request, nor an upstream's own 503 from a marked one.

Each answer that is no success or does not echo the request's id has a line with its status, the connection's state and the verdict, and every answer is counted by verdict and id. No decision is changed.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -52,6 +52,7 @@
     limited_sends: IntCounterVec,
     permits: IntCounterVec,
     cut_attempts: IntCounterVec,
+    upstream_answers: IntCounterVec,
     /// Requests accepted and not ended.
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
@@ -114,6 +115,11 @@
             "Attempts that ended as the upstream closed the connection, by how much of the answer had arrived.",
             &["answer"],
         )?;
+        let upstream_answers = counter(
+            "almondrack_upstream_answers_total",
+            "Heads of upstreams' answers, by what they were taken for and by the request id that they echo.",
+            &["verdict", "id"],
+        )?;
         let opts = HistogramOpts::new(
             "almondrack_first_token_seconds",
             "Time from acceptance to the first token or byte.",
@@ -139,6 +145,7 @@
             limited_sends,
             permits,
             cut_attempts,
+            upstream_answers,
             in_flight,
             revision,
             store_era,
@@ -185,6 +192,12 @@
         self.cut_attempts.with_label_values(&[answer]).inc();
     }
 
+    /// Counts the head of an upstream's answer: what it was taken for, and whether it echoes the request's `own` id,
+    /// `another` one, or the id is `missing`.
+    pub fn upstream_answered(&self, verdict: &str, id: &str) {
+        self.upstream_answers.with_label_values(&[verdict, id]).inc();
+    }
+
     /// Number of calls to the platform's store so far, by cause, call and outcome, for a log line.
     pub fn store_calls(&self) -> String {
         let families = self.store_calls.collect();
--- a/src/serving/dialect.rs
+++ b/src/serving/dialect.rs
@@ -81,6 +81,40 @@
     Invalid,
 }
 
+/// The request id that a response echoes, compared with the id of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Echo {
+    /// The id of the request.
+    Own,
+    /// The id of another request.
+    Another,
+    /// None.
+    Missing,
+}
+
+impl Echo {
+    /// Name in log lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Echo::Own => "own",
+            Echo::Another => "another",
+            Echo::Missing => "missing",
+        }
+    }
+}
+
+impl Verdict {
+    /// Name in log lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Verdict::Valid => "valid",
+            Verdict::NotRun => "not_run",
+            Verdict::Misdirected => "misdirected",
+            Verdict::Invalid => "invalid",
+        }
+    }
+}
+
 /// Reads and writes the headers of one HTTP dialect.
 pub trait Dialect: 'static {
     /// Reads the headers of a caller's request.
@@ -98,6 +132,9 @@
     /// Classifies the head of a response to the request with the given id.
     fn verdict(&self, id: &HeaderValue, head: &response::Parts) -> Verdict;
 
+    /// Compares the id that a response echoes with the id of the request.
+    fn echo(&self, id: &HeaderValue, head: &response::Parts) -> Echo;
+
     /// Reads the rate limit that an upstream names in a response of its own.
     fn named_limit(&self, head: &response::Parts) -> rate_limit::Named;
 
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -24,7 +24,7 @@
         buffered::{self, LargeResponse},
         connection_cache,
         crash_evidence::Content,
-        dialect::{Dialect, Prompt, RouterHeaders, Verdict},
+        dialect::{Dialect, Echo, Prompt, RouterHeaders, Verdict},
         dispatcher::{AttemptGuard, Dispatcher},
         key::TicketKey,
         outbound_connection,
@@ -362,20 +362,39 @@
                     return Err(attempt_history::Failure::sent(Kind::UpstreamTimeout));
                 }
             };
-            return self.check_response(request, grant, (response, sent_at), connection, guard);
+            return self.check_response(
+                request,
+                (grant, used),
+                (response, sent_at),
+                connection,
+                guard,
+            );
         }
     }
 
     fn check_response(
         &self,
         request: &RoutedRequest,
-        grant: &Grant,
+        (grant, used): (&Grant, bool),
         (response, sent_at): (Response<Incoming>, Time),
         connection: outbound_connection::Connection,
         guard: AttemptGuard,
     ) -> Result<upstream_response::Response, attempt_history::Failure> {
         let (head, body) = response.into_parts();
         let verdict = self.shared.dialect.verdict(&request.id, &head);
+        let echo = self.shared.dialect.echo(&request.id, &head);
+        self.shared.metrics.upstream_answered(verdict.as_str(), echo.as_str());
+        if echo != Echo::Own || !head.status.is_success() {
+            log::info!(
+                "request {} got status {} from {} with {} id on a {} connection: {}",
+                request.log_id(),
+                head.status.as_u16(),
+                grant.instance,
+                echo.as_str(),
+                if used { "used" } else { "new" },
+                verdict.as_str(),
+            );
+        }
         self.record_limit(grant, (&head, sent_at), verdict, &guard);
         match verdict {
             Verdict::Valid => {
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -7,7 +7,7 @@
     metrics::Metrics,
     serving::{
         buffer_memory, connection_cache,
-        dialect::{CallerHeaders, Dialect, RouterHeaders, Verdict},
+        dialect::{CallerHeaders, Dialect, Echo, RouterHeaders, Verdict},
         dispatcher::Dispatcher,
         exchange::{Body, CallerResponse, Exchange, RoutedRequest},
         rate_limit,
@@ -50,6 +50,10 @@
         }
     }
 
+    fn echo(&self, _: &HeaderValue, _: &response::Parts) -> Echo {
+        Echo::Own
+    }
+
     fn named_limit(&self, _: &response::Parts) -> rate_limit::Named {
         rate_limit::Named::Nothing
     }
