Count a refusal by an upstream only with the id of the request

Callers saw requests answered 503 that ran, and requests that may run once ran up to three times. The verdict looked at status 421 and at the mark of a refusal before it looked at the id that the answer echoes. An upstream that sends a second copy of a refusal, while the next request is already on its connection, refused that request with it and ran it: the host then sent it to another upstream, or told the caller that it has not run.

An answer now counts for a request only if it echoes its id, whatever its status. One that echoes another or none is foreign: the request may have run, its connection is closed, and neither limits nor crashes are concluded from it.

--- a/src/serving/dialect.rs
+++ b/src/serving/dialect.rs
@@ -77,7 +77,10 @@
     NotRun,
     /// Another instance has the address now; the request did not run.
     Misdirected,
-    /// A response to another request, or one that does not come from an upstream.
+    /// A response to another request, or one that does not say to which. It says nothing about this request, which may
+    /// have run.
+    Foreign,
+    /// A response that does not come from an upstream. The request may have run.
     Invalid,
 }
 
@@ -110,6 +113,7 @@
             Verdict::Valid => "valid",
             Verdict::NotRun => "not_run",
             Verdict::Misdirected => "misdirected",
+            Verdict::Foreign => "foreign",
             Verdict::Invalid => "invalid",
         }
     }
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -424,7 +424,7 @@
                 guard.end(Ending::Refused);
                 Err(attempt_history::Failure::refused(Kind::NoUpstream))
             }
-            Verdict::Invalid => {
+            Verdict::Foreign | Verdict::Invalid => {
                 guard.end(Ending::Invalid);
                 Err(attempt_history::Failure::sent(Kind::UpstreamInvalid))
             }
@@ -442,7 +442,7 @@
     ) {
         let named = self.shared.dialect.named_limit(head);
         match (verdict, named) {
-            (Verdict::Misdirected | Verdict::Invalid, _) => {}
+            (Verdict::Misdirected | Verdict::Foreign | Verdict::Invalid, _) => {}
             (_, rate_limit::Named::Nothing) if !head.status.is_success() => {}
             (_, rate_limit::Named::Invalid) => {
                 log::warn!("upstream {} names a limit that is no rate; ignored", grant.instance);
