Do not pass on an upstream's 408, 421, 429 or 503 without the mark of a refusal

Callers saw 503 from upstreams that had run their requests. The verdict asked for the id and the signature and for no particular status, so that an upstream which ran a request and then answered 503 of its own made the host state that the request has not run. Callers send such requests again.

These statuses now count only with the mark, or for 421 with the id. Without it the request may have run: it is sent again where that is allowed, and ends with 502 otherwise.

--- a/src/serving/dialect.rs
+++ b/src/serving/dialect.rs
@@ -77,6 +77,9 @@
     NotRun,
     /// Another instance has the address now; the request did not run.
     Misdirected,
+    /// The upstream's response to this request, with a status by which callers conclude that the request has not run. The
+    /// upstream does not say so, and may have run it.
+    Unmarked,
     /// A response to another request, or one that does not say to which. It says nothing about this request, which may
     /// have run.
     Foreign,
@@ -113,6 +116,7 @@
             Verdict::Valid => "valid",
             Verdict::NotRun => "not_run",
             Verdict::Misdirected => "misdirected",
+            Verdict::Unmarked => "unmarked",
             Verdict::Foreign => "foreign",
             Verdict::Invalid => "invalid",
         }
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -424,7 +424,7 @@
                 guard.end(Ending::Refused);
                 Err(attempt_history::Failure::refused(Kind::NoUpstream))
             }
-            Verdict::Foreign | Verdict::Invalid => {
+            Verdict::Unmarked | Verdict::Foreign | Verdict::Invalid => {
                 guard.end(Ending::Invalid);
                 Err(attempt_history::Failure::sent(Kind::UpstreamInvalid))
             }
@@ -447,7 +447,7 @@
             (_, rate_limit::Named::Invalid) => {
                 log::warn!("upstream {} names a limit that is no rate; ignored", grant.instance);
             }
-            (Verdict::Valid | Verdict::NotRun, named) => guard.record_limit(sent_at, named),
+            (Verdict::Valid | Verdict::NotRun | Verdict::Unmarked, named) => guard.record_limit(sent_at, named),
         }
     }
 
