Look for bytes of the server when a request is written, and prove by bytes that none was sent

A kept connection is checked when it is taken from the cache, but the runtime may not have looked at its socket since: on a busy host tens of milliseconds pass. An extra answer, or the end of the connection, that had arrived by then met the next request, which was written and got the wrong answer or none. A request that may run once then failed with 502 although nothing needed to be lost.

The socket now looks at the bytes that wait at the moment of the first write of each request. If there are any, or the server has closed, nothing is written and the request takes another connection. The socket also tells whether any byte of the request was written, which is the proof behind `Unsent`.

tests/serving/outbound_connection.rs blocks the runtime while a server sends an extra answer or closes: Unsolicited and Unsent, and the server gets none of the second request.

--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -348,6 +348,14 @@
             {
                 Ok(Ok(response)) => response,
                 Ok(Err(outbound_connection::SendError::Unsent)) if used => continue,
+                Ok(Err(outbound_connection::SendError::Unsolicited)) => {
+                    self.shared.metrics.upstream_answered("unsolicited", "unread");
+                    if used {
+                        continue;
+                    }
+                    guard.end(Ending::Refused);
+                    return Err(attempt_history::Failure::unsent(Kind::UpstreamConnect));
+                }
                 Ok(Err(outbound_connection::SendError::Unsent)) => {
                     guard.end(Ending::Refused);
                     return Err(attempt_history::Failure::unsent(Kind::UpstreamConnect));
@@ -447,7 +455,9 @@
             (_, rate_limit::Named::Invalid) => {
                 log::warn!("upstream {} names a limit that is no rate; ignored", grant.instance);
             }
-            (Verdict::Valid | Verdict::NotRun | Verdict::Unmarked, named) => guard.record_limit(sent_at, named),
+            (Verdict::Valid | Verdict::NotRun | Verdict::Unmarked, named) => {
+                guard.record_limit(sent_at, named)
+            }
         }
     }
 
--- a/src/serving/outbound_connection.rs
+++ b/src/serving/outbound_connection.rs
@@ -1,6 +1,16 @@
 //! HTTP/1.1 client connection to an upstream or to the platform.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -10,7 +20,13 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+use rustix::net::RecvFlags;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    task::JoinHandle,
+    time::timeout,
+};
 
 use crate::time::Time;
 
@@ -22,15 +38,105 @@
 pub enum SendError {
     /// The request was not written at all, so it can be sent again on another connection.
     Unsent,
+    /// The request was not written at all, as the server had sent bytes that belong to no request.
+    Unsolicited,
     /// The connection failed, or the response was not valid HTTP, after bytes may have been written.
     Sent(String),
 }
 
+/// What has become of a request, as its socket knows it.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Whether any byte of the request was written.
+    is_written: AtomicBool,
+    /// Whether the server had sent bytes before the request was written.
+    is_unsolicited: AtomicBool,
+}
+
+/// Socket of a connection that carries one request at a time.
+#[derive(Debug)]
+struct Socket {
+    stream: TcpStream,
+    progress: Arc<Progress>,
+}
+
+impl Socket {
+    /// Checks that the server has neither sent anything nor closed the connection when a request is about to be written.
+    /// Bytes that arrive before the request would be read as its response. The runtime may not have noticed them yet.
+    fn check_quiet(&self) -> io::Result<()> {
+        let mut byte = [0];
+        match rustix::net::recv(&self.stream, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT) {
+            Err(rustix::io::Errno::AGAIN | rustix::io::Errno::INTR) => Ok(()),
+            Err(error) => Err(error.into()),
+            Ok((0, _)) => Err(io::ErrorKind::ConnectionAborted.into()),
+            Ok(_) => {
+                self.progress.is_unsolicited.store(true, Ordering::Relaxed);
+                Err(io::Error::other("the server sent bytes before the request"))
+            }
+        }
+    }
+
+    fn poll_write_request(
+        &mut self,
+        write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if !self.progress.is_written.load(Ordering::Relaxed) {
+            self.check_quiet()?;
+        }
+        let written = write(Pin::new(&mut self.stream));
+        if matches!(written, Poll::Ready(Ok(length)) if length > 0) {
+            self.progress.is_written.store(true, Ordering::Relaxed);
+        }
+        written
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_request(|it| it.poll_write(cx, bytes))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_request(|it| it.poll_write_vectored(cx, bytes))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
 /// Client connection. Dropping it closes the socket at once and aborts a request that is in flight.
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    progress: Arc<Progress>,
     /// Time at which the last response ended, or at which the connection was opened.
     pub idle_since: Time,
     /// Whether a request has been sent on the connection.
@@ -59,6 +165,8 @@
     /// # Errors
     /// Returns an error if the connection is closed.
     pub async fn handshake(stream: TcpStream) -> io::Result<Connection> {
+        let progress = Arc::new(Progress::default());
+        let stream = Socket { stream, progress: progress.clone() };
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake::<_, Full<Bytes>>(TokioIo::new(stream));
@@ -67,13 +175,13 @@
             // `send` returns the error if a request is in flight; otherwise `is_idle` reports the closed connection.
             let _ = connection.await;
         });
-        Ok(Connection { sender, driver, idle_since: Time::now(), used: false })
+        Ok(Connection { sender, driver, progress, idle_since: Time::now(), used: false })
     }
 
     /// Sends a request and waits for the head of its response.
     ///
     /// # Errors
-    /// Returns `Unsent` only if no byte was written, and `Sent` in any other case.
+    /// Returns `Unsent` or `Unsolicited` only if no byte was written, and `Sent` in any other case.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -82,10 +190,17 @@
             return Err(SendError::Unsent);
         }
         self.used = true;
+        self.progress.is_written.store(false, Ordering::Relaxed);
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut error| match error.take_message() {
-            Some(_) => SendError::Unsent,
-            None => SendError::Sent(error.into_error().to_string()),
+        sent.map_err(|mut error| {
+            if self.progress.is_unsolicited.load(Ordering::Relaxed) {
+                return SendError::Unsolicited;
+            }
+            match error.take_message() {
+                Some(_) => SendError::Unsent,
+                None if !self.progress.is_written.load(Ordering::Relaxed) => SendError::Unsent,
+                None => SendError::Sent(error.into_error().to_string()),
+            }
         })
     }
 
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -7,6 +7,7 @@
 mod followers;
 mod hostile;
 mod knowledge;
+mod outbound_connection;
 mod page;
 mod peers;
 mod placement;
