Use the connections of an upstream only once after an answer that belongs to no request

An extra answer can cross with the next request on its connection, and the host cannot know whether the request's own answer follows.

Reading on for the real answer was weighed and left out: the request may have been refused by the same bytes twice, a copy of the real answer may follow in turn, and an answer that never comes holds the request to its deadline. The first answer on a new connection needs no such guess. So an upstream whose answer met another request, or that sent bytes before one, gets a new connection for each request for ten seconds after the last such answer.

--- a/src/serving/connection_cache.rs
+++ b/src/serving/connection_cache.rs
@@ -18,6 +18,10 @@
 /// may not be retried.
 const MAX_IDLE_NOT_RETRYABLE: Span = Span::from_ms(800);
 
+/// Time for which the connections of an upstream are not used again after it sent an answer that belongs to no request
+/// where the answer to another one was due.
+const REUSE_PAUSE: Span = Span::from_ms(10_000);
+
 /// Most idle connections that are cached for one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
@@ -25,6 +29,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Cache {
     idle: Rc<RefCell<IdleConnections>>,
+    /// Upstreams whose connections are not used again before a time. Sorted by upstream.
+    paused: Rc<RefCell<Vec<(UpstreamKey, Time)>>>,
 }
 
 /// Sorted by upstream; the most recently used connection of each upstream comes last.
@@ -51,8 +57,36 @@
         outbound_connection::Connection::connect(address, CONNECT_TIMEOUT).await
     }
 
-    /// Puts a connection back after its response has ended. Closes it if the upstream has enough idle connections.
+    /// Closes the idle connections of an upstream that sent an answer which belongs to no request, and uses each of its
+    /// connections only once for some time. The first answer on a new connection belongs to its request. Returns whether
+    /// they were used again until now.
+    pub fn pause_reuse(&self, upstream: UpstreamKey) -> bool {
+        let was_paused = self.is_paused(upstream);
+        let until = Time::now() + REUSE_PAUSE;
+        let mut paused = self.paused.borrow_mut();
+        match paused.binary_search_by_key(&upstream, |it| it.0) {
+            Ok(found) => paused[found].1 = until,
+            Err(at) => paused.insert(at, (upstream, until)),
+        }
+        let mut idle = self.idle.borrow_mut();
+        if let Ok(found) = idle.binary_search_by_key(&upstream, |it| it.0) {
+            idle.remove(found);
+        }
+        !was_paused
+    }
+
+    fn is_paused(&self, upstream: UpstreamKey) -> bool {
+        let paused = self.paused.borrow();
+        let found = paused.binary_search_by_key(&upstream, |it| it.0);
+        found.is_ok_and(|at| Time::now() < paused[at].1)
+    }
+
+    /// Puts a connection back after its response has ended. Closes it if the upstream has enough idle connections, or if
+    /// its connections are not used again.
     pub fn put(&self, upstream: UpstreamKey, mut connection: outbound_connection::Connection) {
+        if self.is_paused(upstream) {
+            return;
+        }
         connection.idle_since = Time::now();
         let mut idle = self.idle.borrow_mut();
         let at = match idle.binary_search_by_key(&upstream, |it| it.0) {
@@ -71,6 +105,7 @@
     /// Closes connections that have been idle for too long or were closed by the upstream. Called at regular intervals.
     pub fn evict_expired(&self) {
         let now = Time::now();
+        self.paused.borrow_mut().retain(|it| now < it.1);
         self.idle.borrow_mut().retain_mut(|(_, connections)| {
             connections.retain(|it| it.is_idle() && now.since(it.idle_since) < IDLE_TIMEOUT);
             !connections.is_empty()
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -350,6 +350,7 @@
                 Ok(Err(outbound_connection::SendError::Unsent)) if used => continue,
                 Ok(Err(outbound_connection::SendError::Unsolicited)) => {
                     self.shared.metrics.upstream_answered("unsolicited", "unread");
+                    self.pause_reuse(grant);
                     if used {
                         continue;
                     }
@@ -404,6 +405,9 @@
             );
         }
         self.record_limit(grant, (&head, sent_at), verdict, &guard);
+        if verdict == Verdict::Foreign {
+            self.pause_reuse(grant);
+        }
         match verdict {
             Verdict::Valid => {
                 guard.record_head();
@@ -439,6 +443,16 @@
         }
     }
 
+    /// Uses the connections of an upstream only once for some time.
+    fn pause_reuse(&self, grant: &Grant) {
+        if self.shared.connections.pause_reuse(grant.upstream) {
+            log::info!(
+                "upstream {} sent an answer that belongs to no request; its connections are not used again for now",
+                grant.instance
+            );
+        }
+    }
+
     /// Records the rate limit that a response of the upstream names. A refusal or failure without one does not end a
     /// limit, as it may come from before the upstream looked at its load.
     fn record_limit(
