--- a/src/serving/dialect.rs
+++ b/src/serving/dialect.rs
@@ -77,10 +77,52 @@
     NotRun,
     /// Another instance has the address now; the request did not run.
     Misdirected,
-    /// A response to another request, or one that does not come from an upstream.
+    /// The upstream's response to this request, with a status by which callers conclude that the request has not run. The
+    /// upstream does not say so, and may have run it.
+    Unmarked,
+    /// A response to another request, or one that does not say to which. It says nothing about this request, which may
+    /// have run.
+    Foreign,
+    /// A response that does not come from an upstream. The request may have run.
     Invalid,
 }
 
+/// The request id that a response echoes, compared with the id of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Echo {
+    /// The id of the request.
+    Own,
+    /// The id of another request.
+    Another,
+    /// None.
+    Missing,
+}
+
+impl Echo {
+    /// Name in log lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Echo::Own => "own",
+            Echo::Another => "another",
+            Echo::Missing => "missing",
+        }
+    }
+}
+
+impl Verdict {
+    /// Name in log lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Verdict::Valid => "valid",
+            Verdict::NotRun => "not_run",
+            Verdict::Misdirected => "misdirected",
+            Verdict::Unmarked => "unmarked",
+            Verdict::Foreign => "foreign",
+            Verdict::Invalid => "invalid",
+        }
+    }
+}
+
 /// Reads and writes the headers of one HTTP dialect.
 pub trait Dialect: 'static {
     /// Reads the headers of a caller's request.
@@ -98,6 +140,9 @@
     /// Classifies the head of a response to the request with the given id.
     fn verdict(&self, id: &HeaderValue, head: &response::Parts) -> Verdict;
 
+    /// Compares the id that a response echoes with the id of the request.
+    fn echo(&self, id: &HeaderValue, head: &response::Parts) -> Echo;
+
     /// Reads the rate limit that an upstream names in a response of its own.
     fn named_limit(&self, head: &response::Parts) -> rate_limit::Named;
 
