End attempts whose grants reach a caller that has left

A caller that left after its ticket was granted and before its task looked at the grant took the grant with it: the attempt counted as running at its upstream until the host stopped, as only the guard that the caller makes of the grant ends it. No status to a caller was wrong; the host placed ever fewer requests on the upstream.

The dispatcher's task now makes the guard and sends it along with the grant, so that the attempt ends wherever the two are dropped. The task holds its own mailbox weakly, so that it still ends with the last handle.

--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -25,9 +25,12 @@
 /// Interval at which the task runs while tickets wait.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Answer to a ticket. The guard ends the attempt if the caller has left before it sees the grant.
+type Decision = Result<(Grant, AttemptGuard), Error>;
+
 #[derive(Debug)]
 enum Message {
-    Submit(Box<Ticket>, oneshot::Sender<Result<Grant, Error>>),
+    Submit(Box<Ticket>, oneshot::Sender<Decision>),
     Answered(AttemptKey),
     /// A response to an attempt, which was sent at this time, and the limit that it names.
     Limit(AttemptKey, Time, rate_limit::Named),
@@ -106,6 +109,7 @@
         let (messages, mailbox) = mpsc::unbounded_channel();
         let task = Task {
             placement: Placement::new(host, zone),
+            messages: messages.downgrade(),
             waiting: BTreeMap::new(),
             actions: Vec::new(),
             upstreams,
@@ -124,17 +128,7 @@
         let (answer, decision) = oneshot::channel();
         let stopped = || Error::new(Kind::Internal, "the dispatcher has stopped");
         self.messages.send(Message::Submit(Box::new(ticket), answer)).map_err(|_| stopped())?;
-        let grant = decision.await.map_err(|_| stopped())??;
-        let guard = AttemptGuard {
-            dispatcher: self.clone(),
-            attempt: grant.attempt,
-            ending: Ending::Cancelled,
-            last_activity: grant.last_activity.clone(),
-            answered: Cell::new(false),
-            began: Cell::new(false),
-            forwarded: Cell::new(0),
-        };
-        Ok((grant, guard))
+        decision.await.map_err(|_| stopped())?
     }
 
     /// Returns what this host has sent, for a report to other hosts. The prompt parts are returned
@@ -184,6 +178,18 @@
 }
 
 impl AttemptGuard {
+    fn new(dispatcher: Dispatcher, grant: &Grant) -> AttemptGuard {
+        AttemptGuard {
+            dispatcher,
+            attempt: grant.attempt,
+            ending: Ending::Cancelled,
+            last_activity: grant.last_activity.clone(),
+            answered: Cell::new(false),
+            began: Cell::new(false),
+            forwarded: Cell::new(0),
+        }
+    }
+
     /// Records that the upstream has sent bytes; the first call marks the attempt as answered.
     pub fn record_activity(&self) {
         self.last_activity.set(Time::now());
@@ -234,7 +240,9 @@
 #[derive(Debug)]
 struct Task {
     placement: Placement,
-    waiting: BTreeMap<TicketKey, oneshot::Sender<Result<Grant, Error>>>,
+    /// The task's own mailbox, for the guards of attempts. Does not keep the task running.
+    messages: mpsc::WeakUnboundedSender<Message>,
+    waiting: BTreeMap<TicketKey, oneshot::Sender<Decision>>,
     actions: Vec<Action>,
     upstreams: watch::Receiver<Rc<Vec<Entry>>>,
     limiter: mpsc::UnboundedSender<limiter::Message>,
@@ -322,14 +330,7 @@
     fn execute_actions(&mut self) {
         for action in std::mem::take(&mut self.actions) {
             match action {
-                Action::Grant(ticket, grant) => {
-                    let attempt = grant.attempt;
-                    let answer = self.waiting.remove(&ticket);
-                    let delivered = answer.is_some_and(|it| it.send(Ok(grant)).is_ok());
-                    if !delivered {
-                        self.placement.attempt_ended(Time::now(), attempt, Ending::Unused);
-                    }
-                }
+                Action::Grant(ticket, grant) => self.deliver(ticket, grant),
                 // The limiter task runs until the host stops.
                 Action::Ask(ticket, upstream, ask) => {
                     let _ = self.limiter.send(limiter::Message::Ask(ticket, upstream, ask));
@@ -355,6 +356,17 @@
         }
     }
 
+    fn deliver(&mut self, ticket: TicketKey, grant: Grant) {
+        let waiting = self.waiting.remove(&ticket);
+        let Some((answer, messages)) = waiting.zip(self.messages.upgrade()) else {
+            self.placement.attempt_ended(Time::now(), grant.attempt, Ending::Unused);
+            return;
+        };
+        let guard = AttemptGuard::new(Dispatcher { messages }, &grant);
+        // Fails if the caller has left; the guard then ends the attempt.
+        let _ = answer.send(Ok((grant, guard)));
+    }
+
     fn refuse(&mut self, ticket: TicketKey, error: Error) {
         if let Some(answer) = self.waiting.remove(&ticket) {
             // Fails if the request was cancelled, which needs no answer.
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -2,6 +2,7 @@
 
 mod attempt_history;
 mod crash_evidence;
+mod dispatcher;
 mod exchange;
 mod fixture;
 mod followers;
