Test what a request's error says of its run with real sockets

A host must know whether a request may have run before it sends the request again or gives a status that says "not run". Until now that was tested on values only.

One test sends 1,026 requests on new and kept connections that the server closes, resets or answers with stray bytes before the request, after its first byte, its head or its whole body of 0 bytes to 16 MB. The server goes on reading, so that it sees each byte that left. Only requests of which it read nothing count as unsent. Another test draws 17 conducts for two upstreams (early answers, refusals before the body is read, closes and resets at each stage, informational answers, half answers) before 12 callers with 100 requests each, some of which leave. No request that may run once was received unrefused twice, and each one with 503 had been refused by all. A third fills the queue of a listener, so that no connection is made in time, and reads what comes afterwards: nothing.

--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -29,12 +29,22 @@
 
 use crate::fixture::{POOL, engine};
 
+/// Header with the id of a request.
+pub(crate) const ID: HeaderName = HeaderName::from_static("x-id");
+
 /// A dialect in which every response is valid, and status 503 means that the upstream did not run the request.
-struct TestDialect;
+pub(crate) struct TestDialect;
 
 impl Dialect for TestDialect {
-    fn read_headers(&self, _: &HeaderMap) -> Result<CallerHeaders, Error> {
-        Err(Error::new(Kind::BadRequest, "requests of these tests are not read from headers"))
+    fn read_headers(&self, headers: &HeaderMap) -> Result<CallerHeaders, Error> {
+        let missing = || Error::new(Kind::BadRequest, "the request has no id");
+        Ok(CallerHeaders {
+            id: headers.get(ID).cloned().ok_or_else(missing)?,
+            api_key: None,
+            caller_timeout: None,
+            prompt: None,
+            last_event_id: None,
+        })
     }
 
     fn is_reserved(&self, _: &HeaderName) -> bool {
@@ -224,11 +234,20 @@
     buffer_memory: buffer_memory::Memory,
     meter: Meter,
     counters: (SharedCounter<u32>, ByteCounter, SharedCounter<u32>),
-) -> Exchange<TestDialect> {
+) -> Exchange<impl Dialect> {
     let mut entries = Vec::new();
     for index in 0..4 {
         entries.push(upstream(index, script, counters.clone()).await);
     }
+    open_with(entries, buffer_memory, meter)
+}
+
+/// Opens an exchange with the given upstreams.
+pub(crate) fn open_with(
+    entries: Vec<Entry>,
+    buffer_memory: buffer_memory::Memory,
+    meter: Meter,
+) -> Exchange<TestDialect> {
     let upstreams = watch::channel(Rc::new(entries)).1;
     let dispatcher =
         Dispatcher::spawn("host".into(), "a".into(), upstreams, mpsc::unbounded_channel().0);
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -13,6 +13,7 @@
 mod placement;
 mod rate_limit;
 mod retry_budget;
+mod run_status;
 mod stream;
 mod unframed;
 mod usage;
