Run no request behind the last answer of a connection

A caller that pipelines requests was told `Connection: close` with the first answer, as the host was stopping or the caller had asked for it, and the host ran the next request on the connection all the same and kept the connection open. By HTTP/1.1 a caller takes a request behind such an answer as not processed and may send it again, so that a request that may run once could run twice.

The HTTP server forgets that it has to close the connection when it reads the next head. The connection now remembers that its last answer has been given, and requests behind it are refused with 503 and not run. HTTP/1.0 callers that do not keep their connections are treated alike.

--- a/src/serving/caller_connection.rs
+++ b/src/serving/caller_connection.rs
@@ -54,6 +54,8 @@
     busy: Cell<bool>,
     /// Whether the server is waiting for bytes.
     awaiting_bytes: Cell<bool>,
+    /// Whether the last answer has been given, after which no request is run.
+    is_closing: Cell<bool>,
     /// Whether a request may be arriving: none has been served yet, or bytes were received after the last one.
     request_expected: Cell<bool>,
     /// Notified when a request begins or ends, and when the server starts to wait for bytes.
@@ -82,6 +84,7 @@
             unread: RefCell::default(),
             busy: Cell::new(false),
             awaiting_bytes: Cell::new(false),
+            is_closing: Cell::new(false),
             request_expected: Cell::new(true),
             state_changed: Notify::new(),
         };
@@ -95,6 +98,17 @@
         RequestGuard { connection: self.clone() }
     }
 
+    /// Marks the answer to the request in progress as the last one.
+    pub fn close_after_answer(&self) {
+        self.shared.is_closing.set(true);
+    }
+
+    /// Whether the last answer has been given. The HTTP server still reads requests that were pipelined behind it, which
+    /// the caller takes as not run.
+    pub fn is_closing(&self) -> bool {
+        self.shared.is_closing.get()
+    }
+
     /// Whether a request is in progress.
     pub fn is_busy(&self) -> bool {
         self.shared.busy.get()
--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -84,31 +84,47 @@
 pub async fn handle<D: Dialect>(context: &WebContext<'_, State<D>>) -> WebResponse {
     let handler = context.state();
     let caller = *context.req().body().socket_addr();
-    let request_guard = handler.connections.get(caller).map(|it| it.begin_request());
+    let connection = handler.connections.get(caller);
+    let request_guard = connection.as_ref().map(|it| it.begin_request());
     let mut metrics = request_metrics::Recorder::start(handler.metrics.clone(), Time::now());
-    let mut response = match serve(context, handler, &mut metrics).await {
+    let mut closes = asks_to_close(context.req().headers(), context.req().version());
+    let result = match &connection {
+        Some(it) if it.is_closing() => Err(Rejection {
+            error: Error::new(Kind::Draining, "the connection closes"),
+            close: true,
+        }),
+        _ => serve(context, handler, &mut metrics).await,
+    };
+    let mut response = match result {
         Ok(response) => {
             metrics.first_byte(Time::now());
             caller_response(response, request_guard, metrics)
         }
         Err(rejection) => {
             metrics.end(Outcome::Failed(rejection.error.kind));
-            let mut response = error_response(&*handler.dialect, &rejection.error);
-            if rejection.close {
-                close(&mut response);
-            }
-            response
+            closes |= rejection.close;
+            error_response(&*handler.dialect, &rejection.error)
         }
     };
-    if *handler.draining.borrow() {
-        close(&mut response);
+    if closes || *handler.draining.borrow() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        if let Some(connection) = connection {
+            connection.close_after_answer();
+        }
     }
     response
 }
 
-/// Adds the header that closes the connection after the response.
-fn close(response: &mut WebResponse) {
-    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+/// Whether the caller wants no further answer on its connection.
+fn asks_to_close(headers: &HeaderMap, version: Version) -> bool {
+    let has = |option: &str| connection_options(headers).any(|it| it.eq_ignore_ascii_case(option));
+    has("close") || version < Version::HTTP_11 && !has("keep-alive")
+}
+
+/// Options of the `Connection` headers.
+fn connection_options(headers: &HeaderMap) -> impl Iterator<Item = &str> {
+    let values = headers.get_all(header::CONNECTION).iter().filter_map(|it| it.to_str().ok());
+    values.flat_map(|it| it.split(',')).map(str::trim)
 }
 
 /// Error response to a caller. `close` is set if the connection cannot be reused, as the request was not read to its
@@ -318,13 +334,7 @@
     headers: &HeaderMap,
     api_key: Option<&str>,
 ) -> HeaderMap {
-    let listed: Vec<_> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|it| it.to_str().ok())
-        .flat_map(|it| it.split(','))
-        .map(|it| it.trim().to_ascii_lowercase())
-        .collect();
+    let listed: Vec<_> = connection_options(headers).map(str::to_ascii_lowercase).collect();
     let api_key = api_key.filter(|it| !it.is_empty()).map(str::as_bytes);
     let mut out = HeaderMap::with_capacity(headers.len() + 4);
     for (name, value) in headers {
--- /dev/null
+++ b/tests/serving/callers.rs
@@ -0,0 +1,291 @@
+//! Callers on loopback sockets that stall, pipeline requests or end connections.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use almondrack::{
+    metrics::Metrics,
+    serving::{
+        buffer_memory, caller_connection,
+        handler::Handler,
+        listener::{Listener, Stage},
+        registry::Entry,
+        table::{Limits, Parts, Pool, RetryPolicy, Table},
+        usage::Meter,
+    },
+    time::{Span, Time},
+};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::LocalSet,
+    time::{Instant, sleep, timeout},
+};
+
+use crate::{
+    exchange::{ID, TestDialect, open_with, routed_request},
+    fixture::{POOL, engine},
+};
+
+/// Time that the upstream takes for a request to `/slow`.
+const SLOW: Duration = Duration::from_millis(800);
+
+/// Time within which an answer is certainly there if nothing holds it back.
+const SOON: Duration = Duration::from_millis(400);
+
+/// Limits with short time-outs.
+const LIMITS: Limits = Limits {
+    max_head_bytes: 16 << 10,
+    max_body_bytes: 64 << 10,
+    head_timeout_ms: 200,
+    idle_timeout_ms: 300,
+};
+
+/// Ids of the requests that the upstream has received, in order.
+type Received = Rc<RefCell<Vec<String>>>;
+
+async fn upstream(received: Received) -> Entry {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let mut entry = engine(0);
+    entry.address = listener.local_addr().expect("the socket is bound");
+    tokio::task::spawn_local(async move {
+        while let Ok((router, _)) = listener.accept().await {
+            tokio::task::spawn_local(serve(router, received.clone()));
+        }
+    });
+    entry
+}
+
+async fn serve(mut router: TcpStream, received: Received) {
+    let mut bytes = Vec::new();
+    loop {
+        let Some(end) = bytes.windows(4).position(|it| it == b"\r\n\r\n") else {
+            let mut buffer = [0; 4_096];
+            match router.read(&mut buffer).await {
+                Ok(length) if length > 0 => bytes.extend_from_slice(&buffer[..length]),
+                _ => return,
+            }
+            continue;
+        };
+        let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+        // No request of these tests has a body.
+        bytes.drain(..end + 4);
+        let id = head.lines().find_map(|it| it.strip_prefix("x-id: ")).unwrap_or_default();
+        received.borrow_mut().push(id.to_owned());
+        if head.starts_with("GET /slow") {
+            sleep(SLOW).await;
+        }
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\nto {id}.", id.len() + 4);
+        if router.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// A host with one upstream.
+struct Fixture {
+    address: SocketAddr,
+    received: Received,
+    draining: watch::Sender<bool>,
+    reject_from: Rc<Cell<Time>>,
+    listener: Listener,
+}
+
+async fn open() -> Fixture {
+    let received = Received::default();
+    let entries = vec![upstream(received.clone()).await];
+    let meter = Meter::new(Span::from_ms(60_000), "host-1");
+    let route = (*routed_request(false, RetryPolicy::Never).route).clone();
+    let pool = Pool { name: POOL.into(), connections: 100, engine: None, scaling: None };
+    let parts = Parts {
+        version: 1,
+        limits: LIMITS,
+        routes: vec![route],
+        pools: vec![pool],
+        customers: None,
+    };
+    let (draining, draining_seen) = watch::channel(false);
+    let reject_from = Rc::new(Cell::new(Time(u64::MAX)));
+    let handler = Handler {
+        dialect: Rc::new(TestDialect),
+        table: watch::channel(Some(Arc::new(Table::build(parts)))).1,
+        keys_valid_until: watch::channel(Time(u64::MAX)).1,
+        exchange: open_with(entries, buffer_memory::Memory::new(1 << 20), meter),
+        connections: caller_connection::Connections::default(),
+        metrics: Metrics::open().expect("the names of the counters are unique"),
+        draining: draining_seen,
+        reject_from: reject_from.clone(),
+    };
+    let address = "127.0.0.1:0".parse().expect("the address is valid");
+    let listener = Listener::bind(address, Rc::new(handler)).await.expect("a port is free");
+    Fixture { address: listener.address, received, draining, reject_from, listener }
+}
+
+fn get(path: &str, id: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: example\r\n{}: {id}\r\n\r\n", ID.as_str())
+}
+
+async fn connect(fixture: &Fixture, text: &str) -> TcpStream {
+    let mut caller = TcpStream::connect(fixture.address).await.expect("the host listens");
+    caller.write_all(text.as_bytes()).await.expect("the host reads");
+    caller
+}
+
+/// Reads until the end of the connection, at most for a time. Returns the bytes, and whether the connection has ended.
+async fn read_for(caller: &mut TcpStream, limit: Duration) -> (String, bool) {
+    let (mut bytes, mut buffer) = (Vec::new(), [0; 4_096]);
+    let end = Instant::now() + limit;
+    let has_ended = loop {
+        match tokio::time::timeout_at(end, caller.read(&mut buffer)).await {
+            Ok(Ok(length)) if length > 0 => bytes.extend_from_slice(&buffer[..length]),
+            Ok(_) => break true,
+            Err(_) => break false,
+        }
+    };
+    (String::from_utf8_lossy(&bytes).into_owned(), has_ended)
+}
+
+/// Status lines of the answers in what a caller has read.
+fn statuses(text: &str) -> Vec<&str> {
+    text.match_indices("HTTP/1.1 ").map(|(at, _)| &text[at + 9..at + 12]).collect()
+}
+
+async fn play<T>(play: impl Future<Output = T>) -> T {
+    LocalSet::new().run_until(play).await
+}
+
+#[tokio::test]
+async fn a_request_whose_body_stalls_is_refused_and_not_sent() {
+    play(async {
+        let fixture = open().await;
+        let head = "POST / HTTP/1.1\r\nhost: example\r\nx-id: 1\r\ncontent-length: 10\r\n\r\nhalf.";
+        let mut caller = connect(&fixture, head).await;
+        let first = timeout(Duration::from_secs(2), caller.read_u8()).await;
+        assert_eq!(first.expect("the host answers").expect("the connection is open"), b'H');
+        // The rest of the body comes late, with another request behind it.
+        let late = format!("half.{}", get("/", "2"));
+        // The host may have closed its side.
+        let _ = caller.write_all(late.as_bytes()).await;
+        let (text, has_ended) = read_for(&mut caller, Duration::from_secs(2)).await;
+        assert_eq!(statuses(&format!("H{text}")), ["408"]);
+        assert!(has_ended, "the connection stays open");
+        assert!(fixture.received.borrow().is_empty(), "{:?}", fixture.received);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_head_that_stalls_behind_an_answer_is_refused_and_not_sent() {
+    play(async {
+        let fixture = open().await;
+        let mut caller = connect(&fixture, &get("/", "1")).await;
+        let (text, _) = read_for(&mut caller, Duration::from_millis(100)).await;
+        assert_eq!(statuses(&text), ["200"]);
+        let second = get("/", "2");
+        let (begin, rest) = second.split_at(20);
+        caller.write_all(begin.as_bytes()).await.expect("the host reads");
+        let (text, _) = read_for(&mut caller, Duration::from_millis(3_000)).await;
+        assert!(matches!(statuses(&text)[..], [] | ["408"]), "{text}");
+        // The host may have closed the connection.
+        let _ = caller.write_all(rest.as_bytes()).await;
+        let (more, has_ended) = read_for(&mut caller, Duration::from_secs(2)).await;
+        assert_eq!((statuses(&more).len(), has_ended), (0, true), "{text}{more}");
+        assert_eq!(*fixture.received.borrow(), ["1"]);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn the_server_sends_nothing_while_a_request_runs_longer_than_its_time_outs() {
+    play(async {
+        let fixture = open().await;
+        let mut caller = connect(&fixture, &get("/slow", "1")).await;
+        let (text, has_ended) = read_for(&mut caller, SLOW - Duration::from_millis(100)).await;
+        assert_eq!((text.as_str(), has_ended), ("", false));
+        let (text, _) = read_for(&mut caller, SOON).await;
+        assert_eq!(statuses(&text), ["200"]);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_request_behind_an_answer_that_closes_the_connection_is_not_run() {
+    play(async {
+        let fixture = open().await;
+        fixture.draining.send_replace(true);
+        let mut caller = connect(&fixture, &(get("/", "1") + &get("/", "2"))).await;
+        let (text, has_ended) = read_for(&mut caller, SOON).await;
+        assert!(text.contains("connection: close"), "{text}");
+        // A caller that obeys the first answer does not read the second one, and may send its request again.
+        assert_eq!(*fixture.received.borrow(), ["1"], "{text}");
+        assert!(has_ended, "the connection stays open");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_request_behind_one_that_closes_the_connection_is_not_run() {
+    play(async {
+        let fixture = open().await;
+        let first = "GET / HTTP/1.1\r\nhost: example\r\nx-id: 1\r\nconnection: close\r\n\r\n";
+        let mut caller = connect(&fixture, &(first.to_owned() + &get("/", "2"))).await;
+        let (text, has_ended) = read_for(&mut caller, SOON).await;
+        assert_eq!(*fixture.received.borrow(), ["1"], "{text}");
+        assert!(has_ended, "the connection stays open");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_request_behind_a_refusal_of_a_stopping_host_is_not_run() {
+    play(async {
+        let fixture = open().await;
+        fixture.draining.send_replace(true);
+        fixture.reject_from.set(Time(0));
+        let mut caller = connect(&fixture, &(get("/", "1") + &get("/", "2"))).await;
+        let (text, _) = read_for(&mut caller, SOON).await;
+        assert!(statuses(&text).iter().all(|it| *it == "503"), "{text}");
+        assert!(fixture.received.borrow().is_empty(), "{:?}", fixture.received);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_answer_does_not_wait_for_the_request_behind_it() {
+    play(async {
+        let fixture = open().await;
+        let mut caller = connect(&fixture, &(get("/", "1") + &get("/slow", "2"))).await;
+        let (text, _) = read_for(&mut caller, SOON).await;
+        assert_eq!(statuses(&text), ["200"], "{text}");
+        assert!(text.ends_with("to 1."), "{text}");
+        let (text, _) = read_for(&mut caller, SLOW).await;
+        assert!(text.ends_with("to 2."), "{text}");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_or_is_cut_gets_no_status() {
+    play(async {
+        for leaves in [true, false] {
+            let fixture = open().await;
+            let mut caller = connect(&fixture, &get("/slow", "1")).await;
+            sleep(Duration::from_millis(100)).await;
+            if leaves {
+                caller.shutdown().await.expect("the connection is open");
+            } else {
+                fixture.listener.set_stage(Stage::Closed);
+            }
+            let (text, has_ended) = read_for(&mut caller, 2 * SLOW).await;
+            assert_eq!((text.as_str(), has_ended), ("", true), "leaves {leaves}");
+            assert_eq!(*fixture.received.borrow(), ["1"]);
+        }
+    })
+    .await;
+}
