--- a/tests/serving/peers.rs
+++ b/tests/serving/peers.rs
@@ -73,3 +73,43 @@
     // Well within the bound of 2 s for a new configuration.
     assert!(start.elapsed() < Duration::from_millis(1_800), "{:?}", start.elapsed());
 }
+
+#[tokio::test]
+async fn each_of_several_requests_gets_its_own_response_in_whatever_order_they_come() {
+    const REQUESTS: u64 = 5;
+    let play = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("the socket is bound");
+        let (calls, mut mailbox) = mpsc::channel::<peers::Call>(8);
+        tokio::spawn(peers::serve(
+            listener,
+            peers::Mailboxes { calls, permits: mpsc::channel(1).0, evidence: mpsc::channel(1).0 },
+        ));
+        tokio::spawn(async move {
+            while let Some((request, reply)) = mailbox.recv().await {
+                tokio::spawn(async move {
+                    // Earlier requests are answered later.
+                    let number = request.placed_after;
+                    sleep(Duration::from_millis(40 * (REQUESTS - number))).await;
+                    let state = messages::Prefix { age_us: Some(number), update: None };
+                    let response =
+                        messages::Response { prefixes: vec![state], ..Default::default() };
+                    // The requesting host may have timed out.
+                    let _ = reply.send(response);
+                });
+            }
+        });
+        let peers = Peers::default();
+        let send = async |number| {
+            sleep(Duration::from_millis(number)).await;
+            let numbered = messages::Request { placed_after: number, ..request() };
+            let response = peers.sync(address, numbered).await?;
+            response.prefixes.first()?.age_us
+        };
+        // Opens the connection that all requests share.
+        assert_eq!(send(REQUESTS).await, Some(REQUESTS));
+        let received = futures::future::join_all((0..REQUESTS).map(send)).await;
+        assert_eq!(received, [0, 1, 2, 3, 4].map(Some));
+    };
+    LocalSet::new().run_until(play).await;
+}
