Give a status that says "not run" only if no upstream may have run

The own interface states in `almondrack-run` whether a request ran, but its status did not follow it: a request of which an earlier attempt may have run was answered 503 with run `unknown` if its next ticket was refused or it was preempted. A caller that goes by the status alone takes 408, 421, 429 and 503 for "not run".

The status of such an error is 502 now; its kind and the header stay. The users' platform is served by other code, which chooses another kind in that case (History::caller_error).

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -247,7 +247,7 @@
             "run": error.run,
         }
     });
-    let mut response = json(answer.status, &body);
+    let mut response = json(error.status(), &body);
     response.headers_mut().insert(RUN_HEADER, HeaderValue::from_static(error.run.as_str()));
     let delay = error.retry_after_ms.or(answer.later.then_some(DEFAULT_RETRY_AFTER_MS));
     if let Some(ms) = delay {
--- a/src/error.rs
+++ b/src/error.rs
@@ -204,6 +204,15 @@
         Error { kind, message: message.into(), run: Run::No, retry_after_ms: None }
     }
 
+    /// Returns the status of the answer. Callers take 408, 421, 429 and 503 for a request that has not run, so that
+    /// another status takes their place if an upstream may have run it.
+    pub fn status(&self) -> u16 {
+        match self.kind.answer().status {
+            408 | 421 | 429 | 503 if self.run != Run::No => 502,
+            status => status,
+        }
+    }
+
     /// The same error with another statement about the run.
     pub fn with_run(mut self, run: Run) -> Error {
         self.run = run;
