--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -1,7 +1,9 @@
 //! Tests of a host that serves callers; most need neither sockets nor clocks.
 
 mod attempt_history;
+mod callers;
 mod crash_evidence;
+mod dispatcher;
 mod exchange;
 mod fixture;
 mod followers;
@@ -13,6 +15,7 @@
 mod placement;
 mod rate_limit;
 mod retry_budget;
+mod run_status;
 mod stream;
 mod unframed;
 mod usage;
