Let the test of one certain holder wait for what its watcher sees

Cause: the watcher samples about every 2 ms and was stopped as soon as the test itself had seen the permit of the third holder.

Change: the test cuts off the holder that the watcher saw last and goes on when the watcher has seen another one, so that three holders are seen in each run that passes. The watch lasts no shorter than before. Besides, each candidate's published terms are kept, and no term of one may overlap one of the other; before, an overlap between two samples went unseen.

--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -120,40 +120,65 @@
     (lease, standing)
 }
 
+/// Notes who is certain to hold the lease, each run of the same holders once.
+async fn note_holders(candidates: [(&'static str, Lease); 2], seen: watch::Sender<Vec<String>>) {
+    while !seen.is_closed() {
+        let certain = candidates.iter().filter(|it| it.1.permit().is_some());
+        let names = certain.map(|it| it.0).collect::<Vec<_>>().join(" and ");
+        if !names.is_empty() && seen.borrow().last() != Some(&names) {
+            seen.send_modify(|it| it.push(names));
+        }
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Notes the last version of each term that a candidate publishes.
+async fn note_terms(mut term: watch::Receiver<Option<lease::Term>>) -> Vec<lease::Term> {
+    let mut terms: Vec<lease::Term> = Vec::new();
+    while term.changed().await.is_ok() {
+        let Some(term) = *term.borrow_and_update() else { continue };
+        match terms.last_mut().filter(|it| it.number == term.number) {
+            Some(known) => *known = term,
+            None => terms.push(term),
+        }
+    }
+    terms
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn lease_has_one_certain_holder_through_faults() {
     let platform = stand_ins::platform::spawn(Options::new(loopback())).expect("platform");
     faults(&platform, json!({ "lose_answers_per_mille": 200 })).await;
     let (a, _a) = candidate(&platform, "a");
     let (b, _b) = candidate(&platform, "b");
-    let (stop, mut stopped) = oneshot::channel::<()>();
-    let (first, second) = (a.clone(), b.clone());
-    let watcher = tokio::spawn(async move {
-        let mut holders = Vec::new();
-        while stopped.try_recv().is_err() {
-            let certain = [("a", first.permit()), ("b", second.permit())];
-            let names = certain.iter().filter(|it| it.1.is_some()).map(|it| it.0.to_owned());
-            let names: Vec<_> = names.collect();
-            if !names.is_empty() {
-                holders.push(names.join(" and "));
-            }
-            sleep(Duration::from_millis(2)).await;
-        }
-        runs(holders.into_iter())
-    });
-    until("a first holder", async || a.permit().is_some() || b.permit().is_some()).await;
-    // Each holder in turn is cut off from the store.
+    let terms = [tokio::spawn(note_terms(a.watch())), tokio::spawn(note_terms(b.watch()))];
+    let (seen, holders) = watch::channel(Vec::new());
+    let watcher = tokio::spawn(note_holders([("a", a.clone()), ("b", b.clone())], seen));
+    until("a first holder", async || !holders.borrow().is_empty()).await;
+    // Each holder in turn is cut off from the store. The next step waits until the watcher has seen the take-over.
     for _ in 0..2 {
-        let (holder, other, lease) =
-            if a.permit().is_some() { ("a", "b", &b) } else { ("b", "a", &a) };
+        let holder = holders.borrow().last().cloned().expect("a holder");
         faults(&platform, json!({ "down_for_hosts": [holder] })).await;
-        until(&format!("{other} takes over"), async || lease.permit().is_some()).await;
+        until(&format!("another one than {holder} takes over"), async || {
+            holders.borrow().last() != Some(&holder)
+        })
+        .await;
         faults(&platform, json!({ "down_for_hosts": [] })).await;
     }
-    let _ = stop.send(());
-    let holders = watcher.await.expect("watcher");
-    assert!(holders.iter().all(|it| it.len() == 1), "{holders:?}");
-    assert!(holders.len() >= 3, "{holders:?}");
+    let seen = holders.borrow().clone();
+    drop(holders);
+    watcher.await.expect("watcher");
+    assert!(seen.iter().all(|it| it.len() == 1), "{seen:?}");
+    assert!(seen.len() >= 3, "{seen:?}");
+    // What both published leaves no time at which both were certain, seen or not.
+    a.stop().await;
+    b.stop().await;
+    let [of_a, of_b] = terms;
+    let (of_a, of_b) = (of_a.await.expect("terms of a"), of_b.await.expect("terms of b"));
+    for (first, second) in of_a.iter().flat_map(|it| of_b.iter().map(move |other| (it, other))) {
+        let are_apart = first.until <= second.from || second.until <= first.from;
+        assert!(are_apart, "{first:?} of a and {second:?} of b");
+    }
 }
 
 fn pool() -> Pool {
