Start the turns at a trial with the first answer of a pool at any host

All six upstreams had crashed within 0.3 s; when they were back, four hosts tried the deadly part within 0.4 s.

Cause: hosts have turns at trying quarantined content, counted from the last crash or, after a time without answers, from the first answer, but only of the host itself. When a trial cleared the part that all prompts share, hosts that heard of it could send again at once, while the turns of a quarter of them had passed during the time without upstreams. News of a crash that arrived late also took the start of the turns back, although an answer had come since.

Change: an answer that another host reports, as content that it cleared, starts the turns at all quarantined content of its pool that has not crashed since. A charge only takes the start back if its crash is the later one. Messages stay as they are.

--- a/src/serving/crash_evidence.rs
+++ b/src/serving/crash_evidence.rs
@@ -136,7 +136,8 @@
     is_confirmed: bool,
     /// When this host last sent the content to try it again.
     tried_at: Option<Time>,
-    /// When this host first got an answer to another request of the pool after the last crash.
+    /// Time of the first answer to another request of the pool after the last crash, at this host or as other hosts
+    /// report it.
     answered_since: Option<Time>,
     /// When an answer last cleared it.
     cleared_at: Option<Time>,
@@ -250,11 +251,7 @@
         for content in contents {
             self.clear(now, *content, now);
         }
-        for state in &mut self.states {
-            if state.pool == pool && state.is_quarantined {
-                state.answered_since.get_or_insert(now);
-            }
-        }
+        self.start_turns(pool, now);
     }
 
     /// Records that an upstream answered an attempt, which was sent at `sent_at`. If that was after its supposed crash,
@@ -270,10 +267,11 @@
         for (incarnation, age_us) in &news.survivors {
             self.withdraw(now, CrashKey(*incarnation), sent_at - Span(*age_us));
         }
+        let cleared_at = |it: &messages::Suspicion| Some(sent_at - Span(it.cleared_age_us?));
         for suspicion in &news.suspicions {
             let content = suspicion.content;
-            if let Some(age_us) = suspicion.cleared_age_us {
-                self.clear(now, content, sent_at - Span(age_us));
+            if let Some(at) = cleared_at(suspicion) {
+                self.clear(now, content, at);
             }
             for (incarnation, age_us, began) in &suspicion.charges {
                 let at = now - Span(*age_us);
@@ -287,6 +285,12 @@
                 }
             }
         }
+        // The charges of all contents are known by now.
+        for suspicion in &news.suspicions {
+            if let Some(at) = cleared_at(suspicion) {
+                self.start_turns(suspicion.pool, at);
+            }
+        }
     }
 
     /// Draws conclusions from what is known. Called at short intervals.
@@ -368,6 +372,18 @@
         (!is_trial).then_some(Reason { content, crashes, age: now.since(last), retry_after })
     }
 
+    /// Starts the turns at trying quarantined content of a pool with an answer of the pool, unless an earlier one did.
+    fn start_turns(&mut self, pool: u64, answered_at: Time) {
+        let suspects = &self.suspects;
+        let states = self.states.iter_mut().filter(|it| it.pool == pool && it.is_quarantined);
+        for state in states {
+            let charges = suspects.charges(state.content);
+            if charges.last().is_some_and(|it| it.at < answered_at) {
+                state.answered_since.get_or_insert(answered_at);
+            }
+        }
+    }
+
     /// Charges content with a crash. Returns false if that is not new, or an answer speaks against it.
     fn charge(&mut self, now: Time, (pool, content): (u64, Content), charge: Charge) -> bool {
         let survived = self.survivors.binary_search_by_key(&charge.crash, |it| it.0);
@@ -380,7 +396,7 @@
         let state = self.state_or_insert(now, (pool, content));
         state.changed_at = now;
         state.is_confirmed |= is_proven;
-        state.answered_since = None;
+        state.answered_since = state.answered_since.filter(|it| *it > charge.at);
         // Entries whose suspects were evicted.
         if self.states.len() > 2 * MAX_SUSPECTS {
             let suspects = &self.suspects;
