Remove upstreams that lapsed in an outage at their time, not at the next tick

The list of upstreams keeps a missing entry for 1,900 ms.

Cause, first part: the end of these 1,900 ms was looked at only in the task's tick, each 100 ms and later after a busy time, so that an upstream was used up to 2,000 ms before any way to it.

Change: the task waits for the time at which the list is next due.

--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -11,7 +11,7 @@
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task,
-    time::MissedTickBehavior,
+    time::{MissedTickBehavior, sleep},
 };
 
 use crate::{
@@ -365,6 +365,7 @@
                     self.handle(message);
                 }
                 Some((request, reply)) = calls.recv() => self.respond(request, reply),
+                () = wait_until(self.upstream_list.next_due()) => self.apply_due(),
                 _ = interval.tick() => self.tick(),
             }
         }
@@ -666,12 +667,13 @@
         });
     }
 
+    fn apply_due(&mut self) {
+        self.upstream_list.apply_due(Time::now());
+        self.publish_upstreams();
+    }
+
     fn tick(&mut self) {
         let now = Time::now();
-        if self.upstream_list.next_due().is_some_and(|it| it <= now) {
-            self.upstream_list.apply_due(now);
-            self.publish_upstreams();
-        }
         let role = *self.role.borrow();
         let served = self.peer_verified_at.is_some_and(|it| now.since(it) < role.max_age());
         let known = self.verified[Topic::Configuration as usize].is_some();
@@ -699,6 +701,14 @@
     }
 }
 
+/// Waits until a time, forever if there is none.
+async fn wait_until(due: Option<Time>) {
+    match due {
+        Some(due) => sleep(due.since(Time::now()).into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 fn set_if_changed<T: Copy + PartialEq>(sender: &watch::Sender<T>, value: T) {
     sender.send_if_modified(|it| std::mem::replace(it, value) != value);
 }
