Place nothing on a lapsed upstream in the last 300 ms while others are ready

Cause, second part: a removed entry is kept for 1,900 ms, in which a live upstream writes it again, and requests are placed to the last moment. What is left of the two seconds is 100 ms for the news of other hosts, a queue and the way.

Weighed: a shorter period for all drops upstreams that write their entries late, 1.6 to 1.9 s after the return of the store. They come back with no known load and caches, and if the whole pool lapsed, its callers are refused meanwhile. So the period stays, and only placement ends sooner, where it costs nothing but room: 300 ms before the end a lapsed upstream counts as draining if another one of its pool is ready and has not lapsed. It keeps its state and its requests, and is ready at once when it writes its entry. A pool whose entries all lapsed is used to the end as before, with 100 ms left for the way. What it costs: the ready ones of the pool carry the load for up to 300 ms more, and the leader may order a replacement for a spot upstream 300 ms sooner.

Tests: two new ones of the list (entries that come back late, a pool that lapsed as a whole) and one of a host before a store (no placement later than 1,800 ms after the store's first answer). entries_that_lapsed_in_an_outage_are_kept_until_their_upstreams_had_time_to_return asked the list once for what is due; it now checks the end of placement, within 1,700 ms, and then the removal with its bound as before. Three of these four fail without the change (placed for 1,896 ms and more); the one of a pool that lapsed as a whole was not run without it.

Measured: all 99 tests of `serving` and 13 of `upstream_list` pass; the one of a host eight times more by hand.

--- a/src/serving/upstream_list.rs
+++ b/src/serving/upstream_list.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::{
-    serving::registry::{DecodeError, Entry},
+    serving::registry::{DecodeError, Entry, State},
     time::{Span, Time},
 };
 
@@ -18,6 +18,10 @@
 /// to the platform. An upstream that has left must get no request after about the same time.
 const GRACE_PERIOD: Span = Span::from_ms(1_900);
 
+/// Time before the end of the grace period from which a removed upstream gets no new request while others of its pool are
+/// ready, so that the last one has arrived by the end.
+const PLACEMENT_MARGIN: Span = Span::from_ms(300);
+
 /// Time for which an upstream that was removed is not used again because an older copy of the store
 /// still lists it. The store removes the entry after three missed heartbeats if the upstream is gone.
 const RETURN_DELAY: Span = Span::from_ms(5_000);
@@ -168,10 +172,18 @@
         }
     }
 
-    /// Removes upstreams whose entries were not written again in time, and adds those that an older
-    /// copy of the store still lists although they were removed.
+    /// Removes upstreams whose entries were not written again in time, marks those as draining that
+    /// are about to be removed, and adds those that an older copy of the store still lists although
+    /// they were removed.
     pub fn apply_due(&mut self, now: Time) {
         self.entries.retain(|_, it| it.remove_at.is_none_or(|until| now < until));
+        let closing: Vec<_> =
+            self.closing().filter(|it| it.1 <= now).map(|it| it.0.to_owned()).collect();
+        for key in closing {
+            if let Some(listed) = self.entries.get_mut(&key) {
+                listed.entry.state = State::Draining;
+            }
+        }
         let due: Vec<_> = self.returning.extract_if(.., |it| it.2 <= now).collect();
         for (key, entry, _) in due {
             log::info!(
@@ -184,7 +196,22 @@
     /// Returns when [`List::apply_due`] has to be called, if at all.
     pub fn next_due(&self) -> Option<Time> {
         let removals = self.entries.values().filter_map(|it| it.remove_at);
-        removals.chain(self.returning.iter().map(|it| it.2)).min()
+        let closing = self.closing().map(|it| it.1);
+        removals.chain(closing).chain(self.returning.iter().map(|it| it.2)).min()
+    }
+
+    /// Returns the ready upstreams that will be removed although others of their pools remain, and
+    /// when each is marked as draining.
+    fn closing(&self) -> impl Iterator<Item = (&str, Time)> {
+        let is_ready = |it: &ListedUpstream| it.entry.state == State::Ready;
+        let remains = move |pool: &str| {
+            let mut others = self.entries.values().filter(|it| it.remove_at.is_none());
+            others.any(|it| is_ready(it) && *it.entry.pool == *pool)
+        };
+        self.entries.iter().filter_map(move |(key, it)| {
+            let at = it.remove_at? - PLACEMENT_MARGIN;
+            (is_ready(it) && remains(&it.entry.pool)).then_some((key.as_str(), at))
+        })
     }
 
     /// Returns the upstreams that may be used, sorted by key.
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -59,6 +59,9 @@
 /// sites.
 const DRAIN_BOUND: Duration = Duration::from_millis(2_000);
 
+/// Time that a request may take from its placement to the upstream.
+const ARRIVAL_TIME: Duration = Duration::from_millis(200);
+
 /// Time within which hosts receive a change from the other followers: their pause after a change
 /// and two rounds of sync requests. Less than the time-out of a request.
 const HANG_BOUND: Duration = Duration::from_millis(1_100);
@@ -101,6 +104,15 @@
         self.changed.send_replace(revision);
     }
 
+    fn remove(&self, key: &str) {
+        let mut content = self.content.borrow_mut();
+        content.revision += 1;
+        let revision = content.revision;
+        content.items.remove(key);
+        content.history.push(Change::Deleted(key.to_owned(), revision));
+        self.changed.send_replace(revision);
+    }
+
     fn call(&self, prefix: &str) -> Result<(), Failure> {
         let mut content = self.content.borrow_mut();
         *content.calls.entry((self.host, prefix.to_owned())).or_default() += 1;
@@ -483,3 +495,47 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+#[tokio::test]
+async fn an_upstream_that_is_missing_after_an_outage_gets_no_late_request() {
+    let run = async {
+        let fleet = Fleet::spawn(1).await;
+        let missing = engine(UPSTREAM_COUNT);
+        let key = format!("{UPSTREAMS}engine-{UPSTREAM_COUNT}");
+        fleet.store.put(&key, format!("{UPSTREAM_COUNT} 0 1").as_bytes());
+        let is_placed = || {
+            let entries = fleet.upstreams[0].borrow();
+            entries.iter().any(|it| it.id == missing.id && it.state == State::Ready)
+        };
+        while !is_placed() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        fleet.store.content.borrow_mut().refused = vec![0];
+        sleep(Duration::from_millis(1_500)).await;
+        fleet.store.remove(&key);
+        assert!(is_placed(), "the host knows nothing of the removal");
+        {
+            let mut content = fleet.store.content.borrow_mut();
+            content.refused.clear();
+            content.calls.clear();
+        }
+        let has_answered = || {
+            let content = fleet.store.content.borrow();
+            content.calls.keys().any(|it| it.1 == UPSTREAMS)
+        };
+        while !has_answered() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let answered = Instant::now();
+        while is_placed() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let used = answered.elapsed();
+        assert!(
+            used >= Duration::from_millis(1_500),
+            "dropped after {used:?}, before it could return"
+        );
+        assert!(used <= DRAIN_BOUND - ARRIVAL_TIME, "requests are placed on it for {used:?}");
+    };
+    LocalSet::new().run_until(run).await;
+}
--- a/tests/upstream_list.rs
+++ b/tests/upstream_list.rs
@@ -33,6 +33,10 @@
     list.entries().map(|it| &*it.id).collect::<Vec<_>>().join(" ")
 }
 
+fn states(list: &upstream_list::List) -> String {
+    list.entries().map(|it| format!("{} {:?}", it.id, it.state)).collect::<Vec<_>>().join(", ")
+}
+
 #[test]
 fn without_an_outage_a_removed_entry_is_dropped_at_once() {
     let mut list = upstream_list::List::default();
@@ -54,6 +58,11 @@
     list.delete(at(5_010), "b");
     expect!["a b"].assert_eq(&ids(&list));
     list.put("b", Ok(entry("b")));
+    // With another one ready, the upstream gets no new request for some time before it is removed.
+    let closing = list.next_due().expect("the expired entry has a time of its last request");
+    assert!(closing <= at(6_700), "a request that is sent last must arrive within two seconds");
+    list.apply_due(closing);
+    expect!["a Draining, b Ready"].assert_eq(&states(&list));
     let expiry = list.next_due().expect("the expired entry has a time of removal");
     assert!(
         expiry <= at(7_000),
@@ -64,6 +73,54 @@
     assert_eq!(list.next_due(), None);
 }
 
+#[test]
+fn upstreams_that_write_their_entries_late_in_the_grace_period_are_used_at_once() {
+    let mut list = upstream_list::List::default();
+    for id in ["a", "b", "c", "d"] {
+        list.put(id, Ok(entry(id)));
+    }
+    list.store_failed();
+    list.store_recovered(at(5_000));
+    ["a", "b", "c", "d"].into_iter().for_each(|id| list.delete(at(5_000), id));
+    // They come back one after the other, the last one does not.
+    let mut seen = String::new();
+    for (id, ms) in [("b", 5_900), ("c", 6_550), ("a", 6_800)] {
+        while let Some(due) = list.next_due().filter(|it| *it <= at(ms)) {
+            list.apply_due(due);
+        }
+        seen += &format!("{ms}: {}; ", states(&list));
+        list.put(id, Ok(entry(id)));
+    }
+    seen += &states(&list);
+    expect![[r#"5900: a Ready, b Ready, c Ready, d Ready; 6550: a Ready, b Ready, c Ready, d Ready; 6800: a Draining, b Ready, c Ready, d Draining; a Ready, b Ready, c Ready, d Draining"#]]
+    .assert_eq(&seen);
+    while let Some(due) = list.next_due() {
+        assert!(due <= at(7_000), "the last one is used for more than two seconds");
+        list.apply_due(due);
+    }
+    expect!["a b c"].assert_eq(&ids(&list));
+}
+
+#[test]
+fn a_pool_whose_entries_all_lapsed_is_used_to_the_end_of_the_grace_period() {
+    let mut list = upstream_list::List::default();
+    list.put("a", Ok(entry("a")));
+    list.put("b", Ok(entry("b")));
+    list.put("c", Ok(Entry { pool: "other".into(), ..entry("c") }));
+    list.store_failed();
+    list.store_recovered(at(5_000));
+    list.delete(at(5_000), "a");
+    list.delete(at(5_000), "b");
+    let due = list.next_due().expect("the expired entries have a time of removal");
+    assert!(due >= at(6_800), "nothing is due before");
+    list.apply_due(at(6_800));
+    expect!["a Ready, b Ready, c Ready"].assert_eq(&states(&list));
+    // An upstream of the pool that becomes ready takes over.
+    list.put("d", Ok(entry("d")));
+    list.apply_due(at(6_810));
+    expect!["a Draining, b Draining, c Ready, d Ready"].assert_eq(&states(&list));
+}
+
 #[test]
 fn a_listing_removes_what_it_does_not_hold() {
     let mut list = upstream_list::List::default();
