Send nothing more to upstreams that say in their answers that they leave

Upstreams saw requests from hosts that had passed on their word that they leave, as hosts looked only at the state in their entries, which may say that they are ready or be out of reach. A request that must not be repeated is lost if the upstream then ends.

Every answer of an upstream to this request now counts, whatever its status: not one to another request and not a 421. The host stops at once, for new, waiting, repeated and resumed requests, for permits of other hosts, and for grants whose connection is still being opened. Only a new life lifts it: neither a rewritten entry nor one that lapses and returns, of which 1,024 are kept. A value other than 1 is logged and ignored. Hosts tell each other with their loads, as the longest ejection: hosts of earlier builds take it for an ejection and add it up, so that they prefer other upstreams and pass it on. The leader takes such upstreams for draining. If all of a pool leave, requests are refused as not run with a retry after 0.5 s. Counter almondrack_leaving_upstreams_total, by where the host learnt it.

Dispatcher::spawn takes the metrics, so that two test fixtures pass them; the dialect of the exchange's tests reads a header.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -52,6 +52,7 @@
     limited_sends: IntCounterVec,
     permits: IntCounterVec,
     cut_attempts: IntCounterVec,
+    leaving_upstreams: IntCounterVec,
     /// Requests accepted and not ended.
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
@@ -114,6 +115,11 @@
             "Attempts that ended as the upstream closed the connection, by how much of the answer had arrived.",
             &["answer"],
         )?;
+        let leaving_upstreams = counter(
+            "almondrack_leaving_upstreams_total",
+            "Upstreams that leave as their answers say, by the source from which this host learned it.",
+            &["source"],
+        )?;
         let opts = HistogramOpts::new(
             "almondrack_first_token_seconds",
             "Time from acceptance to the first token or byte.",
@@ -139,6 +145,7 @@
             limited_sends,
             permits,
             cut_attempts,
+            leaving_upstreams,
             in_flight,
             revision,
             store_era,
@@ -185,6 +192,11 @@
         self.cut_attempts.with_label_values(&[answer]).inc();
     }
 
+    /// Counts upstreams that leave, as an `answer` or another `host` says.
+    pub fn upstreams_left(&self, source: &str, count: usize) {
+        self.leaving_upstreams.with_label_values(&[source]).inc_by(count as u64);
+    }
+
     /// Number of calls to the platform's store so far, by cause, call and outcome, for a log line.
     pub fn store_calls(&self) -> String {
         let families = self.store_calls.collect();
--- a/src/serving/dialect.rs
+++ b/src/serving/dialect.rs
@@ -81,6 +81,17 @@
     Invalid,
 }
 
+/// What a response says about whether its upstream leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Departure {
+    /// The upstream leaves and wants no further request.
+    Announced,
+    /// The response says nothing about it.
+    Unannounced,
+    /// What it says cannot be read.
+    Invalid,
+}
+
 /// Reads and writes the headers of one HTTP dialect.
 pub trait Dialect: 'static {
     /// Reads the headers of a caller's request.
@@ -101,6 +112,9 @@
     /// Reads the rate limit that an upstream names in a response of its own.
     fn named_limit(&self, head: &response::Parts) -> rate_limit::Named;
 
+    /// Reads whether an upstream leaves from its response to the request with the given id.
+    fn departure(&self, id: &HeaderValue, head: &response::Parts) -> Departure;
+
     /// Returns the HTTP status for an error of the given kind.
     fn status(&self, kind: Kind) -> StatusCode;
 }
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     error::{Error, Kind},
+    metrics::Metrics,
     serving::{
         crash_evidence::Reason,
         key::{AttemptKey, TicketKey, UpstreamKey},
@@ -31,6 +32,10 @@
     Answered(AttemptKey),
     /// A response to an attempt, which was sent at this time, and the limit that it names.
     Limit(AttemptKey, Time, rate_limit::Named),
+    /// The response to an attempt says that its upstream leaves.
+    Departure(AttemptKey),
+    /// Incarnations of upstreams that leave, as the host with this id reports.
+    RemoteDepartures(String, Vec<u64>),
     Ended(AttemptKey, Ending),
     LocalLoad(oneshot::Sender<LocalLoad>),
     RemoteLoads(Vec<messages::Load>),
@@ -77,6 +82,8 @@
     /// Unbounded, as the end of an attempt must not be lost. The requests in flight limit its
     /// length.
     messages: mpsc::UnboundedSender<Message>,
+    /// Incarnations of listed upstreams that leave, sorted.
+    pub leaving: watch::Receiver<Rc<Vec<u64>>>,
 }
 
 /// Reports the end of an attempt when dropped; without [`AttemptGuard::end`] as cancelled.
@@ -102,17 +109,21 @@
         zone: Arc<str>,
         upstreams: watch::Receiver<Rc<Vec<Entry>>>,
         limiter: mpsc::UnboundedSender<limiter::Message>,
+        metrics: Metrics,
     ) -> Dispatcher {
         let (messages, mailbox) = mpsc::unbounded_channel();
+        let (leaving_sender, leaving) = watch::channel(Rc::default());
         let task = Task {
             placement: Placement::new(host, zone),
             waiting: BTreeMap::new(),
             actions: Vec::new(),
             upstreams,
             limiter,
+            leaving: leaving_sender,
+            metrics,
         };
         task::spawn_local(task.run(mailbox));
-        Dispatcher { messages }
+        Dispatcher { messages, leaving }
     }
 
     /// Waits until the ticket is granted.
@@ -165,6 +176,13 @@
         }
     }
 
+    /// Records incarnations of upstreams that leave, as another host reports.
+    pub fn merge_departures(&self, host: &str, incarnations: Vec<u64>) {
+        if !incarnations.is_empty() {
+            self.send(Message::RemoteDepartures(host.to_owned(), incarnations));
+        }
+    }
+
     /// Merges evidence of another host about crashes. `sent_at` is a time at which it had not sent this yet.
     pub fn merge_evidence(&self, sent_at: Time, news: messages::Evidence) {
         if !news.is_empty() {
@@ -216,6 +234,11 @@
         self.dispatcher.send(Message::Limit(self.attempt, sent_at, named));
     }
 
+    /// Records that the response to the attempt says that its upstream leaves.
+    pub fn record_departure(&self) {
+        self.dispatcher.send(Message::Departure(self.attempt));
+    }
+
     /// Ends the attempt with the given ending.
     pub fn end(mut self, ending: Ending) {
         self.ending = ending;
@@ -238,6 +261,8 @@
     actions: Vec<Action>,
     upstreams: watch::Receiver<Rc<Vec<Entry>>>,
     limiter: mpsc::UnboundedSender<limiter::Message>,
+    leaving: watch::Sender<Rc<Vec<u64>>>,
+    metrics: Metrics,
 }
 
 impl Task {
@@ -261,6 +286,18 @@
     fn update_upstreams(&mut self) {
         let entries = self.upstreams.borrow_and_update().clone();
         self.placement.set_upstreams(&entries);
+        self.publish_leaving();
+    }
+
+    fn publish_leaving(&self) {
+        let leaving = self.placement.leaving();
+        self.leaving.send_if_modified(|it| {
+            let changed = **it != leaving;
+            if changed {
+                *it = Rc::new(leaving);
+            }
+            changed
+        });
     }
 
     fn handle(&mut self, message: Message) {
@@ -274,6 +311,19 @@
             Message::Limit(attempt, sent_at, named) => {
                 self.placement.limit_named(now, (attempt, sent_at), named, &mut self.actions);
             }
+            Message::Departure(attempt) => {
+                if self.placement.departure_announced(attempt) {
+                    self.metrics.upstreams_left("answer", 1);
+                    self.publish_leaving();
+                }
+            }
+            Message::RemoteDepartures(host, incarnations) => {
+                let news = self.placement.merge_departures(&host, &incarnations);
+                if news > 0 {
+                    self.metrics.upstreams_left("host", news);
+                    self.publish_leaving();
+                }
+            }
             Message::Ended(attempt, ending) => self.placement.attempt_ended(now, attempt, ending),
             Message::LocalLoad(answer) => {
                 let load = LocalLoad {
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -24,7 +24,7 @@
         buffered::{self, LargeResponse},
         connection_cache,
         crash_evidence::Content,
-        dialect::{Dialect, Prompt, RouterHeaders, Verdict},
+        dialect::{Departure, Dialect, Prompt, RouterHeaders, Verdict},
         dispatcher::{AttemptGuard, Dispatcher},
         key::TicketKey,
         outbound_connection,
@@ -341,6 +341,11 @@
                 guard.end(Ending::Unused);
                 return Err(attempt_history::Failure::unsent(Kind::Shed));
             }
+            // It may have said so since the request was granted, and connecting takes time.
+            if grant.leaves.get() {
+                guard.end(Ending::Unused);
+                return Err(attempt_history::Failure::unsent(Kind::NoUpstream));
+            }
             let upstream_request = self.upstream_request(request, grant, time_left, resume_after);
             let used = connection.used;
             let sent_at = Time::now();
@@ -377,6 +382,7 @@
         let (head, body) = response.into_parts();
         let verdict = self.shared.dialect.verdict(&request.id, &head);
         self.record_limit(grant, (&head, sent_at), verdict, &guard);
+        self.record_departure((&request.id, &grant.instance), &head, verdict, &guard);
         match verdict {
             Verdict::Valid => {
                 guard.record_head();
@@ -432,6 +438,26 @@
         }
     }
 
+    /// Records that the upstream leaves if its response says so.
+    fn record_departure(
+        &self,
+        (id, instance): (&HeaderValue, &str),
+        head: &http::response::Parts,
+        verdict: Verdict,
+        guard: &AttemptGuard,
+    ) {
+        if matches!(verdict, Verdict::Misdirected | Verdict::Invalid) {
+            return;
+        }
+        match self.shared.dialect.departure(id, head) {
+            Departure::Unannounced => {}
+            Departure::Announced => guard.record_departure(),
+            Departure::Invalid => log::warn!(
+                "a response of upstream {instance} says neither that it leaves nor that it stays; ignored"
+            ),
+        }
+    }
+
     /// Turns an upstream's response into the caller's: a stream after its first events, another one when it is complete
     /// or too large to buffer.
     async fn caller_response(
--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -433,6 +433,8 @@
         if let Some(evidence) = evidence.and_then(messages::Prefix::evidence) {
             self.dispatcher.merge_evidence(sent_at, evidence);
         }
+        let leaving = messages::Load::leaving(&response.loads);
+        self.dispatcher.merge_departures(&response.host, leaving);
         for (topic, state) in Topic::ALL.into_iter().zip(response.prefixes) {
             let verified_at = state.age_us.map(|it| sent_at - Span(it));
             if topic == Topic::Configuration {
@@ -645,6 +647,8 @@
             // Hubs send each other no loads in requests, since each requests those of the others.
             true => (self.loads.own_group(now), self.placed.for_group(after)),
             false => {
+                let leaving = messages::Load::leaving(&request.loads);
+                self.dispatcher.merge_departures(&request.host, leaving);
                 self.loads.set_member(now, &request.host, request.loads);
                 self.placed.add_member(&request.host, request.placed.clone());
                 self.dispatcher.record_placed(request.placed);
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -27,9 +27,7 @@
         listener::{Listener, Stage},
         messages,
         page::{self, Content},
-        peers, registration,
-        registry::Entry,
-        retry_budget,
+        peers, registration, retry_budget,
         roster::{self, Roster},
         scaling,
         settings::Settings,
@@ -119,6 +117,7 @@
         settings: &Settings,
         ports: Ports<S, D, P>,
     ) -> Result<Host> {
+        let metrics = Metrics::open()?;
         let (upstreams_sender, upstreams) = watch::channel(Rc::default());
         let (limiter_messages, messages) = mpsc::unbounded_channel();
         let dispatcher = Dispatcher::spawn(
@@ -126,6 +125,7 @@
             settings.zone.as_str().into(),
             upstreams.clone(),
             limiter_messages,
+            metrics.clone(),
         );
         // Unique, as no two processes of a host start in the same millisecond.
         let writer = format!("{}-{}", settings.host, wall_ms());
@@ -143,7 +143,6 @@
             evidence: evidence_sender,
         };
         tokio::spawn(peers::serve(listener, mailboxes));
-        let metrics = Metrics::open()?;
         let store = counted_store::Counted::new(ports.store, metrics.clone(), Cause::Registration);
         let options = fleet_state::Options {
             store: store.clone(),
@@ -165,6 +164,7 @@
             dispatcher: dispatcher.clone(),
             metrics: metrics.clone(),
         });
+        let capacity = scaling::Capacity { upstreams, leaving: dispatcher.leaving.clone() };
         let links = connection_cache::Cache::default();
         task::spawn_local(sweep(links.clone()));
         let dialect = Rc::new(ports.dialect);
@@ -221,7 +221,7 @@
             usage: None,
         };
         if let Some(duties) = ports.duties {
-            host.spawn_leader_tasks(settings, &fleet, upstreams, &store, duties, (meter, writer));
+            host.spawn_leader_tasks(settings, &fleet, capacity, &store, duties, (meter, writer));
         }
         Ok(host)
     }
@@ -230,7 +230,7 @@
         &mut self,
         settings: &Settings,
         fleet: &fleet_state::Handle,
-        upstreams: watch::Receiver<Rc<Vec<Entry>>>,
+        capacity: scaling::Capacity,
         store: &counted_store::Counted<S>,
         duties: P,
         (meter, writer): (Meter, String),
@@ -243,7 +243,7 @@
             roster: fleet.roster.clone(),
         });
         let zones = settings.zones.clone();
-        scaling::spawn(duties.clone(), leadership.clone(), fleet.table.clone(), upstreams, zones);
+        scaling::spawn(duties.clone(), leadership.clone(), fleet.table.clone(), capacity, zones);
         let options = usage::Options {
             store: store.for_cause(Cause::Usage),
             duties,
--- a/src/serving/messages.rs
+++ b/src/serving/messages.rs
@@ -153,10 +153,21 @@
     pub pending: [u32; TIERS],
     /// Number of attempts.
     pub running: u16,
-    /// Remaining time for which the upstream is ejected after a failure, in milliseconds.
+    /// Remaining time for which the upstream is ejected after a failure, in milliseconds, or [`Load::LEAVES`].
     pub ejected_ms: u16,
 }
 
+impl Load {
+    /// Value of `ejected_ms` for an upstream whose answers say that it leaves. More than any ejection lasts; hosts of
+    /// earlier versions prefer other upstreams and pass the value on.
+    pub const LEAVES: u16 = u16::MAX;
+
+    /// Returns which of the upstreams leave.
+    pub fn leaving(loads: &[Load]) -> Vec<u64> {
+        loads.iter().filter(|it| it.ejected_ms == Load::LEAVES).map(|it| it.upstream).collect()
+    }
+}
+
 /// A part of a prompt that was sent to an engine and is assumed to be in its prefix cache.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placement {
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -54,6 +54,9 @@
 /// Limits that are kept of incarnations which are not listed.
 const MAX_UNLISTED_LIMITS: usize = 1_024;
 
+/// Incarnations that are not listed of which is kept that they leave.
+const MAX_UNLISTED_LEAVING: usize = 1_024;
+
 /// Retry delay returned when no upstream is ready; one usually returns within this time.
 const NO_UPSTREAM_RETRY_AFTER: Span = Span::from_ms(500);
 
@@ -97,6 +100,8 @@
     pub expected_first_byte: Span,
     /// Time of the last bytes from the upstream, shared by all its connections.
     pub last_activity: Rc<Cell<Time>>,
+    /// Whether the upstream leaves, so that the request must not be sent any more.
+    pub leaves: Rc<Cell<bool>>,
     /// Rate limit that the upstream names, if any.
     pub limit: Option<Rate>,
     /// Time until which the request must be sent if there is a limit, as the permit expires.
@@ -188,6 +193,8 @@
     waiting: Vec<WaitingTicket>,
     /// Limits of incarnations that are not listed now, as an entry can lapse while its upstream goes on.
     unlisted_limits: Vec<(u64, rate_limit::Limit)>,
+    /// Incarnations that leave and are not listed now, oldest knowledge first.
+    unlisted_leaving: Vec<u64>,
     evidence: Evidence,
 }
 
@@ -206,6 +213,7 @@
             placed: Vec::new(),
             waiting: Vec::new(),
             unlisted_limits: Vec::new(),
+            unlisted_leaving: Vec::new(),
         }
     }
 
@@ -221,6 +229,9 @@
                 if state.limit.rate().is_some() {
                     self.unlisted_limits.push((state.incarnation, state.limit));
                 }
+                if state.leaves.get() {
+                    self.unlisted_leaving.push(state.incarnation);
+                }
                 false
             }
         });
@@ -230,10 +241,16 @@
             if let Some(at) = self.unlisted_limits.iter().position(|it| it.0 == state.incarnation) {
                 state.limit = self.unlisted_limits.swap_remove(at).1;
             }
+            if let Some(at) = self.unlisted_leaving.iter().position(|it| *it == state.incarnation) {
+                self.unlisted_leaving.remove(at);
+                state.leaves.set(true);
+                log::info!("upstream {} is listed again and still leaves", state.entry.id);
+            }
             self.upstreams.push((UpstreamKey(self.last_upstream), state));
         }
         let excess = self.unlisted_limits.len().saturating_sub(MAX_UNLISTED_LIMITS);
         self.unlisted_limits.drain(..excess);
+        self.bound_unlisted_leaving();
     }
 
     /// Places a ticket and appends the decision to `actions`.
@@ -444,6 +461,61 @@
         }
     }
 
+    /// Records that the response to an attempt says that its upstream leaves. Returns whether this is news.
+    pub fn departure_announced(&mut self, attempt: AttemptKey) -> bool {
+        let Some(running) = self.running.get(&attempt) else { return false };
+        let incarnation = running.incarnation;
+        self.record_departure(incarnation, "its answer says")
+    }
+
+    /// Records which incarnations leave, as another host reports. Returns how many are news.
+    pub fn merge_departures(&mut self, host: &str, incarnations: &[u64]) -> usize {
+        let source = format!("host {host} reports");
+        incarnations.iter().filter(|it| self.record_departure(**it, &source)).count()
+    }
+
+    /// Returns the listed incarnations that leave, sorted.
+    pub fn leaving(&self) -> Vec<u64> {
+        let listed = self.upstreams.iter().filter(|it| it.1.leaves.get());
+        let mut leaving: Vec<_> = listed.map(|it| it.1.incarnation).collect();
+        leaving.sort_unstable();
+        leaving
+    }
+
+    /// Records that an incarnation leaves. An incarnation that is not listed may be listed later. Returns whether this is
+    /// news.
+    fn record_departure(&mut self, incarnation: u64, source: &str) -> bool {
+        let mut is_news = false;
+        let mut is_listed = false;
+        for (_, state) in self.upstreams.iter().filter(|it| it.1.incarnation == incarnation) {
+            is_listed = true;
+            if !state.leaves.replace(true) {
+                is_news = true;
+                let entry = &state.entry;
+                log::info!(
+                    "upstream {} of {} leaves, {source}; it gets no further request from this host",
+                    entry.id,
+                    entry.pool
+                );
+            }
+        }
+        if !is_listed && !self.unlisted_leaving.contains(&incarnation) {
+            is_news = true;
+            self.unlisted_leaving.push(incarnation);
+            self.bound_unlisted_leaving();
+            log::info!(
+                "an upstream that is not listed leaves, {source}; if incarnation {incarnation:016x} \
+                 is listed, it gets no request from this host"
+            );
+        }
+        is_news
+    }
+
+    fn bound_unlisted_leaving(&mut self) {
+        let excess = self.unlisted_leaving.len().saturating_sub(MAX_UNLISTED_LEAVING);
+        self.unlisted_leaving.drain(..excess);
+    }
+
     /// Records the end of an attempt. Attempts that have already ended are ignored.
     pub fn attempt_ended(&mut self, now: Time, attempt: AttemptKey, ending: Ending) {
         let Some(running) = self.running.remove(&attempt) else { return };
@@ -548,6 +620,7 @@
             address: upstream.entry.address,
             expected_first_byte: best.expected_first_byte,
             last_activity: upstream.last_activity.clone(),
+            leaves: upstream.leaves.clone(),
             limit: upstream.limit.rate(),
             send_by: None,
         }
--- a/src/serving/scaling.rs
+++ b/src/serving/scaling.rs
@@ -10,6 +10,7 @@
         leadership::Leadership,
         registry::{Entry, State},
         table::{Pool, Scaling, Table},
+        upstream_state::incarnation_id,
     },
     time::{Span, Time},
 };
@@ -26,22 +27,45 @@
 /// Time after which an accepted order is sent again, as the platform may have lost it.
 const REPEAT_INTERVAL: Span = Span::from_ms(10_000);
 
+/// What the leader knows of the upstreams that it orders.
+#[derive(Debug, Clone)]
+pub struct Capacity {
+    /// Usable upstreams.
+    pub upstreams: watch::Receiver<Rc<Vec<Entry>>>,
+    /// Incarnations of those whose answers say that they leave, sorted.
+    pub leaving: watch::Receiver<Rc<Vec<u64>>>,
+}
+
+impl Capacity {
+    /// Returns the upstreams. Those that leave are draining, whatever their entries say.
+    pub fn entries(&self) -> Vec<Entry> {
+        let mut entries = self.upstreams.borrow().to_vec();
+        let leaving = self.leaving.borrow();
+        for entry in &mut entries {
+            if leaving.binary_search(&incarnation_id(entry)).is_ok() {
+                entry.state = State::Draining;
+            }
+        }
+        entries
+    }
+}
+
 /// Spawns the task on the current thread.
 pub fn spawn<P: Duties>(
     duties: P,
     leadership: Leadership,
     table: watch::Receiver<Option<Arc<Table>>>,
-    upstreams: watch::Receiver<Rc<Vec<Entry>>>,
+    capacity: Capacity,
     zones: Vec<String>,
 ) {
-    task::spawn_local(run(duties, leadership, table, upstreams, zones));
+    task::spawn_local(run(duties, leadership, table, capacity, zones));
 }
 
 async fn run<P: Duties>(
     duties: P,
     leadership: Leadership,
     table: watch::Receiver<Option<Arc<Table>>>,
-    upstreams: watch::Receiver<Rc<Vec<Entry>>>,
+    capacity: Capacity,
     zones: Vec<String>,
 ) {
     let mut scaler = Scaler::new(zones);
@@ -54,7 +78,7 @@
             scaler.forget_orders();
         }
         let Some(config) = table.borrow().clone() else { continue };
-        let entries = upstreams.borrow().clone();
+        let entries = capacity.entries();
         for order in scaler.step(Time::now(), &config, &entries) {
             let held = *leadership.term.borrow();
             let number = held.and_then(|it| it.permits(Time::now(), MAX_ORDER_TIME));
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -89,6 +89,8 @@
     pub no_permit_until: Time,
     /// Whether the answer to a request for a permit is outstanding.
     pub is_asking: bool,
+    /// Whether its answers say that it leaves; never unset. Shared with the grants that are not sent yet.
+    pub leaves: Rc<Cell<bool>>,
     remote: RemoteLoad,
     /// Prompt parts that were sent there, with the time of their last use. Sorted by part.
     cached_parts: Vec<(u64, Time)>,
@@ -118,6 +120,7 @@
             limit: rate_limit::Limit::default(),
             no_permit_until: Time(0),
             is_asking: false,
+            leaves: Rc::new(Cell::new(false)),
             remote: RemoteLoad::default(),
             cached_parts: Vec::new(),
         }
@@ -125,7 +128,9 @@
 
     /// Returns whether it accepts requests of a pool.
     pub fn serves(&self, pool: &str) -> bool {
-        *self.entry.pool == *pool && self.entry.state == registry::State::Ready
+        *self.entry.pool == *pool
+            && self.entry.state == registry::State::Ready
+            && !self.leaves.get()
     }
 
     /// Returns whether its rate limit may leave room for a request.
@@ -140,7 +145,7 @@
             || (self.answering > 0 && now.since(self.last_activity.get()) > MAX_SILENCE)
     }
 
-    /// Returns this host's load, or `None` without attempts or ejection.
+    /// Returns this host's load, or `None` without attempts or ejection of an upstream that does not leave.
     pub fn local_load(&self, now: Time) -> Option<messages::Load> {
         let min_ejection = if self.is_ejected(now) { MAX_SILENCE } else { Span(0) };
         let ejected = self.health.ejected_until.since(now).max(min_ejection).as_ms();
@@ -148,9 +153,12 @@
             upstream: self.incarnation,
             pending: self.pending_tokens.map(|it| it.min(u64::from(u32::MAX)) as u32),
             running: self.running.min(u32::from(u16::MAX)) as u16,
-            ejected_ms: ejected.min(u64::from(u16::MAX)) as u16,
+            ejected_ms: match self.leaves.get() {
+                true => messages::Load::LEAVES,
+                false => ejected.min(u64::from(messages::Load::LEAVES - 1)) as u16,
+            },
         };
-        (self.running > 0 || ejected > 0).then_some(load)
+        (self.running > 0 || load.ejected_ms > 0).then_some(load)
     }
 
     /// Replaces the load of all other hosts; `None` means no load.
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -3,11 +3,11 @@
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use almondrack::{
-    error::{Error, Kind},
+    error::{Error, Kind, Run},
     metrics::Metrics,
     serving::{
         buffer_memory, connection_cache,
-        dialect::{CallerHeaders, Dialect, RouterHeaders, Verdict},
+        dialect::{CallerHeaders, Departure, Dialect, RouterHeaders, Verdict},
         dispatcher::Dispatcher,
         exchange::{Body, CallerResponse, Exchange, RoutedRequest},
         rate_limit,
@@ -54,6 +54,13 @@
         rate_limit::Named::Nothing
     }
 
+    fn departure(&self, _: &HeaderValue, head: &response::Parts) -> Departure {
+        match head.headers.get("leaves") {
+            Some(_) => Departure::Announced,
+            None => Departure::Unannounced,
+        }
+    }
+
     fn status(&self, kind: Kind) -> StatusCode {
         StatusCode::from_u16(kind.answer().status).expect("the status is valid")
     }
@@ -230,8 +237,10 @@
         entries.push(upstream(index, script, counters.clone()).await);
     }
     let upstreams = watch::channel(Rc::new(entries)).1;
+    let metrics = Metrics::open().expect("the names of the counters are unique");
+    let limiter = mpsc::unbounded_channel().0;
     let dispatcher =
-        Dispatcher::spawn("host".into(), "a".into(), upstreams, mpsc::unbounded_channel().0);
+        Dispatcher::spawn("host".into(), "a".into(), upstreams, limiter, metrics.clone());
     let budget_config =
         retry_budget::Limits { window: Span::from_ms(10_000), ratio: 0.2, allowance: 1_000.0 };
     Exchange::new(
@@ -241,7 +250,7 @@
         retry_budget::Budget::new(budget_config),
         meter,
         buffer_memory,
-        Metrics::open().expect("the names of the counters are unique"),
+        metrics,
     )
 }
 
@@ -283,3 +292,36 @@
     };
     assert_eq!(LocalSet::new().run_until(run).await, 2);
 }
+
+const LEAVING_FAILURE: &str = "HTTP/1.1 500 Failed\r\nleaves: 1\r\ncontent-length: 0\r\n\r\n";
+const LEAVING_REFUSAL: &str = "HTTP/1.1 503 Full\r\nleaves: 1\r\ncontent-length: 0\r\n\r\n";
+const LEAVING_EVENTS: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 18\r\n\
+                              leaves: 1\r\n\r\nid: 1\ndata: one\n\n";
+
+#[tokio::test]
+async fn every_answer_tells_that_its_upstream_leaves_and_a_pool_without_others_refuses() {
+    for (response, sends) in [(LEAVING_FAILURE, 1), (LEAVING_REFUSAL, 4), (LEAVING_EVENTS, 1)] {
+        let run = async {
+            let counters =
+                (SharedCounter::<u32>::default(), ByteCounter::default(), SharedCounter::default());
+            let meter = Meter::new(Span::from_ms(60_000), "host-1");
+            let script = Script { first: response, then: Continuation::Close };
+            let memory = buffer_memory::Memory::new(1 << 20);
+            let exchange = open(script, memory, meter, counters.clone()).await;
+            let request = || routed_request(response == LEAVING_EVENTS, RetryPolicy::Never);
+            let mut sent = Vec::new();
+            for _ in 0..6 {
+                let response = exchange.run(request()).await;
+                sent.push(counters.0.get());
+                if sent.last() == Some(&4) && sent.len() > 4 {
+                    let error = response.expect_err("no upstream is left");
+                    assert_eq!((error.kind, error.run), (Kind::NoUpstream, Run::No));
+                    assert!(error.retry_after_ms.is_some_and(|it| it <= 1_000), "{error:?}");
+                }
+            }
+            sent
+        };
+        let sent = LocalSet::new().run_until(run).await;
+        assert_eq!((sent[0], sent[3..].to_vec()), (sends, vec![4; 3]), "{response}");
+    }
+}
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -263,6 +263,7 @@
             "a".into(),
             upstreams.clone(),
             mpsc::unbounded_channel().0,
+            Metrics::open().expect("the names of metrics are unique"),
         );
         let store = MemoryStore { host: index, ..self.store.clone() };
         let metrics = Metrics::open().expect("the names of metrics are unique");
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -1,16 +1,18 @@
 //! Placement of requests under the load patterns that it is designed for.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, rc::Rc};
 
 use almondrack::{
     error::Kind,
     serving::{
         crash_evidence::Content,
         key::{TicketKey, UpstreamKey},
+        loads::Loads,
         messages::{Change, Evidence, Load, Prefix, Suspicion},
-        placement::{Action, Placement, Ticket},
+        placement::{Action, Grant, Placement, Ticket},
         rate_limit::{Decision, Limit, Named, Rate},
         registry::State,
+        scaling::Capacity,
         tier::{self, TIERS},
         upstream_state::incarnation_id,
     },
@@ -18,6 +20,7 @@
     wire::Ending,
 };
 use expect_test::expect;
+use tokio::sync::watch;
 
 use crate::fixture::{at, engines, grant, host, place, prompt, ticket};
 
@@ -448,3 +451,133 @@
     let (other, _) = place(&mut host, at(90), &suspect);
     assert_ne!(other, first);
 }
+
+/// Places a request on the given one of two engines.
+fn grant_on(host: &mut Placement, now: Time, number: u64, engine: u32) -> Grant {
+    let tried = vec![UpstreamKey(3 - engine)];
+    grant(host, now, &Ticket { tried, ..ticket(number, prompt(&[], 0, 100)) })
+}
+
+#[test]
+fn an_engine_that_says_that_it_leaves_gets_nothing_new() {
+    let mut host = host("host", &engines(2));
+    let first = grant_on(&mut host, at(0), 1, 1);
+    let second = grant_on(&mut host, at(0), 2, 1);
+    assert!(host.departure_announced(first.attempt));
+    assert!(!host.departure_announced(second.attempt), "it is counted once");
+    assert!(first.leaves.get() && second.leaves.get(), "a grant that is not sent yet is void");
+    for number in 3..40 {
+        let other = grant(&mut host, at(10 * number), &ticket(number, prompt(&[], 0, 5_000)));
+        assert_eq!((&*other.instance, other.leaves.get()), ("engine-1", false));
+    }
+    // The other one has failed this request already.
+    let mut actions = Vec::new();
+    let tried = vec![UpstreamKey(2)];
+    host.submit(at(500), &Ticket { tried, ..ticket(40, prompt(&[], 0, 100)) }, &mut actions);
+    match actions.as_slice() {
+        [Action::Refuse(_, Kind::NoUpstream, Some(delay))] => assert!(delay.as_ms() <= 1_000),
+        other => panic!("expected a refusal: {other:?}"),
+    }
+}
+
+#[test]
+fn a_permit_for_an_engine_that_leaves_meanwhile_is_not_used_and_waiting_requests_do_not_wait_on() {
+    let mut host = host_before_limited_engines();
+    let leaving = |index| incarnation_id(&engines(2)[index]);
+    let first = ask(&mut host, at(100), 3);
+    let first_index = first.0 as usize - 1;
+    assert_eq!(host.merge_departures("host-2", &[leaving(first_index)]), 1);
+    let actions = answer(&mut host, (at(110), at(100)), (3, first), Decision::Granted);
+    let [Action::Ask(_, second, _)] = actions.as_slice() else { panic!("{actions:?}") };
+    assert_ne!(first, *second);
+    let denied = Decision::Denied(Span::from_ms(300));
+    let actions = answer(&mut host, (at(120), at(110)), (3, *second), denied);
+    assert!(actions.is_empty(), "the request waits: {actions:?}");
+    assert_eq!(host.merge_departures("host-2", &[leaving(0), leaving(1)]), 1);
+    let mut actions = Vec::new();
+    host.place_waiting(at(140), &mut actions);
+    assert!(
+        matches!(actions.as_slice(), [Action::Refuse(TicketKey(3), Kind::NoUpstream, Some(_))]),
+        "{actions:?}"
+    );
+}
+
+#[test]
+fn an_engine_leaves_for_the_rest_of_its_life_and_no_longer() {
+    let mut entries = engines(2);
+    let mut host = host("host", &entries);
+    let leaving = grant_on(&mut host, at(0), 1, 1);
+    assert!(host.departure_announced(leaving.attempt));
+    let is_chosen = |host: &mut Placement, now: Time| {
+        (0..20).any(|it| place(host, now, &ticket(100 + it, prompt(&[], 0, 5_000))).0 == "engine-0")
+    };
+    // Its entry is written again.
+    entries[0].sequence = 2;
+    host.set_upstreams(&entries);
+    assert!(!is_chosen(&mut host, at(1_000)));
+    // Its entry lapses and is written again at another address.
+    host.set_upstreams(&entries[1..]);
+    entries[0].address = "10.0.1.1:80".parse().expect("the address is valid");
+    host.set_upstreams(&entries);
+    assert!(!is_chosen(&mut host, at(2_000)));
+    assert_eq!(host.leaving(), [incarnation_id(&entries[0])]);
+    entries[0].started_ms += 1;
+    host.set_upstreams(&entries);
+    assert!(is_chosen(&mut host, at(3_000)));
+    assert!(host.leaving().is_empty());
+}
+
+#[test]
+fn an_engine_that_says_so_while_it_is_not_listed_leaves_once_it_is() {
+    let entries = engines(2);
+    let mut host = host("host", &entries);
+    let leaving = grant_on(&mut host, at(0), 1, 1);
+    host.set_upstreams(&entries[1..]);
+    assert!(host.departure_announced(leaving.attempt));
+    host.set_upstreams(&entries);
+    assert_eq!(host.leaving(), [incarnation_id(&entries[0])]);
+    // Many others of which another host reports do not use up the memory, and the last ones are kept.
+    host.set_upstreams(&entries[..1]);
+    let many: Vec<_> = (1..=5_000).chain([incarnation_id(&entries[1])]).collect();
+    assert_eq!(host.merge_departures("host-2", &many), many.len());
+    assert_eq!(host.merge_departures("host-2", &many[many.len() - 1_024..]), 0);
+    assert_eq!(host.merge_departures("host-2", &[1]), 1, "the oldest ones are forgotten");
+    host.set_upstreams(&entries);
+    assert_eq!(host.leaving().len(), 2);
+}
+
+#[test]
+fn hosts_hear_of_an_engine_that_leaves_with_the_loads_of_others() {
+    let entries = engines(2);
+    let mut host_1 = host("host-1", &entries);
+    let leaving = grant_on(&mut host_1, at(0), 1, 1);
+    host_1.departure_announced(leaving.attempt);
+    host_1.attempt_ended(at(10), leaving.attempt, Ending::Done);
+    let loads = host_1.local_loads(at(20));
+    assert_eq!(loads.iter().map(|it| it.ejected_ms).collect::<Vec<_>>(), [Load::LEAVES]);
+    // A hub of an earlier version adds loads up, and takes the upstream for ejected.
+    let mut hub = Loads::default();
+    let pending = [0; TIERS];
+    let upstream = incarnation_id(&entries[0]);
+    hub.set_own(vec![Load { upstream, pending, running: 3, ejected_ms: 4_000 }]);
+    hub.set_member(at(30), "host-1", loads);
+    let passed_on = hub.all_but(at(40), "host-2");
+    assert_eq!(Load::leaving(&passed_on), [upstream]);
+    let mut host_2 = host("host-2", &entries);
+    assert_eq!(host_2.merge_departures("hub", &Load::leaving(&passed_on)), 1);
+    assert_eq!(host_2.leaving(), [upstream]);
+    // An ejection, however long, is no departure.
+    let ejected = Load { upstream, pending, running: 0, ejected_ms: Load::LEAVES - 1 };
+    assert!(Load::leaving(&[ejected]).is_empty());
+}
+
+#[test]
+fn the_leader_takes_engines_that_leave_for_draining() {
+    let entries = engines(2);
+    let capacity = Capacity {
+        upstreams: watch::channel(Rc::new(entries.clone())).1,
+        leaving: watch::channel(Rc::new(vec![incarnation_id(&entries[1])])).1,
+    };
+    let states: Vec<_> = capacity.entries().iter().map(|it| it.state).collect();
+    assert_eq!(states, [State::Ready, State::Draining]);
+}
