--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -53,6 +53,7 @@
     permits: IntCounterVec,
     cut_attempts: IntCounterVec,
     upstream_answers: IntCounterVec,
+    leaving_upstreams: IntCounterVec,
     /// Requests accepted and not ended.
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
@@ -120,6 +121,11 @@
             "Heads of upstreams' answers, by what they were taken for and by the request id that they echo.",
             &["verdict", "id"],
         )?;
+        let leaving_upstreams = counter(
+            "almondrack_leaving_upstreams_total",
+            "Upstreams that leave as their answers say, by the source from which this host learned it.",
+            &["source"],
+        )?;
         let opts = HistogramOpts::new(
             "almondrack_first_token_seconds",
             "Time from acceptance to the first token or byte.",
@@ -146,6 +152,7 @@
             permits,
             cut_attempts,
             upstream_answers,
+            leaving_upstreams,
             in_flight,
             revision,
             store_era,
@@ -198,6 +205,11 @@
         self.upstream_answers.with_label_values(&[verdict, id]).inc();
     }
 
+    /// Counts upstreams that leave, as an `answer` or another `host` says.
+    pub fn upstreams_left(&self, source: &str, count: usize) {
+        self.leaving_upstreams.with_label_values(&[source]).inc_by(count as u64);
+    }
+
     /// Number of calls to the platform's store so far, by cause, call and outcome, for a log line.
     pub fn store_calls(&self) -> String {
         let families = self.store_calls.collect();
