Back off from upstreams that refuse requests with Retry-After

Cause: the header of a refusal was not read. `Dialect::named_backoff` reads it from a 503 to this request: seconds with a fraction, the longest of several; dates, signs and names are ignored with a bounded warning, and a number out of range is the longest time. `backoff` closes a gate that granted requests share, so that what is queued, granted or asking for a permit is held back too. A later end wins, answers to earlier requests lift nothing, the back-off outlives a lapsed entry, and another incarnation is free. After the end one request goes there, and each answer lets one more be outstanding, up to the upstream's slots. Other hosts see a back-off as an ejection elsewhere; no message changed. Where a whole pool is held back, requests that can wait for the earliest end do, and others are refused with it, spread and bounded to 30 s; a retry delay is now at least 100 ms where the time of room is not known. A ticket that arrives while its pool has no room no longer makes all waiting tickets be placed again.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -52,6 +52,7 @@
     limited_sends: IntCounterVec,
     permits: IntCounterVec,
     cut_attempts: IntCounterVec,
+    backoffs: IntCounterVec,
     /// Requests accepted and not ended.
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
@@ -114,6 +115,11 @@
             "Attempts that ended as the upstream closed the connection, by how much of the answer had arrived.",
             &["answer"],
         )?;
+        let backoffs = counter(
+            "almondrack_backoffs_total",
+            "Refusals in which an upstream names a time without requests, by whether it can be read.",
+            &["time"],
+        )?;
         let opts = HistogramOpts::new(
             "almondrack_first_token_seconds",
             "Time from acceptance to the first token or byte.",
@@ -139,6 +145,7 @@
             limited_sends,
             permits,
             cut_attempts,
+            backoffs,
             in_flight,
             revision,
             store_era,
@@ -185,6 +192,11 @@
         self.cut_attempts.with_label_values(&[answer]).inc();
     }
 
+    /// Counts a refusal that names a time in which its upstream wants no requests: `valid` or `invalid`.
+    pub fn backoff_named(&self, time: &str) {
+        self.backoffs.with_label_values(&[time]).inc();
+    }
+
     /// Number of calls to the platform's store so far, by cause, call and outcome, for a log line.
     pub fn store_calls(&self) -> String {
         let families = self.store_calls.collect();
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -1,6 +1,7 @@
 //! The serving hosts: request path, placement, and the fleet's shared state and leader duties.
 
 pub mod attempt_history;
+pub mod backoff;
 pub mod buffer_memory;
 pub mod buffered;
 pub mod caller_connection;
--- a/src/serving/dialect.rs
+++ b/src/serving/dialect.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     error::{Error, Kind},
-    serving::rate_limit,
+    serving::{backoff, rate_limit},
     time::Span,
 };
 
@@ -101,6 +101,9 @@
     /// Reads the rate limit that an upstream names in a response of its own.
     fn named_limit(&self, head: &response::Parts) -> rate_limit::Named;
 
+    /// Reads for which time an upstream wants no requests from the response to the request with the given id.
+    fn named_backoff(&self, id: &HeaderValue, head: &response::Parts) -> backoff::Named;
+
     /// Returns the HTTP status for an error of the given kind.
     fn status(&self, kind: Kind) -> StatusCode;
 }
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -11,6 +11,7 @@
 use crate::{
     error::{Error, Kind},
     serving::{
+        backoff::Gate,
         crash_evidence::Reason,
         key::{AttemptKey, TicketKey, UpstreamKey},
         limiter, messages,
@@ -18,7 +19,7 @@
         rate_limit,
         registry::Entry,
     },
-    time::Time,
+    time::{Span, Time},
     wire::Ending,
 };
 
@@ -31,6 +32,8 @@
     Answered(AttemptKey),
     /// A response to an attempt, which was sent at this time, and the limit that it names.
     Limit(AttemptKey, Time, rate_limit::Named),
+    /// A refusal of an attempt whose upstream wants no requests before this time.
+    Backoff(AttemptKey, Time),
     Ended(AttemptKey, Ending),
     LocalLoad(oneshot::Sender<LocalLoad>),
     RemoteLoads(Vec<messages::Load>),
@@ -88,6 +91,8 @@
     /// Time of the last bytes from the upstream, shared by all its connections.
     last_activity: Rc<Cell<Time>>,
     answered: Cell<bool>,
+    /// Closed while this host backs off from the upstream.
+    gate: Gate,
     /// Whether the head of the response has arrived.
     began: Cell<bool>,
     /// Groups of complete events that were forwarded.
@@ -131,6 +136,7 @@
             ending: Ending::Cancelled,
             last_activity: grant.last_activity.clone(),
             answered: Cell::new(false),
+            gate: grant.gate.clone(),
             began: Cell::new(false),
             forwarded: Cell::new(0),
         };
@@ -216,6 +222,20 @@
         self.dispatcher.send(Message::Limit(self.attempt, sent_at, named));
     }
 
+    /// Whether the upstream has asked for a back-off since the grant, so that nothing may be sent.
+    pub fn is_held(&self) -> bool {
+        self.gate.is_closed(Time::now())
+    }
+
+    /// Backs off from the upstream for the time that its refusal names. Returns whether this is worth a log line.
+    pub fn record_backoff(&self, time: Span) -> bool {
+        let now = Time::now();
+        // Requests that are already granted see it before the dispatcher does.
+        let is_logged = self.gate.close(now, now + time);
+        self.dispatcher.send(Message::Backoff(self.attempt, now + time));
+        is_logged
+    }
+
     /// Ends the attempt with the given ending.
     pub fn end(mut self, ending: Ending) {
         self.ending = ending;
@@ -274,6 +294,7 @@
             Message::Limit(attempt, sent_at, named) => {
                 self.placement.limit_named(now, (attempt, sent_at), named, &mut self.actions);
             }
+            Message::Backoff(attempt, until) => self.placement.backoff_named(now, attempt, until),
             Message::Ended(attempt, ending) => self.placement.attempt_ended(now, attempt, ending),
             Message::LocalLoad(answer) => {
                 let load = LocalLoad {
@@ -365,7 +386,7 @@
 
 fn refusal_message(kind: Kind) -> &'static str {
     match kind {
-        Kind::Shed => "the rate limits of the upstreams leave no room in time",
+        Kind::Shed => "the rate limits and back-offs of the upstreams leave no room in time",
         _ => "no upstream can take the request",
     }
 }
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -20,7 +20,7 @@
     rendezvous,
     serving::{
         attempt_history::{self, RetryRules},
-        buffer_memory,
+        backoff, buffer_memory,
         buffered::{self, LargeResponse},
         connection_cache,
         crash_evidence::Content,
@@ -50,6 +50,9 @@
     header::UPGRADE,
 ];
 
+/// Least time between two log lines on times that cannot be read.
+const MIN_LOG_INTERVAL: Span = Span::from_ms(1_000);
+
 /// An accepted request with its route.
 #[derive(Debug, Clone)]
 pub struct RoutedRequest {
@@ -125,6 +128,8 @@
     buffer_memory: buffer_memory::Memory,
     metrics: Metrics,
     tickets: Cell<u64>,
+    /// When a `Retry-After` that is no time was last logged.
+    invalid_backoff_logged: Cell<Time>,
 }
 
 /// Returns what in a request may crash upstreams: each part of the prompt that other requests may share, and the request
@@ -182,6 +187,7 @@
             buffer_memory,
             metrics,
             tickets,
+            invalid_backoff_logged: Cell::new(Time(0)),
         };
         Exchange { shared: Rc::new(shared) }
     }
@@ -341,6 +347,10 @@
                 guard.end(Ending::Unused);
                 return Err(attempt_history::Failure::unsent(Kind::Shed));
             }
+            if guard.is_held() {
+                guard.end(Ending::Unused);
+                return Err(attempt_history::Failure::unsent(Kind::Shed));
+            }
             let upstream_request = self.upstream_request(request, grant, time_left, resume_after);
             let used = connection.used;
             let sent_at = Time::now();
@@ -377,6 +387,7 @@
         let (head, body) = response.into_parts();
         let verdict = self.shared.dialect.verdict(&request.id, &head);
         self.record_limit(grant, (&head, sent_at), verdict, &guard);
+        self.record_backoff(request, grant, (&head, verdict), &guard);
         match verdict {
             Verdict::Valid => {
                 guard.record_head();
@@ -432,6 +443,43 @@
         }
     }
 
+    /// Backs off from an upstream whose response to this request asks for it.
+    fn record_backoff(
+        &self,
+        request: &RoutedRequest,
+        grant: &Grant,
+        (head, verdict): (&http::response::Parts, Verdict),
+        guard: &AttemptGuard,
+    ) {
+        if !matches!(verdict, Verdict::Valid | Verdict::NotRun) {
+            return;
+        }
+        match self.shared.dialect.named_backoff(&request.id, head) {
+            backoff::Named::Nothing | backoff::Named::For(Span(0)) => {}
+            backoff::Named::For(time) => {
+                self.shared.metrics.backoff_named("valid");
+                if guard.record_backoff(time) {
+                    log::info!(
+                        "upstream {} takes no requests of this host for {} ms; it gets none, then one at first",
+                        grant.instance,
+                        time.as_ms()
+                    );
+                }
+            }
+            backoff::Named::Invalid => {
+                self.shared.metrics.backoff_named("invalid");
+                let now = Time::now();
+                if now.since(self.shared.invalid_backoff_logged.get()) >= MIN_LOG_INTERVAL {
+                    self.shared.invalid_backoff_logged.set(now);
+                    log::warn!(
+                        "upstream {} refuses requests for a time that cannot be read; ignored",
+                        grant.instance
+                    );
+                }
+            }
+        }
+    }
+
     /// Turns an upstream's response into the caller's: a stream after its first events, another one when it is complete
     /// or too large to buffer.
     async fn caller_response(
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -11,6 +11,7 @@
     error::Kind,
     rendezvous,
     serving::{
+        backoff::{Backoff, Gate},
         crash_evidence::{Content, Evidence, Reason, Verdict},
         demand,
         dialect::Prompt,
@@ -47,12 +48,19 @@
 /// Cost of each request beside which a request is placed whose content may crash the upstream.
 const SUSPECT_COMPANY_PENALTY: Span = Span::from_ms(50);
 
-/// Longest additional retry delay after a refusal for the upstreams' rate limits, as a multiple of the delay itself.
+/// Longest additional retry delay after a refusal for the upstreams' rate limits and back-offs, as a multiple of the delay
+/// itself.
 /// Callers return spread over this time.
 const RETRY_SPREAD: f64 = 1.0;
 
-/// Limits that are kept of incarnations which are not listed.
-const MAX_UNLISTED_LIMITS: usize = 1_024;
+/// Limits and back-offs that are kept of incarnations which are not listed.
+const MAX_UNLISTED: usize = 1_024;
+
+/// Shortest retry delay where it is not known when there is room.
+const MIN_RETRY_AFTER: Span = Span::from_ms(100);
+
+/// Longest retry delay before it is spread. Other upstreams may be ready long before the end of a back-off.
+const MAX_RETRY_AFTER: Span = Span::from_ms(30_000);
 
 /// Retry delay returned when no upstream is ready; one usually returns within this time.
 const NO_UPSTREAM_RETRY_AFTER: Span = Span::from_ms(500);
@@ -97,6 +105,8 @@
     pub expected_first_byte: Span,
     /// Time of the last bytes from the upstream, shared by all its connections.
     pub last_activity: Rc<Cell<Time>>,
+    /// Closed while this host backs off from the upstream.
+    pub gate: Gate,
     /// Rate limit that the upstream names, if any.
     pub limit: Option<Rate>,
     /// Time until which the request must be sent if there is a limit, as the permit expires.
@@ -135,7 +145,7 @@
     answered: bool,
 }
 
-/// A ticket that waits for room within the rate limits of the upstreams.
+/// A ticket that waits for room within the rate limits and back-offs of the upstreams.
 #[derive(Debug)]
 struct WaitingTicket {
     ticket: Ticket,
@@ -150,7 +160,7 @@
 enum Choice {
     /// To this upstream.
     Upstream(Candidate),
-    /// Nowhere before this time, as rate limits leave no room.
+    /// Nowhere before this time, as rate limits and back-offs leave no room.
     Later(Time),
     /// Nowhere.
     Nothing,
@@ -188,6 +198,8 @@
     waiting: Vec<WaitingTicket>,
     /// Limits of incarnations that are not listed now, as an entry can lapse while its upstream goes on.
     unlisted_limits: Vec<(u64, rate_limit::Limit)>,
+    /// Back-offs from such incarnations.
+    unlisted_backoffs: Vec<(u64, Backoff)>,
     evidence: Evidence,
 }
 
@@ -206,6 +218,7 @@
             placed: Vec::new(),
             waiting: Vec::new(),
             unlisted_limits: Vec::new(),
+            unlisted_backoffs: Vec::new(),
         }
     }
 
@@ -221,6 +234,10 @@
                 if state.limit.rate().is_some() {
                     self.unlisted_limits.push((state.incarnation, state.limit));
                 }
+                if state.backoff.is_active() {
+                    let backoff = std::mem::take(&mut state.backoff);
+                    self.unlisted_backoffs.push((state.incarnation, backoff));
+                }
                 false
             }
         });
@@ -230,16 +247,24 @@
             if let Some(at) = self.unlisted_limits.iter().position(|it| it.0 == state.incarnation) {
                 state.limit = self.unlisted_limits.swap_remove(at).1;
             }
+            if let Some(at) = self.unlisted_backoffs.iter().position(|it| it.0 == state.incarnation)
+            {
+                state.backoff = self.unlisted_backoffs.remove(at).1;
+                state.backoff.restart_recovery();
+            }
             self.upstreams.push((UpstreamKey(self.last_upstream), state));
         }
-        let excess = self.unlisted_limits.len().saturating_sub(MAX_UNLISTED_LIMITS);
+        let excess = self.unlisted_limits.len().saturating_sub(MAX_UNLISTED);
         self.unlisted_limits.drain(..excess);
+        let excess = self.unlisted_backoffs.len().saturating_sub(MAX_UNLISTED);
+        self.unlisted_backoffs.drain(..excess);
     }
 
     /// Places a ticket and appends the decision to `actions`.
     pub fn submit(&mut self, now: Time, ticket: &Ticket, actions: &mut Vec<Action>) {
         self.demand_mut(&ticket.pool).observe(now, ticket);
-        if self.waiting.is_empty() {
+        let has_room = self.serving(&ticket.pool).any(|(_, it)| it.may_have_room(now));
+        if self.waiting.is_empty() || !has_room {
             self.place(now, ticket, None, actions);
         } else {
             self.wait(ticket, None, false);
@@ -289,15 +314,25 @@
                 if room_at.max(now) <= start_by {
                     self.wait(ticket, Some(start_by), false);
                 } else {
-                    let delay = spread(ticket, room_at.since(now));
+                    let delay =
+                        spread(ticket, room_at.since(now).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER));
                     actions.push(Action::Refuse(ticket.key, Kind::Shed, Some(delay)));
                 }
             }
-            Choice::Nothing => actions.push(Action::Refuse(
-                ticket.key,
-                Kind::NoUpstream,
-                Some(NO_UPSTREAM_RETRY_AFTER),
-            )),
+            Choice::Nothing => {
+                let delay = self.retry_after(now, ticket);
+                actions.push(Action::Refuse(ticket.key, Kind::NoUpstream, Some(delay)));
+            }
+        }
+    }
+
+    /// Returns the retry delay for a request that no upstream can take: the time until the first back-off ends if this
+    /// host backs off from all upstreams of the pool.
+    fn retry_after(&self, now: Time, ticket: &Ticket) -> Span {
+        let ends = self.serving(&ticket.pool).map(|it| it.1.backoff.time_left(now));
+        match ends.min() {
+            Some(end) if end > NO_UPSTREAM_RETRY_AFTER => spread(ticket, end.min(MAX_RETRY_AFTER)),
+            _ => NO_UPSTREAM_RETRY_AFTER,
         }
     }
 
@@ -336,7 +371,11 @@
             is_granted &= !matches!(verdict, Verdict::Quarantined(_));
             let state = self.upstreams.binary_search_by_key(&upstream, |it| it.0);
             match state.map(|at| &self.upstreams[at].1) {
-                Ok(state) if is_granted && state.serves(&waiting.ticket.pool) => {
+                Ok(state)
+                    if is_granted
+                        && state.serves(&waiting.ticket.pool)
+                        && state.backoff.may_send(now) =>
+                {
                     let best = self.candidate(now, &waiting.ticket, upstream, state);
                     let mut grant = self.grant(now, &waiting.ticket, best);
                     grant.send_by = Some(asked_at + rate_limit::PERMIT_LIFETIME);
@@ -374,6 +413,7 @@
         let Some(upstream) = self.upstream_mut(key) else { return };
         upstream.pending_tokens[tier] -= pending;
         upstream.health.record_success();
+        upstream.backoff.record_answer(attempt, upstream.entry.slots);
         if first {
             upstream.answering += 1;
             upstream.slowdown.record(now, expected, took);
@@ -427,6 +467,24 @@
         }
     }
 
+    /// Records that the upstream of an attempt wants no requests of this host before a time.
+    pub fn backoff_named(&mut self, now: Time, attempt: AttemptKey, until: Time) {
+        let Some(running) = self.running.get(&attempt) else { return };
+        // Its entry can have lapsed or returned since the grant.
+        let incarnation = running.incarnation;
+        let listed = self.upstreams.iter_mut().find(|it| it.1.incarnation == incarnation);
+        let unlisted = self.unlisted_backoffs.iter_mut().find(|it| it.0 == incarnation);
+        match (listed, unlisted) {
+            (Some((_, state)), _) => state.backoff.begin(now, until),
+            (None, Some((_, backoff))) => backoff.begin(now, until),
+            (None, None) => {
+                let mut backoff = Backoff::default();
+                backoff.begin(now, until);
+                self.unlisted_backoffs.push((incarnation, backoff));
+            }
+        }
+    }
+
     /// Returns the rate limits that other hosts need to know, by incarnation.
     pub fn limits(&self, now: Time) -> Vec<(u64, rate_limit::Limit)> {
         let limits = self.upstreams.iter().map(|(_, it)| (it.incarnation, it.limit));
@@ -465,6 +523,7 @@
         upstream.answering -= u32::from(running.answered);
         match ending {
             Ending::Done => {
+                upstream.backoff.record_answer(attempt, upstream.entry.slots);
                 upstream.health.record_success();
                 if !running.answered {
                     upstream.slowdown.record(
@@ -479,6 +538,7 @@
                 upstream.health.record_failure(now, running.started);
             }
         }
+        upstream.backoff.record_end(attempt);
     }
 
     /// Returns this host's running attempts by upstream, for other hosts.
@@ -522,6 +582,7 @@
         let pending = ticket.prompt.as_ref().map_or(0, |it| upstream.uncached_tokens(now, it));
         upstream.pending_tokens[tier] += pending;
         upstream.running += 1;
+        upstream.backoff.record_grant(now, attempt);
         if let Some(prompt) = &ticket.prompt {
             for part in prompt.shared_parts() {
                 upstream.record_part(now, part);
@@ -548,19 +609,20 @@
             address: upstream.entry.address,
             expected_first_byte: best.expected_first_byte,
             last_activity: upstream.last_activity.clone(),
+            gate: upstream.backoff.gate.clone(),
             limit: upstream.limit.rate(),
             send_by: None,
         }
     }
 
-    /// Selects the upstream with the least cost among those whose rate limits may leave room.
+    /// Selects the upstream with the least cost among those that may have room.
     fn choose(&self, now: Time, ticket: &Ticket, is_suspect: bool) -> Choice {
         let (open, full): (Vec<_>, Vec<_>) =
             self.untried(ticket).partition(|(_, upstream)| upstream.may_have_room(now));
         if let Some(best) = self.best(now, ticket, open, is_suspect) {
             return Choice::Upstream(best);
         }
-        let room_at = full.iter().map(|it| it.1.no_permit_until).min();
+        let room_at = full.iter().map(|it| it.1.room_at()).min();
         room_at.map_or(Choice::Nothing, Choice::Later)
     }
 
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -5,6 +5,7 @@
 use crate::{
     rendezvous,
     serving::{
+        backoff::Backoff,
         dialect::Prompt,
         messages, rate_limit,
         registry::{self, Entry},
@@ -89,6 +90,8 @@
     pub no_permit_until: Time,
     /// Whether the answer to a request for a permit is outstanding.
     pub is_asking: bool,
+    /// Back-off that it asked for.
+    pub backoff: Backoff,
     remote: RemoteLoad,
     /// Prompt parts that were sent there, with the time of their last use. Sorted by part.
     cached_parts: Vec<(u64, Time)>,
@@ -118,6 +121,7 @@
             limit: rate_limit::Limit::default(),
             no_permit_until: Time(0),
             is_asking: false,
+            backoff: Backoff::default(),
             remote: RemoteLoad::default(),
             cached_parts: Vec::new(),
         }
@@ -128,9 +132,16 @@
         *self.entry.pool == *pool && self.entry.state == registry::State::Ready
     }
 
-    /// Returns whether its rate limit may leave room for a request.
+    /// Returns whether it may have room for a request, by its rate limit and the back-off that it asked for.
     pub fn may_have_room(&self, now: Time) -> bool {
-        self.limit.rate().is_none() || (!self.is_asking && now >= self.no_permit_until)
+        let is_asking = self.limit.rate().is_some() && self.is_asking;
+        !is_asking && now >= self.room_at() && self.backoff.may_send(now)
+    }
+
+    /// Returns the earliest time at which it may have room for a request, which can be in the past.
+    pub fn room_at(&self) -> Time {
+        let permit_at = self.limit.rate().map_or(Time(0), |_| self.no_permit_until);
+        self.backoff.end().max(permit_at)
     }
 
     /// Returns whether it is ejected after a failure, or has sent nothing during answers for too
@@ -140,10 +151,12 @@
             || (self.answering > 0 && now.since(self.last_activity.get()) > MAX_SILENCE)
     }
 
-    /// Returns this host's load, or `None` without attempts or ejection.
+    /// Returns this host's load, or `None` without attempts, ejection or back-off. Other hosts see a back-off as an
+    /// ejection, so that they prefer other upstreams and still try this one.
     pub fn local_load(&self, now: Time) -> Option<messages::Load> {
         let min_ejection = if self.is_ejected(now) { MAX_SILENCE } else { Span(0) };
-        let ejected = self.health.ejected_until.since(now).max(min_ejection).as_ms();
+        let ejected = self.health.ejected_until.since(now).max(min_ejection);
+        let ejected = ejected.max(self.backoff.time_left(now)).as_ms();
         let load = messages::Load {
             upstream: self.incarnation,
             pending: self.pending_tokens.map(|it| it.min(u64::from(u32::MAX)) as u32),
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -3,10 +3,10 @@
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use almondrack::{
-    error::{Error, Kind},
+    error::{Error, Kind, Run},
     metrics::Metrics,
     serving::{
-        buffer_memory, connection_cache,
+        backoff, buffer_memory, connection_cache,
         dialect::{CallerHeaders, Dialect, RouterHeaders, Verdict},
         dispatcher::Dispatcher,
         exchange::{Body, CallerResponse, Exchange, RoutedRequest},
@@ -19,7 +19,7 @@
     time::{Span, Time},
 };
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, response};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header, response};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
@@ -54,6 +54,14 @@
         rate_limit::Named::Nothing
     }
 
+    fn named_backoff(&self, _: &HeaderValue, head: &response::Parts) -> backoff::Named {
+        let seconds = head.headers.get(header::RETRY_AFTER).and_then(|it| it.to_str().ok());
+        let seconds = seconds.and_then(|it| it.parse().ok());
+        seconds.map_or(backoff::Named::Nothing, |it: u64| {
+            backoff::Named::For(Span::from_ms(it * 1_000))
+        })
+    }
+
     fn status(&self, kind: Kind) -> StatusCode {
         StatusCode::from_u16(kind.answer().status).expect("the status is valid")
     }
@@ -283,3 +291,29 @@
     };
     assert_eq!(LocalSet::new().run_until(run).await, 2);
 }
+
+#[tokio::test]
+async fn upstreams_that_ask_for_a_back_off_get_no_further_request() {
+    const REFUSAL: &str = "HTTP/1.1 503 Full\r\nretry-after: 20\r\ncontent-length: 0\r\n\r\n";
+    let run = async {
+        let script = Script { first: REFUSAL, then: Continuation::Stall };
+        let counters =
+            (SharedCounter::default(), ByteCounter::default(), SharedCounter::<u32>::default());
+        let meter = Meter::new(Span::from_ms(60_000), "host-1");
+        let memory = buffer_memory::Memory::new(1 << 20);
+        let exchange = open(script, memory, meter, counters.clone()).await;
+        let mut errors = Vec::new();
+        for _ in 0..6 {
+            let response = exchange.run(routed_request(false, RetryPolicy::Never)).await;
+            errors.push(response.expect_err("all upstreams refuse requests"));
+        }
+        (errors, counters.0.get())
+    };
+    let (errors, sent) = LocalSet::new().run_until(run).await;
+    assert_eq!(sent, 4, "each of the four upstreams refuses one request");
+    for error in &errors[1..] {
+        assert_eq!((error.kind, error.run), (Kind::Shed, Run::No));
+        let seconds = error.retry_after_ms.expect("the refusal names a time") / 1_000;
+        assert!((19..=40).contains(&seconds), "{error:?}");
+    }
+}
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a host that serves callers; most need neither sockets nor clocks.
 
 mod attempt_history;
+mod backoff;
 mod crash_evidence;
 mod exchange;
 mod fixture;
