--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -54,6 +54,7 @@
     cut_attempts: IntCounterVec,
     upstream_answers: IntCounterVec,
     leaving_upstreams: IntCounterVec,
+    backoffs: IntCounterVec,
     /// Requests accepted and not ended.
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
@@ -126,6 +127,11 @@
             "Upstreams that leave as their answers say, by the source from which this host learned it.",
             &["source"],
         )?;
+        let backoffs = counter(
+            "almondrack_backoffs_total",
+            "Refusals in which an upstream names a time without requests, by whether it can be read.",
+            &["time"],
+        )?;
         let opts = HistogramOpts::new(
             "almondrack_first_token_seconds",
             "Time from acceptance to the first token or byte.",
@@ -153,6 +159,7 @@
             cut_attempts,
             upstream_answers,
             leaving_upstreams,
+            backoffs,
             in_flight,
             revision,
             store_era,
@@ -210,6 +217,11 @@
         self.leaving_upstreams.with_label_values(&[source]).inc_by(count as u64);
     }
 
+    /// Counts a refusal that names a time in which its upstream wants no requests: `valid` or `invalid`.
+    pub fn backoff_named(&self, time: &str) {
+        self.backoffs.with_label_values(&[time]).inc();
+    }
+
     /// Number of calls to the platform's store so far, by cause, call and outcome, for a log line.
     pub fn store_calls(&self) -> String {
         let families = self.store_calls.collect();
--- a/src/serving/dialect.rs
+++ b/src/serving/dialect.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     error::{Error, Kind},
-    serving::rate_limit,
+    serving::{backoff, rate_limit},
     time::Span,
 };
 
@@ -110,6 +110,11 @@
 }
 
 impl Verdict {
+    /// Whether the response is the upstream's own to this request, so that what it says of the upstream counts.
+    pub fn speaks_for_upstream(self) -> bool {
+        matches!(self, Verdict::Valid | Verdict::NotRun | Verdict::Unmarked)
+    }
+
     /// Name in log lines and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -157,8 +162,11 @@
     /// Reads the rate limit that an upstream names in a response of its own.
     fn named_limit(&self, head: &response::Parts) -> rate_limit::Named;
 
-    /// Reads whether an upstream leaves from its response to the request with the given id.
-    fn departure(&self, id: &HeaderValue, head: &response::Parts) -> Departure;
+    /// Reads whether an upstream leaves from a response of its own.
+    fn departure(&self, head: &response::Parts) -> Departure;
+
+    /// Reads for which time an upstream wants no requests from a response of its own.
+    fn named_backoff(&self, head: &response::Parts) -> backoff::Named;
 
     /// Returns the HTTP status for an error of the given kind.
     fn status(&self, kind: Kind) -> StatusCode;
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -12,6 +12,7 @@
     error::{Error, Kind},
     metrics::Metrics,
     serving::{
+        backoff::Gate,
         crash_evidence::Reason,
         key::{AttemptKey, TicketKey, UpstreamKey},
         limiter, messages,
@@ -19,7 +20,7 @@
         rate_limit,
         registry::Entry,
     },
-    time::Time,
+    time::{Span, Time},
     wire::Ending,
 };
 
@@ -39,6 +40,8 @@
     Departure(AttemptKey),
     /// Incarnations of upstreams that leave, as the host with this id reports.
     RemoteDepartures(String, Vec<u64>),
+    /// A refusal of an attempt whose upstream wants no requests before this time.
+    Backoff(AttemptKey, Time),
     Ended(AttemptKey, Ending),
     LocalLoad(oneshot::Sender<LocalLoad>),
     RemoteLoads(Vec<messages::Load>),
@@ -98,6 +101,8 @@
     /// Time of the last bytes from the upstream, shared by all its connections.
     last_activity: Rc<Cell<Time>>,
     answered: Cell<bool>,
+    /// Closed while this host backs off from the upstream.
+    gate: Gate,
     /// Whether the head of the response has arrived.
     began: Cell<bool>,
     /// Groups of complete events that were forwarded.
@@ -203,6 +208,7 @@
             ending: Ending::Cancelled,
             last_activity: grant.last_activity.clone(),
             answered: Cell::new(false),
+            gate: grant.gate.clone(),
             began: Cell::new(false),
             forwarded: Cell::new(0),
         }
@@ -245,6 +251,20 @@
         self.dispatcher.send(Message::Departure(self.attempt));
     }
 
+    /// Whether the upstream has asked for a back-off since the grant, so that nothing may be sent.
+    pub fn is_held(&self) -> bool {
+        self.gate.is_closed(Time::now())
+    }
+
+    /// Backs off from the upstream for the time that its refusal names. Returns whether this is worth a log line.
+    pub fn record_backoff(&self, time: Span) -> bool {
+        let now = Time::now();
+        // Requests that are already granted see it before the dispatcher does.
+        let is_logged = self.gate.close(now, now + time);
+        self.dispatcher.send(Message::Backoff(self.attempt, now + time));
+        is_logged
+    }
+
     /// Ends the attempt with the given ending.
     pub fn end(mut self, ending: Ending) {
         self.ending = ending;
@@ -332,6 +352,7 @@
                     self.publish_leaving();
                 }
             }
+            Message::Backoff(attempt, until) => self.placement.backoff_named(now, attempt, until),
             Message::Ended(attempt, ending) => self.placement.attempt_ended(now, attempt, ending),
             Message::LocalLoad(answer) => {
                 let load = LocalLoad {
@@ -428,7 +449,7 @@
 
 fn refusal_message(kind: Kind) -> &'static str {
     match kind {
-        Kind::Shed => "the rate limits of the upstreams leave no room in time",
+        Kind::Shed => "the rate limits and back-offs of the upstreams leave no room in time",
         _ => "no upstream can take the request",
     }
 }
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -5,6 +5,7 @@
 use crate::{
     rendezvous,
     serving::{
+        backoff::Backoff,
         dialect::Prompt,
         messages, rate_limit,
         registry::{self, Entry},
@@ -91,6 +92,8 @@
     pub is_asking: bool,
     /// Whether its answers say that it leaves; never unset. Shared with the grants that are not sent yet.
     pub leaves: Rc<Cell<bool>>,
+    /// Back-off that it asked for.
+    pub backoff: Backoff,
     remote: RemoteLoad,
     /// Prompt parts that were sent there, with the time of their last use. Sorted by part.
     cached_parts: Vec<(u64, Time)>,
@@ -121,6 +124,7 @@
             no_permit_until: Time(0),
             is_asking: false,
             leaves: Rc::new(Cell::new(false)),
+            backoff: Backoff::default(),
             remote: RemoteLoad::default(),
             cached_parts: Vec::new(),
         }
@@ -133,9 +137,16 @@
             && !self.leaves.get()
     }
 
-    /// Returns whether its rate limit may leave room for a request.
+    /// Returns whether it may have room for a request, by its rate limit and the back-off that it asked for.
     pub fn may_have_room(&self, now: Time) -> bool {
-        self.limit.rate().is_none() || (!self.is_asking && now >= self.no_permit_until)
+        let is_asking = self.limit.rate().is_some() && self.is_asking;
+        !is_asking && now >= self.room_at() && self.backoff.may_send(now)
+    }
+
+    /// Returns the earliest time at which it may have room for a request, which can be in the past.
+    pub fn room_at(&self) -> Time {
+        let permit_at = self.limit.rate().map_or(Time(0), |_| self.no_permit_until);
+        self.backoff.end().max(permit_at)
     }
 
     /// Returns whether it is ejected after a failure, or has sent nothing during answers for too
@@ -145,10 +156,12 @@
             || (self.answering > 0 && now.since(self.last_activity.get()) > MAX_SILENCE)
     }
 
-    /// Returns this host's load, or `None` without attempts or ejection of an upstream that does not leave.
+    /// Returns this host's load, or `None` without attempts, ejection, back-off or departure. Other hosts see a back-off as
+    /// an ejection, so that they prefer other upstreams and still try this one.
     pub fn local_load(&self, now: Time) -> Option<messages::Load> {
         let min_ejection = if self.is_ejected(now) { MAX_SILENCE } else { Span(0) };
-        let ejected = self.health.ejected_until.since(now).max(min_ejection).as_ms();
+        let ejected = self.health.ejected_until.since(now).max(min_ejection);
+        let ejected = ejected.max(self.backoff.time_left(now)).as_ms();
         let load = messages::Load {
             upstream: self.incarnation,
             pending: self.pending_tokens.map(|it| it.min(u64::from(u32::MAX)) as u32),
--- a/tests/serving/dispatcher.rs
+++ b/tests/serving/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use almondrack::serving::dispatcher::Dispatcher;
+use almondrack::{metrics::Metrics, serving::dispatcher::Dispatcher};
 use tokio::{
     sync::{mpsc, watch},
     task::LocalSet,
@@ -19,8 +19,9 @@
 async fn a_grant_whose_caller_has_left_does_not_count_as_running() {
     let play = async {
         let upstreams = watch::channel(Rc::new(vec![engine(0)])).1;
-        let dispatcher =
-            Dispatcher::spawn("host".into(), "a".into(), upstreams, mpsc::unbounded_channel().0);
+        let limiter = mpsc::unbounded_channel().0;
+        let metrics = Metrics::open().expect("the names of the counters are unique");
+        let dispatcher = Dispatcher::spawn("host".into(), "a".into(), upstreams, limiter, metrics);
         let mut submission = Box::pin(dispatcher.submit(ticket(1, prompt(&[1], 100, 10))));
         assert!(futures::poll!(submission.as_mut()).is_pending(), "the task has not run yet");
         // The task grants the ticket, and the caller leaves before it looks at the grant.
