Tell the attempts of dispatchers apart that started in the same millisecond

Seen: a_frozen_dispatcher_cannot_grant_from_the_past, engines with 4 slots held 6, 7 or 8 requests.

Cause: an attempt was known by the incarnation of its dispatcher and a number. The incarnation is the time in milliseconds at which a process starts, so that two hosts may have the same. Entry hosts send the ends of attempts that a frozen dispatcher did not take to the one that replaces it, again and again until it answers. Neither the old grants nor the handover had a part in it.

Change: the identity of a dispatcher in grants, progress and preemptions is a hash of its host and incarnation. Entry hosts only pass it back, so that hosts of the previous build run beside these; messages keep their fields.

--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -12,6 +12,7 @@
     credential::Digest,
     dispatch_client,
     peer::AttemptCall,
+    rendezvous,
     time::wall_ms,
     wire::{Ending, Handover, Progress, Running},
 };
@@ -31,15 +32,24 @@
     Withdrawn,
 }
 
-/// Identity of an attempt: incarnation of the dispatcher and number of the attempt.
+/// Identity of an attempt among those of all dispatchers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Key {
-    /// Incarnation of the dispatcher that granted the attempt.
+    /// Hash of the host and incarnation of the dispatcher that granted the attempt.
     pub dispatcher: u64,
     /// Number of the attempt at that dispatcher.
     pub attempt: u64,
 }
 
+impl Key {
+    /// Returns the key of an attempt that a dispatcher grants. Processes that start in the same millisecond have the same
+    /// incarnation, so that it does not identify a dispatcher by itself.
+    pub fn new(host: &str, incarnation: u64, attempt: u64) -> Key {
+        let dispatcher = rendezvous::hash(&[host.as_bytes(), &incarnation.to_be_bytes()]);
+        Key { dispatcher, attempt }
+    }
+}
+
 /// A granted attempt that is about to start.
 #[derive(Debug)]
 pub struct Start {
--- a/src/pool_dispatcher.rs
+++ b/src/pool_dispatcher.rs
@@ -758,8 +758,8 @@
         else {
             return self.end_attempt(attempt, wire::Ending::Unused);
         };
-        let key =
-            Key { dispatcher: self.options.incarnation, attempt: self.attempt_offset + attempt.0 };
+        let number = self.attempt_offset + attempt.0;
+        let key = Key::new(&self.options.host, self.options.incarnation, number);
         let snapshot = self.options.snapshot.borrow().clone();
         let grant = Grant {
             attempt: key.attempt,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -59,7 +59,7 @@
 pub struct Grant {
     /// Number of the attempt, unique within the dispatcher's incarnation.
     pub attempt: u64,
-    /// Incarnation of the dispatcher.
+    /// Identifies the dispatcher, see [`crate::attempts::Key`].
     pub dispatcher: u64,
     /// Name of the upstream.
     pub upstream: String,
@@ -113,7 +113,7 @@
 pub struct Progress {
     /// Number of the attempt, from the grant.
     pub attempt: u64,
-    /// Incarnation of the dispatcher, from the grant.
+    /// Identifies the dispatcher, from the grant.
     pub dispatcher: u64,
     /// Time from sending the request to the first token, in microseconds; absent before that token.
     pub first_token_us: Option<u64>,
