Send upstreams the id of a request as the host read it

Since an answer counts only with the request's id, what becomes of the id header on the way decides on the answer. A caller could have it left out, by naming it in `Connection`, or send two, of which the host read the first and the upstream could echo the other. The answer then was foreign: 502, an ejected upstream, and connections that are not used again, which one caller could spread over a pool.

The host now sets the header from the id that it read, whatever the caller's headers say. A request whose id contains its customer's key is refused with 400, as upstreams must not see the key; before, its id was left out.

--- a/src/serving/dialect.rs
+++ b/src/serving/dialect.rs
@@ -56,6 +56,8 @@
 /// Values that the router adds to the headers of an upstream's request.
 #[derive(Debug, Clone)]
 pub struct RouterHeaders<'a> {
+    /// Id of the request, which the response has to echo.
+    pub id: &'a HeaderValue,
     /// Instance that the request is meant for. If another one has taken over its address, it refuses the request.
     pub instance: &'a str,
     /// Time until the deadline of the request.
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -696,6 +696,7 @@
 
 /// Returns the error for the caller after the last failed attempt. A request that did not run may be retried by the
 /// caller.
+            id: &request.id,
 fn final_error(failure: attempt_history::Failure, history: &attempt_history::History) -> Error {
     let error = Error::new(failure.kind, error_message(failure.kind));
     if history.run_status() != Run::No {
--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -178,6 +178,9 @@
             "request {id} refused: {error}; configuration version {version}, keys valid for {left} ms"
         );
     })?;
+    if customer.is_some() {
+        check_id(&caller_headers)?;
+    }
     let timeout = Span::from_ms(route.timeout_ms);
     let time_limit = caller_headers.caller_timeout.map_or(timeout, |it| it.min(timeout));
     let headers =
@@ -327,6 +330,16 @@
     }
 }
 
+/// Rejects a request whose id, which upstreams see, contains the caller's key.
+fn check_id(caller_headers: &CallerHeaders) -> Result<(), Error> {
+    let key = caller_headers.api_key.as_deref().unwrap_or_default().as_bytes();
+    let id = caller_headers.id.as_bytes();
+    match !key.is_empty() && id.windows(key.len()).any(|it| it == key) {
+        true => Err(Error::new(Kind::BadRequest, "the id of the request contains the key")),
+        false => Ok(()),
+    }
+}
+
 /// Returns the headers that are forwarded to an upstream: neither hop-by-hop nor reserved ones, and none that holds the
 /// caller's key.
 fn upstream_headers<D: Dialect>(
