Take bytes that are no answer like an extra answer, and trust new connections

Bytes that are not HTTP, where the answer to a request was due, looked like a cut: the next requests met more of them on the other connections, and the content of the request was charged with a crash. They now have an error of their own, end the attempt as invalid, and the connections of that upstream are used only once for a while if the request was not the first on its connection.

A foreign answer on a new connection is no extra copy of an earlier one, so that it no longer stops the reuse of connections: an upstream that leaves the id out of some answers would have had a new connection for each request for good.

--- a/src/serving/connection_cache.rs
+++ b/src/serving/connection_cache.rs
@@ -58,8 +58,8 @@
     }
 
     /// Closes the idle connections of an upstream that sent an answer which belongs to no request, and uses each of its
-    /// connections only once for some time. The first answer on a new connection belongs to its request. Returns whether
-    /// they were used again until now.
+    /// connections only once for some time. The first answer on a new connection belongs to its request. Returns false
+    /// if that was so already.
     pub fn pause_reuse(&self, upstream: UpstreamKey) -> bool {
         let was_paused = self.is_paused(upstream);
         let until = Time::now() + REUSE_PAUSE;
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -376,6 +376,18 @@
                     guard.end(Ending::Refused);
                     return Err(attempt_history::Failure::unsent(Kind::UpstreamConnect));
                 }
+                Ok(Err(outbound_connection::SendError::Garbled(why))) => {
+                    log::info!(
+                        "request {} got bytes from {} that are no answer: {why}",
+                        request.log_id(),
+                        grant.instance
+                    );
+                    if used {
+                        self.pause_reuse(grant);
+                    }
+                    guard.end(Ending::Invalid);
+                    return Err(attempt_history::Failure::sent(Kind::UpstreamCut));
+                }
                 Ok(Err(outbound_connection::SendError::Sent(why))) => {
                     log::debug!("request {} failed at {}: {why}", request.log_id(), grant.instance);
                     guard.end(Ending::Failed);
@@ -424,7 +436,7 @@
             self.record_departure(grant, &head, &guard);
             self.record_backoff(grant, &head, &guard);
         }
-        if verdict == Verdict::Foreign {
+        if verdict == Verdict::Foreign && used {
             self.pause_reuse(grant);
         }
         match verdict {
--- a/src/serving/outbound_connection.rs
+++ b/src/serving/outbound_connection.rs
@@ -40,11 +40,13 @@
     Unsent,
     /// The request was not written at all, as the server had sent bytes that belong to no request.
     Unsolicited,
-    /// The connection failed, or the response was not valid HTTP, after bytes may have been written.
+    /// The connection failed after bytes may have been written.
     Sent(String),
+    /// Bytes came in place of the response that are not valid HTTP. The request may have been run.
+    Garbled(String),
 }
 
-/// What has become of a request, as its socket knows it.
+/// Write progress of a request.
 #[derive(Debug, Default)]
 struct Progress {
     /// Whether any byte of the request was written.
@@ -181,7 +183,7 @@
     /// Sends a request and waits for the head of its response.
     ///
     /// # Errors
-    /// Returns `Unsent` or `Unsolicited` only if no byte was written, and `Sent` in any other case.
+    /// Returns `Unsent` or `Unsolicited` only if no byte was written, and `Sent` or `Garbled` in any other case.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -199,7 +201,10 @@
             match error.take_message() {
                 Some(_) => SendError::Unsent,
                 None if !self.progress.is_written.load(Ordering::Relaxed) => SendError::Unsent,
-                None => SendError::Sent(error.into_error().to_string()),
+                None => match error.into_error() {
+                    error if error.is_parse() => SendError::Garbled(error.to_string()),
+                    error => SendError::Sent(error.to_string()),
+                },
             }
         })
     }
