--- a/tests/serving/outbound_connection.rs
+++ b/tests/serving/outbound_connection.rs
@@ -8,7 +8,10 @@
     time::Duration,
 };
 
-use almondrack::serving::outbound_connection::{Connection, SendError};
+use almondrack::serving::{
+    outbound_connection::{Connection, SendError},
+    upstream_response,
+};
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{BodyExt as _, Full};
@@ -104,3 +107,37 @@
     assert_eq!(second, Ok("2".to_owned()));
     assert!(received > 0);
 }
+
+/// Sends a request to a server that answers with these bytes and closes the connection.
+async fn send_to(
+    answer: &'static [u8],
+) -> Result<http::Response<hyper::body::Incoming>, SendError> {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the socket is bound");
+    thread::spawn(move || {
+        let (mut client, _) = listener.accept().expect("the client connects");
+        receive(&mut client);
+        client.write_all(answer).expect("the client reads");
+    });
+    let connected = Connection::connect(address, Duration::from_secs(1)).await;
+    connected.expect("the server accepts").send(request()).await
+}
+
+#[tokio::test]
+async fn bytes_that_are_no_response_are_told_from_a_cut() {
+    let garbled = send_to(b"\x01garbage\r\n\r\n").await;
+    assert!(matches!(garbled, Err(SendError::Garbled(_))), "{garbled:?}");
+    let cut = send_to(b"HTTP/1.1 200").await;
+    assert!(matches!(cut, Err(SendError::Sent(_))), "{cut:?}");
+}
+
+#[tokio::test]
+async fn a_body_with_another_transfer_encoding_than_chunked_ends_with_its_connection() {
+    let ends = async |answer| {
+        let response = send_to(answer).await.expect("the server answers");
+        upstream_response::ends_with_connection(&response)
+    };
+    assert!(ends(b"HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\npart").await);
+    assert!(!ends(b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, Chunked\r\n\r\n0\r\n\r\n").await);
+    assert!(!ends(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await);
+}
