Leave the health of an upstream alone when its refusal lacks the mark

A signed 408, 429 or 503 without the mark is the upstream's own answer. It was held against the upstream like an invalid one, which ejected it for half a second and more for all other requests. It says nothing about its health now; its caller gets 502 as before. One without a signature is invalid, as it was before these statuses were looked at.

--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -467,7 +467,12 @@
                 guard.end(Ending::Refused);
                 Err(attempt_history::Failure::refused(Kind::NoUpstream))
             }
-            Verdict::Unmarked | Verdict::Foreign | Verdict::Invalid => {
+            Verdict::Unmarked => {
+                // The upstream's own answer, which says nothing about its health.
+                guard.end(Ending::Unused);
+                Err(attempt_history::Failure::sent(Kind::UpstreamInvalid))
+            }
+            Verdict::Foreign | Verdict::Invalid => {
                 guard.end(Ending::Invalid);
                 Err(attempt_history::Failure::sent(Kind::UpstreamInvalid))
             }
@@ -691,6 +696,7 @@
     ) -> Request<Full<Bytes>> {
         let mut headers = request.headers.clone();
         let router_headers = RouterHeaders {
+            id: &request.id,
             instance: &grant.instance,
             time_left: request.caller_timeout.min(time_left),
             customer: request.customer.as_ref().map(|it| &*it.name),
@@ -708,7 +714,6 @@
 
 /// Returns the error for the caller after the last failed attempt. A request that did not run may be retried by the
 /// caller.
-            id: &request.id,
 fn final_error(failure: attempt_history::Failure, history: &attempt_history::History) -> Error {
     let error = Error::new(failure.kind, error_message(failure.kind));
     if history.run_status() != Run::No {
