--- a/src/serving/upstream_response.rs
+++ b/src/serving/upstream_response.rs
@@ -35,8 +35,8 @@
 
 /// Whether the body of a response has neither a length nor chunks.
 pub fn ends_with_connection(response: &http::Response<Incoming>) -> bool {
-    let encodings = response.headers().get_all(header::TRANSFER_ENCODING).iter();
-    let last = encodings.last().and_then(|it| it.to_str().ok()?.rsplit(',').next());
+    let mut encodings = response.headers().get_all(header::TRANSFER_ENCODING).iter();
+    let last = encodings.next_back().and_then(|it| it.to_str().ok()?.rsplit(',').next());
     let is_chunked = last.is_some_and(|it| it.trim().eq_ignore_ascii_case("chunked"));
     !is_chunked && response.body().size_hint().exact().is_none()
 }
