--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -347,7 +347,7 @@
                 guard.end(Ending::Unused);
                 return Err(attempt_history::Failure::unsent(Kind::Shed));
             }
-            // It may have said so since the request was granted, and connecting takes time.
+            // The upstream may have said since the grant that it leaves or wants a pause; connecting takes time.
             if grant.leaves.get() {
                 guard.end(Ending::Unused);
                 return Err(attempt_history::Failure::unsent(Kind::NoUpstream));
