--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -200,8 +200,8 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
-    /// Counts an attempt whose connection the upstream closed: with `none` of the answer, after its `head`, or with a
-    /// stream `begun`.
+    /// Counts an attempt whose connection the upstream closed: with `none` of the answer, after its `head`, after the
+    /// first event of a stream (`begun`) or after more of them (`gone_on`).
     pub fn attempt_cut(&self, answer: &str) {
         self.cut_attempts.with_label_values(&[answer]).inc();
     }
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -30,7 +30,7 @@
         outbound_connection,
         placement::{Grant, Ticket},
         rate_limit,
-        relay::{Relay, Resume},
+        relay::{Cut, Relay, Resume},
         retry_budget,
         table::{Customer, RetryPolicy, Route},
         upstream_response,
@@ -597,14 +597,13 @@
         history: attempt_history::History,
     ) -> Resume {
         let history = Rc::new(RefCell::new(history));
-        Box::new(move |after, failure| {
+        Box::new(move |cut| {
             let (exchange, request, pool) = (self.clone(), request.clone(), pool.clone());
             let shared_history = history.clone();
             Box::pin(async move {
                 let mut history = shared_history.take();
-                history.record_failure(failure);
-                let response =
-                    exchange.resume_stream(&request, &pool, &mut history, (after, failure)).await;
+                history.record_failure(cut.failure);
+                let response = exchange.resume_stream(&request, &pool, &mut history, cut).await;
                 shared_history.replace(history);
                 response
             })
@@ -617,12 +616,18 @@
         request: &RoutedRequest,
         pool: &Arc<str>,
         history: &mut attempt_history::History,
-        (after, failure): (Option<u64>, attempt_history::Failure),
+        cut: Cut,
     ) -> Option<upstream_response::Response> {
-        let (id, why) = (request.log_id(), failure.kind.answer().name);
-        let after = after.map(|it| it.to_string());
+        let (id, why) = (request.log_id(), cut.failure.kind.answer().name);
+        let after = cut.after.map(|it| it.to_string());
         let event = after.as_deref().unwrap_or("none");
-        self.count_cut(failure, "begun");
+        self.count_cut(cut.failure, if cut.events < 2 { "begun" } else { "gone_on" });
+        log::info!(
+            "stream {id} broken off at {} after {} events of this attempt, the last event {event}: {why}, parts {}",
+            cut.instance,
+            cut.events,
+            request.log_parts(),
+        );
         if request.route.retry_policy != RetryPolicy::Resume
             || !self.may_retry(request, pool, history, true)
         {
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -1,6 +1,6 @@
 //! Forwards an event stream from upstreams to its caller, in complete events.
 
-use std::fmt;
+use std::{fmt, sync::Arc};
 
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
@@ -8,23 +8,36 @@
 use crate::{
     error::Kind,
     serving::{attempt_history, buffer_memory, connection_cache, stream, upstream_response},
+    sse,
     time::Time,
     wire::Ending,
 };
 
-/// Resumes a stream on another upstream after the given event id; the failure is that of the previous attempt. Returns
-/// `None` if the stream cannot be resumed.
-pub type Resume = Box<
-    dyn FnMut(
-        Option<u64>,
-        attempt_history::Failure,
-    ) -> LocalBoxFuture<'static, Option<upstream_response::Response>>,
->;
+/// Resumes a stream on another upstream. Returns `None` if the stream cannot be resumed.
+pub type Resume =
+    Box<dyn FnMut(Cut) -> LocalBoxFuture<'static, Option<upstream_response::Response>>>;
+
+/// How an attempt broke off.
+#[derive(Debug, Clone)]
+pub struct Cut {
+    /// Id of the last event that the caller received, `None` if no event had an id yet.
+    pub after: Option<u64>,
+    /// Failure of the attempt.
+    pub failure: attempt_history::Failure,
+    /// Id of the upstream, for log lines.
+    pub instance: Arc<str>,
+    /// Events of this attempt that arrived.
+    pub events: u32,
+}
 
 /// An event stream that is being forwarded to its caller.
 pub struct Relay {
     /// Response that is being received; `None` after the end of the stream.
     response: Option<upstream_response::Response>,
+    /// Id of the upstream that sends or sent the response.
+    instance: Arc<str>,
+    /// Events received from it.
+    received: u32,
     events: stream::Buffer,
     connections: connection_cache::Cache,
     resume: Resume,
@@ -53,6 +66,8 @@
     ) -> Relay {
         let events = stream::Buffer::resuming_after(after);
         Relay {
+            instance: response.instance.clone(),
+            received: 0,
             response: Some(response),
             events,
             connections,
@@ -87,8 +102,16 @@
                 Err(kind) => kind,
             };
             self.events.discard_partial();
-            self.response =
-                (self.resume)(self.events.last_id(), attempt_history::Failure::sent(kind)).await;
+            let cut = Cut {
+                after: self.events.last_id(),
+                failure: attempt_history::Failure::sent(kind),
+                instance: self.instance.clone(),
+                events: std::mem::take(&mut self.received),
+            };
+            self.response = (self.resume)(cut).await;
+            if let Some(response) = &self.response {
+                self.instance = response.instance.clone();
+            }
             if self.response.is_none() {
                 return Err(kind);
             }
@@ -112,6 +135,7 @@
             match events {
                 Ok(events) if fits && events.is_empty() => {}
                 Ok(events) if fits => {
+                    self.received += sse::events(&events).1 as u32;
                     response.guard.record_events();
                     return Ok(Some(events));
                 }
