Charge a crash to every request there, however far its answer had come

Callers saw upstreams end one after the other: a request that ends each of them after some events was sent on and on. Cause: the second group of events of an answer took its request off the evidence for good and cleared its earlier charges, so that a later end was charged to nobody, and sound requests that had just begun were charged in its place: in the failing test with one host the part that all requests share was quarantined. Class: evidence of innocence that is weaker than the guilt that it clears.

Now an attempt keeps its content to its end, and a charge says how far the answer had come, in doublings of events. An answer clears charges only of answers that had come less than half as far; a whole answer clears all. Of several requests with a part on one upstream the shortest answer counts, so that a hot sound part is cleared by the first events of any answer as before. Hosts of earlier versions take the new charges for expired ones. An answer also blocks cleared charges of whole requests that other hosts still report, which was missing.

--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     dispatch::UpstreamKey,
-    suspicion::{Charge, CrashKey, Rules, Suspects},
+    suspicion::{Charge, CrashKey, Progress, Rules, Suspects},
     time::{Span, Time},
 };
 
@@ -72,7 +72,8 @@
         if crash.attributed && self.suspects.crashes(now, fingerprint) == 0 {
             return None;
         }
-        self.suspects.charge(now, fingerprint, Charge { crash: crash.key, at: now, began: false });
+        let charge = Charge { crash: crash.key, at: now, progress: None };
+        self.suspects.charge(now, fingerprint, charge, Ord::min);
         if self.suspects.crashes(now, fingerprint) < MAX_CRASHES {
             return None;
         }
@@ -84,12 +85,12 @@
 
     /// Clears a suspect whose request completed.
     pub fn record_success(&mut self, fingerprint: u64) {
-        self.suspects.clear(fingerprint, Time(u64::MAX));
+        self.suspects.clear(fingerprint, Time(u64::MAX), Progress::WHOLE);
     }
 
     /// Quarantines a fingerprint until a time. An existing quarantine is never shortened.
     pub fn insert(&mut self, now: Time, fingerprint: u64, until: Time) {
-        self.suspects.clear(fingerprint, Time(u64::MAX));
+        self.suspects.clear(fingerprint, Time(u64::MAX), Progress::WHOLE);
         self.evict(now);
         let end = self.quarantined.entry(fingerprint).or_insert(until);
         *end = until.max(*end);
--- a/src/serving/crash_evidence.rs
+++ b/src/serving/crash_evidence.rs
@@ -2,7 +2,8 @@
 //! other hosts.
 //!
 //! An upstream that crashes takes all its requests along, of which at most one is the cause. Content that crashes every
-//! upstream never gets past the begin of an answer, so that each answer clears all content of its request. Content is
+//! upstream does so at about the same point of the answer, so that an answer which has come twice as far clears its content,
+//! and a whole answer always does. Content is
 //! quarantined after several crashes without an answer in between that no other content explains. Unless other requests
 //! were answered between these crashes, the upstreams themselves may be the cause, and the content is tried again soon.
 
@@ -13,7 +14,7 @@
 use crate::{
     rendezvous,
     serving::messages,
-    suspicion::{Charge, CrashKey, Rules, Suspects},
+    suspicion::{Charge, CrashKey, Merge, Progress, Rules, Suspects},
     time::{Span, Time},
 };
 
@@ -77,6 +78,9 @@
 /// Time for which the last answer to content, and of a charged upstream, is kept. News of a crash arrives sooner.
 const ANSWERED_LIFETIME: Span = Span::from_ms(20_000);
 
+/// Number of values of a progress.
+const LEVELS: usize = Progress::WHOLE.index() + 1;
+
 /// Time for which a change is sent to other hosts.
 const NEWS_LIFETIME: Span = Span::from_ms(1_500);
 
@@ -139,8 +143,8 @@
     /// Time of the first answer to another request of the pool after the last crash, at this host or as other hosts
     /// report it.
     answered_since: Option<Time>,
-    /// When an answer last cleared it.
-    cleared_at: Option<Time>,
+    /// When an answer last cleared it, and of charges up to which progress.
+    cleared: Option<(Time, Progress)>,
     changed_at: Time,
 }
 
@@ -151,8 +155,8 @@
     suspects: Suspects<Content>,
     /// Sorted by content. Contains all suspects.
     states: Vec<State>,
-    /// When content was last answered at this host. Sorted by content.
-    answered: Vec<(Content, Time)>,
+    /// When content was last answered far enough to clear charges of each progress. Sorted by content.
+    answered: Vec<(Content, [Time; LEVELS])>,
     /// When the last answers of each pool arrived, oldest first. Sorted by the hash of the pool's name.
     pools: Vec<(u64, VecDeque<Time>)>,
     /// Upstreams that answered a request which was sent after they were thought to have crashed: when that request was
@@ -213,13 +217,13 @@
         }
     }
 
-    /// Records that an upstream of a pool crashed before its answer to an attempt went on. `began` tells whether the
-    /// answer had begun.
+    /// Records that an upstream of a pool crashed during an attempt. `progress` tells how far its answer had come, `None`
+    /// if it had not begun.
     pub fn record_crash(
         &mut self,
         now: Time,
         pool: u64,
-        (incarnation, began): (u64, bool),
+        (incarnation, progress): (u64, Option<Progress>),
         contents: &[Content],
     ) {
         // Quarantined content explains the crash.
@@ -228,14 +232,14 @@
         if charged.is_empty() {
             charged = contents.to_vec();
         }
-        let charge = Charge { crash: CrashKey(incarnation), at: now, began };
+        let charge = Charge { crash: CrashKey(incarnation), at: now, progress };
         for content in charged {
             self.charge(now, (pool, content), charge);
         }
     }
 
-    /// Records an answer that went on after its begin, and so clears all content of its request.
-    pub fn record_answer(&mut self, now: Time, pool: u64, contents: &[Content]) {
+    /// Records an answer of a pool. One for each attempt whose answer goes on.
+    pub fn record_answer(&mut self, now: Time, pool: u64) {
         let at = match self.pools.binary_search_by_key(&pool, |it| it.0) {
             Ok(found) => found,
             Err(at) => {
@@ -248,10 +252,14 @@
             times.pop_front();
         }
         times.push_back(now);
+        self.start_turns(pool, now);
+    }
+
+    /// Records that an answer went on, and so clears all content of its request of charges with at most the given progress.
+    pub fn record_progress(&mut self, now: Time, contents: &[Content], passed: Progress) {
         for content in contents {
-            self.clear(now, *content, now);
+            self.clear(now, *content, now, passed);
         }
-        self.start_turns(pool, now);
     }
 
     /// Records that an upstream answered an attempt, which was sent at `sent_at`. If that was after its supposed crash,
@@ -267,15 +275,20 @@
         for (incarnation, age_us) in &news.survivors {
             self.withdraw(now, CrashKey(*incarnation), sent_at - Span(*age_us));
         }
-        let cleared_at = |it: &messages::Suspicion| Some(sent_at - Span(it.cleared_age_us?));
+        let cleared = |it: &messages::Suspicion| {
+            let (age, number) = messages::unpack_age(it.cleared_age_us?);
+            let progress = number.checked_sub(1).map_or(Progress::WHOLE, Progress::from_index);
+            Some((sent_at - age, progress))
+        };
         for suspicion in &news.suspicions {
             let content = suspicion.content;
-            if let Some(at) = cleared_at(suspicion) {
-                self.clear(now, content, at);
+            if let Some((at, progress)) = cleared(suspicion) {
+                self.clear(now, content, at, progress);
             }
-            for (incarnation, age_us, began) in &suspicion.charges {
-                let at = now - Span(*age_us);
-                let charge = Charge { crash: CrashKey(*incarnation), at, began: *began };
+            for (incarnation, packed, began) in &suspicion.charges {
+                let (age, number) = messages::unpack_age(*packed);
+                let progress = began.then_some(Progress::from_index(number));
+                let charge = Charge { crash: CrashKey(*incarnation), at: now - age, progress };
                 self.charge(now, (suspicion.pool, content), charge);
             }
             if suspicion.is_quarantined && !self.suspects.charges(content).is_empty() {
@@ -287,7 +300,7 @@
         }
         // The charges of all contents are known by now.
         for suspicion in &news.suspicions {
-            if let Some(at) = cleared_at(suspicion) {
+            if let Some((at, _)) = cleared(suspicion) {
                 self.start_turns(suspicion.pool, at);
             }
         }
@@ -317,11 +330,19 @@
                 .suspects
                 .charges(it.content)
                 .iter()
-                .map(|charge| (charge.crash.0, now.since(charge.at).0, charge.began))
+                .map(|charge| {
+                    let level = charge.progress.unwrap_or(Progress::HEAD).index();
+                    let age = messages::pack_age(now.since(charge.at), level);
+                    (charge.crash.0, age, charge.progress.is_some())
+                })
                 .collect(),
             is_quarantined: it.is_quarantined,
             is_confirmed: it.is_confirmed,
-            cleared_age_us: it.cleared_at.map(|at| now.since(at).0),
+            cleared_age_us: it.cleared.map(|(at, progress)| {
+                let is_whole = progress == Progress::WHOLE;
+                let number = if is_whole { 0 } else { progress.index() + 1 };
+                messages::pack_age(now.since(at), number)
+            }),
         };
         let survivors = self.survivors.iter().filter(|it| now.since(it.2) < NEWS_LIFETIME);
         messages::Evidence {
@@ -387,9 +408,12 @@
     /// Charges content with a crash. Returns false if that is not new, or an answer speaks against it.
     fn charge(&mut self, now: Time, (pool, content): (u64, Content), charge: Charge) -> bool {
         let survived = self.survivors.binary_search_by_key(&charge.crash, |it| it.0);
-        let is_cleared = self.answered_at(content).is_some_and(|it| it >= charge.at)
+        let progress = charge.progress.unwrap_or(Progress::HEAD);
+        let cleared = self.state(content).and_then(|it| it.cleared);
+        let is_cleared = self.answered_at(content, progress).is_some_and(|it| it >= charge.at)
+            || cleared.is_some_and(|(at, passed)| at >= charge.at && progress <= passed)
             || survived.is_ok_and(|at| self.survivors[at].1 >= charge.at);
-        if is_cleared || !self.suspects.charge(now, content, charge) {
+        if is_cleared || !self.suspects.charge(now, content, charge, merge(content)) {
             return false;
         }
         let is_proven = self.has_proof(now, content) && self.has_contrast(pool, content);
@@ -423,7 +447,8 @@
     /// Whether content is charged with enough crashes that no other content explains.
     ///
     /// The cause of crashes is charged with all of them, and so with more than content that was only sometimes there. An
-    /// upstream crashes as it begins an answer, so that a request whose answer had not begun is not the likely cause.
+    /// upstream crashes after it began an answer, mostly at once, so that a request whose answer had not begun is not the
+    /// likely cause beside one that just had.
     fn has_evidence(&self, now: Time, content: Content) -> bool {
         let charges = self.suspects.charges(content);
         let explains = |(other, its): &(Content, &[Charge]), charge: &Charge| {
@@ -431,7 +456,8 @@
                 return false;
             };
             let is_quarantined = || self.state(*other).is_some_and(|it| it.is_quarantined);
-            let began_alone = its_charge.began && !charge.began;
+            let just_began = its_charge.progress.is_some_and(|it| it <= Progress::FIRST);
+            let began_alone = just_began && charge.progress.is_none();
             *other != content && (began_alone || its.len() > charges.len() || is_quarantined())
         };
         let is_explained = |it: &Charge| self.suspects.iter().any(|other| explains(&other, it));
@@ -446,7 +472,8 @@
     /// many times.
     fn has_proof(&self, now: Time, content: Content) -> bool {
         let crashes = self.suspects.crashes(now, content);
-        let began = self.suspects.charges(content).iter().filter(|it| it.began).count();
+        let charges = self.suspects.charges(content).iter();
+        let began = charges.filter(|it| it.progress.is_some()).count();
         crashes >= PROOF_CRASHES || (crashes >= QUARANTINE_CRASHES && began >= PROOF_BEGUN)
     }
 
@@ -478,27 +505,36 @@
         );
     }
 
-    /// Records an answer to content at a time, which clears it of earlier crashes.
-    fn clear(&mut self, now: Time, content: Content, at: Time) {
+    /// Records an answer to content at a time, which clears it of earlier crashes with at most the given progress.
+    fn clear(&mut self, now: Time, content: Content, at: Time, passed: Progress) {
         // Whole requests are too many to keep.
         if matches!(content, Content::Part(_)) {
             if self.answered.len() >= MAX_ANSWERED {
                 self.evict_answered(now);
             }
-            match self.answered.binary_search_by_key(&content, |it| it.0) {
-                Ok(found) => self.answered[found].1 = self.answered[found].1.max(at),
-                Err(position) => self.answered.insert(position, (content, at)),
-            }
+            let times = match self.answered.binary_search_by_key(&content, |it| it.0) {
+                Ok(found) => &mut self.answered[found].1,
+                Err(position) => {
+                    self.answered.insert(position, (content, [Time(0); LEVELS]));
+                    &mut self.answered[position].1
+                }
+            };
+            times[..=passed.index()].iter_mut().for_each(|it| *it = at.max(*it));
         }
-        if !self.suspects.clear(content, at) {
+        if !self.suspects.clear(content, at, passed) {
             return;
         }
         let is_clear = self.suspects.charges(content).is_empty();
+        let crashes = self.suspects.crashes(now, content);
         let Some(state) = self.state_mut(content) else { return };
-        state.cleared_at = state.cleared_at.max(Some(at));
+        let is_news = |it: (Time, Progress)| passed >= it.1 || now.since(it.0) >= NEWS_LIFETIME;
+        if state.cleared.is_none_or(is_news) {
+            state.cleared = Some((at, passed));
+        }
         state.changed_at = now;
         state.is_confirmed &= !is_clear;
-        if is_clear && std::mem::take(&mut state.is_quarantined) {
+        if crashes < QUARANTINE_CRASHES && std::mem::take(&mut state.is_quarantined) {
+            state.is_confirmed = false;
             log::info!("{content} was answered; requests with it are sent again");
         }
     }
@@ -538,18 +574,21 @@
 
     /// Drops old answers; all but the newest half if that is not enough.
     fn evict_answered(&mut self, now: Time) {
-        self.answered.retain(|it| now.since(it.1) < ANSWERED_LIFETIME);
+        // Each answer that clears anything clears charges without an event.
+        let last = |times: &[Time; LEVELS]| times[Progress::HEAD.index()];
+        self.answered.retain(|it| now.since(last(&it.1)) < ANSWERED_LIFETIME);
         if self.answered.len() >= MAX_ANSWERED {
-            let mut times: Vec<_> = self.answered.iter().map(|it| it.1).collect();
+            let mut times: Vec<_> = self.answered.iter().map(|it| last(&it.1)).collect();
             times.sort_unstable();
             let median = times[times.len() / 2];
-            self.answered.retain(|it| it.1 > median);
+            self.answered.retain(|it| last(&it.1) > median);
         }
     }
 
-    fn answered_at(&self, content: Content) -> Option<Time> {
+    /// When content was last answered far enough to clear charges with the given progress.
+    fn answered_at(&self, content: Content, progress: Progress) -> Option<Time> {
         let found = self.answered.binary_search_by_key(&content, |it| it.0).ok()?;
-        Some(self.answered[found].1)
+        Some(self.answered[found].1[progress.index()])
     }
 
     fn state(&self, content: Content) -> Option<&State> {
@@ -573,7 +612,7 @@
                     is_confirmed: false,
                     tried_at: None,
                     answered_since: None,
-                    cleared_at: None,
+                    cleared: None,
                     changed_at: now,
                 };
                 self.states.insert(at, state);
@@ -583,3 +622,12 @@
         &mut self.states[at]
     }
 }
+
+/// Several requests with a part may run on an upstream that crashes, and the shortest answer says how far the part had come
+/// for certain. Copies of one request are the cause at its furthest.
+fn merge(content: Content) -> Merge {
+    match content {
+        Content::Part(_) => Ord::min,
+        Content::Request(_) => Ord::max,
+    }
+}
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -20,6 +20,7 @@
         rate_limit,
         registry::Entry,
     },
+    suspicion::Progress,
     time::{Span, Time},
     wire::Ending,
 };
@@ -47,8 +48,8 @@
     RemoteLoads(Vec<messages::Load>),
     Permit(PermitAnswer),
     RemoteLimits(Vec<(u64, rate_limit::Limit)>),
-    Began(AttemptKey),
-    Proceeded(AttemptKey),
+    BrokenOff(AttemptKey, Progress),
+    Proceeded(AttemptKey, Progress),
     /// Evidence of another host, and a time at which it had not sent this yet.
     RemoteEvidence(Time, messages::Evidence),
     Placed(Vec<messages::Placement>),
@@ -105,8 +106,8 @@
     gate: Gate,
     /// Whether the head of the response has arrived.
     began: Cell<bool>,
-    /// Groups of complete events that were forwarded.
-    forwarded: Cell<u32>,
+    /// Complete events that arrived.
+    events: Cell<u32>,
 }
 
 impl Dispatcher {
@@ -210,7 +211,7 @@
             answered: Cell::new(false),
             gate: grant.gate.clone(),
             began: Cell::new(false),
-            forwarded: Cell::new(0),
+            events: Cell::new(0),
         }
     }
 
@@ -227,18 +228,19 @@
         self.began.set(true);
     }
 
-    /// Records that complete events of a stream arrived. An upstream that crashes while it begins to answer gets no
-    /// further than the first ones.
-    pub fn record_events(&self) {
-        self.forwarded.set(self.forwarded.get().saturating_add(1));
-        if self.forwarded.get() == 2 {
-            self.dispatcher.send(Message::Proceeded(self.attempt));
+    /// Records that complete events of a stream arrived.
+    pub fn record_events(&self, count: u32) {
+        let before = Progress::passed_with(self.events.get());
+        self.events.set(self.events.get().saturating_add(count));
+        let passed = Progress::passed_with(self.events.get());
+        if let Some(passed) = passed.filter(|_| passed > before) {
+            self.dispatcher.send(Message::Proceeded(self.attempt, passed));
         }
     }
 
-    /// Whether complete events of a stream arrived.
-    pub fn has_events(&self) -> bool {
-        self.forwarded.get() > 0
+    /// Returns the number of complete events that arrived.
+    pub fn events(&self) -> u32 {
+        self.events.get()
     }
 
     /// Records what the response to the attempt, which was sent at `sent_at`, says about the upstream's rate limit.
@@ -274,7 +276,8 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         if self.began.get() && self.ending == Ending::Failed {
-            self.dispatcher.send(Message::Began(self.attempt));
+            let progress = Progress::of(self.events.get());
+            self.dispatcher.send(Message::BrokenOff(self.attempt, progress));
         }
         self.dispatcher.send(Message::Ended(self.attempt, self.ending));
     }
@@ -375,8 +378,12 @@
                     &mut self.actions,
                 );
             }
-            Message::Began(attempt) => self.placement.attempt_began(attempt),
-            Message::Proceeded(attempt) => self.placement.attempt_proceeded(now, attempt),
+            Message::BrokenOff(attempt, progress) => {
+                self.placement.attempt_broken_off(attempt, progress);
+            }
+            Message::Proceeded(attempt, passed) => {
+                self.placement.attempt_proceeded(now, attempt, passed);
+            }
             Message::RemoteEvidence(sent_at, news) => {
                 self.placement.merge_evidence(now, sent_at, &news);
             }
@@ -417,7 +424,7 @@
                 Action::Quarantine(ticket, reason) => {
                     let Reason { content, crashes, age, retry_after } = reason;
                     let message = format!(
-                        "{crashes} upstreams crashed while they began to answer requests with {content}, the last {} ms ago",
+                        "{crashes} upstreams crashed while they answered requests with {content}, the last {} ms ago",
                         age.as_ms()
                     );
                     let error = Error::new(Kind::Quarantined, message);
--- a/src/serving/messages.rs
+++ b/src/serving/messages.rs
@@ -107,6 +107,20 @@
     }
 }
 
+/// Bits of an age in a suspicion. The bits above hold how far an answer had come, plus one where that is partial; hosts of
+/// earlier versions take such an age for one that is too long ago to count.
+const AGE_BITS: u32 = 56;
+
+/// Writes an age together with a number below 256.
+pub fn pack_age(age: Span, number: usize) -> u64 {
+    (age.0 & ((1 << AGE_BITS) - 1)) | (number as u64) << AGE_BITS
+}
+
+/// Reads what [`pack_age`] wrote.
+pub fn unpack_age(packed: u64) -> (Span, u64) {
+    (Span(packed & ((1 << AGE_BITS) - 1)), packed >> AGE_BITS)
+}
+
 /// Content that was running on upstreams when they crashed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspicion {
@@ -114,14 +128,15 @@
     pub content: Content,
     /// Hash of the name of its pool.
     pub pool: u64,
-    /// Incarnations of the upstreams that crashed, each with the time since in microseconds, and whether it had begun to
-    /// answer a request with the content.
+    /// Incarnations of the upstreams that crashed, each with the packed time since in microseconds and progress of the
+    /// answer to a request with the content, and whether that answer had begun.
     pub charges: Vec<(u64, u64, bool)>,
     /// Whether requests with the content are refused.
     pub is_quarantined: bool,
     /// Whether other requests were answered between its first and last crash.
     pub is_confirmed: bool,
-    /// Time since an answer cleared it in microseconds, `None` if none has.
+    /// Packed time since an answer cleared it in microseconds, `None` if none has. The number is zero if the answer was
+    /// whole, else one more than the progress up to which it cleared.
     pub cleared_age_us: Option<u64>,
 }
 
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -22,6 +22,7 @@
         tier::TIERS,
         upstream_state::{self, prefill},
     },
+    suspicion::Progress,
     time::{Span, Time},
     wire::Ending,
 };
@@ -139,8 +140,10 @@
     incarnation: u64,
     pool: Arc<str>,
     contents: Vec<Content>,
-    /// Whether the head of the answer has arrived.
-    began: bool,
+    /// How far the answer had come when the attempt failed, `None` without its head.
+    progress: Option<Progress>,
+    /// Whether its answer has been recorded for its pool.
+    went_on: bool,
     tier: usize,
     /// Prompt tokens that the engine still has to prefill; zero after the first event.
     pending_tokens: u64,
@@ -437,19 +440,20 @@
         }
     }
 
-    /// Records that the head of the answer to an attempt has arrived.
-    pub fn attempt_began(&mut self, attempt: AttemptKey) {
+    /// Records how far the answer to an attempt had come when it failed.
+    pub fn attempt_broken_off(&mut self, attempt: AttemptKey, progress: Progress) {
         if let Some(running) = self.running.get_mut(&attempt) {
-            running.began = true;
+            running.progress = Some(progress);
         }
     }
 
-    /// Records that the answer to an attempt went on after its begin.
-    pub fn attempt_proceeded(&mut self, now: Time, attempt: AttemptKey) {
+    /// Records that the answer to an attempt has left behind the given progress. It may still crash its upstream later on.
+    pub fn attempt_proceeded(&mut self, now: Time, attempt: AttemptKey, passed: Progress) {
         let Some(running) = self.running.get_mut(&attempt) else { return };
-        // Nothing of the request is the cause if the upstream crashes later on.
-        let contents = std::mem::take(&mut running.contents);
-        self.evidence.record_answer(now, pool_hash(&running.pool), &contents);
+        if !std::mem::replace(&mut running.went_on, true) {
+            self.evidence.record_answer(now, pool_hash(&running.pool));
+        }
+        self.evidence.record_progress(now, &running.contents, passed);
     }
 
     /// Merges what another host knows of content that crashes upstreams. `sent_at` is a time at which it had not sent
@@ -577,17 +581,19 @@
     /// Records the end of an attempt. Attempts that have already ended are ignored.
     pub fn attempt_ended(&mut self, now: Time, attempt: AttemptKey, ending: Ending) {
         let Some(running) = self.running.remove(&attempt) else { return };
-        // Empty if the answer has cleared the request's content already.
-        if !running.contents.is_empty() {
-            let pool = pool_hash(&running.pool);
-            match ending {
-                Ending::Done => self.evidence.record_answer(now, pool, &running.contents),
-                Ending::Failed => {
-                    let crash = (running.incarnation, running.began);
-                    self.evidence.record_crash(now, pool, crash, &running.contents);
+        let pool = pool_hash(&running.pool);
+        match ending {
+            Ending::Done => {
+                if !running.went_on {
+                    self.evidence.record_answer(now, pool);
                 }
-                _ => {}
+                self.evidence.record_progress(now, &running.contents, Progress::WHOLE);
+            }
+            Ending::Failed => {
+                let crash = (running.incarnation, running.progress);
+                self.evidence.record_crash(now, pool, crash, &running.contents);
             }
+            _ => {}
         }
         let Some(upstream) = self.upstream_mut(running.upstream) else { return };
         upstream.pending_tokens[running.tier] -= running.pending_tokens;
@@ -666,7 +672,8 @@
             incarnation: upstream.incarnation,
             pool: ticket.pool.clone(),
             contents: ticket.contents.clone(),
-            began: false,
+            progress: None,
+            went_on: false,
             tier,
             pending_tokens: pending,
             expected_first_byte: best.expected_first_byte,
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -36,7 +36,7 @@
     response: Option<upstream_response::Response>,
     /// Id of the upstream that sends or sent the response.
     instance: Arc<str>,
-    /// Events received from it.
+    /// Events of the attempt that broke off last.
     received: u32,
     events: stream::Buffer,
     connections: connection_cache::Cache,
@@ -106,7 +106,7 @@
                 after: self.events.last_id(),
                 failure: attempt_history::Failure::sent(kind),
                 instance: self.instance.clone(),
-                events: std::mem::take(&mut self.received),
+                events: self.received,
             };
             self.response = (self.resume)(cut).await;
             if let Some(response) = &self.response {
@@ -135,8 +135,7 @@
             match events {
                 Ok(events) if fits && events.is_empty() => {}
                 Ok(events) if fits => {
-                    self.received += sse::events(&events).1 as u32;
-                    response.guard.record_events();
+                    response.guard.record_events(sse::events(&events).1 as u32);
                     return Ok(Some(events));
                 }
                 Ok(_) | Err(_) => return Err(self.fail(Kind::UpstreamInvalid, Ending::Invalid)),
@@ -146,7 +145,7 @@
 
     /// Whether the last bytes from the current upstream completed an event.
     fn ends_after_event(&self) -> bool {
-        let has_events = self.response.as_ref().is_some_and(|it| it.guard.has_events());
+        let has_events = self.response.as_ref().is_some_and(|it| it.guard.events() > 0);
         has_events && self.events.buffered_bytes() == 0
     }
 
@@ -160,6 +159,7 @@
 
     fn fail(&mut self, kind: Kind, ending: Ending) -> Kind {
         if let Some(response) = self.response.take() {
+            self.received = response.guard.events();
             response.guard.end(ending);
         }
         kind
--- a/src/suspicion.rs
+++ b/src/suspicion.rs
@@ -6,6 +6,49 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CrashKey(pub u64);
 
+/// How far an answer had come, by the binary order of magnitude of its number of events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Progress(u8);
+
+impl Progress {
+    /// The head without an event.
+    pub const HEAD: Progress = Progress(0);
+
+    /// One event.
+    pub const FIRST: Progress = Progress(1);
+
+    /// As far as an answer can come.
+    pub const WHOLE: Progress = Progress(7);
+
+    /// Progress of an answer with a number of events.
+    pub fn of(events: u32) -> Progress {
+        let magnitude = u32::BITS - events.leading_zeros();
+        Progress::WHOLE.min(Progress(magnitude as u8))
+    }
+
+    /// The furthest progress that an answer has left behind for certain with a number of events, which is at least twice as
+    /// many. `None` below two events.
+    pub fn passed_with(events: u32) -> Option<Progress> {
+        let magnitude = events.checked_ilog2()?.checked_sub(1)?;
+        Some(Progress((magnitude as u8).min(Progress::WHOLE.0 - 1)))
+    }
+
+    /// All values in ascending order.
+    pub fn all() -> impl Iterator<Item = Progress> {
+        (0..=Progress::WHOLE.0).map(Progress)
+    }
+
+    /// Number from zero to seven.
+    pub const fn index(self) -> usize {
+        self.0 as usize
+    }
+
+    /// The progress with a number, that of a whole answer if it is greater.
+    pub fn from_index(index: u64) -> Progress {
+        Progress(index.min(u64::from(Progress::WHOLE.0)) as u8)
+    }
+}
+
 /// A crash for which a suspect may be the cause.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Charge {
@@ -13,10 +56,13 @@
     pub crash: CrashKey,
     /// When it was noticed.
     pub at: Time,
-    /// Whether the upstream had begun to answer the suspect.
-    pub began: bool,
+    /// How far the answer to the suspect had come, `None` without its head.
+    pub progress: Option<Progress>,
 }
 
+/// Selects between the progress of two answers under one crash.
+pub type Merge = fn(Progress, Progress) -> Progress;
+
 /// How charges are counted and kept.
 #[derive(Debug, Clone, Copy)]
 pub struct Rules {
@@ -45,8 +91,9 @@
         Suspects { rules, entries: Vec::new() }
     }
 
-    /// Charges a suspect with a crash. Returns false if the charge says nothing new or is too old.
-    pub fn charge(&mut self, now: Time, suspect: K, charge: Charge) -> bool {
+    /// Charges a suspect with a crash. If it is charged with it already, `merge` selects the progress. Returns false if the
+    /// charge says nothing new or is too old.
+    pub fn charge(&mut self, now: Time, suspect: K, charge: Charge, merge: Merge) -> bool {
         if now.since(charge.at) >= self.rules.lifetime {
             return false;
         }
@@ -54,7 +101,11 @@
         if let Ok(at) = found
             && let Some(known) = self.entries[at].1.iter_mut().find(|it| it.crash == charge.crash)
         {
-            return charge.began && !std::mem::replace(&mut known.began, true);
+            let merged = match (known.progress, charge.progress) {
+                (Some(known), Some(new)) => Some(merge(known, new)),
+                (known, new) => known.or(new),
+            };
+            return std::mem::replace(&mut known.progress, merged) != merged;
         }
         let at = match found {
             Ok(found) => found,
@@ -101,16 +152,17 @@
         self.entries.iter().map(|it| (it.0, it.1.as_slice()))
     }
 
-    /// Drops the charges against a suspect up to a time. Returns whether there were any.
-    pub fn clear(&mut self, suspect: K, until: Time) -> bool {
+    /// Drops the charges against a suspect up to a time with at most the given progress. Returns whether there were any.
+    pub fn clear(&mut self, suspect: K, until: Time, progress: Progress) -> bool {
         let Ok(at) = self.find(suspect) else { return false };
         let charges = &mut self.entries[at].1;
-        let count = charges.partition_point(|it| it.at <= until);
-        charges.drain(..count);
+        let count = charges.len();
+        charges.retain(|it| it.at > until || it.progress.unwrap_or(Progress::HEAD) > progress);
+        let is_changed = charges.len() < count;
         if charges.is_empty() {
             self.entries.remove(at);
         }
-        count > 0
+        is_changed
     }
 
     /// Drops the charges with a crash up to a time against all suspects, and returns these.
--- a/tests/serving/crash_evidence.rs
+++ b/tests/serving/crash_evidence.rs
@@ -6,6 +6,7 @@
         exchange::contents,
         messages,
     },
+    suspicion::Progress,
     time::{Span, Time},
 };
 use expect_test::expect;
@@ -74,13 +75,15 @@
         self.crashes += 1;
         let now = self.now();
         for (index, (host, contents)) in requests.iter().enumerate() {
-            self.hosts[*host].record_crash(now, POOL, (self.crashes, index == 0), contents);
+            let progress = (index == 0).then_some(Progress::HEAD);
+            self.hosts[*host].record_crash(now, POOL, (self.crashes, progress), contents);
         }
     }
 
     fn answer(&mut self, host: usize, contents: &[Content]) {
         let now = self.now();
-        self.hosts[host].record_answer(now, POOL, contents);
+        self.hosts[host].record_answer(now, POOL);
+        self.hosts[host].record_progress(now, contents, Progress::HEAD);
     }
 
     /// Answers to some requests of each host.
@@ -472,3 +475,74 @@
     assert_ne!(same, contents(Some("customer"), "/path", b"body", None));
     assert_ne!(same, contents(None, "/path", b"other", None));
 }
+
+/// A request that comes again and again.
+const REPEATED: Content = Content::Request(0x5e);
+
+/// An upstream crashes after some events of the answer to the repeated request.
+fn crash_after(fleet: &mut Fleet, host: usize, events: u32) {
+    fleet.crashes += 1;
+    let crash = (fleet.crashes, Some(Progress::of(events)));
+    let now = fleet.now();
+    fleet.hosts[host].record_crash(now, POOL, crash, &[COMMON, REPEATED]);
+}
+
+/// The answer to a request goes on to a number of events.
+fn go_on(fleet: &mut Fleet, host: usize, contents: &[Content], events: u32) {
+    let passed = (2..=events).filter_map(Progress::passed_with).max();
+    let now = fleet.now();
+    fleet.hosts[host].record_progress(now, contents, passed.expect("two events or more"));
+}
+
+// Each answer to the request had got past its first events before its upstream ended.
+#[test]
+fn a_request_that_crashes_upstreams_late_is_held_whatever_its_answers_had_reached() {
+    for events in [0, 1, 2, 3, 6, 11, 60, 200] {
+        let mut fleet = Fleet::new(4);
+        for crash in 0..3 {
+            if events >= 2 {
+                go_on(&mut fleet, crash, &[COMMON, REPEATED], events);
+            }
+            crash_after(&mut fleet, crash, events);
+            fleet.pass(300);
+            fleet.answer_others(&[COMMON]);
+            fleet
+                .hosts
+                .iter_mut()
+                .for_each(|it| it.record_progress(at(10_000), &[COMMON], Progress::WHOLE));
+            fleet.pass(500);
+        }
+        assert_eq!(fleet.senders(REPEATED), [0; 0], "crashes after {events} events");
+        assert_eq!(fleet.senders(COMMON).len(), 4, "crashes after {events} events");
+    }
+}
+
+#[test]
+fn an_answer_that_comes_twice_as_far_or_ends_clears_late_crashes_at_all_hosts() {
+    for (reached, senders) in [(6, 0), (8, 4), (u32::MAX, 4)] {
+        let mut fleet = Fleet::new(4);
+        for crash in 0..3 {
+            crash_after(&mut fleet, crash, 3);
+            fleet.pass(600);
+        }
+        let now = fleet.now();
+        let passed = match reached {
+            u32::MAX => Progress::WHOLE,
+            _ => Progress::passed_with(reached).expect("two events or more"),
+        };
+        fleet.hosts[1].record_progress(now, &[REPEATED], passed);
+        fleet.pass(600);
+        assert_eq!(fleet.senders(REPEATED).len(), senders, "an answer reached {reached} events");
+    }
+}
+
+// They do not know how far answers had come, and clear charges with the first events of any answer.
+#[test]
+fn hosts_of_earlier_versions_take_charges_after_more_events_for_expired_ones() {
+    let mut fleet = Fleet::new(1);
+    crash_after(&mut fleet, 0, 3);
+    let news = fleet.hosts[0].news(fleet.now());
+    let ages: Vec<_> = news.suspicions.iter().flat_map(|it| &it.charges).map(|it| it.1).collect();
+    assert_eq!(ages.len(), 2);
+    assert!(ages.iter().all(|it| Span(*it) > Span::from_ms(600_000)), "{ages:?}");
+}
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -16,6 +16,7 @@
         tier::{self, TIERS},
         upstream_state::incarnation_id,
     },
+    suspicion::Progress,
     time::{Span, Time},
     wire::Ending,
 };
@@ -401,7 +402,7 @@
     let mut ms = 0;
     for crash in 0..3 {
         let (crashed, attempt) = place(&mut host, at(ms), &with_part(100 + crash, 0xdead));
-        host.attempt_began(attempt);
+        host.attempt_broken_off(attempt, Progress::HEAD);
         host.attempt_ended(at(ms + 50), attempt, Ending::Failed);
         // It starts again under the same id.
         engines.iter_mut().filter(|it| *it.id == *crashed).for_each(|it| it.started_ms += 1);
@@ -409,7 +410,7 @@
         for number in 0..6 {
             let (_, attempt) = place(&mut host, at(ms + 100), &with_part(200 + number, 0xa));
             host.attempt_answered(at(ms + 150), attempt);
-            host.attempt_proceeded(at(ms + 160), attempt);
+            host.attempt_proceeded(at(ms + 160), attempt, Progress::HEAD);
             host.attempt_ended(at(ms + 200), attempt, Ending::Done);
         }
         ms += 1_000;
