Read the software version of upstreams and what a caller's take-up names, and log both

No line named the version of an upstream, nor the request that began a stream. Lines of broken-off, resumed and taken-up streams now do. Nothing decides differently.

--- a/src/serving/dialect.rs
+++ b/src/serving/dialect.rs
@@ -51,6 +51,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Id of the caller's request that brought the first event of that stream, if stated.
+    pub resumes: Option<HeaderValue>,
 }
 
 /// Values that the router adds to the headers of an upstream's request.
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -68,6 +68,8 @@
     pub body: Bytes,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Id of the caller's request that brought the first event of that stream, if stated.
+    pub resumes: Option<HeaderValue>,
     /// Description of the prompt, if the request is for an engine.
     pub prompt: Option<Prompt>,
     /// What in the request may crash upstreams.
@@ -158,6 +160,11 @@
         self.id.to_str().unwrap_or("?")
     }
 
+    /// Returns the id of the request that began a stream which the caller takes up, for log lines.
+    fn log_resumes(&self) -> &str {
+        self.resumes.as_ref().map_or("no request", |it| it.to_str().unwrap_or("?"))
+    }
+
     /// Returns the ids of the prompt's shared parts for log lines, `none` without any.
     fn log_parts(&self) -> String {
         let shared = self.prompt.iter().flat_map(Prompt::shared_parts);
@@ -450,6 +457,7 @@
                     guard,
                     upstream: grant.upstream,
                     instance: grant.instance.clone(),
+                    version: grant.version.clone(),
                 })
             }
             Verdict::NotRun => {
@@ -558,6 +566,7 @@
         let status = response.http.status();
         let headers = response_headers(response.http.headers());
         if request.route.stream && status.is_success() {
+            let (instance, version) = (response.instance.clone(), response.version.clone());
             let resume = self.clone().resume_fn(request.clone(), pool.clone(), history.clone());
             let connections = self.shared.connections.clone();
             let reservation = self.shared.buffer_memory.reservation();
@@ -570,6 +579,14 @@
                 reservation,
             );
             let relay = relay.receive_first().await?;
+            if let Some(after) = request.last_event_id {
+                log::info!(
+                    "stream {} is taken up after event {after} at {instance} of version {}; {} began it",
+                    request.log_id(),
+                    version.as_deref().unwrap_or("unknown"),
+                    request.log_resumes(),
+                );
+            }
             self.count_usage(request, history);
             let body = Body::Stream(Box::new(relay));
             return Ok(CallerResponse { status, headers, body });
@@ -623,8 +640,9 @@
         let event = after.as_deref().unwrap_or("none");
         self.count_cut(cut.failure, if cut.events < 2 { "begun" } else { "gone_on" });
         log::info!(
-            "stream {id} broken off at {} after {} events of this attempt, the last event {event}: {why}, parts {}",
+            "stream {id} broken off at {} of version {} after {} events of this attempt, the last event {event}: {why}, parts {}",
             cut.instance,
+            cut.version.as_deref().unwrap_or("unknown"),
             cut.events,
             request.log_parts(),
         );
@@ -636,7 +654,11 @@
         }
         match self.send_until_response(request, pool, history, after.as_deref()).await {
             Ok(response) if response.http.status().is_success() => {
-                log::info!("stream {id} resumed after event {event}: {why}");
+                log::info!(
+                    "stream {id} resumed after event {event} at {} of version {}: {why}",
+                    response.instance,
+                    response.version.as_deref().unwrap_or("unknown"),
+                );
                 Some(response)
             }
             Ok(response) => {
--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -199,6 +199,7 @@
         headers,
         body,
         last_event_id: caller_headers.last_event_id,
+        resumes: caller_headers.resumes,
         prompt: caller_headers.prompt,
         tier: tier::of(customer.as_ref().and_then(|it| it.priority), route.priority),
         customer,
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -105,6 +105,8 @@
     pub instance: Arc<str>,
     /// Address for the request.
     pub address: SocketAddr,
+    /// Version of the upstream's software, if stated.
+    pub version: Option<Arc<str>>,
     /// Estimated time to the first byte.
     pub expected_first_byte: Span,
     /// Time of the last bytes from the upstream, shared by all its connections.
@@ -686,6 +688,7 @@
             upstream: best.key,
             instance: upstream.entry.id.clone(),
             address: upstream.entry.address,
+            version: upstream.entry.version.clone(),
             expected_first_byte: best.expected_first_byte,
             last_activity: upstream.last_activity.clone(),
             leaves: upstream.leaves.clone(),
--- a/src/serving/registry.rs
+++ b/src/serving/registry.rs
@@ -34,6 +34,8 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: Arc<str>,
+    /// Version of its software, `None` if it is not stated. Streams of different versions do not fit together.
+    pub version: Option<Arc<str>>,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Whether it accepts requests.
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -26,6 +26,8 @@
     pub failure: attempt_history::Failure,
     /// Id of the upstream, for log lines.
     pub instance: Arc<str>,
+    /// Version of its software, if stated.
+    pub version: Option<Arc<str>>,
     /// Events of this attempt that arrived.
     pub events: u32,
 }
@@ -36,6 +38,8 @@
     response: Option<upstream_response::Response>,
     /// Id of the upstream that sends or sent the response.
     instance: Arc<str>,
+    /// Version of its software, if stated.
+    version: Option<Arc<str>>,
     /// Events of the attempt that broke off last.
     received: u32,
     events: stream::Buffer,
@@ -67,6 +71,7 @@
         let events = stream::Buffer::resuming_after(after);
         Relay {
             instance: response.instance.clone(),
+            version: response.version.clone(),
             received: 0,
             response: Some(response),
             events,
@@ -106,11 +111,13 @@
                 after: self.events.last_id(),
                 failure: attempt_history::Failure::sent(kind),
                 instance: self.instance.clone(),
+                version: self.version.clone(),
                 events: self.received,
             };
             self.response = (self.resume)(cut).await;
             if let Some(response) = &self.response {
                 self.instance = response.instance.clone();
+                self.version = response.version.clone();
             }
             if self.response.is_none() {
                 return Err(kind);
--- a/src/serving/upstream_response.rs
+++ b/src/serving/upstream_response.rs
@@ -28,6 +28,8 @@
     pub upstream: UpstreamKey,
     /// Id of the upstream, for log lines.
     pub instance: Arc<str>,
+    /// Version of the upstream's software, if stated.
+    pub version: Option<Arc<str>>,
     /// Whether the body has neither a length nor chunks, so that only the end of the connection ends it. An upstream that
     /// crashes may end it as well.
     pub ends_with_connection: bool,
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -44,6 +44,8 @@
             caller_timeout: None,
             prompt: None,
             last_event_id: None,
+            resumes: None,
+            resumes: None,
         })
     }
 
--- a/tests/serving/fixture.rs
+++ b/tests/serving/fixture.rs
@@ -22,6 +22,7 @@
         pool: POOL.into(),
         address: format!("10.0.0.{}:80", index + 1).parse().expect("the address is valid"),
         zone: "a".into(),
+        version: Some("v1".into()),
         slots: 24,
         state: State::Ready,
         warmup_ms: 0,
--- a/tests/upstream_list.rs
+++ b/tests/upstream_list.rs
@@ -20,6 +20,7 @@
         warmup_ms: 0,
         spot: false,
         stops_in_ms: None,
+        version: None,
         started_ms: 1,
         sequence: 1,
     }
