--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -45,7 +45,6 @@
             prompt: None,
             last_event_id: None,
             resumes: None,
-            resumes: None,
         })
     }
 
@@ -115,6 +114,7 @@
         headers: HeaderMap::new(),
         body: Bytes::new(),
         last_event_id: None,
+        resumes: None,
         prompt: None,
         contents: Vec::new(),
         tier: 0,
