Keep late ends of streams from convicting the sound parts that are on most upstreams

Since each crash is charged to all requests there, sound parts of streams that go on were charged with most crashes. Class: evidence that counts alike although its causes are not alike likely.

- A part is a likely cause only as its answers begin; crashes under answers that had gone on convict it after five instead of three, explain nothing else, and do not put off its next trial.
Whole requests count at any time.
- A quarantine is confirmed by answers to requests without the content; answers to the content itself used to count since they no longer clear it at once.
- An upstream that goes on sending on other connections 100 ms after it closed one has not crashed.
Before, a pool whose engines broke off all streams had its sound parts quarantined.

--- a/src/serving/crash_evidence.rs
+++ b/src/serving/crash_evidence.rs
@@ -21,6 +21,10 @@
 /// Separate crashes without an answer in between after which content is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
 
+/// Separate crashes of a part that do not count if its answers had gone on. Sound parts of streams that go on are on most
+/// upstreams that crash.
+const LATE_EXCESS: usize = 2;
+
 /// Separate crashes that confirm a quarantine whether or not answers had begun.
 const PROOF_CRASHES: usize = 6;
 
@@ -157,8 +161,8 @@
     states: Vec<State>,
     /// When content was last answered far enough to clear charges of each progress. Sorted by content.
     answered: Vec<(Content, [Time; LEVELS])>,
-    /// When the last answers of each pool arrived, oldest first. Sorted by the hash of the pool's name.
-    pools: Vec<(u64, VecDeque<Time>)>,
+    /// When the last answers of each pool went on and to what, oldest first. Sorted by the hash of the pool's name.
+    pools: Vec<(u64, VecDeque<(Time, Vec<Content>)>)>,
     /// Upstreams that answered a request which was sent after they were thought to have crashed: when that request was
     /// sent, and when this host learnt of it. Sorted by the upstream's incarnation.
     survivors: Vec<(CrashKey, Time, Time)>,
@@ -198,7 +202,7 @@
         if let Some(reason) = reasons.max_by_key(|it| (it.crashes, it.retry_after)) {
             return Verdict::Quarantined(reason);
         }
-        let is_suspect = |it: &Content| self.suspects.crashes(now, *it) >= SUSPECT_CRASHES;
+        let is_suspect = |it: &Content| self.crashes(now, *it) >= SUSPECT_CRASHES;
         if contents.iter().any(is_suspect) { Verdict::Suspect } else { Verdict::Clear }
     }
 
@@ -233,13 +237,17 @@
             charged = contents.to_vec();
         }
         let charge = Charge { crash: CrashKey(incarnation), at: now, progress };
+        // A stream that was going on when its part was quarantined does not put off the next trial.
+        charged.retain(|it| {
+            is_likely(*it, &charge) || self.state(*it).is_none_or(|it| !it.is_quarantined)
+        });
         for content in charged {
             self.charge(now, (pool, content), charge);
         }
     }
 
-    /// Records an answer of a pool. One for each attempt whose answer goes on.
-    pub fn record_answer(&mut self, now: Time, pool: u64) {
+    /// Records an answer of a pool to a request. One for each attempt whose answer goes on.
+    pub fn record_answer(&mut self, now: Time, pool: u64, contents: &[Content]) {
         let at = match self.pools.binary_search_by_key(&pool, |it| it.0) {
             Ok(found) => found,
             Err(at) => {
@@ -251,7 +259,7 @@
         if times.len() >= MAX_ANSWER_TIMES {
             times.pop_front();
         }
-        times.push_back(now);
+        times.push_back((now, contents.to_vec()));
         self.start_turns(pool, now);
     }
 
@@ -262,11 +270,11 @@
         }
     }
 
-    /// Records that an upstream answered an attempt, which was sent at `sent_at`. If that was after its supposed crash,
-    /// only its connections were cut.
-    pub fn record_alive(&mut self, now: Time, incarnation: u64, sent_at: Time) {
+    /// Records that an upstream was alive at a time: it answered a request that was sent then. If that was after its
+    /// supposed crash, only its connections were cut.
+    pub fn record_alive(&mut self, now: Time, incarnation: u64, at: Time) {
         if !self.suspects.is_empty() {
-            self.withdraw(now, CrashKey(incarnation), sent_at);
+            self.withdraw(now, CrashKey(incarnation), at);
         }
     }
 
@@ -361,7 +369,7 @@
     ) -> Option<Reason> {
         let last = self.suspects.charges(content).last()?.at;
         let state = self.state(content)?;
-        let crashes = self.suspects.crashes(now, content);
+        let crashes = self.crashes(now, content);
         if !state.is_quarantined {
             let retry_after = MIN_CRASH_INTERVAL;
             let is_held = is_repeat && crashes >= SUSPECT_CRASHES;
@@ -451,40 +459,61 @@
     /// likely cause beside one that just had.
     fn has_evidence(&self, now: Time, content: Content) -> bool {
         let charges = self.suspects.charges(content);
+        let count = |content: Content, charges: &[Charge]| {
+            charges.iter().filter(|it| is_likely(content, it)).count()
+        };
         let explains = |(other, its): &(Content, &[Charge]), charge: &Charge| {
             let Some(its_charge) = its.iter().find(|it| it.crash == charge.crash) else {
                 return false;
             };
+            let own = match is_likely(content, charge) {
+                true => count(content, charges),
+                false => charges.len(),
+            };
             let is_quarantined = || self.state(*other).is_some_and(|it| it.is_quarantined);
             let just_began = its_charge.progress.is_some_and(|it| it <= Progress::FIRST);
             let began_alone = just_began && charge.progress.is_none();
-            *other != content && (began_alone || its.len() > charges.len() || is_quarantined())
+            *other != content
+                && is_likely(*other, its_charge)
+                && (began_alone || count(*other, its) > own || is_quarantined())
         };
         let is_explained = |it: &Charge| self.suspects.iter().any(|other| explains(&other, it));
         let is_settled = |it: &Charge| now.since(it.at) >= SETTLE_TIME;
         let rest: Vec<_> =
             charges.iter().filter(|it| is_settled(it) && !is_explained(it)).copied().collect();
-        let separate = self.suspects.separate(now, &rest);
-        separate >= QUARANTINE_CRASHES || (separate > 1 && rest.len() >= BURST_CRASHES)
+        let burst = count(content, &rest) >= BURST_CRASHES;
+        let separate = self.separate(now, content, &rest);
+        separate >= QUARANTINE_CRASHES || (separate > 1 && burst)
+    }
+
+    /// Returns the number of separate crashes that count against content.
+    fn crashes(&self, now: Time, content: Content) -> usize {
+        self.separate(now, content, self.suspects.charges(content))
+    }
+
+    fn separate(&self, now: Time, content: Content, charges: &[Charge]) -> usize {
+        let likely: Vec<_> = charges.iter().filter(|it| is_likely(content, it)).copied().collect();
+        let all = self.suspects.separate(now, charges);
+        self.suspects.separate(now, &likely).max(all.saturating_sub(LATE_EXCESS))
     }
 
     /// Whether the charges are more than bad luck: upstreams had begun to answer requests with the content, or crashed
     /// many times.
     fn has_proof(&self, now: Time, content: Content) -> bool {
-        let crashes = self.suspects.crashes(now, content);
-        let charges = self.suspects.charges(content).iter();
-        let began = charges.filter(|it| it.progress.is_some()).count();
+        let crashes = self.crashes(now, content);
+        let has_begun = |it: &&Charge| it.progress.is_some() && is_likely(content, it);
+        let began = self.suspects.charges(content).iter().filter(has_begun).count();
         crashes >= PROOF_CRASHES || (crashes >= QUARANTINE_CRASHES && began >= PROOF_BEGUN)
     }
 
-    /// Whether this host got answers to other requests of the pool between the first and the last charge. Answers to the
-    /// content itself would have cleared it.
+    /// Whether this host got answers to requests of the pool without the content between the first and the last charge.
     fn has_contrast(&self, pool: u64, content: Content) -> bool {
         let charges = self.suspects.charges(content);
         let (Some(first), Some(last)) = (charges.first(), charges.last()) else { return false };
         let Ok(found) = self.pools.binary_search_by_key(&pool, |it| it.0) else { return false };
-        let between = self.pools[found].1.iter().filter(|it| first.at < **it && **it < last.at);
-        between.count() >= CONTRAST_ANSWERS
+        let is_between = |it: &&(Time, Vec<Content>)| first.at < it.0 && it.0 < last.at;
+        let between = self.pools[found].1.iter().filter(is_between);
+        between.filter(|it| !it.1.contains(&content)).count() >= CONTRAST_ANSWERS
     }
 
     fn quarantine(&mut self, now: Time, content: Content, source: &str) {
@@ -525,7 +554,7 @@
             return;
         }
         let is_clear = self.suspects.charges(content).is_empty();
-        let crashes = self.suspects.crashes(now, content);
+        let crashes = self.crashes(now, content);
         let Some(state) = self.state_mut(content) else { return };
         let is_news = |it: (Time, Progress)| passed >= it.1 || now.since(it.0) >= NEWS_LIFETIME;
         if state.cleared.is_none_or(is_news) {
@@ -550,7 +579,7 @@
             Err(at) => self.survivors.insert(at, (crash, sent_at, now)),
         }
         for content in affected {
-            let crashes = self.suspects.crashes(now, content);
+            let crashes = self.crashes(now, content);
             if let Some(state) = self.state_mut(content)
                 && crashes < QUARANTINE_CRASHES
                 && std::mem::take(&mut state.is_quarantined)
@@ -623,6 +652,14 @@
     }
 }
 
+/// Whether content is a likely cause of a crash: a part as its answer began, a whole request at any time.
+fn is_likely(content: Content, charge: &Charge) -> bool {
+    match content {
+        Content::Part(_) => charge.progress.is_none_or(|it| it <= Progress::FIRST),
+        Content::Request(_) => true,
+    }
+}
+
 /// Several requests with a part may run on an upstream that crashes, and the shortest answer says how far the part had come
 /// for certain. Copies of one request are the cause at its furthest.
 fn merge(content: Content) -> Merge {
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -54,6 +54,12 @@
 /// Callers return spread over this time.
 const RETRY_SPREAD: f64 = 1.0;
 
+/// Longest time for which bytes of an upstream that has ended may lie unread on this host.
+const MAX_READ_DELAY: Span = Span::from_ms(100);
+
+/// Time after a closed connection for which the other connections of its upstream are looked at.
+const CUT_MEMORY: Span = Span::from_ms(2_000);
+
 /// Limits and back-offs that are kept of incarnations which are not listed.
 const MAX_UNLISTED: usize = 1_024;
 
@@ -453,7 +459,7 @@
     pub fn attempt_proceeded(&mut self, now: Time, attempt: AttemptKey, passed: Progress) {
         let Some(running) = self.running.get_mut(&attempt) else { return };
         if !std::mem::replace(&mut running.went_on, true) {
-            self.evidence.record_answer(now, pool_hash(&running.pool));
+            self.evidence.record_answer(now, pool_hash(&running.pool), &running.contents);
         }
         self.evidence.record_progress(now, &running.contents, passed);
     }
@@ -466,10 +472,25 @@
 
     /// Returns what other hosts need to know of content that crashes upstreams.
     pub fn evidence_news(&mut self, now: Time) -> messages::Evidence {
+        self.acquit_live_upstreams(now);
         self.evidence.review(now);
         self.evidence.news(now)
     }
 
+    /// Withdraws crashes of upstreams that closed one connection and went on sending on others.
+    fn acquit_live_upstreams(&mut self, now: Time) {
+        for (_, upstream) in &mut self.upstreams {
+            let Some(cut_at) = upstream.cut_at else { continue };
+            let last_activity = upstream.last_activity.get();
+            if last_activity >= cut_at + MAX_READ_DELAY {
+                upstream.cut_at = None;
+                self.evidence.record_alive(now, upstream.incarnation, last_activity);
+            } else if now.since(cut_at) >= CUT_MEMORY {
+                upstream.cut_at = None;
+            }
+        }
+    }
+
     /// Records what the response to an attempt says about its upstream's rate limit.
     pub fn limit_named(
         &mut self,
@@ -587,7 +608,7 @@
         match ending {
             Ending::Done => {
                 if !running.went_on {
-                    self.evidence.record_answer(now, pool);
+                    self.evidence.record_answer(now, pool, &running.contents);
                 }
                 self.evidence.record_progress(now, &running.contents, Progress::WHOLE);
             }
@@ -598,6 +619,9 @@
             _ => {}
         }
         let Some(upstream) = self.upstream_mut(running.upstream) else { return };
+        if ending == Ending::Failed {
+            upstream.cut_at.get_or_insert(now);
+        }
         upstream.pending_tokens[running.tier] -= running.pending_tokens;
         upstream.running -= 1;
         upstream.answering -= u32::from(running.answered);
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -80,6 +80,8 @@
     pub answering: u32,
     /// Time of the last bytes on any of its connections.
     pub last_activity: Rc<Cell<Time>>,
+    /// Time of the first connection that it closed during an answer, until its other connections show whether it lives.
+    pub cut_at: Option<Time>,
     /// Ejection after failures.
     pub health: Health,
     /// How much slower it is than expected.
@@ -118,6 +120,7 @@
             running: 0,
             answering: 0,
             last_activity: Rc::new(Cell::new(Time(0))),
+            cut_at: None,
             health: Health::default(),
             slowdown: Slowdown::default(),
             limit: rate_limit::Limit::default(),
--- a/tests/serving/crash_evidence.rs
+++ b/tests/serving/crash_evidence.rs
@@ -82,7 +82,7 @@
 
     fn answer(&mut self, host: usize, contents: &[Content]) {
         let now = self.now();
-        self.hosts[host].record_answer(now, POOL);
+        self.hosts[host].record_answer(now, POOL, contents);
         self.hosts[host].record_progress(now, contents, Progress::HEAD);
     }
 
@@ -546,3 +546,34 @@
     assert_eq!(ages.len(), 2);
     assert!(ages.iter().all(|it| Span(*it) > Span::from_ms(600_000)), "{ages:?}");
 }
+
+// Sound requests with the part go on between the crashes, which says nothing against the part.
+#[test]
+fn answers_to_content_itself_do_not_confirm_its_quarantine() {
+    let mut fleet = Fleet::new(2);
+    for crash in 0..4 {
+        crash_after(&mut fleet, crash % 2, 60);
+        fleet.pass(300);
+        fleet.answer_others(&[COMMON]);
+    }
+    fleet.pass(600);
+    let news = fleet.hosts[0].news(fleet.now());
+    let common = news.suspicions.iter().find(|it| it.content == COMMON);
+    assert!(common.is_some_and(|it| !it.is_confirmed), "{common:?}");
+}
+
+// Whichever upstreams crash under other requests, streams with the part go on there.
+#[test]
+fn a_part_of_streams_that_go_on_is_held_only_after_more_crashes() {
+    for (crashes, senders) in [(3, 4), (4, 4), (5, 0)] {
+        let mut fleet = Fleet::new(4);
+        for crash in 0..crashes {
+            fleet.crashes += 1;
+            let (now, key) = (fleet.now(), fleet.crashes);
+            let progress = Some(Progress::of(20));
+            fleet.hosts[crash % 4].record_crash(now, POOL, (key, progress), &[RARE]);
+            fleet.pass(600);
+        }
+        assert_eq!(fleet.senders(RARE).len(), senders, "{crashes} crashes");
+    }
+}
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -582,3 +582,29 @@
     let states: Vec<_> = capacity.entries().iter().map(|it| it.state).collect();
     assert_eq!(states, [State::Ready, State::Draining]);
 }
+
+// Engines that break answers off and go on with others, as after a fault of the network or of their own, have not crashed.
+#[test]
+fn engines_that_go_on_sending_after_a_cut_are_no_evidence_against_content() {
+    let part = Content::Part(0xa);
+    for went_on in [false, true] {
+        let mut host = host("host", &engines(6));
+        for round in 0..3_u64 {
+            let now = at(round * 210);
+            let ticket =
+                |number| Ticket { contents: vec![part], ..ticket(number, prompt(&[0xa], 10, 10)) };
+            let cut = grant(&mut host, now, &ticket(round * 2 + 1));
+            host.attempt_ended(now, cut.attempt, Ending::Failed);
+            if went_on {
+                cut.last_activity.set(now + Span::from_ms(110));
+            }
+            host.evidence_news(now + Span::from_ms(200));
+        }
+        host.evidence_news(at(1_000));
+        let mut actions = Vec::new();
+        let late = Ticket { contents: vec![part], ..ticket(100, prompt(&[0xa], 10, 10)) };
+        host.submit(at(1_000), &late, &mut actions);
+        let is_granted = matches!(actions.as_slice(), [Action::Grant(..)]);
+        assert_eq!(is_granted, went_on, "{actions:?}");
+    }
+}
