Let streams go on only at the version of the software that began them

Callers got answers joined from two versions: neither the host's own resumption nor a caller's take-up looked at the version of an upstream, and a host that takes a stream up knows nothing of the one that began it. Class: state of a conversation that only the process which began it had, and that the next one silently did without.

A host resumes a stream only at the version whose events were passed on, and remembers which version began each stream. A take-up names the request that brought the first event; a host that does not know it asks the store: while two versions serve in a pool, or did so lately, each host writes the streams that it forwarded in one record, every 250 ms at the most (4 ms for each host of the fleet if that is more). Which versions serve is one key for each pool, written once for each change, so that a host which has just started concludes the version only where no other one has ever served; after a return of the store from an older copy only once a host that has seen all has confirmed it. A stream of an unknown version, or of one that has left, is refused as not run. With one version nothing is written and nothing looked up, but for one read at each start of a host.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -52,6 +52,7 @@
     limited_sends: IntCounterVec,
     permits: IntCounterVec,
     cut_attempts: IntCounterVec,
+    taken_up_streams: IntCounterVec,
     upstream_answers: IntCounterVec,
     leaving_upstreams: IntCounterVec,
     backoffs: IntCounterVec,
@@ -112,6 +113,11 @@
             "Requests of this host for permits to send to rate-limited upstreams, by outcome.",
             &["outcome"],
         )?;
+        let taken_up_streams = counter(
+            "almondrack_taken_up_streams_total",
+            "Requests of callers that take up a stream, by whether the version that began it is known.",
+            &["origin"],
+        )?;
         let cut_attempts = counter(
             "almondrack_cut_attempts_total",
             "Attempts that ended as the upstream closed the connection, by how much of the answer had arrived.",
@@ -157,6 +163,7 @@
             limited_sends,
             permits,
             cut_attempts,
+            taken_up_streams,
             upstream_answers,
             leaving_upstreams,
             backoffs,
@@ -200,6 +207,11 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a request that takes up a stream whose origin is `known` or `unknown`.
+    pub fn stream_taken_up(&self, origin: &str) {
+        self.taken_up_streams.with_label_values(&[origin]).inc();
+    }
+
     /// Counts an attempt whose connection the upstream closed: with `none` of the answer, after its `head`, after the
     /// first event of a stream (`begun`) or after more of them (`gone_on`).
     pub fn attempt_cut(&self, answer: &str) {
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -40,6 +40,8 @@
 pub mod scaling;
 pub mod settings;
 pub mod stream;
+pub mod stream_origin;
+pub mod stream_records;
 mod sync_client;
 pub mod table;
 pub mod tier;
--- a/src/serving/counted_store.rs
+++ b/src/serving/counted_store.rs
@@ -20,6 +20,8 @@
     Leadership,
     /// Writing and sealing usage counts.
     Usage,
+    /// Writing and looking up where streams began.
+    Streams,
 }
 
 impl Cause {
@@ -32,6 +34,7 @@
             Cause::Registration => "registration",
             Cause::Leadership => "leadership",
             Cause::Usage => "usage",
+            Cause::Streams => "streams",
         }
     }
 }
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -32,6 +32,8 @@
         rate_limit,
         relay::{Cut, Relay, Resume},
         retry_budget,
+        stream_origin::Origin,
+        stream_records::Records,
         table::{Customer, RetryPolicy, Route},
         upstream_response,
         usage::Meter,
@@ -124,6 +126,7 @@
 struct Shared<D> {
     dialect: Rc<D>,
     dispatcher: Dispatcher,
+    records: Records,
     connections: connection_cache::Cache,
     retry_budget: retry_budget::Budget,
     meter: Meter,
@@ -178,6 +181,7 @@
     pub fn new(
         dialect: Rc<D>,
         dispatcher: Dispatcher,
+        records: Records,
         connections: connection_cache::Cache,
         retry_budget: retry_budget::Budget,
         meter: Meter,
@@ -188,6 +192,7 @@
         let shared = Shared {
             dialect,
             dispatcher,
+            records,
             connections,
             retry_budget,
             meter,
@@ -205,17 +210,24 @@
     /// Returns why the request has no response; `run` tells whether an upstream may have run it.
     pub async fn run(&self, request: RoutedRequest) -> Result<CallerResponse, Error> {
         let request = Rc::new(request);
-        let pool = self.choose_pool(&request);
+        let origin = self.origin(&request).await?;
+        let pool = match &origin {
+            Some(origin) => origin.pool.clone(),
+            None => self.choose_pool(&request),
+        };
+        let version = origin.and_then(|it| it.version);
         self.shared.retry_budget.record_request(&pool);
         let mut history = attempt_history::History::default();
         // A 5xx response of an upstream, which is returned if no retry gets a better one.
         let mut server_error = None;
         loop {
-            let upstream_response =
-                match self.send_until_response(&request, &pool, &mut history, None).await {
-                    Ok(upstream_response) => upstream_response,
-                    Err(error) => return server_error.ok_or(error),
-                };
+            let upstream_response = match self
+                .send_until_response(&request, &pool, &mut history, (None, &version))
+                .await
+            {
+                Ok(upstream_response) => upstream_response,
+                Err(error) => return server_error.ok_or(error),
+            };
             let instance = upstream_response.instance.clone();
             match self.caller_response(&request, &pool, &mut history, upstream_response).await {
                 Ok(response) if response.status.is_server_error() => {
@@ -263,10 +275,11 @@
         request: &RoutedRequest,
         pool: &Arc<str>,
         history: &mut attempt_history::History,
-        resume_after: Option<&str>,
+        (resume_after, version): (Option<&str>, &Option<Arc<str>>),
     ) -> Result<upstream_response::Response, Error> {
         loop {
-            let ticket = self.new_ticket(request, pool, history);
+            let ticket =
+                Ticket { version: version.clone(), ..self.new_ticket(request, pool, history) };
             let time_left = request.deadline.since(Time::now());
             let placed = timeout(time_left.into(), self.shared.dispatcher.submit(ticket)).await;
             let late = |_| Error::new(Kind::QueueTimeout, "no upstream was free in time");
@@ -587,6 +600,11 @@
                     request.log_resumes(),
                 );
             }
+            if request.route.retry_policy == RetryPolicy::Resume {
+                let first = request.resumes.as_ref().filter(|_| request.last_event_id.is_some());
+                let origin = Origin { pool: pool.clone(), version };
+                self.shared.records.record(first.unwrap_or(&request.id), origin);
+            }
             self.count_usage(request, history);
             let body = Body::Stream(Box::new(relay));
             return Ok(CallerResponse { status, headers, body });
@@ -646,13 +664,16 @@
             cut.events,
             request.log_parts(),
         );
-        if request.route.retry_policy != RetryPolicy::Resume
+        // A version that is not stated may be any.
+        if cut.version.is_none()
+            || request.route.retry_policy != RetryPolicy::Resume
             || !self.may_retry(request, pool, history, true)
         {
             log::info!("stream {id} cut after event {event}: {why}, not resumed");
             return None;
         }
-        match self.send_until_response(request, pool, history, after.as_deref()).await {
+        let target = (after.as_deref(), &cut.version);
+        match self.send_until_response(request, pool, history, target).await {
             Ok(response) if response.http.status().is_success() => {
                 log::info!(
                     "stream {id} resumed after event {event} at {} of version {}: {why}",
@@ -675,6 +696,33 @@
         }
     }
 
+    /// Returns where the stream began that a request takes up, `None` if it takes up none.
+    ///
+    /// # Errors
+    /// `NoUpstream` if that is not known, or the route does not lead there any more.
+    async fn origin(&self, request: &RoutedRequest) -> Result<Option<Origin>, Error> {
+        let Some(after) = request.last_event_id.filter(|it| *it > 0) else { return Ok(None) };
+        if request.route.retry_policy != RetryPolicy::Resume {
+            return Ok(None);
+        }
+        let pools: Vec<_> = request.route.destinations.iter().map(|it| it.pool.clone()).collect();
+        let origin = self.shared.records.find(request.resumes.as_ref(), pools.clone()).await;
+        let origin = origin.filter(|it| it.version.is_some() && pools.contains(&it.pool));
+        let outcome = if origin.is_some() { "known" } else { "unknown" };
+        self.shared.metrics.stream_taken_up(outcome);
+        if origin.is_none() {
+            log::info!(
+                "stream {} does not go on after event {after}: the version that began it is not known; {} began it",
+                request.log_id(),
+                request.log_resumes(),
+            );
+            let error =
+                Error::new(Kind::NoUpstream, "the version that began the stream is not known");
+            return Err(error.with_retry_after_ms(UNKNOWN_ORIGIN_RETRY_AFTER_MS));
+        }
+        Ok(origin)
+    }
+
     /// Selects the pool of a request at random, by the weights of the route's destinations.
     fn choose_pool(&self, request: &RoutedRequest) -> Arc<str> {
         let destinations = &request.route.destinations;
@@ -711,6 +759,7 @@
             deadline: request.deadline,
             tried: history.tried.clone(),
             contents: request.contents.clone(),
+            version: None,
         }
     }
 
@@ -766,6 +815,9 @@
     }
 }
 
+/// `Retry-After` of a stream of which it is not known where it began, in milliseconds. Records are written more often.
+const UNKNOWN_ORIGIN_RETRY_AFTER_MS: u64 = 400;
+
 /// `Retry-After` of a request that did not run, in milliseconds.
 const NOT_RUN_RETRY_AFTER_MS: u64 = 100;
 
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -31,6 +31,7 @@
         roster::{self, Roster},
         scaling,
         settings::Settings,
+        stream_records,
         usage::{self, Meter, Usage},
     },
     store::Store,
@@ -171,9 +172,19 @@
         let budget = retry_budget::Budget::new(settings.retries);
         task::spawn_local(divide_retry_budget(budget.clone(), fleet.roster.clone()));
         let room = buffer_memory::Memory::new(settings.memory_bytes / BUFFER_DIVISOR);
+        let (records, lookups) = stream_records::Records::open();
+        let options = stream_records::Options {
+            store: store.for_cause(Cause::Streams),
+            writer: writer.clone(),
+            upstreams: capacity.upstreams.clone(),
+            table: fleet.table.clone(),
+            roster: fleet.roster.clone(),
+        };
+        stream_records::spawn(options, lookups);
         let exchange = Exchange::new(
             dialect.clone(),
             dispatcher,
+            records,
             links,
             budget,
             meter.clone(),
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -98,6 +98,9 @@
     pub tried: Vec<UpstreamKey>,
     /// What in the request may crash upstreams.
     pub contents: Vec<Content>,
+    /// Version of the upstreams that may run the request, `None` if all may. A stream goes on only at the version that
+    /// began it.
+    pub version: Option<Arc<str>>,
 }
 
 /// Permission to send a request to an upstream.
@@ -733,12 +736,15 @@
         room_at.map_or(Choice::Nothing, Choice::Later)
     }
 
-    /// Returns the upstreams of a ticket's pool to which the request was not sent yet.
+    /// Returns the upstreams of a ticket's pool that may run the request and to which it was not sent yet.
     fn untried<'a>(
         &'a self,
         ticket: &'a Ticket,
     ) -> impl Iterator<Item = &'a (UpstreamKey, upstream_state::State)> + 'a {
-        self.serving(&ticket.pool).filter(|(key, _)| !ticket.tried.contains(key))
+        let fits = |it: &upstream_state::State| {
+            ticket.version.is_none() || ticket.version == it.entry.version
+        };
+        self.serving(&ticket.pool).filter(move |(key, it)| !ticket.tried.contains(key) && fits(it))
     }
 
     /// Selects among upstreams. Ejected ones are considered only if all are. A request that may crash its upstream is
--- /dev/null
+++ b/src/serving/stream_origin.rs
@@ -0,0 +1,262 @@
+//! Which version of an upstream's software began each stream, as one host knows it.
+//!
+//! What two versions write does not fit together, so that a stream goes on only at the version that began it. A host
+//! remembers the streams that it forwarded, and the versions that its list of upstreams has shown. Hosts that know nothing
+//! of a stream find it in the records that others wrote, or conclude its version where only one has ever served.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    rendezvous,
+    serving::registry::Entry,
+    time::{Span, Time},
+};
+
+/// Least time for which a stream may be taken up.
+const MIN_LIFETIME: Span = Span::from_ms(10_000);
+
+/// Most streams that a host remembers.
+const MAX_STREAMS: usize = 16_384;
+
+/// Most streams in the record of a host.
+const MAX_RECORDED: usize = 4_096;
+
+/// Hash of the id of the request that brought the first event of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StreamKey(pub u64);
+
+impl StreamKey {
+    /// Returns the key of the stream that a request with this id began.
+    pub fn of(id: &[u8]) -> StreamKey {
+        StreamKey(rendezvous::hash(&[b"stream", id]))
+    }
+}
+
+/// Where a stream began.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Origin {
+    /// Pool of the upstream.
+    pub pool: Arc<str>,
+    /// Version of its software, `None` if it does not state one.
+    pub version: Option<Arc<str>>,
+}
+
+/// A stream that has begun.
+#[derive(Debug, Clone)]
+struct Stream {
+    key: StreamKey,
+    began_at: Time,
+    origin: Origin,
+}
+
+/// A version of a pool in the list of upstreams.
+#[derive(Debug)]
+struct Listed {
+    origin: Origin,
+    /// When it was on the list last; `None` while it is.
+    until: Option<Time>,
+}
+
+/// What one host knows.
+#[derive(Debug)]
+pub struct Origins {
+    /// Since when the list of upstreams is followed; `None` before the first one.
+    listed_since: Option<Time>,
+    /// Sorted by key.
+    streams: Vec<Stream>,
+    /// Sorted by origin.
+    listed: Vec<Listed>,
+    /// Time for which a stream may be taken up. Never decreases.
+    lifetime: Span,
+}
+
+impl Default for Origins {
+    fn default() -> Origins {
+        Origins {
+            listed_since: None,
+            streams: Vec::new(),
+            listed: Vec::new(),
+            lifetime: MIN_LIFETIME,
+        }
+    }
+}
+
+impl Origins {
+    /// Records the longest timeout of a route whose streams may be taken up.
+    pub fn record_timeout(&mut self, timeout: Span) {
+        self.lifetime = self.lifetime.max(Span(timeout.0 * 2));
+    }
+
+    /// Returns the time for which a stream may be taken up.
+    pub fn lifetime(&self) -> Span {
+        self.lifetime
+    }
+
+    /// Records the list of upstreams.
+    pub fn record_list(&mut self, now: Time, entries: &[Entry]) {
+        if entries.is_empty() && self.listed_since.is_none() {
+            return;
+        }
+        self.listed_since.get_or_insert(now);
+        let mut origins: Vec<_> = entries
+            .iter()
+            .map(|it| Origin { pool: it.pool.clone(), version: it.version.clone() })
+            .collect();
+        origins.sort_unstable();
+        origins.dedup();
+        for listed in &mut self.listed {
+            match origins.binary_search(&listed.origin) {
+                Ok(at) => {
+                    listed.until = None;
+                    origins.remove(at);
+                }
+                Err(_) => {
+                    listed.until.get_or_insert(now);
+                }
+            }
+        }
+        self.listed.extend(origins.into_iter().map(|origin| Listed { origin, until: None }));
+        self.listed.sort_unstable_by(|a, b| a.origin.cmp(&b.origin));
+    }
+
+    /// Forgets streams that are too old to be taken up, and versions that have been gone for as long.
+    pub fn remove_expired(&mut self, now: Time) {
+        let lifetime = self.lifetime;
+        self.streams.retain(|it| now.since(it.began_at) < lifetime);
+        self.listed.retain(|it| it.until.is_none_or(|until| now.since(until) < lifetime));
+    }
+
+    /// Whether a version is on the list, or was so recently that its streams may be taken up.
+    pub fn is_recent(&self, origin: &Origin) -> bool {
+        self.listed.binary_search_by(|it| it.origin.cmp(origin)).is_ok()
+    }
+
+    /// Returns the versions of a pool whose streams may be taken up.
+    pub fn recent<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Origin> + 'a {
+        self.listed.iter().map(|it| &it.origin).filter(move |it| *it.pool == *pool)
+    }
+
+    /// Whether streams of two versions of a pool may be taken up.
+    pub fn is_mixed(&self, pool: &str) -> bool {
+        self.recent(pool).nth(1).is_some()
+    }
+
+    /// Whether this host has followed the list for so long that it has seen the version of each stream that may be taken up.
+    pub fn has_seen_all(&self, now: Time) -> bool {
+        self.listed_since.is_some_and(|it| now.since(it) >= self.lifetime)
+    }
+
+    /// Records that a stream has begun.
+    pub fn record_stream(&mut self, now: Time, key: StreamKey, origin: Origin) {
+        if self.streams.len() >= MAX_STREAMS {
+            self.remove_expired(now);
+        }
+        if self.streams.len() >= MAX_STREAMS {
+            let mut times: Vec<_> = self.streams.iter().map(|it| it.began_at).collect();
+            times.sort_unstable();
+            let median = times[times.len() / 2];
+            self.streams.retain(|it| it.began_at > median);
+        }
+        match self.streams.binary_search_by_key(&key, |it| it.key) {
+            Ok(at) => self.streams[at].began_at = now,
+            Err(at) => self.streams.insert(at, Stream { key, began_at: now, origin }),
+        }
+    }
+
+    /// Returns where a stream began, if this host knows: it forwarded its first event, heard of it, or has seen only one
+    /// version in the only pool of the route.
+    pub fn find(&self, now: Time, key: Option<StreamKey>, pools: &[Arc<str>]) -> Option<Origin> {
+        let known = |it: StreamKey| self.streams.binary_search_by_key(&it, |it| it.key).ok();
+        if let Some(at) = key.and_then(known) {
+            return Some(self.streams[at].origin.clone());
+        }
+        let [pool] = pools else { return None };
+        let mut versions = self.recent(pool);
+        let only = versions.next()?.clone();
+        (versions.next().is_none() && self.has_seen_all(now)).then_some(only)
+    }
+
+    /// Returns the record of the streams of pools in which two versions serve, the newest ones if they are too many.
+    pub fn record(&self) -> Record {
+        let mut streams: Vec<_> =
+            self.streams.iter().filter(|it| self.is_mixed(&it.origin.pool)).collect();
+        if streams.len() > MAX_RECORDED {
+            streams.sort_by_key(|it| std::cmp::Reverse(it.began_at));
+            streams.truncate(MAX_RECORDED);
+        }
+        let mut record = Record::default();
+        for stream in streams {
+            let found = record.origins.iter().position(|it| *it == stream.origin);
+            let index = found.unwrap_or_else(|| {
+                record.origins.push(stream.origin.clone());
+                record.origins.len() - 1
+            });
+            record.streams.push((stream.key.0, index as u32));
+        }
+        record
+    }
+
+    /// Adds what another host has recorded.
+    pub fn merge(&mut self, now: Time, record: &Record) {
+        for (key, index) in &record.streams {
+            let key = StreamKey(*key);
+            let is_known = self.streams.binary_search_by_key(&key, |it| it.key).is_ok();
+            if let Some(origin) = record.origins.get(*index as usize)
+                && !is_known
+            {
+                self.record_stream(now, key, origin.clone());
+            }
+        }
+    }
+}
+
+/// Streams that one host forwarded, as it writes them to the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Where the streams began, each once.
+    pub origins: Vec<Origin>,
+    /// Key of each stream, with the index of its origin.
+    pub streams: Vec<(u64, u32)>,
+}
+
+/// The versions of a pool whose streams may be taken up, as hosts write them to the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versions {
+    /// Sorted.
+    pub versions: Vec<Option<Arc<str>>>,
+    /// Era of the store in which a host that had seen all versions confirmed them, `None` if none has. A store that comes
+    /// back from an older copy may have lost some.
+    pub era: Option<u64>,
+}
+
+impl Versions {
+    /// Adds the given versions. `has_seen_all` tells whether no other one can have served in this era. Returns whether
+    /// anything changed.
+    pub fn add<'a>(
+        &mut self,
+        versions: impl Iterator<Item = &'a Origin>,
+        era: u64,
+        has_seen_all: bool,
+    ) -> bool {
+        let before = self.clone();
+        for origin in versions {
+            if let Err(at) = self.versions.binary_search(&origin.version) {
+                self.versions.insert(at, origin.version.clone());
+            }
+        }
+        if has_seen_all {
+            self.era = Some(era);
+        }
+        *self != before
+    }
+
+    /// Returns the only version, if no other one can have served.
+    pub fn only(&self, era: u64) -> Option<Option<Arc<str>>> {
+        match self.versions.as_slice() {
+            [only] if self.era == Some(era) => Some(only.clone()),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/serving/stream_records.rs
@@ -0,0 +1,392 @@
+//! Tasks that write down where streams began, for hosts that know nothing of them, and look it up.
+//!
+//! While two versions serve in a pool, each host writes the streams that it forwarded to the store in short intervals. Which
+//! versions serve is written once for each change.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+
+use http::HeaderValue;
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    rendezvous,
+    serving::{
+        registry::Entry,
+        roster::Roster,
+        stream_origin::{Origin, Origins, Record, StreamKey, Versions},
+        table::{RetryPolicy, Table},
+    },
+    store::{Commit, Committed, Failure, LeaseId, Put, Store},
+    time::{Span, Time},
+};
+
+/// Prefix of all keys.
+const PREFIX: &str = "almondrack/origins/";
+
+/// Prefix of the keys of versions, before the name of the pool.
+const VERSIONS_PREFIX: &str = "almondrack/origins/versions/";
+
+/// Prefix of the keys of records, before the name of the writer.
+const RECORDS_PREFIX: &str = "almondrack/origins/streams/";
+
+/// Shortest interval between two records of a host.
+const MIN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Interval for each host of the fleet, so that all hosts together write no more than 250 records a second.
+const INTERVAL_PER_HOST: Duration = Duration::from_millis(4);
+
+/// Doublings of the interval while the store does not answer, at most.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// Length of the lease under which records are written, in milliseconds. Records of a host that has ended remain for as
+/// long.
+const LEASE_MS: u64 = 60_000;
+
+/// Age from which the lease is renewed.
+const LEASE_RENEWAL: Span = Span::from_ms(20_000);
+
+/// Longest time by which hosts delay the same write differently, so that the first one spares the others.
+const SPREAD_MS: u64 = 200;
+
+/// Longest wait for what the store has about a stream.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// A question where a stream began.
+#[derive(Debug)]
+struct Lookup {
+    key: Option<StreamKey>,
+    pools: Vec<Arc<str>>,
+    answer: oneshot::Sender<Option<Origin>>,
+}
+
+/// Handle to the tasks; clones share it.
+#[derive(Debug, Clone)]
+pub struct Records {
+    origins: Rc<RefCell<Origins>>,
+    lookups: mpsc::UnboundedSender<Lookup>,
+}
+
+/// What the tasks of a handle receive. Without them the handle knows only what its own host has seen.
+#[derive(Debug)]
+pub struct Mailbox {
+    origins: Rc<RefCell<Origins>>,
+    lookups: mpsc::UnboundedReceiver<Lookup>,
+}
+
+/// Dependencies of the tasks.
+pub struct Options<S> {
+    /// The platform's store.
+    pub store: S,
+    /// Name of this host's records, unique to the process.
+    pub writer: String,
+    /// Entries of all usable upstreams.
+    pub upstreams: watch::Receiver<Rc<Vec<Entry>>>,
+    /// Configuration in force.
+    pub table: watch::Receiver<Option<Arc<Table>>>,
+    /// Registered hosts.
+    pub roster: watch::Receiver<Rc<Roster>>,
+}
+
+impl Records {
+    /// Creates a handle.
+    pub fn open() -> (Records, Mailbox) {
+        let (sender, lookups) = mpsc::unbounded_channel();
+        let origins = Rc::new(RefCell::new(Origins::default()));
+        (Records { origins: origins.clone(), lookups: sender }, Mailbox { origins, lookups })
+    }
+
+    /// Records that the first event of a stream has arrived. `id` is that of the request that brought it.
+    pub fn record(&self, id: &HeaderValue, origin: Origin) {
+        let key = StreamKey::of(id.as_bytes());
+        self.origins.borrow_mut().record_stream(Time::now(), key, origin);
+    }
+
+    /// Returns where a stream began that a request with this id brought first, `None` if that is not known. `pools` are
+    /// those to which the route may send it.
+    pub async fn find(&self, id: Option<&HeaderValue>, pools: Vec<Arc<str>>) -> Option<Origin> {
+        let key = id.map(|it| StreamKey::of(it.as_bytes()));
+        let known = self.origins.borrow().find(Time::now(), key, &pools);
+        if known.is_some() {
+            return known;
+        }
+        let (answer, found) = oneshot::channel();
+        self.lookups.send(Lookup { key, pools, answer }).ok()?;
+        timeout(LOOKUP_TIMEOUT, found).await.ok()?.ok()?
+    }
+}
+
+/// Spawns the tasks on the current thread.
+pub fn spawn<S: Store>(options: Options<S>, mailbox: Mailbox) {
+    let Mailbox { origins, lookups } = mailbox;
+    task::spawn_local(answer(options.store.clone(), origins.clone(), lookups));
+    let writer = Writer {
+        options,
+        origins,
+        confirmed: Vec::new(),
+        era: 0,
+        lease: None,
+        written: Record::default(),
+        attempts: 0,
+    };
+    task::spawn_local(writer.run());
+}
+
+/// Answers questions from the store, all that wait with one listing.
+async fn answer<S: Store>(
+    store: S,
+    origins: Rc<RefCell<Origins>>,
+    mut lookups: mpsc::UnboundedReceiver<Lookup>,
+) {
+    while let Some(first) = lookups.recv().await {
+        let mut waiting = vec![first];
+        while let Ok(next) = lookups.try_recv() {
+            waiting.push(next);
+        }
+        let versions = match read(&store, &origins).await {
+            Ok(versions) => versions,
+            Err(failure) => {
+                log::info!(
+                    "where {} streams began cannot be looked up, so that they do not go on: {failure}",
+                    waiting.len()
+                );
+                Vec::new()
+            }
+        };
+        let era = store.era();
+        for Lookup { key, pools, answer } in waiting {
+            let known = origins.borrow().find(Time::now(), key, &pools);
+            let found = known.or_else(|| {
+                let [pool] = pools.as_slice() else { return None };
+                let (_, versions) = versions.iter().find(|it| it.0 == **pool)?;
+                Some(Origin { pool: pool.clone(), version: versions.only(era)? })
+            });
+            // The request may have been given up.
+            let _ = answer.send(found);
+        }
+    }
+}
+
+/// Reads all records, and returns the versions of each pool.
+async fn read<S: Store>(
+    store: &S,
+    origins: &Rc<RefCell<Origins>>,
+) -> Result<Vec<(String, Versions)>, Failure> {
+    let mut versions = Vec::new();
+    let mut after = String::new();
+    loop {
+        let page = store.list(PREFIX, &after).await?;
+        for item in &page.items {
+            if let Some(pool) = item.key.strip_prefix(VERSIONS_PREFIX) {
+                if let Some(decoded) = decode(&item.key, &item.value) {
+                    versions.push((pool.to_owned(), decoded));
+                }
+            } else if let Some(record) = decode::<Record>(&item.key, &item.value) {
+                origins.borrow_mut().merge(Time::now(), &record);
+            }
+        }
+        match page.items.last() {
+            Some(last) if page.more => after.clone_from(&last.key),
+            _ => return Ok(versions),
+        }
+    }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(key: &str, value: &[u8]) -> Option<T> {
+    let decoded = serde_json::from_slice(value);
+    decoded.inspect_err(|error| log::warn!("{key} cannot be decoded and is ignored: {error}")).ok()
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> Result<Vec<u8>, Failure> {
+    serde_json::to_vec(value).map_err(|error| Failure::Invalid(error.to_string()))
+}
+
+/// Writes what other hosts may need.
+struct Writer<S> {
+    options: Options<S>,
+    origins: Rc<RefCell<Origins>>,
+    /// Versions that the store is known to have.
+    confirmed: Vec<Origin>,
+    /// Era of the store in which they were confirmed.
+    era: u64,
+    lease: Option<(LeaseId, Time)>,
+    /// Record that was written last.
+    written: Record,
+    /// Number of writes without an answer. Each may still take effect, so that the next write has another key.
+    attempts: u64,
+}
+
+impl<S: Store> Writer<S> {
+    async fn run(mut self) {
+        let mut upstreams = self.options.upstreams.clone();
+        let mut failures = 0_u32;
+        loop {
+            match self.step().await {
+                Ok(()) => failures = 0,
+                Err(failure) => {
+                    if failures == 0 {
+                        log::info!(
+                            "where streams began could not be written: {failure}; tried again"
+                        );
+                    }
+                    failures += 1;
+                }
+            }
+            let hosts = self.options.roster.borrow().len() as u32;
+            let interval = MIN_INTERVAL.max(INTERVAL_PER_HOST * hosts);
+            // Each refused call is charged as well.
+            let interval = interval * (1 << failures.min(MAX_DOUBLINGS));
+            tokio::select! {
+                changed = upstreams.changed() => if changed.is_err() { return },
+                () = sleep(interval) => {}
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Result<(), Failure> {
+        let pools = self.resumable_pools();
+        {
+            let mut origins = self.origins.borrow_mut();
+            let now = Time::now();
+            origins.record_list(now, &self.options.upstreams.borrow());
+            origins.remove_expired(now);
+        }
+        let era = self.options.store.era();
+        if self.era != era {
+            self.era = era;
+            self.confirmed.clear();
+        }
+        for pool in &pools {
+            let recent: Vec<_> = self.origins.borrow().recent(pool).cloned().collect();
+            if recent.iter().any(|it| !self.confirmed.contains(it)) {
+                self.confirm(pool, &recent).await?;
+            }
+            let is_gone = |it: &Origin| *it.pool == **pool && !recent.contains(it);
+            if self.confirmed.iter().any(is_gone) {
+                self.prune(pool).await?;
+            }
+        }
+        self.write_record(&pools).await
+    }
+
+    /// Returns the pools to which streams go that may be taken up, and notes how long that may be.
+    fn resumable_pools(&self) -> Vec<Arc<str>> {
+        let table = self.options.table.borrow();
+        let mut pools = Vec::new();
+        for route in table.iter().flat_map(|it| it.routes()) {
+            if route.retry_policy == RetryPolicy::Resume {
+                self.origins.borrow_mut().record_timeout(Span::from_ms(route.timeout_ms));
+                pools.extend(route.destinations.iter().map(|it| it.pool.clone()));
+            }
+        }
+        pools.sort_unstable();
+        pools.dedup();
+        pools
+    }
+
+    /// Makes sure that the store names the recent versions of a pool.
+    async fn confirm(&mut self, pool: &Arc<str>, recent: &[Origin]) -> Result<(), Failure> {
+        let spread = rendezvous::hash(&[self.options.writer.as_bytes(), pool.as_bytes()]);
+        sleep(Duration::from_millis(spread % SPREAD_MS)).await;
+        let key = format!("{VERSIONS_PREFIX}{pool}");
+        let item = self.options.store.get(&key).await?;
+        let era = self.options.store.era();
+        let known = item.as_ref().and_then(|it| decode::<Versions>(&key, &it.value));
+        let is_first = item.is_none() && era == 0;
+        let mut versions = known.unwrap_or_default();
+        let has_seen_all = is_first || self.origins.borrow().has_seen_all(Time::now());
+        let is_news = versions.add(recent.iter(), era, has_seen_all);
+        if is_news && !self.commit(&key, item.map_or(0, |it| it.revision), &versions).await? {
+            // Another host was faster; the next step reads what it wrote.
+            return Ok(());
+        }
+        if is_news {
+            log::info!(
+                "pool {pool} serves streams in {} versions: {versions:?}",
+                versions.versions.len()
+            );
+        }
+        self.confirmed.retain(|it| it.pool != *pool);
+        let origin = |it| Origin { pool: pool.clone(), version: it };
+        self.confirmed.extend(versions.versions.into_iter().map(origin));
+        Ok(())
+    }
+
+    /// Removes the versions of a pool from the store whose streams cannot be taken up any more.
+    async fn prune(&mut self, pool: &Arc<str>) -> Result<(), Failure> {
+        if !self.origins.borrow().has_seen_all(Time::now()) {
+            return Ok(());
+        }
+        let key = format!("{VERSIONS_PREFIX}{pool}");
+        let Some(item) = self.options.store.get(&key).await? else { return Ok(()) };
+        let Some(mut versions) = decode::<Versions>(&key, &item.value) else { return Ok(()) };
+        let before = versions.versions.len();
+        versions.versions.retain(|it| {
+            self.origins.borrow().is_recent(&Origin { pool: pool.clone(), version: it.clone() })
+        });
+        let is_pruned = versions.versions.len() == before
+            || self.commit(&key, item.revision, &versions).await?;
+        if is_pruned {
+            let origins = self.origins.borrow();
+            self.confirmed.retain(|it| it.pool != *pool || origins.is_recent(it));
+            log::info!("pool {pool} serves streams in {} versions", versions.versions.len());
+        }
+        Ok(())
+    }
+
+    /// Writes a key if it still has the given revision. Returns whether it had.
+    async fn commit(&self, key: &str, revision: u64, value: &Versions) -> Result<bool, Failure> {
+        let put = Put { key: key.to_owned(), value: encode(value)?.into(), lease: None };
+        let commit = Commit {
+            expect: vec![(key.to_owned(), revision)],
+            put: vec![put],
+            ..Commit::default()
+        };
+        Ok(matches!(self.options.store.commit(&commit).await?, Committed::Done(_)))
+    }
+
+    /// Writes the streams of this host while their pools have two versions.
+    async fn write_record(&mut self, pools: &[Arc<str>]) -> Result<(), Failure> {
+        if !pools.iter().any(|it| self.origins.borrow().is_mixed(it)) {
+            return Ok(());
+        }
+        let record = self.origins.borrow().record();
+        if record == self.written {
+            return Ok(());
+        }
+        let lease = self.lease().await?;
+        let key = format!("{RECORDS_PREFIX}{}-{}", self.options.writer, self.attempts);
+        let put = vec![Put { key, value: encode(&record)?.into(), lease: Some(lease) }];
+        match self.options.store.commit(&Commit { put, ..Commit::default() }).await {
+            Ok(Committed::Done(_)) => self.written = record,
+            Ok(Committed::Conflict | Committed::LeaseEnded) => self.lease = None,
+            Err(failure) => {
+                self.attempts += u64::from(!matches!(failure, Failure::Refused(_)));
+                return Err(failure);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the lease for records, renewed if it is time.
+    async fn lease(&mut self) -> Result<LeaseId, Failure> {
+        let now = Time::now();
+        if let Some((lease, renewed_at)) = self.lease {
+            if now.since(renewed_at) < LEASE_RENEWAL {
+                return Ok(lease);
+            }
+            if self.options.store.renew_lease(lease).await? {
+                self.lease = Some((lease, now));
+                return Ok(lease);
+            }
+        }
+        let lease = self.options.store.open_lease(LEASE_MS).await?;
+        self.lease = Some((lease, now));
+        // Keys of an earlier lease have ended with it.
+        self.written = Record::default();
+        Ok(lease)
+    }
+}
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -12,7 +12,7 @@
         exchange::{Body, CallerResponse, Exchange, RoutedRequest},
         rate_limit,
         registry::Entry,
-        retry_budget,
+        retry_budget, stream_records,
         table::{Customer, Destination, RetryPolicy, Route},
         usage::Meter,
     },
@@ -280,6 +280,7 @@
     Exchange::new(
         Rc::new(TestDialect),
         dispatcher,
+        stream_records::Records::open().0,
         connection_cache::Cache::default(),
         retry_budget::Budget::new(budget_config),
         meter,
--- a/tests/serving/fixture.rs
+++ b/tests/serving/fixture.rs
@@ -64,6 +64,7 @@
         deadline: at(10_000),
         tried: Vec::new(),
         contents: Vec::new(),
+        version: None,
     }
 }
 
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -18,5 +18,6 @@
 mod retry_budget;
 mod run_status;
 mod stream;
+mod stream_origin;
 mod unframed;
 mod usage;
