Charge parts only as answers begin, and clear a charge at twice its events

Parts crash upstreams as their answers begin, so that later ends are charged to whole requests alone, as callers saw. An answer with two events clears charges after one, which is what 'twice as far' says, and bytes may lie unread for 250 ms on a busy host before they count as a sign of life.

--- a/src/serving/crash_evidence.rs
+++ b/src/serving/crash_evidence.rs
@@ -21,10 +21,6 @@
 /// Separate crashes without an answer in between after which content is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
 
-/// Separate crashes of a part that do not count if its answers had gone on. Sound parts of streams that go on are on most
-/// upstreams that crash.
-const LATE_EXCESS: usize = 2;
-
 /// Separate crashes that confirm a quarantine whether or not answers had begun.
 const PROOF_CRASHES: usize = 6;
 
@@ -202,7 +198,7 @@
         if let Some(reason) = reasons.max_by_key(|it| (it.crashes, it.retry_after)) {
             return Verdict::Quarantined(reason);
         }
-        let is_suspect = |it: &Content| self.crashes(now, *it) >= SUSPECT_CRASHES;
+        let is_suspect = |it: &Content| self.suspects.crashes(now, *it) >= SUSPECT_CRASHES;
         if contents.iter().any(is_suspect) { Verdict::Suspect } else { Verdict::Clear }
     }
 
@@ -237,10 +233,7 @@
             charged = contents.to_vec();
         }
         let charge = Charge { crash: CrashKey(incarnation), at: now, progress };
-        // A stream that was going on when its part was quarantined does not put off the next trial.
-        charged.retain(|it| {
-            is_likely(*it, &charge) || self.state(*it).is_none_or(|it| !it.is_quarantined)
-        });
+        charged.retain(|it| is_likely(*it, progress));
         for content in charged {
             self.charge(now, (pool, content), charge);
         }
@@ -369,7 +362,7 @@
     ) -> Option<Reason> {
         let last = self.suspects.charges(content).last()?.at;
         let state = self.state(content)?;
-        let crashes = self.crashes(now, content);
+        let crashes = self.suspects.crashes(now, content);
         if !state.is_quarantined {
             let retry_after = MIN_CRASH_INTERVAL;
             let is_held = is_repeat && crashes >= SUSPECT_CRASHES;
@@ -459,50 +452,29 @@
     /// likely cause beside one that just had.
     fn has_evidence(&self, now: Time, content: Content) -> bool {
         let charges = self.suspects.charges(content);
-        let count = |content: Content, charges: &[Charge]| {
-            charges.iter().filter(|it| is_likely(content, it)).count()
-        };
         let explains = |(other, its): &(Content, &[Charge]), charge: &Charge| {
             let Some(its_charge) = its.iter().find(|it| it.crash == charge.crash) else {
                 return false;
             };
-            let own = match is_likely(content, charge) {
-                true => count(content, charges),
-                false => charges.len(),
-            };
             let is_quarantined = || self.state(*other).is_some_and(|it| it.is_quarantined);
             let just_began = its_charge.progress.is_some_and(|it| it <= Progress::FIRST);
             let began_alone = just_began && charge.progress.is_none();
-            *other != content
-                && is_likely(*other, its_charge)
-                && (began_alone || count(*other, its) > own || is_quarantined())
+            *other != content && (began_alone || its.len() > charges.len() || is_quarantined())
         };
         let is_explained = |it: &Charge| self.suspects.iter().any(|other| explains(&other, it));
         let is_settled = |it: &Charge| now.since(it.at) >= SETTLE_TIME;
         let rest: Vec<_> =
             charges.iter().filter(|it| is_settled(it) && !is_explained(it)).copied().collect();
-        let burst = count(content, &rest) >= BURST_CRASHES;
-        let separate = self.separate(now, content, &rest);
-        separate >= QUARANTINE_CRASHES || (separate > 1 && burst)
-    }
-
-    /// Returns the number of separate crashes that count against content.
-    fn crashes(&self, now: Time, content: Content) -> usize {
-        self.separate(now, content, self.suspects.charges(content))
-    }
-
-    fn separate(&self, now: Time, content: Content, charges: &[Charge]) -> usize {
-        let likely: Vec<_> = charges.iter().filter(|it| is_likely(content, it)).copied().collect();
-        let all = self.suspects.separate(now, charges);
-        self.suspects.separate(now, &likely).max(all.saturating_sub(LATE_EXCESS))
+        let separate = self.suspects.separate(now, &rest);
+        separate >= QUARANTINE_CRASHES || (separate > 1 && rest.len() >= BURST_CRASHES)
     }
 
     /// Whether the charges are more than bad luck: upstreams had begun to answer requests with the content, or crashed
     /// many times.
     fn has_proof(&self, now: Time, content: Content) -> bool {
-        let crashes = self.crashes(now, content);
-        let has_begun = |it: &&Charge| it.progress.is_some() && is_likely(content, it);
-        let began = self.suspects.charges(content).iter().filter(has_begun).count();
+        let crashes = self.suspects.crashes(now, content);
+        let began =
+            self.suspects.charges(content).iter().filter(|it| it.progress.is_some()).count();
         crashes >= PROOF_CRASHES || (crashes >= QUARANTINE_CRASHES && began >= PROOF_BEGUN)
     }
 
@@ -554,7 +526,7 @@
             return;
         }
         let is_clear = self.suspects.charges(content).is_empty();
-        let crashes = self.crashes(now, content);
+        let crashes = self.suspects.crashes(now, content);
         let Some(state) = self.state_mut(content) else { return };
         let is_news = |it: (Time, Progress)| passed >= it.1 || now.since(it.0) >= NEWS_LIFETIME;
         if state.cleared.is_none_or(is_news) {
@@ -579,7 +551,7 @@
             Err(at) => self.survivors.insert(at, (crash, sent_at, now)),
         }
         for content in affected {
-            let crashes = self.crashes(now, content);
+            let crashes = self.suspects.crashes(now, content);
             if let Some(state) = self.state_mut(content)
                 && crashes < QUARANTINE_CRASHES
                 && std::mem::take(&mut state.is_quarantined)
@@ -652,10 +624,11 @@
     }
 }
 
-/// Whether content is a likely cause of a crash: a part as its answer began, a whole request at any time.
-fn is_likely(content: Content, charge: &Charge) -> bool {
+/// Whether content is a likely cause of a crash: a part as its answer begins, a whole request at any time. Sound parts of
+/// streams that go on are on most upstreams that crash.
+fn is_likely(content: Content, progress: Option<Progress>) -> bool {
     match content {
-        Content::Part(_) => charge.progress.is_none_or(|it| it <= Progress::FIRST),
+        Content::Part(_) => progress.is_none_or(|it| it <= Progress::FIRST),
         Content::Request(_) => true,
     }
 }
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -55,7 +55,7 @@
 const RETRY_SPREAD: f64 = 1.0;
 
 /// Longest time for which bytes of an upstream that has ended may lie unread on this host.
-const MAX_READ_DELAY: Span = Span::from_ms(100);
+const MAX_READ_DELAY: Span = Span::from_ms(250);
 
 /// Time after a closed connection for which the other connections of its upstream are looked at.
 const CUT_MEMORY: Span = Span::from_ms(2_000);
--- a/src/suspicion.rs
+++ b/src/suspicion.rs
@@ -29,7 +29,10 @@
     /// The furthest progress that an answer has left behind for certain with a number of events, which is at least twice as
     /// many. `None` below two events.
     pub fn passed_with(events: u32) -> Option<Progress> {
-        let magnitude = events.checked_ilog2()?.checked_sub(1)?;
+        if events < 2 {
+            return None;
+        }
+        let magnitude = events.saturating_add(2).ilog2() - 1;
         Some(Progress((magnitude as u8).min(Progress::WHOLE.0 - 1)))
     }
 
