--- a/src/serving/crash_evidence.rs
+++ b/src/serving/crash_evidence.rs
@@ -38,8 +38,8 @@
 /// answered, the upstreams may be the cause.
 const CONTRAST_ANSWERS: usize = 5;
 
-/// Answers of a pool whose times are kept.
-const MAX_ANSWER_TIMES: usize = 16;
+/// Answers of a pool that are kept.
+const MAX_ANSWERS: usize = 16;
 
 /// Time after the last crash at which content is tried again whose quarantine is not confirmed.
 const UNCONFIRMED_TRIAL_DELAY: Span = Span::from_ms(1_000);
@@ -148,6 +148,14 @@
     changed_at: Time,
 }
 
+/// An answer that went on.
+#[derive(Debug)]
+struct Answer {
+    at: Time,
+    /// Contents of its request.
+    contents: Vec<Content>,
+}
+
 /// Evidence of one host.
 #[derive(Debug)]
 pub struct Evidence {
@@ -158,7 +166,7 @@
     /// When content was last answered far enough to clear charges of each progress. Sorted by content.
     answered: Vec<(Content, [Time; LEVELS])>,
     /// When the last answers of each pool went on and to what, oldest first. Sorted by the hash of the pool's name.
-    pools: Vec<(u64, VecDeque<(Time, Vec<Content>)>)>,
+    pools: Vec<(u64, VecDeque<Answer>)>,
     /// Upstreams that answered a request which was sent after they were thought to have crashed: when that request was
     /// sent, and when this host learnt of it. Sorted by the upstream's incarnation.
     survivors: Vec<(CrashKey, Time, Time)>,
@@ -248,11 +256,11 @@
                 at
             }
         };
-        let times = &mut self.pools[at].1;
-        if times.len() >= MAX_ANSWER_TIMES {
-            times.pop_front();
+        let answers = &mut self.pools[at].1;
+        if answers.len() >= MAX_ANSWERS {
+            answers.pop_front();
         }
-        times.push_back((now, contents.to_vec()));
+        answers.push_back(Answer { at: now, contents: contents.to_vec() });
         self.start_turns(pool, now);
     }
 
@@ -483,9 +491,9 @@
         let charges = self.suspects.charges(content);
         let (Some(first), Some(last)) = (charges.first(), charges.last()) else { return false };
         let Ok(found) = self.pools.binary_search_by_key(&pool, |it| it.0) else { return false };
-        let is_between = |it: &&(Time, Vec<Content>)| first.at < it.0 && it.0 < last.at;
+        let is_between = |it: &&Answer| first.at < it.at && it.at < last.at;
         let between = self.pools[found].1.iter().filter(is_between);
-        between.filter(|it| !it.1.contains(&content)).count() >= CONTRAST_ANSWERS
+        between.filter(|it| !it.contents.contains(&content)).count() >= CONTRAST_ANSWERS
     }
 
     fn quarantine(&mut self, now: Time, content: Content, source: &str) {
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -123,20 +123,42 @@
     }
 }
 
+/// What an exchange works with.
+#[derive(Debug)]
+pub struct Parts<D> {
+    /// Reads and writes the headers of upstreams.
+    pub dialect: Rc<D>,
+    /// Selects the upstream of each attempt.
+    pub dispatcher: Dispatcher,
+    /// Knows which version began each stream.
+    pub records: Records,
+    /// Connections to upstreams.
+    pub connections: connection_cache::Cache,
+    /// Limits retries.
+    pub retry_budget: retry_budget::Budget,
+    /// Counts requests by customer.
+    pub meter: Meter,
+    /// Memory for responses that are not passed on yet.
+    pub buffer_memory: buffer_memory::Memory,
+    /// Metrics of the host.
+    pub metrics: Metrics,
+}
+
 struct Shared<D> {
-    dialect: Rc<D>,
-    dispatcher: Dispatcher,
-    records: Records,
-    connections: connection_cache::Cache,
-    retry_budget: retry_budget::Budget,
-    meter: Meter,
-    buffer_memory: buffer_memory::Memory,
-    metrics: Metrics,
+    parts: Parts<D>,
     tickets: Cell<u64>,
     /// When a `Retry-After` that is no time was last logged.
     invalid_backoff_logged: Cell<Time>,
 }
 
+impl<D> std::ops::Deref for Shared<D> {
+    type Target = Parts<D>;
+
+    fn deref(&self) -> &Parts<D> {
+        &self.parts
+    }
+}
+
 /// Returns what in a request may crash upstreams: each part of the prompt that other requests may share, and the request
 /// as a whole.
 pub fn contents(
@@ -177,30 +199,10 @@
 }
 
 impl<D: Dialect> Exchange<D> {
-    /// Creates an exchange from its components.
-    pub fn new(
-        dialect: Rc<D>,
-        dispatcher: Dispatcher,
-        records: Records,
-        connections: connection_cache::Cache,
-        retry_budget: retry_budget::Budget,
-        meter: Meter,
-        buffer_memory: buffer_memory::Memory,
-        metrics: Metrics,
-    ) -> Exchange<D> {
-        let tickets = Cell::new(0);
-        let shared = Shared {
-            dialect,
-            dispatcher,
-            records,
-            connections,
-            retry_budget,
-            meter,
-            buffer_memory,
-            metrics,
-            tickets,
-            invalid_backoff_logged: Cell::new(Time(0)),
-        };
+    /// Creates an exchange from its parts.
+    pub fn new(parts: Parts<D>) -> Exchange<D> {
+        let shared =
+            Shared { parts, tickets: Cell::new(0), invalid_backoff_logged: Cell::new(Time(0)) };
         Exchange { shared: Rc::new(shared) }
     }
 
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -19,7 +19,7 @@
         dialect::Dialect,
         dispatcher::Dispatcher,
         duties::Duties,
-        exchange::Exchange,
+        exchange::{self, Exchange},
         fleet_state::{self, Decoding},
         handler::Handler,
         leadership::{self, Leadership},
@@ -181,16 +181,16 @@
             roster: fleet.roster.clone(),
         };
         stream_records::spawn(options, lookups);
-        let exchange = Exchange::new(
-            dialect.clone(),
+        let exchange = Exchange::new(exchange::Parts {
+            dialect: dialect.clone(),
             dispatcher,
             records,
-            links,
-            budget,
-            meter.clone(),
-            room,
-            metrics.clone(),
-        );
+            connections: links,
+            retry_budget: budget,
+            meter: meter.clone(),
+            buffer_memory: room,
+            metrics: metrics.clone(),
+        });
         let (draining, draining_seen) = watch::channel(false);
         let reject_from = Rc::new(Cell::new(Time(u64::MAX)));
         let handler = Handler {
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -9,7 +9,7 @@
         backoff, buffer_memory, connection_cache,
         dialect::{CallerHeaders, Departure, Dialect, Echo, RouterHeaders, Verdict},
         dispatcher::Dispatcher,
-        exchange::{Body, CallerResponse, Exchange, RoutedRequest},
+        exchange::{Body, CallerResponse, Exchange, Parts, RoutedRequest},
         rate_limit,
         registry::Entry,
         retry_budget, stream_records,
@@ -277,16 +277,16 @@
         Dispatcher::spawn("host".into(), "a".into(), upstreams, limiter, metrics.clone());
     let budget_config =
         retry_budget::Limits { window: Span::from_ms(10_000), ratio: 0.2, allowance: 1_000.0 };
-    Exchange::new(
-        Rc::new(TestDialect),
+    Exchange::new(Parts {
+        dialect: Rc::new(TestDialect),
         dispatcher,
-        stream_records::Records::open().0,
-        connection_cache::Cache::default(),
-        retry_budget::Budget::new(budget_config),
+        records: stream_records::Records::open().0,
+        connections: connection_cache::Cache::default(),
+        retry_budget: retry_budget::Budget::new(budget_config),
         meter,
         buffer_memory,
         metrics,
-    )
+    })
 }
 
 const EVENTS: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 18\r\n\r\n\
