Let streams begin at a new version only once every host can know of it

Streams that may be taken up now begin at a version two seconds after the store names it, as long as another one serves, and a host concludes the only version from its own list only if the list was verified within two seconds.

Records are written only when a stream has been added.

--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -280,8 +280,11 @@
         (resume_after, version): (Option<&str>, &Option<Arc<str>>),
     ) -> Result<upstream_response::Response, Error> {
         loop {
-            let ticket =
-                Ticket { version: version.clone(), ..self.new_ticket(request, pool, history) };
+            let mut ticket = self.new_ticket(request, pool, history);
+            ticket.version.clone_from(version);
+            if version.is_none() && request.route.retry_policy == RetryPolicy::Resume {
+                ticket.avoided = self.shared.records.unconfirmed(pool);
+            }
             let time_left = request.deadline.since(Time::now());
             let placed = timeout(time_left.into(), self.shared.dispatcher.submit(ticket)).await;
             let late = |_| Error::new(Kind::QueueTimeout, "no upstream was free in time");
@@ -762,6 +765,7 @@
             tried: history.tried.clone(),
             contents: request.contents.clone(),
             version: None,
+            avoided: Vec::new(),
         }
     }
 
--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -169,6 +169,8 @@
     /// When the store was last verified to hold no newer configuration, `None` before the first
     /// time.
     pub verified_at: watch::Receiver<Option<Time>>,
+    /// When the list of upstreams was last verified to be the store's, `None` before the first time.
+    pub upstreams_verified: watch::Receiver<Option<Time>>,
     /// Whether the upstreams have been listed, by the store or by a peer.
     pub upstreams_listed: watch::Receiver<bool>,
     /// Registered hosts.
@@ -219,6 +221,7 @@
     table: watch::Sender<Option<Arc<Table>>>,
     verified_at: watch::Sender<Option<Time>>,
     upstreams: watch::Sender<Rc<Vec<Entry>>>,
+    upstreams_verified: watch::Sender<Option<Time>>,
     upstreams_listed: watch::Sender<bool>,
     roster: watch::Sender<Rc<Roster>>,
     leader: watch::Sender<Option<Item>>,
@@ -235,6 +238,7 @@
 pub fn spawn<S: Store>(options: Options<S>, dispatcher: Dispatcher) -> Handle {
     let (table_sender, table) = watch::channel(None);
     let (verified_at_sender, verified_at) = watch::channel(None);
+    let (upstreams_verified_sender, upstreams_verified) = watch::channel(None);
     let (listed_sender, upstreams_listed) = watch::channel(false);
     let (roster_sender, roster) = watch::channel(Rc::default());
     let (leader_sender, leader) = watch::channel(None);
@@ -282,6 +286,7 @@
         table: table_sender,
         verified_at: verified_at_sender,
         upstreams: options.upstreams,
+        upstreams_verified: upstreams_verified_sender,
         upstreams_listed: listed_sender,
         roster: roster_sender,
         leader: leader_sender,
@@ -312,7 +317,15 @@
         startup_ends: startup_ends(&options.seeds, options.address),
     };
     task::spawn_local(task.run(mailbox, options.calls));
-    Handle { table, verified_at, upstreams_listed, roster, leader, writes_usage }
+    Handle {
+        table,
+        verified_at,
+        upstreams_verified,
+        upstreams_listed,
+        roster,
+        leader,
+        writes_usage,
+    }
 }
 
 /// End of the time in which a starting host only synchronizes with others. Seeds follow the store
@@ -538,6 +551,7 @@
                     changes.iter().for_each(|it| self.apply_upstream(it, is_restored));
                     self.publish_upstreams();
                 }
+                self.outputs.upstreams_verified.send_replace(self.verified[index]);
                 if self.mirrors[index].revision() > 0 {
                     self.outputs.upstreams_listed.send_replace(true);
                 }
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -172,7 +172,7 @@
         let budget = retry_budget::Budget::new(settings.retries);
         task::spawn_local(divide_retry_budget(budget.clone(), fleet.roster.clone()));
         let room = buffer_memory::Memory::new(settings.memory_bytes / BUFFER_DIVISOR);
-        let (records, lookups) = stream_records::Records::open();
+        let (records, lookups) = stream_records::Records::open(fleet.upstreams_verified.clone());
         let options = stream_records::Options {
             store: store.for_cause(Cause::Streams),
             writer: writer.clone(),
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -101,6 +101,8 @@
     /// Version of the upstreams that may run the request, `None` if all may. A stream goes on only at the version that
     /// began it.
     pub version: Option<Arc<str>>,
+    /// Versions whose upstreams are not selected while others serve.
+    pub avoided: Vec<Option<Arc<str>>>,
 }
 
 /// Permission to send a request to an upstream.
@@ -741,8 +743,11 @@
         &'a self,
         ticket: &'a Ticket,
     ) -> impl Iterator<Item = &'a (UpstreamKey, upstream_state::State)> + 'a {
-        let fits = |it: &upstream_state::State| {
-            ticket.version.is_none() || ticket.version == it.entry.version
+        let is_avoided = |it: &upstream_state::State| ticket.avoided.contains(&it.entry.version);
+        let may_avoid = self.serving(&ticket.pool).any(|(_, it)| !is_avoided(it));
+        let fits = move |it: &upstream_state::State| {
+            let is_right = ticket.version.is_none() || ticket.version == it.entry.version;
+            is_right && !(may_avoid && is_avoided(it))
         };
         self.serving(&ticket.pool).filter(move |(key, it)| !ticket.tried.contains(key) && fits(it))
     }
--- a/src/serving/stream_origin.rs
+++ b/src/serving/stream_origin.rs
@@ -17,6 +17,10 @@
 /// Least time for which a stream may be taken up.
 const MIN_LIFETIME: Span = Span::from_ms(10_000);
 
+/// Time from the confirmation of a version until streams may begin there, and age of a list of upstreams from which nothing
+/// is concluded any more: a host whose list is younger has seen each version at which streams have begun.
+pub const NOTICE: Span = Span::from_ms(2_000);
+
 /// Most streams that a host remembers.
 const MAX_STREAMS: usize = 16_384;
 
@@ -68,6 +72,8 @@
     streams: Vec<Stream>,
     /// Sorted by origin.
     listed: Vec<Listed>,
+    /// Versions that the store names, each with the time from which streams may begin there. Sorted by origin.
+    confirmed: Vec<(Origin, Time)>,
     /// Time for which a stream may be taken up. Never decreases.
     lifetime: Span,
 }
@@ -78,6 +84,7 @@
             listed_since: None,
             streams: Vec::new(),
             listed: Vec::new(),
+            confirmed: Vec::new(),
             lifetime: MIN_LIFETIME,
         }
     }
@@ -126,6 +133,30 @@
         let lifetime = self.lifetime;
         self.streams.retain(|it| now.since(it.began_at) < lifetime);
         self.listed.retain(|it| it.until.is_none_or(|until| now.since(until) < lifetime));
+        let listed = &self.listed;
+        self.confirmed
+            .retain(|(origin, _)| listed.binary_search_by(|it| it.origin.cmp(origin)).is_ok());
+    }
+
+    /// Records that the store names a version, which each host that starts from now on reads there.
+    pub fn confirm(&mut self, now: Time, origin: &Origin) {
+        if let Err(at) = self.confirmed.binary_search_by(|it| it.0.cmp(origin)) {
+            self.confirmed.insert(at, (origin.clone(), now + NOTICE));
+        }
+    }
+
+    /// Returns the versions of a pool at which no stream should begin yet that may be taken up, as another host may not know
+    /// of them. None if that holds for all of them.
+    pub fn unconfirmed(&self, now: Time, pool: &str) -> Vec<Option<Arc<str>>> {
+        let is_usable = |origin: &Origin| {
+            let found = self.confirmed.binary_search_by(|it| it.0.cmp(origin));
+            found.is_ok_and(|at| self.confirmed[at].1 <= now)
+        };
+        let (usable, others): (Vec<_>, Vec<_>) = self.recent(pool).partition(|it| is_usable(it));
+        if usable.is_empty() {
+            return Vec::new();
+        }
+        others.into_iter().map(|it| it.version.clone()).collect()
     }
 
     /// Whether a version is on the list, or was so recently that its streams may be taken up.
@@ -166,8 +197,14 @@
     }
 
     /// Returns where a stream began, if this host knows: it forwarded its first event, heard of it, or has seen only one
-    /// version in the only pool of the route.
-    pub fn find(&self, now: Time, key: Option<StreamKey>, pools: &[Arc<str>]) -> Option<Origin> {
+    /// version in the only pool of the route. `verified_at` is when the list of upstreams was last known to be the store's.
+    pub fn find(
+        &self,
+        now: Time,
+        key: Option<StreamKey>,
+        pools: &[Arc<str>],
+        verified_at: Option<Time>,
+    ) -> Option<Origin> {
         let known = |it: StreamKey| self.streams.binary_search_by_key(&it, |it| it.key).ok();
         if let Some(at) = key.and_then(known) {
             return Some(self.streams[at].origin.clone());
@@ -175,7 +212,8 @@
         let [pool] = pools else { return None };
         let mut versions = self.recent(pool);
         let only = versions.next()?.clone();
-        (versions.next().is_none() && self.has_seen_all(now)).then_some(only)
+        let is_current = verified_at.is_some_and(|it| now.since(it) < NOTICE);
+        (versions.next().is_none() && is_current && self.has_seen_all(now)).then_some(only)
     }
 
     /// Returns the record of the streams of pools in which two versions serve, the newest ones if they are too many.
@@ -185,6 +223,7 @@
         if streams.len() > MAX_RECORDED {
             streams.sort_by_key(|it| std::cmp::Reverse(it.began_at));
             streams.truncate(MAX_RECORDED);
+            streams.sort_by_key(|it| it.key);
         }
         let mut record = Record::default();
         for stream in streams {
@@ -217,7 +256,7 @@
 pub struct Record {
     /// Where the streams began, each once.
     pub origins: Vec<Origin>,
-    /// Key of each stream, with the index of its origin.
+    /// Key of each stream, with the index of its origin. Sorted by key.
     pub streams: Vec<(u64, u32)>,
 }
 
--- a/src/serving/stream_records.rs
+++ b/src/serving/stream_records.rs
@@ -67,6 +67,8 @@
 #[derive(Debug, Clone)]
 pub struct Records {
     origins: Rc<RefCell<Origins>>,
+    /// When the list of upstreams was last verified.
+    verified: watch::Receiver<Option<Time>>,
     lookups: mpsc::UnboundedSender<Lookup>,
 }
 
@@ -74,6 +76,7 @@
 #[derive(Debug)]
 pub struct Mailbox {
     origins: Rc<RefCell<Origins>>,
+    verified: watch::Receiver<Option<Time>>,
     lookups: mpsc::UnboundedReceiver<Lookup>,
 }
 
@@ -92,11 +95,13 @@
 }
 
 impl Records {
-    /// Creates a handle.
-    pub fn open() -> (Records, Mailbox) {
+    /// Creates a handle. `verified` tells when the list of upstreams was last verified to be the store's.
+    pub fn open(verified: watch::Receiver<Option<Time>>) -> (Records, Mailbox) {
         let (sender, lookups) = mpsc::unbounded_channel();
         let origins = Rc::new(RefCell::new(Origins::default()));
-        (Records { origins: origins.clone(), lookups: sender }, Mailbox { origins, lookups })
+        let records =
+            Records { origins: origins.clone(), verified: verified.clone(), lookups: sender };
+        (records, Mailbox { origins, verified, lookups })
     }
 
     /// Records that the first event of a stream has arrived. `id` is that of the request that brought it.
@@ -105,11 +110,17 @@
         self.origins.borrow_mut().record_stream(Time::now(), key, origin);
     }
 
+    /// Returns the versions of a pool at which no stream should begin yet that may be taken up.
+    pub fn unconfirmed(&self, pool: &str) -> Vec<Option<Arc<str>>> {
+        self.origins.borrow().unconfirmed(Time::now(), pool)
+    }
+
     /// Returns where a stream began that a request with this id brought first, `None` if that is not known. `pools` are
     /// those to which the route may send it.
     pub async fn find(&self, id: Option<&HeaderValue>, pools: Vec<Arc<str>>) -> Option<Origin> {
         let key = id.map(|it| StreamKey::of(it.as_bytes()));
-        let known = self.origins.borrow().find(Time::now(), key, &pools);
+        let verified_at = *self.verified.borrow();
+        let known = self.origins.borrow().find(Time::now(), key, &pools, verified_at);
         if known.is_some() {
             return known;
         }
@@ -121,8 +132,8 @@
 
 /// Spawns the tasks on the current thread.
 pub fn spawn<S: Store>(options: Options<S>, mailbox: Mailbox) {
-    let Mailbox { origins, lookups } = mailbox;
-    task::spawn_local(answer(options.store.clone(), origins.clone(), lookups));
+    let Mailbox { origins, verified, lookups } = mailbox;
+    task::spawn_local(answer(options.store.clone(), (origins.clone(), verified), lookups));
     let writer = Writer {
         options,
         origins,
@@ -138,7 +149,7 @@
 /// Answers questions from the store, all that wait with one listing.
 async fn answer<S: Store>(
     store: S,
-    origins: Rc<RefCell<Origins>>,
+    (origins, verified): (Rc<RefCell<Origins>>, watch::Receiver<Option<Time>>),
     mut lookups: mpsc::UnboundedReceiver<Lookup>,
 ) {
     while let Some(first) = lookups.recv().await {
@@ -158,7 +169,8 @@
         };
         let era = store.era();
         for Lookup { key, pools, answer } in waiting {
-            let known = origins.borrow().find(Time::now(), key, &pools);
+            let verified_at = *verified.borrow();
+            let known = origins.borrow().find(Time::now(), key, &pools, verified_at);
             let found = known.or_else(|| {
                 let [pool] = pools.as_slice() else { return None };
                 let (_, versions) = versions.iter().find(|it| it.0 == **pool)?;
@@ -312,6 +324,8 @@
         self.confirmed.retain(|it| it.pool != *pool);
         let origin = |it| Origin { pool: pool.clone(), version: it };
         self.confirmed.extend(versions.versions.into_iter().map(origin));
+        let (now, mut origins) = (Time::now(), self.origins.borrow_mut());
+        recent.iter().for_each(|it| origins.confirm(now, it));
         Ok(())
     }
 
@@ -354,7 +368,10 @@
             return Ok(());
         }
         let record = self.origins.borrow().record();
-        if record == self.written {
+        // Streams that can no longer be taken up may stay in the store for a while.
+        let is_written =
+            |it: &(u64, u32)| self.written.streams.binary_search_by_key(&it.0, |it| it.0).is_ok();
+        if record.streams.iter().all(is_written) {
             return Ok(());
         }
         let lease = self.lease().await?;
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -280,7 +280,7 @@
     Exchange::new(Parts {
         dialect: Rc::new(TestDialect),
         dispatcher,
-        records: stream_records::Records::open().0,
+        records: stream_records::Records::open(watch::channel(None).1).0,
         connections: connection_cache::Cache::default(),
         retry_budget: retry_budget::Budget::new(budget_config),
         meter,
--- a/tests/serving/fixture.rs
+++ b/tests/serving/fixture.rs
@@ -65,6 +65,7 @@
         tried: Vec::new(),
         contents: Vec::new(),
         version: None,
+        avoided: Vec::new(),
     }
 }
 
