--- a/tests/serving/stream_origin.rs
+++ b/tests/serving/stream_origin.rs
@@ -53,7 +53,7 @@
     origins.confirm(at(20_000), &origin("v1"));
     origins.record_list(at(21_000), &[engine_of(1, "v1"), engine_of(2, "v2")]);
     let second = Some("v2".into());
-    assert_eq!(origins.unconfirmed(at(22_000), POOL), [second.clone()]);
+    assert_eq!(origins.unconfirmed(at(22_000), POOL), std::slice::from_ref(&second));
     origins.confirm(at(22_000), &origin("v2"));
     assert_eq!(origins.unconfirmed(at(23_999), POOL), [second]);
     assert_eq!(origins.unconfirmed(at(24_000), POOL), []);
