Do not hold sound parts for answers that upstreams lose and live on

Class: a conclusion passed on without the evidence that it rests on, and a loss taken for a crash.

A part is quarantined, and its repeats are held, only if an answer had begun (two of three crashes; one for a repeat) or after six crashes. A quarantine is taken over only if the charges that are left are enough, and ends when they are not.

--- a/src/serving/crash_evidence.rs
+++ b/src/serving/crash_evidence.rs
@@ -206,7 +206,7 @@
         if let Some(reason) = reasons.max_by_key(|it| (it.crashes, it.retry_after)) {
             return Verdict::Quarantined(reason);
         }
-        let is_suspect = |it: &Content| self.suspects.crashes(now, *it) >= SUSPECT_CRASHES;
+        let is_suspect = |it: &Content| self.is_suspect(now, *it);
         if contents.iter().any(is_suspect) { Verdict::Suspect } else { Verdict::Clear }
     }
 
@@ -300,7 +300,8 @@
                 let charge = Charge { crash: CrashKey(*incarnation), at: now - age, progress };
                 self.charge(now, (suspicion.pool, content), charge);
             }
-            if suspicion.is_quarantined && !self.suspects.charges(content).is_empty() {
+            // Answers that this host knows of may have cleared some of the charges.
+            if suspicion.is_quarantined && self.is_enough(now, self.suspects.charges(content)) {
                 self.quarantine(now, content, "as another host reports");
                 if let Some(state) = self.state_mut(content) {
                     state.is_confirmed |= suspicion.is_confirmed;
@@ -373,7 +374,7 @@
         let crashes = self.suspects.crashes(now, content);
         if !state.is_quarantined {
             let retry_after = MIN_CRASH_INTERVAL;
-            let is_held = is_repeat && crashes >= SUSPECT_CRASHES;
+            let is_held = is_repeat && self.is_suspect(now, content);
             return is_held.then_some(Reason {
                 content,
                 crashes,
@@ -473,17 +474,32 @@
         let is_settled = |it: &Charge| now.since(it.at) >= SETTLE_TIME;
         let rest: Vec<_> =
             charges.iter().filter(|it| is_settled(it) && !is_explained(it)).copied().collect();
-        let separate = self.suspects.separate(now, &rest);
-        separate >= QUARANTINE_CRASHES || (separate > 1 && rest.len() >= BURST_CRASHES)
+        self.is_enough(now, &rest)
+            && (matches!(content, Content::Request(_)) || self.has_proof(now, content))
     }
 
-    /// Whether the charges are more than bad luck: upstreams had begun to answer requests with the content, or crashed
-    /// many times.
+    /// Whether charges are enough for a quarantine.
+    fn is_enough(&self, now: Time, charges: &[Charge]) -> bool {
+        let separate = self.suspects.separate(now, charges);
+        separate >= QUARANTINE_CRASHES || (separate > 1 && charges.len() >= BURST_CRASHES)
+    }
+
+    /// Whether content may be the cause of several crashes. Upstreams also lose answers and live on, so that a part is a
+    /// suspect only if an answer had begun.
+    fn is_suspect(&self, now: Time, content: Content) -> bool {
+        let begun = || self.suspects.charges(content).iter().any(|it| it.progress.is_some());
+        self.suspects.crashes(now, content) >= SUSPECT_CRASHES
+            && (matches!(content, Content::Request(_)) || begun())
+    }
+
+    /// Whether the charges are more than bad luck or lost answers: upstreams had begun to answer requests with the content,
+    /// or crashed many times.
     fn has_proof(&self, now: Time, content: Content) -> bool {
         let crashes = self.suspects.crashes(now, content);
+        let is_enough = self.is_enough(now, self.suspects.charges(content));
         let began =
             self.suspects.charges(content).iter().filter(|it| it.progress.is_some()).count();
-        crashes >= PROOF_CRASHES || (crashes >= QUARANTINE_CRASHES && began >= PROOF_BEGUN)
+        crashes >= PROOF_CRASHES || (is_enough && began >= PROOF_BEGUN)
     }
 
     /// Whether this host got answers to requests of the pool without the content between the first and the last charge.
@@ -534,7 +550,7 @@
             return;
         }
         let is_clear = self.suspects.charges(content).is_empty();
-        let crashes = self.suspects.crashes(now, content);
+        let is_enough = self.is_enough(now, self.suspects.charges(content));
         let Some(state) = self.state_mut(content) else { return };
         let is_news = |it: (Time, Progress)| passed >= it.1 || now.since(it.0) >= NEWS_LIFETIME;
         if state.cleared.is_none_or(is_news) {
@@ -542,7 +558,7 @@
         }
         state.changed_at = now;
         state.is_confirmed &= !is_clear;
-        if crashes < QUARANTINE_CRASHES && std::mem::take(&mut state.is_quarantined) {
+        if !is_enough && std::mem::take(&mut state.is_quarantined) {
             state.is_confirmed = false;
             log::info!("{content} was answered; requests with it are sent again");
         }
@@ -559,9 +575,9 @@
             Err(at) => self.survivors.insert(at, (crash, sent_at, now)),
         }
         for content in affected {
-            let crashes = self.suspects.crashes(now, content);
+            let is_enough = self.is_enough(now, self.suspects.charges(content));
             if let Some(state) = self.state_mut(content)
-                && crashes < QUARANTINE_CRASHES
+                && !is_enough
                 && std::mem::take(&mut state.is_quarantined)
             {
                 state.changed_at = now;
--- a/tests/serving/crash_evidence.rs
+++ b/tests/serving/crash_evidence.rs
@@ -576,3 +576,32 @@
     assert_eq!(fleet.senders(COMMON).len(), 4);
     assert_eq!(fleet.senders(REPEATED), [0; 0]);
 }
+
+// Upstreams run requests and lose the answers. Many hosts see some of them, and answers to others clear the part at some.
+#[test]
+fn lost_answers_of_upstreams_that_live_on_do_not_hold_a_part() {
+    let mut fleet = Fleet::new(8);
+    for crash in 0..5 {
+        fleet.crashes += 1;
+        let (now, key) = (fleet.now(), fleet.crashes);
+        fleet.hosts[crash].record_crash(now, POOL, (key, None), &[COMMON, RARE]);
+        fleet.pass(400);
+        assert_eq!(fleet.senders(RARE).len(), 8, "{} lost answers", crash + 1);
+        let now = fleet.now();
+        let repeat = fleet.hosts[0].judge(now, &[RARE], true);
+        assert_eq!(repeat, Verdict::Clear, "a request whose answer was lost is sent again");
+    }
+}
+
+#[test]
+fn a_host_that_knows_of_an_answer_does_not_take_over_a_quarantine() {
+    let mut fleet = tainted(2, 3);
+    assert_eq!(fleet.senders(DEADLY), [0; 0]);
+    let mut host = Evidence::new(9);
+    let (now, news) = (fleet.now(), fleet.hosts[0].news(fleet.now()));
+    // Between the second and the third crash.
+    host.record_progress(at(1_000), &[DEADLY], Progress::FIRST);
+    host.merge(now, now, &news);
+    host.review(now);
+    assert_eq!(host.judge(now, &[DEADLY], false), Verdict::Clear);
+}
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -594,6 +594,7 @@
             let ticket =
                 |number| Ticket { contents: vec![part], ..ticket(number, prompt(&[0xa], 10, 10)) };
             let cut = grant(&mut host, now, &ticket(round * 2 + 1));
+            host.attempt_broken_off(cut.attempt, Progress::HEAD);
             host.attempt_ended(now, cut.attempt, Ending::Failed);
             if went_on {
                 cut.last_activity.set(now + Span::from_ms(260));
