Say in log lines which versions streams may go on at, and plainer comments

Read as by a newcomer: a log line printed a type with its fields, and two comments were hard to follow. No change of what is decided; clippy passes.

--- a/src/serving/crash_evidence.rs
+++ b/src/serving/crash_evidence.rs
@@ -2,10 +2,10 @@
 //! other hosts.
 //!
 //! An upstream that crashes takes all its requests along, of which at most one is the cause. Content that crashes every
-//! upstream does so at about the same point of the answer, so that an answer which has come twice as far clears its content,
-//! and a whole answer always does. Content is
-//! quarantined after several crashes without an answer in between that no other content explains. Unless other requests
-//! were answered between these crashes, the upstreams themselves may be the cause, and the content is tried again soon.
+//! upstream does so at about the same point of the answer, so that an answer which has come twice as far clears its
+//! content, and a whole answer always does. Content is quarantined after several crashes without such an answer in between
+//! that no other content explains. Unless other requests were answered between these crashes, the upstreams themselves may
+//! be the cause, and the content is tried again soon.
 
 use std::collections::VecDeque;
 
--- a/src/serving/messages.rs
+++ b/src/serving/messages.rs
@@ -107,8 +107,8 @@
     }
 }
 
-/// Bits of an age in a suspicion. The bits above hold how far an answer had come, plus one where that is partial; hosts of
-/// earlier versions take such an age for one that is too long ago to count.
+/// Bits of an age in a suspicion. The bits above hold a number, and hosts of earlier versions take an age with one for an age
+/// too great to count.
 const AGE_BITS: u32 = 56;
 
 /// Writes an age together with a number below 256.
--- a/src/serving/stream_origin.rs
+++ b/src/serving/stream_origin.rs
@@ -291,6 +291,12 @@
         *self != before
     }
 
+    /// Returns the versions for log lines.
+    pub fn names(&self) -> String {
+        let names = self.versions.iter().map(|it| it.as_deref().unwrap_or("unstated"));
+        names.collect::<Vec<_>>().join(", ")
+    }
+
     /// Returns the only version, if no other one can have served.
     pub fn only(&self, era: u64) -> Option<Option<Arc<str>>> {
         match self.versions.as_slice() {
--- a/src/serving/stream_records.rs
+++ b/src/serving/stream_records.rs
@@ -316,10 +316,7 @@
             return Ok(());
         }
         if is_news {
-            log::info!(
-                "pool {pool} serves streams in {} versions: {versions:?}",
-                versions.versions.len()
-            );
+            log::info!("streams of pool {pool} may go on at these versions: {}", versions.names());
         }
         self.confirmed.retain(|it| it.pool != *pool);
         let origin = |it| Origin { pool: pool.clone(), version: it };
@@ -346,7 +343,7 @@
         if is_pruned {
             let origins = self.origins.borrow();
             self.confirmed.retain(|it| it.pool != *pool || origins.is_recent(it));
-            log::info!("pool {pool} serves streams in {} versions", versions.versions.len());
+            log::info!("streams of pool {pool} may go on at these versions: {}", versions.names());
         }
         Ok(())
     }
