Take a request without received events for a new stream, whatever it names

A caller that sends Last-Event-Id 0 with Resumes begins a stream, but it was recorded under the id that it named, which may be another caller's. Found by reading; such a stream is recorded under its own id now.

--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -185,6 +185,11 @@
         self.id.to_str().unwrap_or("?")
     }
 
+    /// Returns the id of the last event that the caller has, `None` if it takes up no stream.
+    fn resumed_after(&self) -> Option<u64> {
+        self.last_event_id.filter(|it| *it > 0)
+    }
+
     /// Returns the id of the request that began a stream which the caller takes up, for log lines.
     fn log_resumes(&self) -> &str {
         self.resumes.as_ref().map_or("no request", |it| it.to_str().unwrap_or("?"))
@@ -597,7 +602,7 @@
                 reservation,
             );
             let relay = relay.receive_first().await?;
-            if let Some(after) = request.last_event_id {
+            if let Some(after) = request.resumed_after() {
                 log::info!(
                     "stream {} is taken up after event {after} at {instance} of version {}; {} began it",
                     request.log_id(),
@@ -606,7 +611,7 @@
                 );
             }
             if request.route.retry_policy == RetryPolicy::Resume {
-                let first = request.resumes.as_ref().filter(|_| request.last_event_id.is_some());
+                let first = request.resumes.as_ref().filter(|_| request.resumed_after().is_some());
                 let origin = Origin { pool: pool.clone(), version };
                 self.shared.records.record(first.unwrap_or(&request.id), origin);
             }
@@ -706,7 +711,7 @@
     /// # Errors
     /// `NoUpstream` if that is not known, or the route does not lead there any more.
     async fn origin(&self, request: &RoutedRequest) -> Result<Option<Origin>, Error> {
-        let Some(after) = request.last_event_id.filter(|it| *it > 0) else { return Ok(None) };
+        let Some(after) = request.resumed_after() else { return Ok(None) };
         if request.route.retry_policy != RetryPolicy::Resume {
             return Ok(None);
         }
