--- a/review/harness/src/bin/inside_event.rs
+++ b/review/harness/src/bin/inside_event.rs
@@ -11,7 +11,7 @@
     client::End,
     operator,
     record::Record,
-    runner::{EVENTS, Runner, Runs},
+    runner::{Conduct, EVENTS, Runner, Runs},
     streams::{Client, Stream, Streams},
 };
 use tokio::{sync::watch, task::JoinSet, time::sleep};
@@ -73,10 +73,10 @@
     sleep(CALM).await;
     if case.has_trouble {
         record.tell(format!("{FAULTY} runners end {BROKEN_SHARE} of 100 streams inside an event"));
-        runners[..FAULTY].iter().for_each(|it| it.break_streams(BROKEN_SHARE));
+        runners[..FAULTY].iter().for_each(|it| it.behave(Conduct::Breaking(BROKEN_SHARE)));
         sleep(FAULT).await;
         record.tell("all runners are sound again");
-        runners[..FAULTY].iter().for_each(|it| it.break_streams(0));
+        runners[..FAULTY].iter().for_each(|it| it.behave(Conduct::Sound));
     }
     clients.join_all().await;
     if hosts.iter_mut().any(|it| it.has_ended()) {
--- a/review/harness/src/host.rs
+++ b/review/harness/src/host.rs
@@ -20,6 +20,9 @@
 /// Section of the template that lists the zones.
 const ZONES_SECTION: &str = "{{#Zones}}{{@}}{{,}}{{/Zones}}";
 
+/// `MemoryMb` of the settings, in bytes.
+pub const MEMORY_BYTES: u64 = 110_000_000;
+
 /// Values of the settings as in the site file `tuul-laundry.toml`.
 const VALUES: [(&str, &str); 11] = [
     ("Limits.CpuFraction", "0.25"),
@@ -122,6 +125,16 @@
         }
     }
 
+    /// Memory that the process uses, in bytes; zero if it does not run.
+    pub fn memory(&self) -> u64 {
+        let Some(child) = &self.child else { return 0 };
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|it| it.trim().strip_suffix(" kB")?.trim().parse().ok());
+        kilobytes.unwrap_or(0_u64) << 10
+    }
+
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         self.child.as_mut().is_some_and(|it| matches!(it.try_wait(), Ok(Some(_))))
--- a/review/harness/src/runner.rs
+++ b/review/harness/src/runner.rs
@@ -35,6 +35,9 @@
 /// Silent heartbeats after which an entry is removed.
 const MISSED_HEARTBEATS: u32 = 3;
 
+/// Bytes of an endless body in a millisecond, which take 1.2 MB a second with the framing of the chunks.
+const BYTES_PER_MS: u64 = 200;
+
 /// Requests that a runner processes at once.
 const SLOTS: u32 = 64;
 
@@ -66,6 +69,17 @@
     }
 }
 
+/// What a runner does with streams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Conduct {
+    /// It answers.
+    Sound,
+    /// It ends this share of them inside an event, in hundredths.
+    Breaking(u32),
+    /// It fails them with 500 and a body that never ends, which it writes byte by byte.
+    Endless,
+}
+
 /// A runner. It keeps its id and address over all its incarnations.
 #[derive(Debug)]
 pub struct Runner {
@@ -74,8 +88,8 @@
     service: &'static str,
     zone: String,
     version: watch::Sender<&'static str>,
-    /// Share of the streams that end inside an event, in hundredths.
-    broken_share: watch::Sender<u32>,
+    /// What it does with streams.
+    conduct: watch::Sender<Conduct>,
     is_open: watch::Sender<bool>,
     entries: Writer,
     beats: JoinHandle<()>,
@@ -93,12 +107,12 @@
     ) -> io::Result<Runner> {
         let (version_sender, versions) = watch::channel(version);
         let (is_open, open) = watch::channel(true);
-        let (broken_share, broken) = watch::channel(0);
+        let (conduct, conducts) = watch::channel(Conduct::Sound);
         let handler = {
             let (id, record) = (id.to_owned(), record.clone());
             move |request: Request<Incoming>| {
                 let own = (id.clone(), service, *versions.borrow());
-                answer(own, (runs.clone(), record.clone()), *broken.borrow(), request)
+                answer(own, (runs.clone(), record.clone()), *conducts.borrow(), request)
             }
         };
         let door = Door { listen: ([127, 0, 0, 1], 0).into(), open, recorder: None };
@@ -107,7 +121,7 @@
             service,
             zone: zone.to_owned(),
             version: version_sender,
-            broken_share,
+            conduct,
             is_open,
             entries,
             beats: tokio::spawn(async {}),
@@ -168,9 +182,9 @@
         });
     }
 
-    /// From now on, ends this share of the streams inside an event, in hundredths.
-    pub fn break_streams(&self, share: u32) {
-        self.broken_share.send_replace(share);
+    /// Changes what it does with streams.
+    pub fn behave(&self, conduct: Conduct) {
+        self.conduct.send_replace(conduct);
     }
 
     fn key(&self) -> String {
@@ -187,7 +201,7 @@
 async fn answer(
     (runner, service, version): (String, &'static str, &'static str),
     (runs, record): (Runs, Record),
-    broken_share: u32,
+    conduct: Conduct,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Cut> {
     let (head, body) = request.into_parts();
@@ -210,7 +224,11 @@
         sleep(WORK).await;
         return Ok(sign(server::raw(StatusCode::OK, format!("{id} is done")), &id));
     }
-    let is_broken = rand::random_range(0..100) < broken_share;
+    let is_broken = match conduct {
+        Conduct::Sound => false,
+        Conduct::Breaking(share) => rand::random_range(0..100) < share,
+        Conduct::Endless => return Ok(sign(endless(), &id)),
+    };
     Ok(sign(events(&id, (service, version), after, is_broken), &id))
 }
 
@@ -244,6 +262,19 @@
     response
 }
 
+/// A failure with a body that goes on until its reader closes. Each of its chunks holds one byte.
+fn endless() -> Response<Body> {
+    let bytes = stream::iter(0_u64..).then(|number| async move {
+        if number % BYTES_PER_MS == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        Ok(Frame::data(Bytes::from_static(b".")))
+    });
+    let mut response = Response::new(StreamBody::new(bytes).boxed_unsync());
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    response
+}
+
 fn sign(mut response: Response<Body>, id: &str) -> Response<Body> {
     let headers: &mut HeaderMap = response.headers_mut();
     for (name, value) in [
