--- a/review/harness/src/case.rs
+++ b/review/harness/src/case.rs
@@ -12,7 +12,10 @@
     duties::Duties,
     store::{Conduct, Store},
 };
-use tokio::time::sleep;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::sleep,
+};
 
 use crate::{host::Host, record::Record};
 
@@ -133,7 +136,17 @@
             return ExitCode::from(2);
         }
     };
-    let outcome = runtime.block_on(case(record.clone()));
+    let outcome = runtime.block_on(async {
+        // A case that is asked to stop ends its hosts as well.
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            outcome = case(record.clone()) => outcome,
+            _ = terminate.recv() => Err(io::Error::other("terminated")),
+            _ = interrupt.recv() => Err(io::Error::other("interrupted")),
+        }
+    });
+    drop(runtime);
     let code = match outcome {
         Ok(Outcome::Held) => {
             record.tell("the rule held");
