--- a/review/harness/src/bin/inside_event.rs
+++ b/review/harness/src/bin/spoilt_event.rs
@@ -1,4 +1,5 @@
-//! Faulty runners end some of their streams inside an event, with the end of the chunked body.
+//! Faulty runners spoil the id of one event in some of their streams. The host goes on with these at other runners, after
+//! events that it never passed on.
 
 use std::{
     io,
@@ -8,7 +9,6 @@
 
 use almondrack_review::{
     case::{self, Case, Outcome},
-    client::End,
     operator,
     record::Record,
     runner::{Conduct, EVENTS, Runner, Runs},
@@ -33,8 +33,8 @@
 /// Time for which clients go on after that.
 const REST: Duration = Duration::from_secs(3);
 
-/// Share of their streams that end inside an event, in hundredths.
-const BROKEN_SHARE: u32 = 2;
+/// Share of their streams in which an event is spoilt, in hundredths.
+const SPOILT_SHARE: u32 = 3;
 
 fn main() -> ExitCode {
     case::run(run)
@@ -50,6 +50,7 @@
         let shared = (runs.clone(), record.clone());
         runners.push(Runner::spawn(place, "v1", case.store.writer(), shared)?);
     }
+    runners.iter().for_each(|it| it.behave(Conduct::Grouping));
     let routes = [operator::stream_route("advice", &[(SERVICE, 1)])];
     case.store.put("op/config", &operator::configuration(7, &routes, &[SERVICE], &["first"])).await;
     let mut hosts = case.start_hosts(3, &ZONES).await?;
@@ -72,11 +73,11 @@
     }
     sleep(CALM).await;
     if case.has_trouble {
-        record.tell(format!("{FAULTY} runners end {BROKEN_SHARE} of 100 streams inside an event"));
-        runners[..FAULTY].iter().for_each(|it| it.behave(Conduct::Breaking(BROKEN_SHARE)));
+        record.tell(format!("{FAULTY} runners spoil an event in {SPOILT_SHARE} of 100 streams"));
+        runners[..FAULTY].iter().for_each(|it| it.behave(Conduct::Spoiling(SPOILT_SHARE)));
         sleep(FAULT).await;
         record.tell("all runners are sound again");
-        runners[..FAULTY].iter().for_each(|it| it.behave(Conduct::Sound));
+        runners[..FAULTY].iter().for_each(|it| it.behave(Conduct::Grouping));
     }
     clients.join_all().await;
     if hosts.iter_mut().any(|it| it.has_ended()) {
@@ -85,32 +86,26 @@
     judge(&record, &streams.all(), case.has_trouble)
 }
 
-/// Applies the rule: a stream ends as complete before its last piece.
+/// Applies the rule: in a stream a piece is missing or comes twice.
 fn judge(record: &Record, streams: &[Stream], has_trouble: bool) -> io::Result<Outcome> {
     let finished = streams.iter().filter(|it| it.events().any(|it| it.0 == EVENTS)).count();
-    let is_short = |it: &&Stream| {
-        let tries = std::iter::once(&it.first).chain(&it.take_ups);
-        tries.map(|it| &it.answer).any(|it| {
-            it.status.is_some_and(|it| it.is_success())
-                && it.end == End::Complete
-                && !it.is_finished()
-        })
-    };
-    let short: Vec<_> = streams.iter().filter(is_short).collect();
-    for stream in &short {
-        let answer = &stream.first.answer;
-        let rest = String::from_utf8_lossy(&answer.body);
-        let rest = rest.rsplit_once("\n\n").map_or("", |it| it.1);
-        record.add(format!(
-            "short {}: ended as complete after event {} of {EVENTS} with the bytes {rest:?}",
-            stream.id,
-            answer.last_event()
-        ));
+    let mut torn = 0;
+    for stream in streams {
+        let ids: Vec<_> = stream.events().map(|it| it.0).collect();
+        let is_whole = ids.windows(2).all(|it| it[0] + 1 == it[1]);
+        if !is_whole {
+            torn += 1;
+            let end = stream.first.answer.end;
+            record.add(format!(
+                "torn {}: the answer ended as {end:?} with the events {ids:?}",
+                stream.id
+            ));
+        }
     }
     record.tell(format!("{finished} of {} streams were finished", streams.len()));
-    record.tell(format!("{} streams ended as complete before their last piece", short.len()));
+    record.tell(format!("in {torn} streams a piece is missing or comes twice"));
     if finished == 0 || !has_trouble && finished < streams.len() {
         return Err(io::Error::other("streams were not finished"));
     }
-    Ok(if short.is_empty() { Outcome::Held } else { Outcome::Broken })
+    Ok(if torn == 0 { Outcome::Held } else { Outcome::Broken })
 }
--- a/review/harness/src/runner.rs
+++ b/review/harness/src/runner.rs
@@ -23,6 +23,9 @@
 /// Events of a stream.
 pub const EVENTS: u64 = 30;
 
+/// Events that a runner writes at a time if it writes several.
+const GROUP: u64 = 3;
+
 /// Time between two events of a stream.
 pub const EVENT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -74,8 +77,10 @@
 pub enum Conduct {
     /// It answers.
     Sound,
-    /// It ends this share of them inside an event, in hundredths.
-    Breaking(u32),
+    /// It answers, and writes three events at a time.
+    Grouping,
+    /// It writes three events at a time, and spoils the id of one event in this share of the streams, in hundredths.
+    Spoiling(u32),
     /// It fails them with 500 and a body that never ends, which it writes byte by byte.
     Endless,
 }
@@ -224,12 +229,13 @@
         sleep(WORK).await;
         return Ok(sign(server::raw(StatusCode::OK, format!("{id} is done")), &id));
     }
-    let is_broken = match conduct {
-        Conduct::Sound => false,
-        Conduct::Breaking(share) => rand::random_range(0..100) < share,
+    let is_spoilt = match conduct {
         Conduct::Endless => return Ok(sign(endless(), &id)),
+        Conduct::Spoiling(share) => rand::random_range(0..100) < share,
+        Conduct::Sound | Conduct::Grouping => false,
     };
-    Ok(sign(events(&id, (service, version), after, is_broken), &id))
+    let group = if conduct == Conduct::Sound { 1 } else { GROUP };
+    Ok(sign(events(&id, (service, version), after, (group, is_spoilt)), &id))
 }
 
 /// Text of one event.
@@ -237,22 +243,27 @@
     format!("id: {number}\ndata: {id} {service} {version} piece {number} of {EVENTS}\n\n")
 }
 
-/// A stream of events in chunks. One that `is_broken` ends after half of an event in the middle of the stream.
+/// A stream of events in chunks, each with a group of events. In one that `is_spoilt` the id of the last event of a group is
+/// wrong.
 fn events(
     id: &str,
     (service, version): (&'static str, &'static str),
     after: u64,
-    is_broken: bool,
+    (group, is_spoilt): (u64, bool),
 ) -> Response<Body> {
     let id = id.to_owned();
-    let last = if is_broken { (after + EVENTS / 3).min(EVENTS) } else { EVENTS };
-    let frames = stream::iter(after + 1..=last).then(move |number| {
-        let mut text = event(&id, number, service, version);
-        if is_broken && number == last {
-            text.truncate(text.len() / 2);
-        }
+    let spoilt = after + EVENTS / 2 / group * group;
+    let starts = (after..EVENTS).step_by(group as usize);
+    let frames = stream::iter(starts).then(move |start| {
+        let last = (start + group).min(EVENTS);
+        let text = (start + 1..=last).map(|number| {
+            let shown = if is_spoilt && number == spoilt { number + 50 } else { number };
+            let text = event(&id, number, service, version);
+            text.replacen(&format!("id: {number}"), &format!("id: {shown}"), 1)
+        });
+        let text: String = text.collect();
         async move {
-            sleep(EVENT_PAUSE).await;
+            sleep(EVENT_PAUSE * (last - start) as u32).await;
             Ok(Frame::data(Bytes::from(text)))
         }
     });
