--- a/review/harness/src/bin/endless_body.rs
+++ b/review/harness/src/bin/endless_body.rs
@@ -27,7 +27,7 @@
 const CALM: Duration = Duration::from_secs(4);
 
 /// Times for which one runner has the fault.
-const FAULTS: u32 = 3;
+const FAULTS: u32 = 4;
 
 /// Length of each of them.
 const FAULT: Duration = Duration::from_millis(5_500);
