--- a/review/harness/src/bin/in_place_release.rs
+++ b/review/harness/src/bin/in_place_release.rs
@@ -21,7 +21,7 @@
 const SERVICE: &str = "almond-fleet";
 const PLAIN_SERVICE: &str = "laundry-orders";
 const PLAIN_RUNNERS: usize = 3;
-const RUNNERS: usize = 4;
+const RUNNERS: usize = 6;
 const CLIENTS: usize = 150;
 
 /// Time before the release.
