Account the memory that buffered bodies allocate, not the bytes in them

Cause: a buffered response kept each frame as an entry of its own, which takes 32 bytes and the read buffer that it was cut from, and reserved the bytes of its content. The HTTP server took 409,600 bytes of each body before it wrote to a caller.

Change: frames are copied into one buffer whose capacity is reserved before it grows, until the whole body has been forwarded in pieces. The server writes from 16 kB on. The tail of an event is accounted by its allocation and searched once. Load reports and answers of the platform are read into one buffer too.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod attempt;
 pub mod attempts;
 pub mod audit;
+pub mod body;
 pub mod burn;
 pub mod change;
 pub mod circuit;
--- a/src/load.rs
+++ b/src/load.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures::{StreamExt as _, stream};
 use http::Request;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use serde::Deserialize;
 use tokio::{
     sync::{mpsc, watch},
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    body,
     dispatch::Load,
     time::{Span, Time},
     upstream::{Client, Reuse},
@@ -88,8 +89,8 @@
     let sent = Time::now();
     let request = Request::get(format!("http://{address}/load")).body(Full::<Bytes>::default());
     let answer = client.send(request.ok()?, Reuse::Allowed).await.ok()?;
-    let body = Limited::new(answer.into_body(), MAX_REPORT_BYTES).collect().await.ok()?;
-    let report: Report = serde_json::from_slice(&body.to_bytes()).ok()?;
+    let body = body::read(answer.into_body(), MAX_REPORT_BYTES).await.ok()?;
+    let report: Report = serde_json::from_slice(&body).ok()?;
     Some(Load {
         running: report.running,
         waiting: report.waiting,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures::future::FutureExt as _;
 use http::{Method, Request, StatusCode, header::HeaderMap};
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper_util::{
     client::legacy::{Client as Http, connect::HttpConnector},
     rt::TokioExecutor,
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use crate::{
+    body,
     circuit::{Health, Outcome},
     gate::{Counts, Gate},
 };
@@ -645,14 +646,11 @@
         let answer =
             self.http.request(request).await.map_err(|error| Failure::Unknown(chain(&error)))?;
         let (head, body) = answer.into_parts();
-        let body = Limited::new(body, max_bytes).collect().await.map_err(|error| {
-            if error.is::<LengthLimitError>() {
-                Failure::Invalid(format!("the answer has more than {max_bytes} bytes"))
-            } else {
-                Failure::Unknown(error.to_string())
-            }
+        let body = body::read(body, max_bytes).await.map_err(|error| match error {
+            body::Failure::TooLong(_) => Failure::Invalid(error.to_string()),
+            body::Failure::Cut(error) => Failure::Unknown(error.to_string()),
         })?;
-        Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
+        Ok(Answer { status: head.status, headers: head.headers, body })
     }
 }
 
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -105,7 +105,7 @@
 #[derive(Debug)]
 pub enum Body {
     /// A complete body.
-    Complete(Bytes),
+    Complete(buffered::Complete),
     /// Events that are forwarded as they arrive.
     Stream(Box<Relay>),
     /// A body too large to buffer, which is forwarded as it arrives.
@@ -627,7 +627,7 @@
             .buffer()
             .await?
         {
-            buffered::Buffered::Complete(bytes) => Body::Complete(bytes),
+            buffered::Buffered::Complete(body) => Body::Complete(body),
             buffered::Buffered::Large(large) => Body::Large(large),
         };
         history.record_answer();
--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -387,10 +387,10 @@
 ) -> WebResponse {
     let CallerResponse { status, headers, body } = response;
     let body = match body {
-        Body::Complete(bytes) => {
+        Body::Complete(body) => {
             let failed = status.is_server_error();
             metrics.end(if failed { Outcome::Errored } else { Outcome::Whole });
-            ResponseBody::bytes(bytes)
+            ResponseBody::boxed(body)
         }
         Body::Stream(relay) => stream_body(ResponseStream::Events(relay), request_guard, metrics),
         Body::Large(large) => stream_body(ResponseStream::Bytes(large), request_guard, metrics),
--- a/src/serving/listener.rs
+++ b/src/serving/listener.rs
@@ -26,6 +26,10 @@
 /// Largest request head that the HTTP server reads, in bytes. The handler checks the configured limit.
 const MAX_HEAD_BYTES: usize = 128 << 10;
 
+/// Bytes of a response from which the HTTP server writes to the socket before it takes more of the body. Each connection
+/// keeps a buffer of this size or larger.
+const WRITE_BUFFER_BYTES: usize = 16 << 10;
+
 /// Stage of the listener between start and shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -180,7 +184,8 @@
     let config = HttpServiceConfig::new()
         .keep_alive_timeout(Duration::from_millis(limits.idle_timeout_ms))
         .request_head_timeout(Duration::from_millis(limits.head_timeout_ms))
-        .max_read_buf_size::<MAX_HEAD_BYTES>();
+        .max_read_buf_size::<MAX_HEAD_BYTES>()
+        .max_write_buf_size::<WRITE_BUFFER_BYTES>();
     let http = HttpServiceBuilder::h1().config(config).with_tls(Acceptor { connections });
     let app = App::new()
         // `SendWrapper` is sound here because the service never leaves this thread.
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -138,7 +138,7 @@
                 Err((kind, ending)) => return Err(self.fail(kind, ending)),
             };
             let events = self.events.push(&bytes);
-            let fits = self.reservation.try_resize(self.events.buffered_bytes());
+            let fits = self.reservation.try_resize(self.events.allocated_bytes());
             match events {
                 Ok(events) if fits && events.is_empty() => {}
                 Ok(events) if fits => {
@@ -153,7 +153,7 @@
     /// Whether the last bytes from the current upstream completed an event.
     fn ends_after_event(&self) -> bool {
         let has_events = self.response.as_ref().is_some_and(|it| it.guard.events() > 0);
-        has_events && self.events.buffered_bytes() == 0
+        has_events && self.events.is_between_events()
     }
 
     fn finish(&mut self) -> Option<Bytes> {
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -10,6 +10,8 @@
 pub struct Buffer {
     /// Bytes of the incomplete event at the end.
     tail: BytesMut,
+    /// Bytes of `tail` that were searched for the end of the event. At most its length.
+    searched: usize,
     /// Id of the last event that was forwarded.
     last: Option<u64>,
 }
@@ -21,7 +23,7 @@
 impl Buffer {
     /// Creates a buffer that drops events up to the given id, which the caller has received already.
     pub fn resuming_after(last: Option<u64>) -> Buffer {
-        Buffer { tail: BytesMut::new(), last }
+        Buffer { last, ..Buffer::default() }
     }
 
     /// Returns the id of the last event that was forwarded; `None` if no event had an id yet.
@@ -29,9 +31,14 @@
         self.last
     }
 
-    /// Returns the length of the incomplete event in bytes.
-    pub fn buffered_bytes(&self) -> usize {
-        self.tail.len()
+    /// Returns the memory that is allocated for the incomplete event, in bytes.
+    pub fn allocated_bytes(&self) -> usize {
+        self.tail.capacity()
+    }
+
+    /// Whether the last bytes completed an event.
+    pub fn is_between_events(&self) -> bool {
+        self.tail.is_empty()
     }
 
     /// Adds bytes and returns the events that they complete.
@@ -41,24 +48,32 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, InvalidEvent> {
         self.tail.extend_from_slice(bytes);
         let mut out = BytesMut::new();
-        while let Some(length) = sse::event(&self.tail) {
+        while let Some(length) = sse::event_from(&self.tail, self.searched) {
+            self.searched = 0;
             let event = self.tail.split_to(length);
             if self.is_next(&event)? {
                 out.extend_from_slice(&event);
             }
         }
+        self.searched = self.tail.len();
+        if !out.is_empty() {
+            // Releases the buffer that the events were cut from.
+            self.tail = BytesMut::from(&self.tail[..]);
+        }
         if self.tail.len() > sse::MAX_EVENT_BYTES { Err(InvalidEvent) } else { Ok(out.freeze()) }
     }
 
     /// Returns the bytes after the last complete event. Called at the end of a response with a length or chunks, which they
     /// belong to.
     pub fn finish(&mut self) -> Bytes {
-        self.tail.split().freeze()
+        self.searched = 0;
+        std::mem::take(&mut self.tail).freeze()
     }
 
     /// Drops the incomplete event of a response that was cut.
     pub fn discard_partial(&mut self) {
-        self.tail.clear();
+        self.searched = 0;
+        self.tail = BytesMut::new();
     }
 
     /// Whether an event has to be forwarded. One that the caller has received already has not, and one without an id
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -9,15 +9,15 @@
 
 /// Length of the first whole event in a buffer, with the blank line that ends it.
 pub fn event(buffer: &[u8]) -> Option<usize> {
-    let mut start = 0;
-    while let Some(length) = line(&buffer[start..]) {
-        let end = start + length;
-        if is_blank(&buffer[start..end]) {
-            return Some(end);
-        }
-        start = end;
-    }
-    None
+    event_from(buffer, 0)
+}
+
+/// Like `event`, for a buffer of which the first `searched` bytes are known to contain no whole event.
+pub fn event_from(buffer: &[u8], searched: usize) -> Option<usize> {
+    let is_end =
+        |at: usize| matches!(&buffer[..at], [] | [.., b'\n'] | [b'\r'] | [.., b'\n', b'\r']);
+    let mut ends = (searched..buffer.len()).filter(|at| buffer[*at] == b'\n');
+    ends.find(|at| is_end(*at)).map(|at| at + 1)
 }
 
 /// Length of the longest run of whole events at the start of a buffer, with their number.
@@ -40,15 +40,6 @@
     })
 }
 
-/// Length of the first line in a buffer, with its line break.
-fn line(buffer: &[u8]) -> Option<usize> {
-    buffer.iter().position(|byte| *byte == b'\n').map(|at| at + 1)
-}
-
-fn is_blank(line: &[u8]) -> bool {
-    matches!(line, b"\n" | b"\r\n")
-}
-
 /// Token counts that an engine states.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 pub struct Usage {
