Hand on the events before a spoilt one, and break streams off at it

Cause: the buffer of a stream counted an event as forwarded when it was checked, and dropped those of the frame with the error.

Change: events before an invalid one are returned first, the error with the next call.

--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -128,24 +128,27 @@
     /// Receives complete events from the current upstream.
     async fn receive(&mut self) -> Result<Option<Bytes>, Kind> {
         loop {
+            let events = self.events.take();
+            let fits = self.reservation.try_resize(self.events.allocated_bytes());
+            match events {
+                Ok(events) if !events.is_empty() => {
+                    if let Some(response) = &self.response {
+                        response.guard.record_events(sse::events(&events).1 as u32);
+                    }
+                    return Ok(Some(events));
+                }
+                Ok(_) if fits => {}
+                Ok(_) => return Err(self.fail(Kind::UpstreamInvalid, Ending::Invalid)),
+                Err(error) => return Err(self.reject(error)),
+            }
             let Some(response) = &mut self.response else { return Ok(None) };
-            let bytes = match response.receive(self.deadline).await {
-                Ok(Some(bytes)) => bytes,
+            match response.receive(self.deadline).await {
+                Ok(Some(bytes)) => self.events.push(&bytes),
                 Ok(None) if response.ends_with_connection && !self.ends_after_event() => {
                     return Err(self.fail(Kind::UpstreamCut, Ending::Failed));
                 }
-                Ok(None) => return Ok(self.finish()),
+                Ok(None) => return self.finish(),
                 Err((kind, ending)) => return Err(self.fail(kind, ending)),
-            };
-            let events = self.events.push(&bytes);
-            let fits = self.reservation.try_resize(self.events.allocated_bytes());
-            match events {
-                Ok(events) if fits && events.is_empty() => {}
-                Ok(events) if fits => {
-                    response.guard.record_events(sse::events(&events).1 as u32);
-                    return Ok(Some(events));
-                }
-                Ok(_) | Err(_) => return Err(self.fail(Kind::UpstreamInvalid, Ending::Invalid)),
             }
         }
     }
@@ -156,12 +159,22 @@
         has_events && self.events.is_between_events()
     }
 
-    fn finish(&mut self) -> Option<Bytes> {
+    fn finish(&mut self) -> Result<Option<Bytes>, Kind> {
+        let rest = self.events.finish().map_err(|error| self.reject(error))?;
         if let Some(response) = self.response.take() {
             response.finish(&self.connections);
         }
-        let rest = self.events.finish();
-        (!rest.is_empty()).then_some(rest)
+        Ok((!rest.is_empty()).then_some(rest))
+    }
+
+    /// Ends the attempt because of an invalid event.
+    fn reject(&mut self, error: stream::InvalidEvent) -> Kind {
+        log::info!(
+            "a stream from {} is broken off after event {:?}: {error}",
+            self.instance,
+            self.events.last_id(),
+        );
+        self.fail(Kind::UpstreamInvalid, Ending::Invalid)
     }
 
     fn fail(&mut self, kind: Kind, ending: Ending) -> Kind {
--- a/tests/serving/unframed.rs
+++ b/tests/serving/unframed.rs
@@ -15,7 +15,7 @@
 
 /// What the caller got of an answer.
 #[derive(Debug, PartialEq, Eq)]
-enum Got {
+pub(crate) enum Got {
     Whole(String),
     /// Bytes, and why no more came.
     Cut(String, Kind),
@@ -33,7 +33,7 @@
     (read(observed.response).await, observed.sent.get())
 }
 
-async fn read(response: Result<CallerResponse, Error>) -> Got {
+pub(crate) async fn read(response: Result<CallerResponse, Error>) -> Got {
     let text = |bytes: &[u8]| String::from_utf8(bytes.to_vec()).expect("the answer is text");
     let mut relay = match response {
         Err(error) => return Got::Nothing(error.kind),
