Select the pool of a split route by the request's id

Cause: the pool was drawn at random, and only the host that had drawn it knew. Records were written only while two versions served in a pool, and an origin was concluded only for routes with one pool.

Change: each host selects the pool by the request's id and the weights, and concludes it for a stream without a record. Streams for which a changed route selects another pool are recorded once; for 4 s nothing is concluded for them. A stream whose route has moved to another pool is refused instead of taken up there. Nothing is concluded beside hosts of earlier builds, which the roster tells.

The old unit test said that the pool of a split route is not known; it now holds for fleets with earlier builds, and new ones cover the others.

--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -32,9 +32,9 @@
         rate_limit,
         relay::{Cut, Relay, Resume},
         retry_budget,
-        stream_origin::Origin,
+        stream_origin::{Origin, StreamKey},
         stream_records::Records,
-        table::{Customer, RetryPolicy, Route},
+        table::{self, Customer, RetryPolicy, Route},
         upstream_response,
         usage::Meter,
     },
@@ -220,7 +220,7 @@
         let origin = self.origin(&request).await?;
         let pool = match &origin {
             Some(origin) => origin.pool.clone(),
-            None => self.choose_pool(&request),
+            None => select_pool(&request),
         };
         let version = origin.and_then(|it| it.version);
         self.shared.retry_budget.record_request(&pool);
@@ -613,7 +613,8 @@
             if request.route.retry_policy == RetryPolicy::Resume {
                 let first = request.resumes.as_ref().filter(|_| request.resumed_after().is_some());
                 let origin = Origin { pool: pool.clone(), version };
-                self.shared.records.record(first.unwrap_or(&request.id), origin);
+                let id = first.unwrap_or(&request.id);
+                self.shared.records.record(id, origin, &request.route);
             }
             self.count_usage(request, history);
             let body = Body::Stream(Box::new(relay));
@@ -715,9 +716,10 @@
         if request.route.retry_policy != RetryPolicy::Resume {
             return Ok(None);
         }
-        let pools: Vec<_> = request.route.destinations.iter().map(|it| it.pool.clone()).collect();
-        let origin = self.shared.records.find(request.resumes.as_ref(), pools.clone()).await;
-        let origin = origin.filter(|it| it.version.is_some() && pools.contains(&it.pool));
+        let route = request.route.clone();
+        let origin = self.shared.records.find(request.resumes.as_ref(), route.clone()).await;
+        let leads_to = |it: &Origin| route.destinations.iter().any(|to| to.pool == it.pool);
+        let origin = origin.filter(|it| it.version.is_some() && leads_to(it));
         let outcome = if origin.is_some() { "known" } else { "unknown" };
         self.shared.metrics.stream_taken_up(outcome);
         if origin.is_none() {
@@ -733,23 +735,6 @@
         Ok(origin)
     }
 
-    /// Selects the pool of a request at random, by the weights of the route's destinations.
-    fn choose_pool(&self, request: &RoutedRequest) -> Arc<str> {
-        let destinations = &request.route.destinations;
-        let total: u64 = destinations.iter().map(|it| u64::from(it.weight)).sum();
-        let mut drawn = match total {
-            0 => 0,
-            total => rand::random_range(0..total),
-        };
-        for destination in destinations {
-            if drawn < u64::from(destination.weight) {
-                return destination.pool.clone();
-            }
-            drawn -= u64::from(destination.weight);
-        }
-        destinations.last().map_or_else(|| "".into(), |it| it.pool.clone())
-    }
-
     fn new_ticket(
         &self,
         request: &RoutedRequest,
@@ -799,6 +784,12 @@
     }
 }
 
+/// Selects the pool of a request by its id, so that other hosts know where a stream began.
+fn select_pool(request: &RoutedRequest) -> Arc<str> {
+    let key = StreamKey::of(request.id.as_bytes());
+    table::select(&request.route.destinations, key).map_or_else(|| "".into(), Arc::clone)
+}
+
 /// Returns the error for the caller after the last failed attempt. A request that did not run may be retried by the
 /// caller.
 fn final_error(failure: attempt_history::Failure, history: &attempt_history::History) -> Error {
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -218,6 +218,7 @@
             address: settings.peers,
             zone: settings.zone.clone(),
             cpu_per_mille: settings.cpu_per_mille,
+            selects_pool_by_id: true,
         };
         registration::spawn(store.clone(), record, draining_seen);
         let mut host = Host {
--- a/src/serving/roster.rs
+++ b/src/serving/roster.rs
@@ -24,6 +24,9 @@
     pub zone: String,
     /// CPU share of the host, in thousandths of a processor.
     pub cpu_per_mille: u32,
+    /// Whether the host selects the pool of a stream by the request's id. Earlier builds draw one at random.
+    #[serde(default)]
+    pub selects_pool_by_id: bool,
 }
 
 /// The registered hosts.
@@ -54,6 +57,11 @@
         self.hosts.binary_search_by(|it| it.id.as_str().cmp(id)).is_ok()
     }
 
+    /// Whether all hosts select the pool of a stream by the request's id; `None` before any host is known.
+    pub fn all_select_pool_by_id(&self) -> Option<bool> {
+        (!self.hosts.is_empty()).then(|| self.hosts.iter().all(|it| it.selects_pool_by_id))
+    }
+
     /// Number of hosts.
     pub fn len(&self) -> usize {
         self.hosts.len()
--- a/src/serving/stream_origin.rs
+++ b/src/serving/stream_origin.rs
@@ -1,8 +1,9 @@
-//! Which version of an upstream's software began each stream, as one host knows it.
+//! Which pool and which version of its upstreams' software began each stream, as one host knows it.
 //!
 //! What two versions write does not fit together, so that a stream goes on only at the version that began it. A host
 //! remembers the streams that it forwarded, and the versions that its list of upstreams has shown. Hosts that know nothing
-//! of a stream find it in the records that others wrote, or conclude its version where only one has ever served.
+//! of a stream find it in the records that others wrote, or conclude where it began: its pool from the id of its first
+//! request, by which every host selects among the destinations of a route, and its version where only one has ever served.
 
 use std::sync::Arc;
 
@@ -10,7 +11,10 @@
 
 use crate::{
     rendezvous,
-    serving::registry::Entry,
+    serving::{
+        registry::Entry,
+        table::{self, Destination, RetryPolicy, Route},
+    },
     time::{Span, Time},
 };
 
@@ -21,6 +25,10 @@
 /// is concluded any more: a host whose list is younger has seen each version at which streams have begun.
 pub const NOTICE: Span = Span::from_ms(2_000);
 
+/// Time after a change of a route's destinations from which no record is taken for a stream that they select: each host
+/// has the new ones within 2 s, and has then written the streams that began elsewhere.
+pub const CHANGE_NOTICE: Span = Span::from_ms(4_000);
+
 /// Most streams that a host remembers.
 const MAX_STREAMS: usize = 16_384;
 
@@ -53,6 +61,18 @@
     key: StreamKey,
     began_at: Time,
     origin: Origin,
+    /// Name of its route, `None` if another host forwarded it.
+    route: Option<Arc<str>>,
+}
+
+/// Destinations of a route whose streams may be taken up.
+#[derive(Debug)]
+struct Destinations {
+    route: Arc<str>,
+    /// Those in force; empty while there is no such route.
+    current: Vec<Destination>,
+    /// Earlier ones, each with the time at which it was replaced.
+    earlier: Vec<(Vec<Destination>, Time)>,
 }
 
 /// A version of a pool in the list of upstreams.
@@ -74,6 +94,12 @@
     listed: Vec<Listed>,
     /// Versions that the store names, each with the time from which streams may begin there. Sorted by origin.
     confirmed: Vec<(Origin, Time)>,
+    /// Destinations of routes, sorted by route.
+    destinations: Vec<Destinations>,
+    /// Whether the registered hosts are known.
+    knows_hosts: bool,
+    /// When a host was last registered that draws pools at random; `None` if none was.
+    random_until: Option<Time>,
     /// Time for which a stream may be taken up. Never decreases.
     lifetime: Span,
 }
@@ -85,15 +111,57 @@
             streams: Vec::new(),
             listed: Vec::new(),
             confirmed: Vec::new(),
+            destinations: Vec::new(),
+            knows_hosts: false,
+            random_until: None,
             lifetime: MIN_LIFETIME,
         }
     }
 }
 
 impl Origins {
-    /// Records the longest timeout of a route whose streams may be taken up.
-    pub fn record_timeout(&mut self, timeout: Span) {
-        self.lifetime = self.lifetime.max(Span(timeout.0 * 2));
+    /// Records the routes of the configuration in force.
+    pub fn record_routes<'a>(&mut self, now: Time, routes: impl Iterator<Item = &'a Route>) {
+        let mut missing: Vec<_> = self.destinations.iter().map(|it| it.route.clone()).collect();
+        for route in routes.filter(|it| it.retry_policy == RetryPolicy::Resume) {
+            self.lifetime = self.lifetime.max(Span::from_ms(route.timeout_ms * 2));
+            self.set_destinations(now, &route.name, &route.destinations);
+            if let Ok(at) = missing.binary_search(&route.name) {
+                missing.remove(at);
+            }
+        }
+        missing.iter().for_each(|it| self.set_destinations(now, it, &[]));
+    }
+
+    fn set_destinations(&mut self, now: Time, route: &Arc<str>, destinations: &[Destination]) {
+        match self.destinations.binary_search_by(|it| it.route.cmp(route)) {
+            Ok(at) if self.destinations[at].current == destinations => {}
+            Ok(at) => {
+                let known = &mut self.destinations[at];
+                let earlier = std::mem::replace(&mut known.current, destinations.to_vec());
+                if !earlier.is_empty() {
+                    known.earlier.push((earlier, now));
+                }
+            }
+            Err(at) => {
+                let current = destinations.to_vec();
+                let new = Destinations { route: route.clone(), current, earlier: Vec::new() };
+                self.destinations.insert(at, new);
+            }
+        }
+    }
+
+    fn destinations(&self, route: &str) -> Option<&Destinations> {
+        let found = self.destinations.binary_search_by(|it| (*it.route).cmp(route));
+        found.ok().map(|at| &self.destinations[at])
+    }
+
+    /// Records whether all registered hosts select pools by the ids of requests; `None` if they are not known yet.
+    pub fn record_hosts(&mut self, now: Time, all_select_pool_by_id: Option<bool>) {
+        self.knows_hosts |= all_select_pool_by_id.is_some();
+        if all_select_pool_by_id == Some(false) {
+            self.random_until = Some(now);
+        }
     }
 
     /// Returns the time for which a stream may be taken up.
@@ -133,6 +201,10 @@
         let lifetime = self.lifetime;
         self.streams.retain(|it| now.since(it.began_at) < lifetime);
         self.listed.retain(|it| it.until.is_none_or(|until| now.since(until) < lifetime));
+        for known in &mut self.destinations {
+            known.earlier.retain(|(_, until)| now.since(*until) < lifetime);
+        }
+        self.destinations.retain(|it| !it.current.is_empty() || !it.earlier.is_empty());
         let listed = &self.listed;
         self.confirmed
             .retain(|(origin, _)| listed.binary_search_by(|it| it.origin.cmp(origin)).is_ok());
@@ -179,8 +251,13 @@
         self.listed_since.is_some_and(|it| now.since(it) >= self.lifetime)
     }
 
-    /// Records that a stream has begun.
-    pub fn record_stream(&mut self, now: Time, key: StreamKey, origin: Origin) {
+    /// Records that a stream has begun, on a route if this host forwarded it.
+    pub fn record_stream(
+        &mut self,
+        now: Time,
+        key: StreamKey,
+        (origin, route): (Origin, Option<Arc<str>>),
+    ) {
         if self.streams.len() >= MAX_STREAMS {
             self.remove_expired(now);
         }
@@ -192,34 +269,68 @@
         }
         match self.streams.binary_search_by_key(&key, |it| it.key) {
             Ok(at) => self.streams[at].began_at = now,
-            Err(at) => self.streams.insert(at, Stream { key, began_at: now, origin }),
+            Err(at) => self.streams.insert(at, Stream { key, began_at: now, origin, route }),
         }
     }
 
     /// Returns where a stream began, if this host knows: it forwarded its first event, heard of it, or has seen only one
-    /// version in the only pool of the route. `verified_at` is when the list of upstreams was last known to be the store's.
+    /// version in the pool that the route selects for it. `verified_at` is when the list of upstreams was last known to be
+    /// the store's.
     pub fn find(
         &self,
         now: Time,
         key: Option<StreamKey>,
-        pools: &[Arc<str>],
+        route: &Route,
         verified_at: Option<Time>,
     ) -> Option<Origin> {
         let known = |it: StreamKey| self.streams.binary_search_by_key(&it, |it| it.key).ok();
         if let Some(at) = key.and_then(known) {
             return Some(self.streams[at].origin.clone());
         }
-        let [pool] = pools else { return None };
-        let mut versions = self.recent(pool);
+        let pool = self.selected_pool(now, key, (route, self.lifetime))?;
+        let mut versions = self.recent(&pool);
         let only = versions.next()?.clone();
         let is_current = verified_at.is_some_and(|it| now.since(it) < NOTICE);
         (versions.next().is_none() && is_current && self.has_seen_all(now)).then_some(only)
     }
 
-    /// Returns the record of the streams of pools in which two versions serve, the newest ones if they are too many.
+    /// Returns the pool in which a stream began that has no record: the one that the route's destinations select for it.
+    /// `None` if others did within the last `notice`, or if the stream may be one of a host that draws pools at random.
+    pub fn selected_pool(
+        &self,
+        now: Time,
+        key: Option<StreamKey>,
+        (route, notice): (&Route, Span),
+    ) -> Option<Arc<str>> {
+        let select = |destinations: &[Destination]| match destinations {
+            [only] => Some(only.pool.clone()),
+            _ => table::select(destinations, key?).cloned(),
+        };
+        let selected = select(&route.destinations)?;
+        let is_random = self.random_until.is_some_and(|it| now.since(it) < self.lifetime);
+        if route.destinations.len() > 1 && (is_random || !self.knows_hosts) {
+            return None;
+        }
+        let Some(known) = self.destinations(&route.name) else { return Some(selected) };
+        let recent = known.earlier.iter().filter(|(_, until)| now.since(*until) < notice);
+        let mut recent = recent.map(|it| &it.0).chain([&known.current]).filter(|it| !it.is_empty());
+        recent.all(|it| select(it).as_ref() == Some(&selected)).then_some(selected)
+    }
+
+    /// Whether other hosts need a record to find where a stream began.
+    fn needs_record(&self, stream: &Stream) -> bool {
+        if self.is_mixed(&stream.origin.pool) {
+            return true;
+        }
+        let known = stream.route.as_ref().and_then(|it| self.destinations(it));
+        let selected = known.and_then(|it| table::select(&it.current, stream.key));
+        selected.is_some_and(|it| *it != stream.origin.pool)
+    }
+
+    /// Returns the record of the streams of pools in which two versions serve, and of those that began in a pool which the
+    /// route no longer selects for them; the newest ones if they are too many.
     pub fn record(&self) -> Record {
-        let mut streams: Vec<_> =
-            self.streams.iter().filter(|it| self.is_mixed(&it.origin.pool)).collect();
+        let mut streams: Vec<_> = self.streams.iter().filter(|it| self.needs_record(it)).collect();
         if streams.len() > MAX_RECORDED {
             streams.sort_by_key(|it| std::cmp::Reverse(it.began_at));
             streams.truncate(MAX_RECORDED);
@@ -245,7 +356,7 @@
             if let Some(origin) = record.origins.get(*index as usize)
                 && !is_known
             {
-                self.record_stream(now, key, origin.clone());
+                self.record_stream(now, key, (origin.clone(), None));
             }
         }
     }
--- a/src/serving/stream_records.rs
+++ b/src/serving/stream_records.rs
@@ -1,7 +1,7 @@
 //! Tasks that write down where streams began, for hosts that know nothing of them, and look it up.
 //!
 //! While two versions serve in a pool, each host writes the streams that it forwarded to the store in short intervals. Which
-//! versions serve is written once for each change.
+//! versions serve is written once for each change. Streams for which a route has come to select another pool are written once.
 
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
@@ -17,8 +17,8 @@
     serving::{
         registry::Entry,
         roster::Roster,
-        stream_origin::{Origin, Origins, Record, StreamKey, Versions},
-        table::{RetryPolicy, Table},
+        stream_origin::{CHANGE_NOTICE, Origin, Origins, Record, StreamKey, Versions},
+        table::{RetryPolicy, Route, Table},
     },
     store::{Commit, Committed, Failure, LeaseId, Put, Store},
     time::{Span, Time},
@@ -59,7 +59,7 @@
 #[derive(Debug)]
 struct Lookup {
     key: Option<StreamKey>,
-    pools: Vec<Arc<str>>,
+    route: Arc<Route>,
     answer: oneshot::Sender<Option<Origin>>,
 }
 
@@ -105,9 +105,10 @@
     }
 
     /// Records that the first event of a stream has arrived. `id` is that of the request that brought it.
-    pub fn record(&self, id: &HeaderValue, origin: Origin) {
+    pub fn record(&self, id: &HeaderValue, origin: Origin, route: &Route) {
         let key = StreamKey::of(id.as_bytes());
-        self.origins.borrow_mut().record_stream(Time::now(), key, origin);
+        let stream = (origin, Some(route.name.clone()));
+        self.origins.borrow_mut().record_stream(Time::now(), key, stream);
     }
 
     /// Returns the versions of a pool at which no stream should begin yet that may be taken up.
@@ -115,17 +116,16 @@
         self.origins.borrow().unconfirmed(Time::now(), pool)
     }
 
-    /// Returns where a stream began that a request with this id brought first, `None` if that is not known. `pools` are
-    /// those to which the route may send it.
-    pub async fn find(&self, id: Option<&HeaderValue>, pools: Vec<Arc<str>>) -> Option<Origin> {
+    /// Returns where a stream began that a request with this id brought first on the route, `None` if that is not known.
+    pub async fn find(&self, id: Option<&HeaderValue>, route: Arc<Route>) -> Option<Origin> {
         let key = id.map(|it| StreamKey::of(it.as_bytes()));
         let verified_at = *self.verified.borrow();
-        let known = self.origins.borrow().find(Time::now(), key, &pools, verified_at);
+        let known = self.origins.borrow().find(Time::now(), key, &route, verified_at);
         if known.is_some() {
             return known;
         }
         let (answer, found) = oneshot::channel();
-        self.lookups.send(Lookup { key, pools, answer }).ok()?;
+        self.lookups.send(Lookup { key, route, answer }).ok()?;
         timeout(LOOKUP_TIMEOUT, found).await.ok()?.ok()?
     }
 }
@@ -168,13 +168,14 @@
             }
         };
         let era = store.era();
-        for Lookup { key, pools, answer } in waiting {
+        for Lookup { key, route, answer } in waiting {
             let verified_at = *verified.borrow();
-            let known = origins.borrow().find(Time::now(), key, &pools, verified_at);
+            let (now, origins) = (Time::now(), origins.borrow());
+            let known = origins.find(now, key, &route, verified_at);
             let found = known.or_else(|| {
-                let [pool] = pools.as_slice() else { return None };
-                let (_, versions) = versions.iter().find(|it| it.0 == **pool)?;
-                Some(Origin { pool: pool.clone(), version: versions.only(era)? })
+                let pool = origins.selected_pool(now, key, (&route, CHANGE_NOTICE))?;
+                let (_, versions) = versions.iter().find(|it| it.0 == *pool)?;
+                Some(Origin { version: versions.only(era)?, pool })
             });
             // The request may have been given up.
             let _ = answer.send(found);
@@ -234,6 +235,7 @@
 impl<S: Store> Writer<S> {
     async fn run(mut self) {
         let mut upstreams = self.options.upstreams.clone();
+        let mut table = self.options.table.clone();
         let mut failures = 0_u32;
         loop {
             match self.step().await {
@@ -253,6 +255,7 @@
             let interval = interval * (1 << failures.min(MAX_DOUBLINGS));
             tokio::select! {
                 changed = upstreams.changed() => if changed.is_err() { return },
+                changed = table.changed() => if changed.is_err() { return },
                 () = sleep(interval) => {}
             }
         }
@@ -263,6 +266,11 @@
         {
             let mut origins = self.origins.borrow_mut();
             let now = Time::now();
+            let table = self.options.table.borrow();
+            if let Some(table) = &*table {
+                origins.record_routes(now, table.routes().iter().map(|it| &**it));
+            }
+            origins.record_hosts(now, self.options.roster.borrow().all_select_pool_by_id());
             origins.record_list(now, &self.options.upstreams.borrow());
             origins.remove_expired(now);
         }
@@ -281,16 +289,15 @@
                 self.prune(pool).await?;
             }
         }
-        self.write_record(&pools).await
+        self.write_record().await
     }
 
-    /// Returns the pools to which streams go that may be taken up, and notes how long that may be.
+    /// Returns the pools to which streams go that may be taken up.
     fn resumable_pools(&self) -> Vec<Arc<str>> {
         let table = self.options.table.borrow();
         let mut pools = Vec::new();
         for route in table.iter().flat_map(|it| it.routes()) {
             if route.retry_policy == RetryPolicy::Resume {
-                self.origins.borrow_mut().record_timeout(Span::from_ms(route.timeout_ms));
                 pools.extend(route.destinations.iter().map(|it| it.pool.clone()));
             }
         }
@@ -359,11 +366,8 @@
         Ok(matches!(self.options.store.commit(&commit).await?, Committed::Done(_)))
     }
 
-    /// Writes the streams of this host while their pools have two versions.
-    async fn write_record(&mut self, pools: &[Arc<str>]) -> Result<(), Failure> {
-        if !pools.iter().any(|it| self.origins.borrow().is_mixed(it)) {
-            return Ok(());
-        }
+    /// Writes the streams for which other hosts need a record.
+    async fn write_record(&mut self) -> Result<(), Failure> {
         let record = self.origins.borrow().record();
         // Streams that can no longer be taken up may stay in the store for a while.
         let is_written =
--- a/src/serving/table.rs
+++ b/src/serving/table.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use crate::credential::Digest;
+use crate::{credential::Digest, serving::stream_origin::StreamKey};
 
 /// How often upstreams may run one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,6 +26,21 @@
     pub weight: u32,
 }
 
+/// Selects the pool of a stream among destinations, in proportion to their weights. Each host selects the same one for
+/// the same key.
+pub fn select(destinations: &[Destination], key: StreamKey) -> Option<&Arc<str>> {
+    let total: u64 = destinations.iter().map(|it| u64::from(it.weight)).sum();
+    let mut at = ((u128::from(key.0) * u128::from(total)) >> 64) as u64;
+    for destination in destinations {
+        let weight = u64::from(destination.weight);
+        if at < weight {
+            return Some(&destination.pool);
+        }
+        at -= weight;
+    }
+    destinations.last().map(|it| &it.pool)
+}
+
 /// Rules for requests to one host name with one path prefix.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Route {
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -217,8 +217,13 @@
             let address = listener.local_addr().expect("the socket is bound");
             let zone = ["a", "b", "c"][index % 3];
             let id = format!("host-{index:03}");
-            let host =
-                roster::Host { id: id.clone(), address, zone: zone.into(), cpu_per_mille: 100 };
+            let host = roster::Host {
+                id: id.clone(),
+                address,
+                zone: zone.into(),
+                cpu_per_mille: 100,
+                selects_pool_by_id: true,
+            };
             let record = serde_json::to_vec(&host).expect("records can be written");
             store.put(&format!("{}{id}", roster::PREFIX), &record);
             roster.insert(host.clone());
--- a/tests/serving/stream_origin.rs
+++ b/tests/serving/stream_origin.rs
@@ -1,19 +1,38 @@
 //! Which version began a stream, as far as a host can know.
 
-use almondrack::{
-    serving::{
-        registry::Entry,
-        stream_origin::{Origin, Origins, StreamKey, Versions},
-    },
-    time::Span,
+use almondrack::serving::{
+    registry::Entry,
+    stream_origin::{CHANGE_NOTICE, Origin, Origins, StreamKey, Versions},
+    table::{Destination, RetryPolicy, Route, select},
 };
+use quickcheck::quickcheck;
 
-use crate::fixture::{POOL, at, engine};
+use crate::{
+    exchange::routed_request,
+    fixture::{POOL, at, engine},
+};
 
 fn origin(version: &str) -> Origin {
     Origin { pool: POOL.into(), version: Some(version.into()) }
 }
 
+/// A route whose streams may be taken up, split by weights.
+fn route(weights: &[(&str, u32)]) -> Route {
+    let destinations =
+        weights.iter().map(|(pool, weight)| Destination { pool: (*pool).into(), weight: *weight });
+    let route = (*routed_request(true, RetryPolicy::Resume).route).clone();
+    Route { destinations: destinations.collect(), ..route }
+}
+
+fn only() -> Route {
+    route(&[(POOL, 1)])
+}
+
+/// Records that this host forwarded a stream.
+fn begin(origins: &mut Origins, ms: u64, id: &str, origin: Origin) {
+    origins.record_stream(at(ms), StreamKey::of(id.as_bytes()), (origin, Some("route".into())));
+}
+
 fn engine_of(index: usize, version: &str) -> Entry {
     Entry { version: Some(version.into()), ..engine(index) }
 }
@@ -26,16 +45,14 @@
 fn a_host_that_has_just_started_does_not_take_the_only_version_for_the_one_there_ever_was() {
     let mut origins = Origins::default();
     origins.record_list(at(0), &[engine_of(1, "v2")]);
-    assert_eq!(origins.find(at(9_999), key("a"), &[POOL.into()], Some(at(9_999))), None);
-    assert_eq!(
-        origins.find(at(10_000), key("a"), &[POOL.into()], Some(at(10_000))),
-        Some(origin("v2"))
-    );
-    let two = [POOL.into(), "other".into()];
+    assert_eq!(origins.find(at(9_999), key("a"), &only(), Some(at(9_999))), None);
+    assert_eq!(origins.find(at(10_000), key("a"), &only(), Some(at(10_000))), Some(origin("v2")));
+    let two = route(&[(POOL, 1), ("other", 1)]);
+    origins.record_hosts(at(9_000), Some(false));
     assert_eq!(
         origins.find(at(10_000), key("a"), &two, Some(at(10_000))),
         None,
-        "the pool is not known either"
+        "the pool is not known either, as an earlier build drew it at random"
     );
 }
 
@@ -45,7 +62,7 @@
     let mut origins = Origins::default();
     origins.record_list(at(0), &[engine_of(1, "v1")]);
     let find = |origins: &Origins, verified_at| {
-        origins.find(at(20_000), key("a"), &[POOL.into()], Some(at(verified_at)))
+        origins.find(at(20_000), key("a"), &only(), Some(at(verified_at)))
     };
     assert_eq!(find(&origins, 18_000), None);
     assert_eq!(find(&origins, 18_001), Some(origin("v1")));
@@ -62,41 +79,39 @@
 #[test]
 fn a_version_that_has_left_counts_until_its_streams_cannot_be_taken_up() {
     let mut origins = Origins::default();
-    origins.record_timeout(Span::from_ms(15_000));
+    let slow = Route { timeout_ms: 15_000, ..only() };
+    origins.record_routes(at(0), [&slow].into_iter());
     origins.record_list(at(0), &[engine_of(1, "v1"), engine_of(2, "v2")]);
     origins.record_list(at(1_000), &[engine_of(2, "v2")]);
     origins.remove_expired(at(30_999));
     assert!(origins.is_mixed(POOL));
-    assert_eq!(origins.find(at(30_999), key("a"), &[POOL.into()], Some(at(30_999))), None);
+    assert_eq!(origins.find(at(30_999), key("a"), &only(), Some(at(30_999))), None);
     origins.remove_expired(at(31_000));
     assert!(!origins.is_mixed(POOL));
-    assert_eq!(
-        origins.find(at(31_000), key("a"), &[POOL.into()], Some(at(31_000))),
-        Some(origin("v2"))
-    );
+    assert_eq!(origins.find(at(31_000), key("a"), &only(), Some(at(31_000))), Some(origin("v2")));
 }
 
 #[test]
 fn an_upstream_without_a_version_may_be_of_any() {
     let mut origins = Origins::default();
     origins.record_list(at(0), &[engine_of(1, "v1"), Entry { version: None, ..engine(2) }]);
-    assert_eq!(origins.find(at(60_000), key("a"), &[POOL.into()], Some(at(60_000))), None);
+    assert_eq!(origins.find(at(60_000), key("a"), &only(), Some(at(60_000))), None);
 }
 
 #[test]
 fn other_hosts_find_a_stream_in_the_record_of_the_one_that_forwarded_it() {
     let mut host = Origins::default();
     host.record_list(at(0), &[engine_of(1, "v1")]);
-    host.record_stream(at(10), StreamKey::of(b"a"), origin("v1"));
+    begin(&mut host, 10, "a", origin("v1"));
     assert!(host.record().streams.is_empty(), "one version needs no record");
     host.record_list(at(20), &[engine_of(1, "v1"), engine_of(2, "v2")]);
-    host.record_stream(at(30), StreamKey::of(b"b"), origin("v2"));
+    begin(&mut host, 30, "b", origin("v2"));
     let text = serde_json::to_string(&host.record()).expect("a record can be encoded");
     let mut other = Origins::default();
     other.merge(at(0), &serde_json::from_str(&text).expect("a record can be decoded"));
-    assert_eq!(other.find(at(0), key("a"), &[POOL.into()], Some(at(0))), Some(origin("v1")));
-    assert_eq!(other.find(at(0), key("b"), &[POOL.into()], Some(at(0))), Some(origin("v2")));
-    assert_eq!(other.find(at(0), key("c"), &[POOL.into()], Some(at(0))), None);
+    assert_eq!(other.find(at(0), key("a"), &only(), Some(at(0))), Some(origin("v1")));
+    assert_eq!(other.find(at(0), key("b"), &only(), Some(at(0))), Some(origin("v2")));
+    assert_eq!(other.find(at(0), key("c"), &only(), Some(at(0))), None);
 }
 
 #[test]
@@ -118,10 +133,87 @@
     let mut origins = Origins::default();
     origins.record_list(at(0), &[engine_of(1, "v1"), engine_of(2, "v2")]);
     for number in 0..50_000_u64 {
-        origins.record_stream(at(number / 10), StreamKey(number), origin("v1"));
+        let stream = (origin("v1"), Some("route".into()));
+        origins.record_stream(at(number / 10), StreamKey(number), stream);
     }
-    assert!(origins.find(at(5_000), Some(StreamKey(49_999)), &[POOL.into()], None).is_some());
+    assert!(origins.find(at(5_000), Some(StreamKey(49_999)), &only(), None).is_some());
     let record = origins.record();
     assert_eq!((record.streams.len(), record.origins.len()), (4_096, 1));
     assert!(record.streams.iter().all(|it| it.0 > 40_000));
 }
+
+fn pool_origin(pool: &str) -> Origin {
+    Origin { pool: pool.into(), version: Some("v1".into()) }
+}
+
+// No host knew in which pool of a split route another host's stream began, and refused all of them.
+#[test]
+fn a_host_knows_in_which_pool_of_a_split_route_a_stream_of_another_host_began() {
+    let split = route(&[("a", 80), ("b", 15), ("c", 5)]);
+    let mut origins = Origins::default();
+    let entries = ["a", "b", "c"].map(|it| Entry { pool: it.into(), ..engine_of(1, "v1") });
+    origins.record_list(at(0), &entries);
+    origins.record_routes(at(0), [&split].into_iter());
+    origins.record_hosts(at(0), Some(true));
+    for number in 0..100 {
+        let id = format!("stream-{number}");
+        let pool = select(&split.destinations, StreamKey::of(id.as_bytes())).expect("a pool");
+        let found = origins.find(at(10_000), key(&id), &split, Some(at(10_000)));
+        assert_eq!(found, Some(pool_origin(pool)));
+    }
+}
+
+// After a change of a split, its destinations select another pool for some streams than the one in which they began.
+#[test]
+fn a_stream_that_began_before_a_split_changed_is_found_by_its_record_only() {
+    let (before, after) = (route(&[("a", 1)]), route(&[("b", 1), ("a", 1)]));
+    let mut host = Origins::default();
+    host.record_routes(at(0), [&before].into_iter());
+    let ids: Vec<_> = (0..20).map(|it| format!("stream-{it}")).collect();
+    ids.iter().for_each(|it| begin(&mut host, 100, it, pool_origin("a")));
+    assert!(host.record().streams.is_empty(), "the only pool needs no record");
+    host.record_routes(at(1_000), [&after].into_iter());
+    let record = host.record();
+    let mut other = Origins::default();
+    other.record_hosts(at(0), Some(true));
+    other.record_routes(at(0), [&before].into_iter());
+    other.record_routes(at(900), [&after].into_iter());
+    let early = |other: &Origins, id| {
+        other.selected_pool(
+            at(900) + CHANGE_NOTICE - at(1).since(at(0)),
+            key(id),
+            (&after, CHANGE_NOTICE),
+        )
+    };
+    let is_moved = |it: &String| {
+        select(&after.destinations, StreamKey::of(it.as_bytes())).is_some_and(|it| **it == *"b")
+    };
+    let moved: Vec<_> = ids.iter().filter(|it| is_moved(it)).collect();
+    assert!(!moved.is_empty() && moved.len() < ids.len());
+    assert_eq!(record.streams.len(), moved.len(), "only streams that moved need a record");
+    for id in &moved {
+        assert_eq!(early(&other, id), None, "another host may not have written its streams yet");
+    }
+    other.merge(at(1_200), &record);
+    for id in &moved {
+        let found = other.find(at(1_200), key(id), &after, Some(at(1_200)));
+        assert_eq!(found, Some(pool_origin("a")));
+    }
+}
+
+quickcheck! {
+    fn pools_get_their_shares_of_streams(weights: Vec<u8>) -> bool {
+        const STREAMS: u64 = 4_000;
+        let names: Vec<_> = (0..weights.len()).map(|it| format!("pool-{it}")).collect();
+        let shares: Vec<_> = names.iter().map(|it| &**it).zip(weights.iter().map(|it| u32::from(*it))).collect();
+        let split = route(&shares);
+        let total: u32 = shares.iter().map(|it| it.1).sum();
+        let pick = |id: u64| select(&split.destinations, StreamKey::of(&id.to_be_bytes())).cloned();
+        let picked: Vec<_> = (0..STREAMS).filter_map(pick).collect();
+        shares.iter().all(|(name, weight)| {
+            let count = picked.iter().filter(|it| ***it == **name).count() as f64;
+            let share = f64::from(*weight) / f64::from(total);
+            total == 0 || (count / STREAMS as f64 - share).abs() < 0.06
+        })
+    }
+}
