Divide the records of where streams began, and name why one is unknown

At 60 hosts most streams that callers took up were refused while two versions served, though upstreams of their versions were there.

Cause: a lookup listed the records of all hosts within 400 ms, over links of 10 Mbit/s, and lookups waited for one another. A host that had looked a stream up recorded all that it had read as its own, so that records grew towards the sum of all.

Change: records are divided into 16 shards by the key of the stream; one call writes those that changed, a lookup reads one of them. Hosts record only streams that they forward. A line and a label of the counter say why a stream does not go on, and after what time.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -115,7 +115,7 @@
         )?;
         let taken_up_streams = counter(
             "almondrack_taken_up_streams_total",
-            "Requests of callers that take up a stream, by whether the version that began it is known.",
+            "Requests of callers that take up a stream, by whether the version that began it is known, or why not.",
             &["origin"],
         )?;
         let cut_attempts = counter(
@@ -207,7 +207,7 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
-    /// Counts a request that takes up a stream whose origin is `known` or `unknown`.
+    /// Counts a request that takes up a stream whose origin is `known`, or why it is not.
     pub fn stream_taken_up(&self, origin: &str) {
         self.taken_up_streams.with_label_values(&[origin]).inc();
     }
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -32,7 +32,7 @@
         rate_limit,
         relay::{Cut, Relay, Resume},
         retry_budget,
-        stream_origin::{Origin, StreamKey},
+        stream_origin::{Origin, StreamKey, Unknown},
         stream_records::Records,
         table::{self, Customer, RetryPolicy, Route},
         upstream_response,
@@ -716,23 +716,29 @@
         if request.route.retry_policy != RetryPolicy::Resume {
             return Ok(None);
         }
-        let route = request.route.clone();
+        let route = &request.route;
+        let began = Time::now();
         let origin = self.shared.records.find(request.resumes.as_ref(), route.clone()).await;
         let leads_to = |it: &Origin| route.destinations.iter().any(|to| to.pool == it.pool);
-        let origin = origin.filter(|it| it.version.is_some() && leads_to(it));
-        let outcome = if origin.is_some() { "known" } else { "unknown" };
-        self.shared.metrics.stream_taken_up(outcome);
-        if origin.is_none() {
-            log::info!(
-                "stream {} does not go on after event {after}: the version that began it is not known; {} began it",
-                request.log_id(),
-                request.log_resumes(),
-            );
-            let error =
-                Error::new(Kind::NoUpstream, "the version that began the stream is not known");
-            return Err(error.with_retry_after_ms(UNKNOWN_ORIGIN_RETRY_AFTER_MS));
-        }
-        Ok(origin)
+        let why = match origin {
+            Ok(origin) if origin.version.is_none() => Unknown::Unversioned,
+            Ok(origin) if !leads_to(&origin) => Unknown::Moved,
+            Ok(origin) => {
+                self.shared.metrics.stream_taken_up("known");
+                return Ok(Some(origin));
+            }
+            Err(why) => why,
+        };
+        self.shared.metrics.stream_taken_up(why.as_str());
+        log::info!(
+            "stream {} does not go on after event {after}: the version that began it is not known, {} after {} ms; {} began it",
+            request.log_id(),
+            why.as_str(),
+            Time::now().since(began).as_ms(),
+            request.log_resumes(),
+        );
+        let error = Error::new(Kind::NoUpstream, "the version that began the stream is not known");
+        Err(error.with_retry_after_ms(UNKNOWN_ORIGIN_RETRY_AFTER_MS))
     }
 
     fn new_ticket(
--- a/src/serving/stream_origin.rs
+++ b/src/serving/stream_origin.rs
@@ -35,6 +35,10 @@
 /// Most streams in the record of a host.
 const MAX_RECORDED: usize = 4_096;
 
+/// Parts into which the records of streams are divided, so that a lookup reads one of them. A power of two; the parts of
+/// one host are written with one call.
+pub const SHARDS: usize = 16;
+
 /// Hash of the id of the request that brought the first event of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StreamKey(pub u64);
@@ -44,6 +48,42 @@
     pub fn of(id: &[u8]) -> StreamKey {
         StreamKey(rendezvous::hash(&[b"stream", id]))
     }
+
+    /// Returns the number of the part of the records that holds the stream, less than `SHARDS`.
+    pub fn shard(self) -> usize {
+        self.0 as usize % SHARDS
+    }
+}
+
+/// Why it is not known where a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unknown {
+    /// The store did not answer in time.
+    LookupTimeout,
+    /// The store could not be read.
+    LookupFailed,
+    /// No host has recorded the stream, and the route may have selected another pool for it.
+    Pool,
+    /// No host has recorded the stream, and upstreams of several versions may have served.
+    Version,
+    /// The upstream stated no version.
+    Unversioned,
+    /// The route does not lead to the pool any more.
+    Moved,
+}
+
+impl Unknown {
+    /// Returns the name in metrics and log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Unknown::LookupTimeout => "lookup_timeout",
+            Unknown::LookupFailed => "lookup_failed",
+            Unknown::Pool => "pool",
+            Unknown::Version => "version",
+            Unknown::Unversioned => "unversioned",
+            Unknown::Moved => "moved",
+        }
+    }
 }
 
 /// Where a stream began.
@@ -268,7 +308,11 @@
             self.streams.retain(|it| it.began_at > median);
         }
         match self.streams.binary_search_by_key(&key, |it| it.key) {
-            Ok(at) => self.streams[at].began_at = now,
+            Ok(at) => {
+                let stream = &mut self.streams[at];
+                stream.began_at = now;
+                stream.route = route.or(stream.route.take());
+            }
             Err(at) => self.streams.insert(at, Stream { key, began_at: now, origin, route }),
         }
     }
@@ -317,12 +361,13 @@
         recent.all(|it| select(it).as_ref() == Some(&selected)).then_some(selected)
     }
 
-    /// Whether other hosts need a record to find where a stream began.
+    /// Whether other hosts need a record of this host to find where a stream began.
     fn needs_record(&self, stream: &Stream) -> bool {
+        let Some(route) = &stream.route else { return false };
         if self.is_mixed(&stream.origin.pool) {
             return true;
         }
-        let known = stream.route.as_ref().and_then(|it| self.destinations(it));
+        let known = self.destinations(route);
         let selected = known.and_then(|it| table::select(&it.current, stream.key));
         selected.is_some_and(|it| *it != stream.origin.pool)
     }
@@ -371,6 +416,14 @@
     pub streams: Vec<(u64, u32)>,
 }
 
+impl Record {
+    /// Returns the part of the record with the streams of a shard.
+    pub fn shard(&self, shard: usize) -> Record {
+        let streams = self.streams.iter().filter(|it| StreamKey(it.0).shard() == shard);
+        Record { origins: self.origins.clone(), streams: streams.copied().collect() }
+    }
+}
+
 /// The versions of a pool whose streams may be taken up, as hosts write them to the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
--- a/src/serving/stream_records.rs
+++ b/src/serving/stream_records.rs
@@ -1,6 +1,7 @@
 //! Tasks that write down where streams began, for hosts that know nothing of them, and look it up.
 //!
-//! While two versions serve in a pool, each host writes the streams that it forwarded to the store in short intervals. Which
+//! While two versions serve in a pool, each host writes the streams that it forwarded to the store in short intervals,
+//! divided into shards by their keys. A lookup reads one shard of all hosts. Which
 //! versions serve is written once for each change. Streams for which a route has come to select another pool are written once.
 
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
@@ -17,20 +18,19 @@
     serving::{
         registry::Entry,
         roster::Roster,
-        stream_origin::{CHANGE_NOTICE, Origin, Origins, Record, StreamKey, Versions},
+        stream_origin::{
+            CHANGE_NOTICE, Origin, Origins, Record, SHARDS, StreamKey, Unknown, Versions,
+        },
         table::{RetryPolicy, Route, Table},
     },
-    store::{Commit, Committed, Failure, LeaseId, Put, Store},
+    store::{Commit, Committed, Failure, Item, LeaseId, Put, Store},
     time::{Span, Time},
 };
 
-/// Prefix of all keys.
-const PREFIX: &str = "almondrack/origins/";
-
 /// Prefix of the keys of versions, before the name of the pool.
 const VERSIONS_PREFIX: &str = "almondrack/origins/versions/";
 
-/// Prefix of the keys of records, before the name of the writer.
+/// Prefix of the keys of records, before the shard and the name of the writer.
 const RECORDS_PREFIX: &str = "almondrack/origins/streams/";
 
 /// Shortest interval between two records of a host.
@@ -52,7 +52,7 @@
 /// Longest time by which hosts delay the same write differently, so that the first one spares the others.
 const SPREAD_MS: u64 = 200;
 
-/// Longest wait for what the store has about a stream.
+/// Longest wait for what the store has about a stream, for which one part of all hosts' records is read.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A question where a stream began.
@@ -60,7 +60,7 @@
 struct Lookup {
     key: Option<StreamKey>,
     route: Arc<Route>,
-    answer: oneshot::Sender<Option<Origin>>,
+    answer: oneshot::Sender<Result<Origin, Unknown>>,
 }
 
 /// Handle to the tasks; clones share it.
@@ -69,7 +69,8 @@
     origins: Rc<RefCell<Origins>>,
     /// When the list of upstreams was last verified.
     verified: watch::Receiver<Option<Time>>,
-    lookups: mpsc::UnboundedSender<Lookup>,
+    /// One for each shard.
+    lookups: Vec<mpsc::UnboundedSender<Lookup>>,
 }
 
 /// What the tasks of a handle receive. Without them the handle knows only what its own host has seen.
@@ -77,7 +78,8 @@
 pub struct Mailbox {
     origins: Rc<RefCell<Origins>>,
     verified: watch::Receiver<Option<Time>>,
-    lookups: mpsc::UnboundedReceiver<Lookup>,
+    /// One for each shard.
+    lookups: Vec<mpsc::UnboundedReceiver<Lookup>>,
 }
 
 /// Dependencies of the tasks.
@@ -97,10 +99,10 @@
 impl Records {
     /// Creates a handle. `verified` tells when the list of upstreams was last verified to be the store's.
     pub fn open(verified: watch::Receiver<Option<Time>>) -> (Records, Mailbox) {
-        let (sender, lookups) = mpsc::unbounded_channel();
+        let (senders, lookups) = (0..SHARDS).map(|_| mpsc::unbounded_channel()).unzip();
         let origins = Rc::new(RefCell::new(Origins::default()));
         let records =
-            Records { origins: origins.clone(), verified: verified.clone(), lookups: sender };
+            Records { origins: origins.clone(), verified: verified.clone(), lookups: senders };
         (records, Mailbox { origins, verified, lookups })
     }
 
@@ -116,24 +118,45 @@
         self.origins.borrow().unconfirmed(Time::now(), pool)
     }
 
-    /// Returns where a stream began that a request with this id brought first on the route, `None` if that is not known.
-    pub async fn find(&self, id: Option<&HeaderValue>, route: Arc<Route>) -> Option<Origin> {
+    /// Returns where a stream began that a request with this id brought first on the route.
+    ///
+    /// # Errors
+    /// Returns why that is not known.
+    pub async fn find(
+        &self,
+        id: Option<&HeaderValue>,
+        route: Arc<Route>,
+    ) -> Result<Origin, Unknown> {
         let key = id.map(|it| StreamKey::of(it.as_bytes()));
         let verified_at = *self.verified.borrow();
         let known = self.origins.borrow().find(Time::now(), key, &route, verified_at);
-        if known.is_some() {
-            return known;
+        if let Some(known) = known {
+            return Ok(known);
         }
+        let shard = key.map_or(0, StreamKey::shard);
         let (answer, found) = oneshot::channel();
-        self.lookups.send(Lookup { key, route, answer }).ok()?;
-        timeout(LOOKUP_TIMEOUT, found).await.ok()?.ok()?
+        let sent = self.lookups[shard].send(Lookup { key, route, answer });
+        sent.map_err(|_| Unknown::LookupFailed)?;
+        match timeout(LOOKUP_TIMEOUT, found).await {
+            Err(_) => Err(Unknown::LookupTimeout),
+            Ok(answered) => answered.unwrap_or(Err(Unknown::LookupFailed)),
+        }
     }
 }
 
 /// Spawns the tasks on the current thread.
 pub fn spawn<S: Store>(options: Options<S>, mailbox: Mailbox) {
     let Mailbox { origins, verified, lookups } = mailbox;
-    task::spawn_local(answer(options.store.clone(), (origins.clone(), verified), lookups));
+    for (shard, lookups) in lookups.into_iter().enumerate() {
+        let reader = Reader {
+            shard,
+            store: options.store.clone(),
+            roster: options.roster.clone(),
+            origins: origins.clone(),
+            verified: verified.clone(),
+        };
+        task::spawn_local(reader.run(lookups));
+    }
     let writer = Writer {
         options,
         origins,
@@ -146,65 +169,91 @@
     task::spawn_local(writer.run());
 }
 
-/// Answers questions from the store, all that wait with one listing.
-async fn answer<S: Store>(
+/// Answers questions about the streams of a shard from the store.
+struct Reader<S> {
+    shard: usize,
     store: S,
-    (origins, verified): (Rc<RefCell<Origins>>, watch::Receiver<Option<Time>>),
-    mut lookups: mpsc::UnboundedReceiver<Lookup>,
-) {
-    while let Some(first) = lookups.recv().await {
-        let mut waiting = vec![first];
-        while let Ok(next) = lookups.try_recv() {
-            waiting.push(next);
-        }
-        let versions = match read(&store, &origins).await {
-            Ok(versions) => versions,
-            Err(failure) => {
+    roster: watch::Receiver<Rc<Roster>>,
+    origins: Rc<RefCell<Origins>>,
+    verified: watch::Receiver<Option<Time>>,
+}
+
+impl<S: Store> Reader<S> {
+    /// Answers all questions that wait with the same listings.
+    async fn run(self, mut lookups: mpsc::UnboundedReceiver<Lookup>) {
+        while let Some(first) = lookups.recv().await {
+            let mut waiting = vec![first];
+            while let Ok(next) = lookups.try_recv() {
+                waiting.push(next);
+            }
+            if let Err(failure) = self.answer(&mut waiting).await {
                 log::info!(
                     "where {} streams began cannot be looked up, so that they do not go on: {failure}",
                     waiting.len()
                 );
-                Vec::new()
+                for lookup in waiting {
+                    // The request may have been given up.
+                    let _ = lookup.answer.send(Err(Unknown::LookupFailed));
+                }
+            }
+        }
+    }
+
+    /// Answers the questions and removes them. The versions are read only for streams without a record.
+    async fn answer(&self, waiting: &mut Vec<Lookup>) -> Result<(), Failure> {
+        // Earlier builds do not divide their records.
+        let is_divided = self.roster.borrow().all_select_pool_by_id() != Some(false);
+        let shard = format!("{RECORDS_PREFIX}{:x}/", self.shard);
+        for item in self.list(if is_divided { &shard } else { RECORDS_PREFIX }).await? {
+            if let Some(record) = decode::<Record>(&item.key, &item.value) {
+                self.origins.borrow_mut().merge(Time::now(), &record);
+            }
+        }
+        let mut unrecorded = Vec::new();
+        for lookup in waiting.drain(..) {
+            let verified_at = *self.verified.borrow();
+            let origins = self.origins.borrow();
+            match origins.find(Time::now(), lookup.key, &lookup.route, verified_at) {
+                Some(origin) => drop(lookup.answer.send(Ok(origin))),
+                None => unrecorded.push(lookup),
             }
+        }
+        *waiting = unrecorded;
+        if waiting.is_empty() {
+            return Ok(());
+        }
+        let items = self.list(VERSIONS_PREFIX).await?;
+        let era = self.store.era();
+        let only = |pool: &str| {
+            let item =
+                items.iter().find(|it| it.key.strip_prefix(VERSIONS_PREFIX) == Some(pool))?;
+            decode::<Versions>(&item.key, &item.value)?.only(era)
         };
-        let era = store.era();
-        for Lookup { key, route, answer } in waiting {
-            let verified_at = *verified.borrow();
-            let (now, origins) = (Time::now(), origins.borrow());
-            let known = origins.find(now, key, &route, verified_at);
-            let found = known.or_else(|| {
-                let pool = origins.selected_pool(now, key, (&route, CHANGE_NOTICE))?;
-                let (_, versions) = versions.iter().find(|it| it.0 == *pool)?;
-                Some(Origin { version: versions.only(era)?, pool })
+        for Lookup { key, route, answer } in waiting.drain(..) {
+            let selected =
+                self.origins.borrow().selected_pool(Time::now(), key, (&route, CHANGE_NOTICE));
+            let found = selected.ok_or(Unknown::Pool).and_then(|pool| {
+                let version = only(&pool).ok_or(Unknown::Version)?;
+                Ok(Origin { pool, version })
             });
             // The request may have been given up.
             let _ = answer.send(found);
         }
+        Ok(())
     }
-}
 
-/// Reads all records, and returns the versions of each pool.
-async fn read<S: Store>(
-    store: &S,
-    origins: &Rc<RefCell<Origins>>,
-) -> Result<Vec<(String, Versions)>, Failure> {
-    let mut versions = Vec::new();
-    let mut after = String::new();
-    loop {
-        let page = store.list(PREFIX, &after).await?;
-        for item in &page.items {
-            if let Some(pool) = item.key.strip_prefix(VERSIONS_PREFIX) {
-                if let Some(decoded) = decode(&item.key, &item.value) {
-                    versions.push((pool.to_owned(), decoded));
-                }
-            } else if let Some(record) = decode::<Record>(&item.key, &item.value) {
-                origins.borrow_mut().merge(Time::now(), &record);
+    /// Reads all keys with a prefix.
+    async fn list(&self, prefix: &str) -> Result<Vec<Item>, Failure> {
+        let mut items: Vec<Item> = Vec::new();
+        loop {
+            let after = items.last().map_or("", |it| &it.key);
+            let page = self.store.list(prefix, after).await?;
+            let is_last = !page.more || page.items.is_empty();
+            items.extend(page.items);
+            if is_last {
+                return Ok(items);
             }
         }
-        match page.items.last() {
-            Some(last) if page.more => after.clone_from(&last.key),
-            _ => return Ok(versions),
-        }
     }
 }
 
@@ -370,14 +419,22 @@
     async fn write_record(&mut self) -> Result<(), Failure> {
         let record = self.origins.borrow().record();
         // Streams that can no longer be taken up may stay in the store for a while.
-        let is_written =
-            |it: &(u64, u32)| self.written.streams.binary_search_by_key(&it.0, |it| it.0).is_ok();
-        if record.streams.iter().all(is_written) {
+        let is_written = |written: &Record, it: &(u64, u32)| {
+            written.streams.binary_search_by_key(&it.0, |it| it.0).is_ok()
+        };
+        if record.streams.iter().all(|it| is_written(&self.written, it)) {
             return Ok(());
         }
         let lease = self.lease().await?;
-        let key = format!("{RECORDS_PREFIX}{}-{}", self.options.writer, self.attempts);
-        let put = vec![Put { key, value: encode(&record)?.into(), lease: Some(lease) }];
+        let mut put = Vec::new();
+        for shard in 0..SHARDS {
+            let part = record.shard(shard);
+            if part.streams.iter().any(|it| !is_written(&self.written, it)) {
+                let (writer, attempts) = (&self.options.writer, self.attempts);
+                let key = format!("{RECORDS_PREFIX}{shard:x}/{writer}-{attempts}");
+                put.push(Put { key, value: encode(&part)?.into(), lease: Some(lease) });
+            }
+        }
         match self.options.store.commit(&Commit { put, ..Commit::default() }).await {
             Ok(Committed::Done(_)) => self.written = record,
             Ok(Committed::Conflict | Committed::LeaseEnded) => self.lease = None,
--- a/tests/serving/stream_origin.rs
+++ b/tests/serving/stream_origin.rs
@@ -2,7 +2,7 @@
 
 use almondrack::serving::{
     registry::Entry,
-    stream_origin::{CHANGE_NOTICE, Origin, Origins, StreamKey, Versions},
+    stream_origin::{CHANGE_NOTICE, Origin, Origins, SHARDS, StreamKey, Versions},
     table::{Destination, RetryPolicy, Route, select},
 };
 use quickcheck::quickcheck;
@@ -217,3 +217,33 @@
         })
     }
 }
+
+// Hosts recorded as their own what they had read from others, so that records grew until a lookup took too long.
+#[test]
+fn a_host_records_no_streams_that_it_has_read_from_others() {
+    let mut host = Origins::default();
+    host.record_list(at(0), &[engine_of(1, "v1"), engine_of(2, "v2")]);
+    begin(&mut host, 10, "a", origin("v1"));
+    let record = host.record();
+    let mut other = Origins::default();
+    other.record_list(at(0), &[engine_of(1, "v1"), engine_of(2, "v2")]);
+    other.merge(at(20), &record);
+    assert_eq!(other.find(at(20), key("a"), &only(), None), Some(origin("v1")));
+    assert_eq!(other.record().streams, [], "the host that forwarded it has recorded it");
+    begin(&mut other, 30, "a", origin("v1"));
+    assert_eq!(other.record().streams, record.streams, "a stream that went on here is recorded");
+}
+
+#[test]
+fn the_shards_of_a_record_hold_each_stream_once() {
+    let mut host = Origins::default();
+    host.record_list(at(0), &[engine_of(1, "v1"), engine_of(2, "v2")]);
+    (0..500).for_each(|it| begin(&mut host, 10, &format!("stream-{it}"), origin("v1")));
+    let record = host.record();
+    let shards: Vec<_> = (0..SHARDS).map(|it| record.shard(it)).collect();
+    let largest = shards.iter().map(|it| it.streams.len()).max();
+    assert!(largest.is_some_and(|it| it < 3 * 500 / SHARDS), "{largest:?}");
+    let mut streams: Vec<_> = shards.into_iter().flat_map(|it| it.streams).collect();
+    streams.sort_unstable();
+    assert_eq!(streams, record.streams);
+}
