Break off a numbered stream that ends while its first event waits

A stream that began with an id other than 1 holds its first event until the next one confirms the id. A response with a length that ended inside that next event passed both on as the complete answer, so that the last pieces were missing.

Cause: the end of a response asked whether an event had been forwarded, not whether one with an id was waiting.

Measured: before, the new test printed "left: Ok(b"id: 51\ndata: one\n\nid: 2\nda"), right: Err(Unfinished)"; it passes now, and a single event with such an id still ends a stream.

--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -81,9 +81,9 @@
         self.tail.capacity()
     }
 
-    /// Whether the last bytes completed an event.
+    /// Whether the last bytes completed an event, which may still wait for the next one.
     pub fn is_between_events(&self) -> bool {
-        self.tail.is_empty()
+        sse::events(&self.tail).0 == self.tail.len()
     }
 
     /// Adds bytes of the current attempt.
@@ -147,7 +147,8 @@
         if self.is_behind {
             return Err(InvalidEvent::Behind);
         }
-        if self.is_numbered() && !self.tail.is_empty() {
+        let is_numbered = self.is_numbered() || next_id(&self.tail)?.is_some();
+        if is_numbered && !self.is_between_events() {
             return Err(InvalidEvent::Unfinished);
         }
         self.searched = 0;
--- a/tests/serving/stream.rs
+++ b/tests/serving/stream.rs
@@ -140,6 +140,19 @@
     }
 }
 
+#[test]
+// A first event that waits for the next one does not make an end inside that one an end of the stream.
+fn a_stream_that_ends_inside_the_event_after_an_unusual_first_id_is_not_complete() {
+    let mut stream = stream::Buffer::default();
+    stream.push(b"id: 51\ndata: one\n\nid: 2\nda");
+    assert_eq!(stream.take().as_deref(), Ok(&b""[..]));
+    assert_eq!(stream.finish(), Err(stream::InvalidEvent::Unfinished));
+    let mut stream = stream::Buffer::default();
+    stream.push(b"id: 51\ndata: all of it\n\n");
+    assert_eq!(stream.take().as_deref(), Ok(&b""[..]));
+    assert_eq!(stream.finish().as_deref(), Ok(&b"id: 51\ndata: all of it\n\n"[..]));
+}
+
 #[test]
 fn a_gap_between_runs_is_an_error() {
     let mut stream = stream::Buffer::resuming_after(Some(3));
