Let streams of other hosts make room for a host's own

A host that has looked up many streams of others forgot its own, older ones when it reached its limit, and the next record, which replaces the one before, left them out. Found by reading; take-ups of such streams would have been refused.

Change: at the limit the streams of others go first, as their hosts have recorded them. Tests for a route that has moved, and for a pool without upstreams, come along; both passed before.

--- a/src/serving/stream_origin.rs
+++ b/src/serving/stream_origin.rs
@@ -301,6 +301,10 @@
         if self.streams.len() >= MAX_STREAMS {
             self.remove_expired(now);
         }
+        if self.streams.len() >= MAX_STREAMS {
+            // The hosts that forwarded them have recorded these.
+            self.streams.retain(|it| it.route.is_some());
+        }
         if self.streams.len() >= MAX_STREAMS {
             let mut times: Vec<_> = self.streams.iter().map(|it| it.began_at).collect();
             times.sort_unstable();
--- a/tests/serving/stream_origin.rs
+++ b/tests/serving/stream_origin.rs
@@ -201,6 +201,49 @@
     }
 }
 
+// A route that had moved to another pool was taken for the origin of streams that began before.
+#[test]
+fn a_stream_whose_route_has_moved_is_not_taken_up_in_the_new_pool() {
+    let (before, after) = (route(&[("a", 1)]), route(&[("b", 1)]));
+    let entries = ["a", "b"].map(|it| Entry { pool: it.into(), ..engine_of(1, "v1") });
+    let mut host = Origins::default();
+    host.record_routes(at(0), [&before].into_iter());
+    begin(&mut host, 10, "a", pool_origin("a"));
+    host.record_routes(at(1_000), [&after].into_iter());
+    let mut other = Origins::default();
+    other.record_list(at(0), &entries);
+    other.record_routes(at(0), [&before].into_iter());
+    other.record_routes(at(20_000), [&after].into_iter());
+    let find = |other: &Origins, ms| other.find(at(ms), key("a"), &after, Some(at(ms)));
+    assert_eq!(find(&other, 20_100), None, "the pool before the move would be concluded");
+    other.merge(at(20_200), &host.record());
+    assert_eq!(find(&other, 20_200), Some(pool_origin("a")), "the route does not lead there");
+}
+
+#[test]
+fn nothing_is_concluded_for_a_pool_without_upstreams() {
+    let split = route(&[("a", 1), ("gone", 1)]);
+    let mut origins = Origins::default();
+    origins.record_list(at(0), &[Entry { pool: "a".into(), ..engine_of(1, "v1") }]);
+    origins.record_routes(at(0), [&split].into_iter());
+    origins.record_hosts(at(0), Some(true));
+    let mut found = (0..20)
+        .map(|it| origins.find(at(20_000), key(&format!("stream-{it}")), &split, Some(at(20_000))));
+    assert!(found.all(|it| it.is_none_or(|it| it == pool_origin("a"))));
+}
+
+// What a host has read from others took the room of its own streams, which its next record then left out.
+#[test]
+fn streams_of_other_hosts_make_room_for_those_of_a_host() {
+    let mut origins = Origins::default();
+    origins.record_list(at(0), &[engine_of(1, "v1"), engine_of(2, "v2")]);
+    begin(&mut origins, 0, "a", origin("v1"));
+    for number in 0..50_000 {
+        origins.record_stream(at(10), StreamKey(number), (origin("v1"), None));
+    }
+    assert_eq!(origins.record().streams, [(StreamKey::of(b"a").0, 0)]);
+}
+
 quickcheck! {
     fn pools_get_their_shares_of_streams(weights: Vec<u8>) -> bool {
         const STREAMS: u64 = 4_000;
