--- a/src/serving/stream_origin.rs
+++ b/src/serving/stream_origin.rs
@@ -32,6 +32,9 @@
 /// Most streams that a host remembers.
 const MAX_STREAMS: usize = 16_384;
 
+/// Part of them that a host forgets at once when they are too many: one in this number.
+const EVICTED_PART: usize = 4;
+
 /// Most streams in the record of a host.
 const MAX_RECORDED: usize = 4_096;
 
@@ -302,14 +305,7 @@
             self.remove_expired(now);
         }
         if self.streams.len() >= MAX_STREAMS {
-            // The hosts that forwarded them have recorded these.
-            self.streams.retain(|it| it.route.is_some());
-        }
-        if self.streams.len() >= MAX_STREAMS {
-            let mut times: Vec<_> = self.streams.iter().map(|it| it.began_at).collect();
-            times.sort_unstable();
-            let median = times[times.len() / 2];
-            self.streams.retain(|it| it.began_at > median);
+            self.make_room();
         }
         match self.streams.binary_search_by_key(&key, |it| it.key) {
             Ok(at) => {
@@ -321,6 +317,15 @@
         }
     }
 
+    /// Forgets a part of the streams: the oldest ones of other hosts, which have recorded them, then its own.
+    fn make_room(&mut self) {
+        let rank = |it: &Stream| (it.route.is_some(), it.began_at, it.key);
+        let mut ranks: Vec<_> = self.streams.iter().map(rank).collect();
+        ranks.sort_unstable();
+        let first = ranks[ranks.len() / EVICTED_PART];
+        self.streams.retain(|it| rank(it) >= first);
+    }
+
     /// Returns where a stream began, if this host knows: it forwarded its first event, heard of it, or has seen only one
     /// version in the pool that the route selects for it. `verified_at` is when the list of upstreams was last known to be
     /// the store's.
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -19,5 +19,6 @@
 mod run_status;
 mod stream;
 mod stream_origin;
+mod stream_records;
 mod unframed;
 mod usage;
