Let streams go on only where the process is known to be the listed one

An upstream started again under its id and address while the store was away, and went down once more before it could register itself.

Cause: the version of an attempt was that of the upstream's entry, whatever process answered. The entry described the process before.

Change: connections know when they were opened, and a host knows when its list of upstreams was last verified outside outages and the two seconds after them. A version counts if the list was verified two seconds after the connection was opened, or if the list is recent, the store is not away and the upstream has not refused a connection since it was last known to be the listed process. A stream of unknown version is broken off cleanly; one of a known version goes on only at a known process. In an outage and two seconds after it nothing is concluded about the versions of streams.

--- a/src/serving.rs
+++ b/src/serving.rs
@@ -6,6 +6,7 @@
 pub mod buffered;
 pub mod caller_connection;
 pub mod connection_cache;
+pub mod contact;
 pub mod counted_store;
 pub mod crash_evidence;
 pub mod demand;
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -12,7 +12,7 @@
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::{sync::watch, time::timeout};
 
 use crate::{
     error::{Error, Kind, Run},
@@ -22,10 +22,11 @@
         attempt_history::{self, RetryRules},
         backoff, buffer_memory,
         buffered::{self, LargeResponse},
-        connection_cache,
+        connection_cache, contact,
         crash_evidence::Content,
         dialect::{Departure, Dialect, Echo, Prompt, RouterHeaders, Verdict},
         dispatcher::{AttemptGuard, Dispatcher},
+        fleet_state::Verification,
         key::TicketKey,
         outbound_connection,
         placement::{Grant, Ticket},
@@ -132,6 +133,8 @@
     pub dispatcher: Dispatcher,
     /// Knows which version began each stream.
     pub records: Records,
+    /// How far the list of upstreams is verified.
+    pub upstreams_verified: watch::Receiver<Verification>,
     /// Connections to upstreams.
     pub connections: connection_cache::Cache,
     /// Limits retries.
@@ -147,6 +150,7 @@
 struct Shared<D> {
     parts: Parts<D>,
     tickets: Cell<u64>,
+    contacts: RefCell<contact::Log>,
     /// When a `Retry-After` that is no time was last logged.
     invalid_backoff_logged: Cell<Time>,
 }
@@ -206,8 +210,12 @@
 impl<D: Dialect> Exchange<D> {
     /// Creates an exchange from its parts.
     pub fn new(parts: Parts<D>) -> Exchange<D> {
-        let shared =
-            Shared { parts, tickets: Cell::new(0), invalid_backoff_logged: Cell::new(Time(0)) };
+        let shared = Shared {
+            parts,
+            tickets: Cell::new(0),
+            contacts: RefCell::default(),
+            invalid_backoff_logged: Cell::new(Time(0)),
+        };
         Exchange { shared: Rc::new(shared) }
     }
 
@@ -300,7 +308,8 @@
             }
             history.record_send(grant.upstream);
             let sent_at = Time::now();
-            match self.send(request, &grant, guard, resume_after).await {
+            let needs_version = version.is_some();
+            match self.send(request, (&grant, needs_version), guard, resume_after).await {
                 Ok(response) => return Ok(response),
                 Err(failure) => {
                     history.record_failure(failure);
@@ -352,11 +361,12 @@
 
     /// Sends a request on a connection to its upstream and waits for the head of the response.
     ///
-    /// A cached connection that turns out to be closed before anything was written is replaced by another one.
+    /// A cached connection that turns out to be closed before anything was written is replaced by another one. With
+    /// `needs_version`, nothing is sent unless the version of the upstream is known.
     async fn send(
         &self,
         request: &RoutedRequest,
-        grant: &Grant,
+        (grant, needs_version): (&Grant, bool),
         guard: AttemptGuard,
         resume_after: Option<&str>,
     ) -> Result<upstream_response::Response, attempt_history::Failure> {
@@ -365,6 +375,7 @@
             let taken =
                 self.shared.connections.take(grant.upstream, grant.address, retryable).await;
             let Ok(mut connection) = taken else {
+                self.record_refusal(grant);
                 guard.end(Ending::Refused);
                 return Err(attempt_history::Failure::unsent(Kind::UpstreamConnect));
             };
@@ -386,6 +397,17 @@
                 guard.end(Ending::Unused);
                 return Err(attempt_history::Failure::unsent(Kind::Shed));
             }
+            let is_listed = self.is_listed(grant, &connection);
+            if needs_version && !is_listed {
+                log::info!(
+                    "request {} is not sent to {}: another process may have taken its place, so that its version is not known",
+                    request.log_id(),
+                    grant.instance
+                );
+                self.shared.connections.put(grant.upstream, connection);
+                guard.end(Ending::Unused);
+                return Err(attempt_history::Failure::unsent(Kind::NoUpstream));
+            }
             let upstream_request = self.upstream_request(request, grant, time_left, resume_after);
             let used = connection.used;
             let sent_at = Time::now();
@@ -403,6 +425,7 @@
                     return Err(attempt_history::Failure::unsent(Kind::UpstreamConnect));
                 }
                 Ok(Err(outbound_connection::SendError::Unsent)) => {
+                    self.record_refusal(grant);
                     guard.end(Ending::Refused);
                     return Err(attempt_history::Failure::unsent(Kind::UpstreamConnect));
                 }
@@ -430,7 +453,7 @@
             };
             return self.check_response(
                 request,
-                (grant, used),
+                (grant, used, is_listed),
                 (response, sent_at),
                 connection,
                 guard,
@@ -438,10 +461,21 @@
         }
     }
 
+    /// Whether the process behind a connection is known to be the one that the list of upstreams describes.
+    fn is_listed(&self, grant: &Grant, connection: &outbound_connection::Connection) -> bool {
+        let verification = *self.shared.upstreams_verified.borrow();
+        self.shared.contacts.borrow().confirms(grant.upstream, connection.opened_at, verification)
+    }
+
+    /// Records that the upstream refused a connection.
+    fn record_refusal(&self, grant: &Grant) {
+        self.shared.contacts.borrow_mut().record_refusal(Time::now(), grant.upstream);
+    }
+
     fn check_response(
         &self,
         request: &RoutedRequest,
-        (grant, used): (&Grant, bool),
+        (grant, used, is_listed): (&Grant, bool, bool),
         (response, sent_at): (Response<Incoming>, Time),
         connection: outbound_connection::Connection,
         guard: AttemptGuard,
@@ -472,6 +506,8 @@
         match verdict {
             Verdict::Valid => {
                 guard.record_head();
+                let mut contacts = self.shared.contacts.borrow_mut();
+                contacts.record_answer(grant.upstream, connection.opened_at, sent_at);
                 let response = Response::from_parts(head, body);
                 Ok(upstream_response::Response {
                     ends_with_connection: upstream_response::ends_with_connection(&response),
@@ -480,7 +516,7 @@
                     guard,
                     upstream: grant.upstream,
                     instance: grant.instance.clone(),
-                    version: grant.version.clone(),
+                    version: grant.version.clone().filter(|_| is_listed),
                 })
             }
             Verdict::NotRun => {
@@ -675,7 +711,7 @@
             cut.events,
             request.log_parts(),
         );
-        // A version that is not stated may be any.
+        // A version that is not known may be any.
         if cut.version.is_none()
             || request.route.retry_policy != RetryPolicy::Resume
             || !self.may_retry(request, pool, history, true)
--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -161,6 +161,23 @@
     }
 }
 
+/// How far the list of upstreams is verified to be the store's.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Verification {
+    /// When it was last verified outside outages of the store and the time after them in which upstreams write their entries
+    /// again; `None` before the first time.
+    pub at: Option<Time>,
+    /// Whether no outage was seen since.
+    pub is_current: bool,
+}
+
+impl Verification {
+    /// Returns when the list was last verified; `None` if the store has been away since.
+    pub fn current(self) -> Option<Time> {
+        self.at.filter(|_| self.is_current)
+    }
+}
+
 /// Handle to the state that a host holds.
 #[derive(Debug, Clone)]
 pub struct Handle {
@@ -169,8 +186,8 @@
     /// When the store was last verified to hold no newer configuration, `None` before the first
     /// time.
     pub verified_at: watch::Receiver<Option<Time>>,
-    /// When the list of upstreams was last verified to be the store's, `None` before the first time.
-    pub upstreams_verified: watch::Receiver<Option<Time>>,
+    /// How far the list of upstreams is verified to be the store's.
+    pub upstreams_verified: watch::Receiver<Verification>,
     /// Whether the upstreams have been listed, by the store or by a peer.
     pub upstreams_listed: watch::Receiver<bool>,
     /// Registered hosts.
@@ -221,7 +238,7 @@
     table: watch::Sender<Option<Arc<Table>>>,
     verified_at: watch::Sender<Option<Time>>,
     upstreams: watch::Sender<Rc<Vec<Entry>>>,
-    upstreams_verified: watch::Sender<Option<Time>>,
+    upstreams_verified: watch::Sender<Verification>,
     upstreams_listed: watch::Sender<bool>,
     roster: watch::Sender<Rc<Roster>>,
     leader: watch::Sender<Option<Item>>,
@@ -238,7 +255,7 @@
 pub fn spawn<S: Store>(options: Options<S>, dispatcher: Dispatcher) -> Handle {
     let (table_sender, table) = watch::channel(None);
     let (verified_at_sender, verified_at) = watch::channel(None);
-    let (upstreams_verified_sender, upstreams_verified) = watch::channel(None);
+    let (upstreams_verified_sender, upstreams_verified) = watch::channel(Verification::default());
     let (listed_sender, upstreams_listed) = watch::channel(false);
     let (roster_sender, roster) = watch::channel(Rc::default());
     let (leader_sender, leader) = watch::channel(None);
@@ -306,6 +323,7 @@
         restored_at: None,
         peer_verified_at: None,
         upstream_list: upstream_list::List::default(),
+        outage_seen_at: Time(0),
         loads: Loads::default(),
         limits: Vec::new(),
         evidence: messages::Evidence::default(),
@@ -352,6 +370,8 @@
     /// The same for the configuration, as other hosts reported it.
     peer_verified_at: Option<Time>,
     upstream_list: upstream_list::List,
+    /// When an outage of the store, or the time after one in which upstreams write their entries again, was last seen.
+    outage_seen_at: Time,
     loads: Loads,
     /// Rate limits of upstreams that this host knows, by incarnation.
     limits: Vec<(u64, rate_limit::Limit)>,
@@ -395,11 +415,16 @@
                 }
                 let update = self.without_heartbeats(topic, update);
                 self.apply_update(topic, Some(update), Some(sent_at));
+                if topic == Topic::Upstreams {
+                    let grace_left = self.upstream_list.grace_left(self.store_answered_at);
+                    self.publish_verification(Some(sent_at), grace_left);
+                }
             }
             Message::Failed(topic) => {
                 self.store_answered_at = Time(0);
                 if topic == Topic::Upstreams {
                     self.upstream_list.store_failed();
+                    self.publish_verification(None, self.upstream_list.grace_left(Time::now()));
                 }
             }
             Message::Response(reply, sent_at, group) => self.apply_response(*reply, sent_at, group),
@@ -455,6 +480,9 @@
                 self.peer_verified_at = self.peer_verified_at.max(verified_at);
             }
             self.apply_update(topic, state.update.map(decode_update), verified_at);
+            if topic == Topic::Upstreams {
+                self.publish_verification(verified_at, Span(response.outage_grace_us));
+            }
         }
         match group {
             Some(group) => {
@@ -551,7 +579,6 @@
                     changes.iter().for_each(|it| self.apply_upstream(it, is_restored));
                     self.publish_upstreams();
                 }
-                self.outputs.upstreams_verified.send_replace(self.verified[index]);
                 if self.mirrors[index].revision() > 0 {
                     self.outputs.upstreams_listed.send_replace(true);
                 }
@@ -604,6 +631,18 @@
         }
     }
 
+    /// Publishes when the list of upstreams was verified, by the store or by another host. `grace_left` is the rest of the
+    /// time in which upstreams write their entries again after an outage, as far as the source knows.
+    fn publish_verification(&mut self, verified_at: Option<Time>, grace_left: Span) {
+        if grace_left > Span(0) {
+            self.outage_seen_at = Time::now();
+        }
+        let settled_at = verified_at.filter(|it| *it > self.outage_seen_at);
+        let at = self.outputs.upstreams_verified.borrow().at.max(settled_at);
+        let is_current = at.is_some_and(|it| it > self.outage_seen_at);
+        self.outputs.upstreams_verified.send_replace(Verification { at, is_current });
+    }
+
     fn publish_upstreams(&mut self) {
         let entries: Vec<_> = self.upstream_list.entries().cloned().collect();
         self.outputs.upstreams.send_if_modified(|it| {
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -185,6 +185,7 @@
             dialect: dialect.clone(),
             dispatcher,
             records,
+            upstreams_verified: fleet.upstreams_verified.clone(),
             connections: links,
             retry_budget: budget,
             meter: meter.clone(),
--- a/src/serving/outbound_connection.rs
+++ b/src/serving/outbound_connection.rs
@@ -139,6 +139,8 @@
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     progress: Arc<Progress>,
+    /// Time at which the connection was opened.
+    pub opened_at: Time,
     /// Time at which the last response ended, or at which the connection was opened.
     pub idle_since: Time,
     /// Whether a request has been sent on the connection.
@@ -177,7 +179,9 @@
             // `send` returns the error if a request is in flight; otherwise `is_idle` reports the closed connection.
             let _ = connection.await;
         });
-        Ok(Connection { sender, driver, progress, idle_since: Time::now(), used: false })
+        let opened_at = Time::now();
+        let idle_since = opened_at;
+        Ok(Connection { sender, driver, progress, opened_at, idle_since, used: false })
     }
 
     /// Sends a request and waits for the head of its response.
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -26,7 +26,7 @@
     pub failure: attempt_history::Failure,
     /// Id of the upstream, for log lines.
     pub instance: Arc<str>,
-    /// Version of its software, if stated.
+    /// Version of its software, if it is known.
     pub version: Option<Arc<str>>,
     /// Events of this attempt that arrived.
     pub events: u32,
@@ -38,7 +38,7 @@
     response: Option<upstream_response::Response>,
     /// Id of the upstream that sends or sent the response.
     instance: Arc<str>,
-    /// Version of its software, if stated.
+    /// Version of its software, if it is known.
     version: Option<Arc<str>>,
     /// Events of the attempt that broke off last.
     received: u32,
--- a/src/serving/stream_origin.rs
+++ b/src/serving/stream_origin.rs
@@ -69,7 +69,7 @@
     Pool,
     /// No host has recorded the stream, and upstreams of several versions may have served.
     Version,
-    /// The upstream stated no version.
+    /// The upstream stated no version, or it was not known whether another process had taken its place.
     Unversioned,
     /// The route does not lead to the pool any more.
     Moved,
--- a/src/serving/stream_records.rs
+++ b/src/serving/stream_records.rs
@@ -16,10 +16,11 @@
 use crate::{
     rendezvous,
     serving::{
+        fleet_state::Verification,
         registry::Entry,
         roster::Roster,
         stream_origin::{
-            CHANGE_NOTICE, Origin, Origins, Record, SHARDS, StreamKey, Unknown, Versions,
+            CHANGE_NOTICE, NOTICE, Origin, Origins, Record, SHARDS, StreamKey, Unknown, Versions,
         },
         table::{RetryPolicy, Route, Table},
     },
@@ -67,8 +68,8 @@
 #[derive(Debug, Clone)]
 pub struct Records {
     origins: Rc<RefCell<Origins>>,
-    /// When the list of upstreams was last verified.
-    verified: watch::Receiver<Option<Time>>,
+    /// How far the list of upstreams is verified.
+    verified: watch::Receiver<Verification>,
     /// One for each shard.
     lookups: Vec<mpsc::UnboundedSender<Lookup>>,
 }
@@ -77,7 +78,7 @@
 #[derive(Debug)]
 pub struct Mailbox {
     origins: Rc<RefCell<Origins>>,
-    verified: watch::Receiver<Option<Time>>,
+    verified: watch::Receiver<Verification>,
     /// One for each shard.
     lookups: Vec<mpsc::UnboundedReceiver<Lookup>>,
 }
@@ -97,8 +98,8 @@
 }
 
 impl Records {
-    /// Creates a handle. `verified` tells when the list of upstreams was last verified to be the store's.
-    pub fn open(verified: watch::Receiver<Option<Time>>) -> (Records, Mailbox) {
+    /// Creates a handle. `verified` tells how far the list of upstreams is verified to be the store's.
+    pub fn open(verified: watch::Receiver<Verification>) -> (Records, Mailbox) {
         let (senders, lookups) = (0..SHARDS).map(|_| mpsc::unbounded_channel()).unzip();
         let origins = Rc::new(RefCell::new(Origins::default()));
         let records =
@@ -128,7 +129,7 @@
         route: Arc<Route>,
     ) -> Result<Origin, Unknown> {
         let key = id.map(|it| StreamKey::of(it.as_bytes()));
-        let verified_at = *self.verified.borrow();
+        let verified_at = self.verified.borrow().current();
         let known = self.origins.borrow().find(Time::now(), key, &route, verified_at);
         if let Some(known) = known {
             return Ok(known);
@@ -175,7 +176,7 @@
     store: S,
     roster: watch::Receiver<Rc<Roster>>,
     origins: Rc<RefCell<Origins>>,
-    verified: watch::Receiver<Option<Time>>,
+    verified: watch::Receiver<Verification>,
 }
 
 impl<S: Store> Reader<S> {
@@ -211,7 +212,7 @@
         }
         let mut unrecorded = Vec::new();
         for lookup in waiting.drain(..) {
-            let verified_at = *self.verified.borrow();
+            let verified_at = self.verified.borrow().current();
             let origins = self.origins.borrow();
             match origins.find(Time::now(), lookup.key, &lookup.route, verified_at) {
                 Some(origin) => drop(lookup.answer.send(Ok(origin))),
@@ -223,6 +224,9 @@
             return Ok(());
         }
         let items = self.list(VERSIONS_PREFIX).await?;
+        // After an outage another version may serve that has not registered yet.
+        let verified_at = self.verified.borrow().current();
+        let is_current = verified_at.is_some_and(|it| Time::now().since(it) < NOTICE);
         let era = self.store.era();
         let only = |pool: &str| {
             let item =
@@ -233,7 +237,7 @@
             let selected =
                 self.origins.borrow().selected_pool(Time::now(), key, (&route, CHANGE_NOTICE));
             let found = selected.ok_or(Unknown::Pool).and_then(|pool| {
-                let version = only(&pool).ok_or(Unknown::Version)?;
+                let version = only(&pool).filter(|_| is_current).ok_or(Unknown::Version)?;
                 Ok(Origin { pool, version })
             });
             // The request may have been given up.
--- a/src/serving/upstream_response.rs
+++ b/src/serving/upstream_response.rs
@@ -28,7 +28,7 @@
     pub upstream: UpstreamKey,
     /// Id of the upstream, for log lines.
     pub instance: Arc<str>,
-    /// Version of the upstream's software, if stated.
+    /// Version of the upstream's software, if it is known.
     pub version: Option<Arc<str>>,
     /// Whether the body has neither a length nor chunks, so that only the end of the connection ends it. An upstream that
     /// crashes may end it as well.
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -10,6 +10,7 @@
         dialect::{CallerHeaders, Departure, Dialect, Echo, RouterHeaders, Verdict},
         dispatcher::Dispatcher,
         exchange::{Body, CallerResponse, Exchange, Parts, RoutedRequest},
+        fleet_state::Verification,
         rate_limit,
         registry::Entry,
         retry_budget, stream_records,
@@ -277,10 +278,12 @@
         Dispatcher::spawn("host".into(), "a".into(), upstreams, limiter, metrics.clone());
     let budget_config =
         retry_budget::Limits { window: Span::from_ms(10_000), ratio: 0.2, allowance: 1_000.0 };
+    let verified = watch::channel(Verification { at: Some(Time::now()), is_current: true }).1;
     Exchange::new(Parts {
         dialect: Rc::new(TestDialect),
         dispatcher,
-        records: stream_records::Records::open(watch::channel(None).1).0,
+        records: stream_records::Records::open(verified.clone()).0,
+        upstreams_verified: verified,
         connections: connection_cache::Cache::default(),
         retry_budget: retry_budget::Budget::new(budget_config),
         meter,
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -3,6 +3,7 @@
 mod attempt_history;
 mod backoff;
 mod callers;
+mod contact;
 mod crash_evidence;
 mod dispatcher;
 mod exchange;
--- a/tests/serving/stream_records.rs
+++ b/tests/serving/stream_records.rs
@@ -10,6 +10,7 @@
 
 use almondrack::{
     serving::{
+        fleet_state::Verification,
         stream_origin::Origin,
         stream_records::{self, Options, Records},
         table::{Limits, Parts, Pool, RetryPolicy, Route, Table},
@@ -118,7 +119,7 @@
     };
     let mut second = engine(1);
     second.version = Some("v2".into());
-    let (records, mailbox) = Records::open(watch::channel(None).1);
+    let (records, mailbox) = Records::open(watch::channel(Verification::default()).1);
     begin(&records);
     let options = Options {
         store: store.clone(),
