Refuse keys at hosts that start with an older copy of the store

The store was away for a second and came back from a copy that held the key; all hosts were killed meanwhile and started again.

Cause: only a host that had read an earlier era itself recognised a listing as one of an older copy. A host that started took it for verified.

Change: a host that starts in an era other than the first accepts keys once the operator has written the configuration, two seconds have passed in which the store answered, or another host has recorded that the configuration is the newest of this era. One of the followers of the store writes that record, one write a return of the store. In the first era nothing changes.

--- a/src/serving.rs
+++ b/src/serving.rs
@@ -5,6 +5,7 @@
 pub mod buffer_memory;
 pub mod buffered;
 pub mod caller_connection;
+mod configuration_era;
 pub mod connection_cache;
 pub mod contact;
 pub mod counted_store;
--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     serving::{
+        configuration_era,
         counted_store::{self, Cause},
         dispatcher::{Dispatcher, LocalLoad},
         follower::{self, Follower},
@@ -249,6 +250,10 @@
     modes: watch::Sender<[follower::Mode; 3]>,
     /// Time of the last verification of each topic.
     verified: watch::Sender<[Option<Time>; 3]>,
+    /// Latest era of the store in which the configuration is known to be the newest.
+    known_era: watch::Sender<u64>,
+    /// Latest era for which a host has recorded that.
+    recorded_era: watch::Sender<u64>,
 }
 
 /// Spawns the tasks on the current thread.
@@ -263,6 +268,8 @@
     let (revisions_sender, revisions) = watch::channel([0; 3]);
     let (modes_sender, modes) = watch::channel([follower::Mode::Off; 3]);
     let (verified_sender, verified) = watch::channel([None; 3]);
+    let (known_era_sender, known_era) = watch::channel(0);
+    let (recorded_era_sender, recorded_era) = watch::channel(0);
     let (messages, mailbox) = mpsc::channel(MAILBOX_CAPACITY);
     let standalone = Role { group: GroupRole::PrimaryHub, follower: follower::Rank::Primary };
     let role = Rc::new(watch::channel(standalone).0);
@@ -281,6 +288,13 @@
         };
         task::spawn_local(follower.run(modes.clone()));
     }
+    let recorder = configuration_era::Recorder {
+        store: options.store.for_cause(Cause::Fleet),
+        known: known_era,
+        recorded: recorded_era,
+        role: role.subscribe(),
+    };
+    task::spawn_local(recorder.run());
     let tracker = Rc::new(RefCell::new(sync_client::Tracker::default()));
     let client = || sync_client::Client {
         host: options.host.clone(),
@@ -311,6 +325,8 @@
         revisions: revisions_sender,
         modes: modes_sender,
         verified: verified_sender,
+        known_era: known_era_sender,
+        recorded_era: recorded_era_sender,
     };
     let task = Task {
         decoding: options.decoding,
@@ -365,7 +381,7 @@
     mirrors: [Mirror; 3],
     /// When each copy was last verified to be the newest.
     verified: [Option<Time>; 3],
-    /// When the configuration was first read from an older copy of the store, until it is written again.
+    /// When the configuration was first read from a store that came back from an older copy, until it is written again.
     restored_at: Option<Time>,
     /// The same for the configuration, as other hosts reported it.
     peer_verified_at: Option<Time>,
@@ -564,15 +580,14 @@
         }
         match topic {
             Topic::Configuration => {
-                if !is_restored && changes.iter().any(|it| matches!(it, Change::Put(_))) {
+                let revision = self.mirrors[index].revision();
+                if known == 0 && era_of(revision) > 0 {
+                    self.restored_at = Some(Time::now());
+                } else if !is_restored && changes.iter().any(|it| matches!(it, Change::Put(_))) {
                     self.restored_at = None;
                 }
                 changes.iter().for_each(|it| self.apply_configuration(it));
-                let verified = self.verified[index];
-                // An older copy does not tell whether a newer configuration exists.
-                if self.restored_at.is_none_or(|at| verified >= Some(at + REWRITE_TIME)) {
-                    self.outputs.verified_at.send_replace(verified);
-                }
+                self.publish_configuration_verified();
             }
             Topic::Upstreams => {
                 if !changes.is_empty() {
@@ -583,13 +598,30 @@
                     self.outputs.upstreams_listed.send_replace(true);
                 }
             }
-            Topic::Fleet => self.apply_fleet(&changes),
+            Topic::Fleet => {
+                self.apply_fleet(&changes);
+                self.publish_configuration_verified();
+            }
         }
         let revisions = [0, 1, 2].map(|it: usize| self.mirrors[it].revision());
         self.outputs.revisions.send_replace(revisions);
         self.outputs.verified.send_replace(self.verified);
     }
 
+    /// Publishes when the configuration was last verified to be the newest. An older copy of the store does not tell whether
+    /// a newer one exists, unless another host has recorded that it was written again.
+    fn publish_configuration_verified(&mut self) {
+        let index = Topic::Configuration as usize;
+        let (verified, era) = (self.verified[index], era_of(self.mirrors[index].revision()));
+        let is_recorded = *self.outputs.recorded_era.borrow() == era;
+        if is_recorded || self.restored_at.is_none_or(|at| verified >= Some(at + REWRITE_TIME)) {
+            self.outputs.verified_at.send_replace(verified);
+            if verified.is_some() {
+                set_if_changed(&self.outputs.known_era, era);
+            }
+        }
+    }
+
     fn apply_configuration(&mut self, change: &Change) {
         let item = match change {
             Change::Put(item) if item.key == self.decoding.configuration_key => item,
@@ -666,6 +698,10 @@
                 self.outputs.leader.send_replace(item.cloned());
                 continue;
             }
+            if let Some(era) = configuration_era::parse(key, item.map(|it| &*it.value)) {
+                set_if_changed(&self.outputs.recorded_era, era);
+                continue;
+            }
             let Some(id) = key.strip_prefix(roster::PREFIX) else { continue };
             match item.map(|it| serde_json::from_slice::<roster::Host>(&it.value)) {
                 Some(Ok(host)) => roster.insert(roster::Host { id: id.to_owned(), ..host }),
