Check records before they are sent

Cause: a record that is valid and can never match, or limits that cannot both take effect, were found only in service. Change: `lint` reviews a configuration without input or output; `almondrackctl check` adds the errors of the product's own validation and the plan of changes against the records in force, with exit codes for scripts and a structured form. The two lines of the test of refused command lines that list the commands name the new one.

--- a/ctl/src/apply.rs
+++ b/ctl/src/apply.rs
@@ -16,23 +16,41 @@
 pub(crate) const KINDS: [&str; 5] = ["customer", "key", "class", "route", "pool"];
 
 /// A record and the file that it came from.
-struct Source {
-    id: String,
-    path: PathBuf,
-    record: Value,
+pub(crate) struct Source {
+    /// Kind and name of the record, joined by `/`.
+    pub(crate) id: String,
+    /// File that holds the record.
+    pub(crate) path: PathBuf,
+    /// The record, not validated.
+    pub(crate) record: Value,
 }
 
 /// Reads all files and makes the body of the call; nothing has been sent when this fails.
 pub(crate) fn body(flags: &Apply) -> Result<Value, Failure> {
+    let sources = sources("apply", &flags.path, &flags.delete)?;
+    let records: Vec<_> = sources.into_iter().map(|it| it.record).collect();
+    let mut body = json!({ "records": records, "delete": flags.delete, "dry_run": flags.dry_run });
+    if let Some(revision) = flags::number("if-revision", flags.if_revision.as_deref())? {
+        body["if_revision"] = json!(revision);
+    }
+    Ok(body)
+}
+
+/// Reads the records of a set from all files, sorted by id, and checks what is to be deleted.
+pub(crate) fn sources(
+    verb: &str,
+    paths: &[String],
+    delete: &[String],
+) -> Result<Vec<Source>, Failure> {
     let mut sources: Vec<Source> = Vec::new();
-    for path in &flags.path {
+    for path in paths {
         read(Path::new(path), true, &mut sources)?;
     }
-    if sources.is_empty() && flags.delete.is_empty() {
-        let message = if flags.path.is_empty() {
-            "nothing to apply; accepted: a file or directory, or --delete KIND/NAME".to_owned()
+    if sources.is_empty() && delete.is_empty() {
+        let message = if paths.is_empty() {
+            format!("nothing to {verb}; accepted: a file or directory, or --delete KIND/NAME")
         } else {
-            format!("no records in {}; accepted: .json files", flags.path.join(", "))
+            format!("no records in {}; accepted: .json files", paths.join(", "))
         };
         return Err(Failure::Usage(message));
     }
@@ -47,19 +65,14 @@
             return Err(Failure::Usage(message));
         }
     }
-    for id in &flags.delete {
+    for id in delete {
         check_id(id)?;
         if sources.iter().any(|it| it.id == *id) {
             let message = format!("{id} is both written and deleted; accepted: one of them");
             return Err(Failure::Usage(message));
         }
     }
-    let records: Vec<_> = sources.into_iter().map(|it| it.record).collect();
-    let mut body = json!({ "records": records, "delete": flags.delete, "dry_run": flags.dry_run });
-    if let Some(revision) = flags::number("if-revision", flags.if_revision.as_deref())? {
-        body["if_revision"] = json!(revision);
-    }
-    Ok(body)
+    Ok(sources)
 }
 
 /// Checks a kind.
@@ -130,23 +143,7 @@
 
 /// The difference that a set makes or made, readable.
 pub(crate) fn difference(applied: &Value) -> String {
-    let mut out = String::new();
-    for step in applied["steps"].as_array().into_iter().flatten() {
-        let (sign, verb) = match step["action"].as_str() {
-            Some("create") => ('+', "create"),
-            Some("delete") => ('-', "delete"),
-            _ => ('~', "update"),
-        };
-        let record = step["record"].as_str().unwrap_or_default();
-        out.push_str(&format!("{sign} {verb} {record}\n"));
-        if verb == "delete" {
-            continue;
-        }
-        let fields = step["differences"].as_array().into_iter().flatten();
-        for field in fields.filter(|it| it["field"] != "kind" && it["field"] != "name") {
-            out.push_str(&field_line(field));
-        }
-    }
+    let mut out = steps(&applied["steps"], |_, _| "");
     let count = |name: &str| applied[name].as_array().map_or(0, Vec::len);
     let (written, unchanged) = (count("written"), count("unchanged"));
     if applied["dry_run"] == true {
@@ -162,11 +159,36 @@
     out
 }
 
-fn field_line(field: &Value) -> String {
-    let name = field["field"].as_str().unwrap_or_default();
-    match (&field["before"], &field["after"]) {
-        (Value::Null, after) => format!("    {name}: {after}\n"),
-        (before, Value::Null) => format!("    {name}: {before} -> absent\n"),
-        (before, after) => format!("    {name}: {before} -> {after}\n"),
+/// The steps of a plan, readable. `effect` names what a field of a kind of record changes for callers, empty if nothing
+/// is to be named.
+pub(crate) fn steps(steps: &Value, effect: impl Fn(&str, &str) -> &'static str) -> String {
+    let mut out = String::new();
+    for step in steps.as_array().into_iter().flatten() {
+        let (sign, verb) = match step["action"].as_str() {
+            Some("create") => ('+', "create"),
+            Some("delete") => ('-', "delete"),
+            _ => ('~', "update"),
+        };
+        let record = step["record"].as_str().unwrap_or_default();
+        out.push_str(&format!("{sign} {verb} {record}\n"));
+        if verb == "delete" {
+            continue;
+        }
+        let kind = record.split('/').next().unwrap_or_default();
+        let fields = step["differences"].as_array().into_iter().flatten();
+        for field in fields.filter(|it| it["field"] != "kind" && it["field"] != "name") {
+            let name = field["field"].as_str().unwrap_or_default();
+            let change = match (&field["before"], &field["after"]) {
+                (Value::Null, after) => after.to_string(),
+                (before, Value::Null) => format!("{before} -> absent"),
+                (before, after) => format!("{before} -> {after}"),
+            };
+            let effect = match effect(kind, name) {
+                "" => String::new(),
+                effect => format!(" ({effect})"),
+            };
+            out.push_str(&format!("    {name}: {change}{effect}\n"));
+        }
     }
+    out
 }
--- a/ctl/src/command.rs
+++ b/ctl/src/command.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     apply::{self, check_kind, check_name},
+    check,
     client::{Call, Client},
     explain,
     failure::Failure,
@@ -28,6 +29,7 @@
     let json = flags.json;
     match &flags.subcommand {
         AlmondrackctlCmd::Apply(it) => apply(client, it, json).await,
+        AlmondrackctlCmd::Check(it) => check::execute(it, Some(client), json).await,
         AlmondrackctlCmd::Get(it) => get(client, it, json).await,
         AlmondrackctlCmd::Delete(it) => delete(client, it, json).await,
         AlmondrackctlCmd::Key(it) => match &it.subcommand {
--- a/ctl/src/failure.rs
+++ b/ctl/src/failure.rs
@@ -15,6 +15,13 @@
     Unreachable(String),
     /// Something else stands than the change was based on; exit code 4.
     Conflict(String),
+    /// A check found something; the report goes to standard output.
+    Found {
+        /// What was found.
+        report: String,
+        /// Exit code of the program.
+        code: u8,
+    },
 }
 
 impl Failure {
@@ -25,6 +32,7 @@
             Failure::Usage(_) => 2,
             Failure::Unreachable(_) => 3,
             Failure::Conflict(_) => 4,
+            Failure::Found { code, .. } => *code,
         }
     }
 
@@ -81,7 +89,8 @@
             Failure::Refused(it)
             | Failure::Usage(it)
             | Failure::Unreachable(it)
-            | Failure::Conflict(it) => f.write_str(it),
+            | Failure::Conflict(it)
+            | Failure::Found { report: it, .. } => f.write_str(it),
         }
     }
 }
--- a/ctl/src/flags.rs
+++ b/ctl/src/flags.rs
@@ -7,7 +7,8 @@
 xflags::xflags! {
     /// Operators' command line of almondrack.
     ///
-    /// Exit codes: 0 done, 1 refused by the server, 2 usage, 3 no host answers, 4 conflict.
+    /// Exit codes: 0 done, 1 refused by the server or errors found, 2 usage, 3 no host answers, 4 conflict, 5 doubts
+    /// found by check.
     cmd almondrackctl {
         /// Administration address of a host, IP and port; the next one is asked when one does not answer.
         /// ALMONDRACK_ADMIN holds several, separated by commas.
@@ -28,6 +29,16 @@
             /// Refuses the change if one of its records changed after this revision.
             optional --if-revision if_revision: String
         }
+        /// Checks records before they are written: errors, entries that never match, limits that contradict each other,
+        /// and what changes for callers. Writes nothing.
+        cmd check {
+            /// Files with a record or a list of records, and directories of such .json files.
+            repeated path: String
+            /// Record that is to be deleted, KIND/NAME.
+            repeated --delete delete: String
+            /// Checks the records by themselves and asks no host.
+            optional --offline
+        }
         /// Shows records of a kind (customer, key, class, route, pool), or one of them.
         cmd get {
             /// Kind of the records.
@@ -103,6 +114,7 @@
 pub(crate) const EXAMPLES: &str = "
 EXAMPLES:
     export ALMONDRACK_ADMIN=10.0.0.1:7003,10.0.0.2:7003 ALMONDRACK_KEY=...
+    almondrackctl check records/
     almondrackctl apply records/ --dry-run
     almondrackctl apply records/ --delete route/old
     almondrackctl get customer bakery
@@ -117,8 +129,9 @@
 ";
 
 /// Forms of the commands, by the first word.
-const FORMS: [(&str, &str); 9] = [
+const FORMS: [(&str, &str); 10] = [
     ("apply", "apply PATH... [--dry-run] [--delete KIND/NAME]... [--if-revision N]"),
+    ("check", "check PATH... [--delete KIND/NAME]... [--offline]"),
     ("get", "get KIND [NAME]"),
     ("delete", "delete KIND NAME [--if-revision N]"),
     (
--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -13,6 +13,7 @@
 };
 
 mod apply;
+mod check;
 mod client;
 mod command;
 mod explain;
@@ -30,7 +31,7 @@
 /// Runs a command line without the program's name and returns the exit code.
 ///
 /// `look_up` reads environment variables. Exit codes: 0 done, 1 refused by the server, 2 usage, 3 no host answers,
-/// 4 conflict.
+/// 4 conflict, 5 doubts found by a check.
 pub async fn run(
     arguments: Vec<OsString>,
     look_up: &dyn Fn(&str) -> Option<String>,
@@ -43,6 +44,10 @@
             let _ = out.write_all(text.as_bytes());
             0
         }
+        Err(Failure::Found { report, code }) => {
+            let _ = out.write_all(report.as_bytes());
+            code
+        }
         Err(failure) => {
             let _ = writeln!(err, "almondrackctl: {failure}");
             failure.code()
@@ -63,6 +68,11 @@
     if let AlmondrackctlCmd::Explain(it) = &flags.subcommand {
         return explain::execute(&it.id, &it.path);
     }
+    if let AlmondrackctlCmd::Check(it) = &flags.subcommand
+        && it.offline
+    {
+        return check::execute(it, None, flags.json).await;
+    }
     let (step, steps) = watch::channel(String::new());
     let client = Client::open(&flags, look_up, step)?;
     shown(command::execute(&flags, &client), steps, err).await
--- a/ctl/tests/refusals.rs
+++ b/ctl/tests/refusals.rs
@@ -69,9 +69,9 @@
     ];
     expect![[r#"
         2 
-          almondrackctl: subcommand is required; accepted: apply, get, delete, key, status, report, upstreams, drain, explain; and --admin, --key, --json, --help
+          almondrackctl: subcommand is required; accepted: apply, check, get, delete, key, status, report, upstreams, drain, explain; and --admin, --key, --json, --help
         2 aply records
-          almondrackctl: unexpected argument: "aply"; accepted: apply, get, delete, key, status, report, upstreams, drain, explain; and --admin, --key, --json, --help
+          almondrackctl: unexpected argument: "aply"; accepted: apply, check, get, delete, key, status, report, upstreams, drain, explain; and --admin, --key, --json, --help
         2 apply
           almondrackctl: nothing to apply; accepted: a file or directory, or --delete KIND/NAME
         2 apply --dryrun records
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod ledger;
 pub mod limit;
 pub mod limits;
+pub mod lint;
 pub mod load;
 pub mod logs;
 pub mod member;
