Keep evacuated zones and cold upstreams free of requests that they must not get

Cause: nothing read the operator's evacuations, nor the pace that upstreams take while they are cold. Change: evacuations arrive on the watch of the configuration and between hosts; placement and the last check before a request is written leave out upstreams of evacuated zones. Requests to cold upstreams need permits of a granting host.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -51,6 +51,7 @@
     store_calls: IntCounterVec,
     limited_sends: IntCounterVec,
     permits: IntCounterVec,
+    cold_permits: IntCounterVec,
     cut_attempts: IntCounterVec,
     taken_up_streams: IntCounterVec,
     upstream_answers: IntCounterVec,
@@ -60,6 +61,8 @@
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
     pub revision: IntGauge,
+    /// Evacuated availability zones that this host knows.
+    pub evacuated_zones: IntGauge,
     /// Number of times that the platform's store came back from an older copy.
     pub store_era: IntGauge,
 }
@@ -113,6 +116,11 @@
             "Requests of this host for permits to send to rate-limited upstreams, by outcome.",
             &["outcome"],
         )?;
+        let cold_permits = counter(
+            "almondrack_cold_permits_total",
+            "Requests of this host for permits to send to cold upstreams, by outcome; one that is denied is kept from the upstream for now.",
+            &["outcome"],
+        )?;
         let taken_up_streams = counter(
             "almondrack_taken_up_streams_total",
             "Requests of callers that take up a stream, by whether the version that began it is known, or why not.",
@@ -148,6 +156,10 @@
         let in_flight = gauge("almondrack_in_flight", "Requests accepted and not ended.")?;
         let revision =
             gauge("almondrack_config_revision", "Revision of the configuration in force.")?;
+        let evacuated_zones = gauge(
+            "almondrack_evacuated_zones",
+            "Evacuated availability zones, to whose upstreams this host sends nothing.",
+        )?;
         let store_era = gauge(
             "almondrack_store_era",
             "Number of times that the platform's store came back from an older copy.",
@@ -162,6 +174,7 @@
             store_calls,
             limited_sends,
             permits,
+            cold_permits,
             cut_attempts,
             taken_up_streams,
             upstream_answers,
@@ -169,6 +182,7 @@
             backoffs,
             in_flight,
             revision,
+            evacuated_zones,
             store_era,
         })
     }
@@ -207,6 +221,11 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a request for a permit to send to a cold upstream: `granted`, `denied` or `unanswered`.
+    pub fn cold_permit_asked(&self, outcome: &str) {
+        self.cold_permits.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a request that takes up a stream whose origin is `known`, or why it is not.
     pub fn stream_taken_up(&self, origin: &str) {
         self.taken_up_streams.with_label_values(&[origin]).inc();
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -14,6 +14,7 @@
     serving::{
         backoff::Gate,
         crash_evidence::Reason,
+        evacuation::Zones,
         key::{AttemptKey, TicketKey, UpstreamKey},
         limiter, messages,
         placement::{Action, Grant, Placement, Ticket},
@@ -48,6 +49,8 @@
     RemoteLoads(Vec<messages::Load>),
     Permit(PermitAnswer),
     RemoteLimits(Vec<(u64, rate_limit::Limit)>),
+    Evacuated(Option<Zones>),
+    ColdRates(Vec<(Arc<str>, rate_limit::Rate)>),
     BrokenOff(AttemptKey, Progress),
     Proceeded(AttemptKey, Progress),
     /// Evidence of another host, and a time at which it had not sent this yet.
@@ -169,6 +172,16 @@
         self.send(Message::RemoteLoads(loads));
     }
 
+    /// Replaces the evacuated availability zones; `None` while they are not known, so that nothing is sent.
+    pub fn set_evacuated(&self, zones: Option<Zones>) {
+        self.send(Message::Evacuated(zones));
+    }
+
+    /// Replaces the requests per second that cold upstreams take from all hosts, by pool. `rates` must be sorted.
+    pub fn set_cold_rates(&self, rates: Vec<(Arc<str>, rate_limit::Rate)>) {
+        self.send(Message::ColdRates(rates));
+    }
+
     /// Records rate limits that another host reports, by incarnation.
     pub fn merge_limits(&self, limits: Vec<(u64, rate_limit::Limit)>) {
         if !limits.is_empty() {
@@ -317,6 +330,7 @@
     fn update_upstreams(&mut self) {
         let entries = self.upstreams.borrow_and_update().clone();
         self.placement.set_upstreams(&entries);
+        self.placement.observe_cold(Time::now());
         self.publish_leaving();
     }
 
@@ -388,6 +402,8 @@
                 self.placement.merge_evidence(now, sent_at, &news);
             }
             Message::RemoteLimits(limits) => self.placement.merge_limits(&limits),
+            Message::Evacuated(zones) => self.placement.set_evacuated(zones),
+            Message::ColdRates(rates) => self.placement.set_cold_rates(now, rates),
             Message::RemoteLoads(loads) => self.placement.set_remote_loads(now, &loads),
         }
     }
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -388,12 +388,14 @@
                 guard.end(Ending::Unused);
                 return Err(attempt_history::Failure::unsent(Kind::Shed));
             }
-            // The upstream may have said since the grant that it leaves or wants a pause; connecting takes time.
-            if grant.leaves.get() {
+            // The upstream may have said since the grant that it leaves or wants a pause, its zone may be evacuated, or it
+            // may have become cold; connecting takes time.
+            if grant.leaves.get() || grant.evacuated.get() {
                 guard.end(Ending::Unused);
                 return Err(attempt_history::Failure::unsent(Kind::NoUpstream));
             }
-            if guard.is_held() {
+            let lacks_permit = grant.send_by.is_none() && Time::now() < grant.cold_until.get();
+            if guard.is_held() || lacks_permit {
                 guard.end(Ending::Unused);
                 return Err(attempt_history::Failure::unsent(Kind::Shed));
             }
--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -5,7 +5,13 @@
 //! times a second. A host whose hubs have no recent state follows the store itself, and a host that
 //! cannot reach the store synchronizes with others.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use tokio::{
@@ -19,6 +25,7 @@
         configuration_era,
         counted_store::{self, Cause},
         dispatcher::{Dispatcher, LocalLoad},
+        evacuation::{self, Evacuations, Zones},
         follower::{self, Follower},
         leadership::LEADER_KEY,
         loads::Loads,
@@ -69,6 +76,9 @@
 /// whole do not all list the store at once.
 const STARTUP_JITTER_MS: u64 = 900;
 
+/// Index of the prefix in a response that holds evacuations, after those of the topics, rate limits and evidence.
+const EVACUATIONS_INDEX: usize = Topic::ALL.len() + 2;
+
 /// Capacity of the task's mailbox.
 const MAILBOX_CAPACITY: usize = 1_024;
 
@@ -144,6 +154,9 @@
 pub struct Decoding {
     /// Key that holds the configuration.
     pub configuration_key: &'static str,
+    /// Prefixes of the operator's keys, among them the configuration, and of those that hold evacuations of availability
+    /// zones; `None` if there are no evacuations.
+    pub evacuations: Option<(&'static str, &'static str)>,
     /// Prefix of the keys that hold the entries of upstreams.
     pub upstreams_prefix: &'static str,
     /// Decodes a configuration.
@@ -155,7 +168,7 @@
 impl Decoding {
     fn prefix(&self, topic: Topic) -> &'static str {
         match topic {
-            Topic::Configuration => self.configuration_key,
+            Topic::Configuration => self.evacuations.map_or(self.configuration_key, |it| it.0),
             Topic::Upstreams => self.upstreams_prefix,
             Topic::Fleet => FLEET_PREFIX,
         }
@@ -189,6 +202,8 @@
     pub verified_at: watch::Receiver<Option<Time>>,
     /// How far the list of upstreams is verified to be the store's.
     pub upstreams_verified: watch::Receiver<Verification>,
+    /// Evacuated availability zones, `None` while they are not known.
+    pub evacuated: watch::Receiver<Option<Zones>>,
     /// Whether the upstreams have been listed, by the store or by a peer.
     pub upstreams_listed: watch::Receiver<bool>,
     /// Registered hosts.
@@ -240,12 +255,15 @@
     verified_at: watch::Sender<Option<Time>>,
     upstreams: watch::Sender<Rc<Vec<Entry>>>,
     upstreams_verified: watch::Sender<Verification>,
+    evacuated: watch::Sender<Option<Zones>>,
     upstreams_listed: watch::Sender<bool>,
     roster: watch::Sender<Rc<Roster>>,
     leader: watch::Sender<Option<Item>>,
     writes_usage: watch::Sender<bool>,
     /// Revision of the copy of each topic.
     revisions: watch::Sender<[u64; 3]>,
+    /// Revision after which each follower watches its topic.
+    followed: watch::Sender<[u64; 3]>,
     /// Mode in which each topic is followed.
     modes: watch::Sender<[follower::Mode; 3]>,
     /// Time of the last verification of each topic.
@@ -262,10 +280,15 @@
     let (verified_at_sender, verified_at) = watch::channel(None);
     let (upstreams_verified_sender, upstreams_verified) = watch::channel(Verification::default());
     let (listed_sender, upstreams_listed) = watch::channel(false);
+    let evacuations = options.decoding.evacuations.map(|it| Evacuations::new(it.1));
+    let known_zones = evacuations.is_none().then(Zones::default);
+    let (evacuated_sender, evacuated) = watch::channel(known_zones);
+    dispatcher.set_evacuated(evacuated.borrow().clone());
     let (roster_sender, roster) = watch::channel(Rc::default());
     let (leader_sender, leader) = watch::channel(None);
     let (writes_usage_sender, writes_usage) = watch::channel(true);
     let (revisions_sender, revisions) = watch::channel([0; 3]);
+    let (followed_sender, followed) = watch::channel([0; 3]);
     let (modes_sender, modes) = watch::channel([follower::Mode::Off; 3]);
     let (verified_sender, verified) = watch::channel([None; 3]);
     let (known_era_sender, known_era) = watch::channel(0);
@@ -279,7 +302,7 @@
             store: options.store.for_cause(topic.cause()),
             topic,
             prefix: options.decoding.prefix(topic),
-            revisions: revisions.clone(),
+            revisions: followed.clone(),
             messages: messages.clone(),
             role: role.subscribe(),
             roster: roster.clone(),
@@ -296,6 +319,7 @@
     };
     task::spawn_local(recorder.run());
     let tracker = Rc::new(RefCell::new(sync_client::Tracker::default()));
+    let evacuations_revision = Rc::new(Cell::new(evacuations.as_ref().map(Evacuations::revision)));
     let client = || sync_client::Client {
         host: options.host.clone(),
         zone: options.zone.clone(),
@@ -305,6 +329,7 @@
         report_peers: Peers::default(),
         roster: roster.clone(),
         revisions: revisions.clone(),
+        evacuations_revision: evacuations_revision.clone(),
         verified: verified.clone(),
         meter: options.meter.clone(),
         messages: messages.clone(),
@@ -318,11 +343,13 @@
         verified_at: verified_at_sender,
         upstreams: options.upstreams,
         upstreams_verified: upstreams_verified_sender,
+        evacuated: evacuated_sender,
         upstreams_listed: listed_sender,
         roster: roster_sender,
         leader: leader_sender,
         writes_usage: writes_usage_sender,
         revisions: revisions_sender,
+        followed: followed_sender,
         modes: modes_sender,
         verified: verified_sender,
         known_era: known_era_sender,
@@ -335,6 +362,8 @@
         dispatcher,
         outputs,
         mirrors: Default::default(),
+        evacuations,
+        evacuations_revision,
         verified: [None; 3],
         restored_at: None,
         peer_verified_at: None,
@@ -355,6 +384,7 @@
         table,
         verified_at,
         upstreams_verified,
+        evacuated,
         upstreams_listed,
         roster,
         leader,
@@ -379,6 +409,10 @@
     dispatcher: Dispatcher,
     outputs: Outputs,
     mirrors: [Mirror; 3],
+    /// `None` if the settings bound no evacuation.
+    evacuations: Option<Evacuations>,
+    /// Revision of that copy, for requests to other hosts.
+    evacuations_revision: Rc<Cell<Option<u64>>>,
     /// When each copy was last verified to be the newest.
     verified: [Option<Time>; 3],
     /// When the configuration was first read from a store that came back from an older copy, until it is written again.
@@ -414,7 +448,7 @@
                     self.handle(message);
                 }
                 Some((request, reply)) = calls.recv() => self.respond(request, reply),
-                () = wait_until(self.upstream_list.next_due()) => self.apply_due(),
+                () = wait_until(self.next_due()) => self.apply_due(),
                 _ = interval.tick() => self.tick(),
             }
         }
@@ -430,6 +464,7 @@
                     self.upstream_list.store_recovered(self.store_answered_at);
                 }
                 let update = self.without_heartbeats(topic, update);
+                let update = self.without_evacuations(topic, update, sent_at);
                 self.apply_update(topic, Some(update), Some(sent_at));
                 if topic == Topic::Upstreams {
                     let grace_left = self.upstream_list.grace_left(self.store_answered_at);
@@ -473,6 +508,46 @@
         })
     }
 
+    /// Applies the evacuations in an update of the operator's keys, and returns the rest.
+    fn without_evacuations(&mut self, topic: Topic, update: Update, sent_at: Time) -> Update {
+        let prefix = self.evacuations.as_ref().map(Evacuations::prefix);
+        let Some(prefix) = prefix.filter(|_| topic == Topic::Configuration) else { return update };
+        let (rest, evacuations) = evacuation::split(update, prefix);
+        self.apply_evacuations(Some(evacuations), Some(sent_at));
+        rest
+    }
+
+    fn apply_evacuations(&mut self, update: Option<Update>, verified_at: Option<Time>) {
+        if let Some(evacuations) = &mut self.evacuations {
+            evacuations.apply(Time::now(), update, verified_at);
+            self.publish_evacuated();
+        }
+    }
+
+    /// Publishes the evacuated zones, and the revisions up to which the operator's keys are known.
+    fn publish_evacuated(&mut self) {
+        let Some(evacuations) = &self.evacuations else { return };
+        self.evacuations_revision.set(Some(evacuations.revision()));
+        let zones = evacuations.zones(Time::now());
+        let is_new = self.outputs.evacuated.send_if_modified(|it| {
+            if *it == zones {
+                return false;
+            }
+            let before = it.take().unwrap_or_default();
+            zones.iter().for_each(|zones| zones.log_changes(&before));
+            it.clone_from(&zones);
+            true
+        });
+        if is_new {
+            self.dispatcher.set_evacuated(zones);
+        }
+    }
+
+    fn next_due(&self) -> Option<Time> {
+        let evacuations = self.evacuations.as_ref().and_then(Evacuations::next_due);
+        self.upstream_list.next_due().into_iter().chain(evacuations).min()
+    }
+
     fn apply_response(
         &mut self,
         response: messages::Response,
@@ -490,10 +565,21 @@
         }
         let leaving = messages::Load::leaving(&response.loads);
         self.dispatcher.merge_departures(&response.host, leaving);
+        let evacuations = response.prefixes.get(EVACUATIONS_INDEX).cloned();
+        let evacuations_verified = evacuations.as_ref().and_then(|it| it.age_us);
+        if let Some(evacuations) = evacuations {
+            let verified_at = evacuations.age_us.map(|it| sent_at - Span(it));
+            self.apply_evacuations(evacuations.update.map(decode_update), verified_at);
+        }
         for (topic, state) in Topic::ALL.into_iter().zip(response.prefixes) {
             let verified_at = state.age_us.map(|it| sent_at - Span(it));
             if topic == Topic::Configuration {
-                self.peer_verified_at = self.peer_verified_at.max(verified_at);
+                // Hosts of earlier versions do not know the evacuations.
+                let served_at = match self.evacuations {
+                    Some(_) => verified_at.min(evacuations_verified.map(|it| sent_at - Span(it))),
+                    None => verified_at,
+                };
+                self.peer_verified_at = self.peer_verified_at.max(served_at);
             }
             self.apply_update(topic, state.update.map(decode_update), verified_at);
             if topic == Topic::Upstreams {
@@ -605,6 +691,12 @@
         }
         let revisions = [0, 1, 2].map(|it: usize| self.mirrors[it].revision());
         self.outputs.revisions.send_replace(revisions);
+        let mut followed = revisions;
+        if let Some(evacuations) = &self.evacuations {
+            // The configuration can be newer, from a host of an earlier version.
+            followed[0] = followed[0].min(evacuations.revision());
+        }
+        self.outputs.followed.send_replace(followed);
         self.outputs.verified.send_replace(self.verified);
     }
 
@@ -732,6 +824,15 @@
             let evidence = self.evidence.clone().aged(now.since(self.evidence_at));
             prefixes.push(messages::Prefix::from_evidence(&evidence));
         }
+        let evacuations_after = request.revisions.get(Topic::ALL.len());
+        if let Some((known, after)) = self.evacuations.as_ref().zip(evacuations_after) {
+            // Each prefix has its place, and nothing says the same as an empty list.
+            prefixes.resize(EVACUATIONS_INDEX, messages::Prefix { age_us: None, update: None });
+            prefixes.push(messages::Prefix {
+                age_us: known.verified().map(|it| now.since(it).0),
+                update: known.since(*after).map(encode_update),
+            });
+        }
         let after = request.placed_after;
         let (loads, (placed, placed_next)) = match request.is_hub {
             // Hubs send each other no loads in requests, since each requests those of the others.
@@ -763,6 +864,10 @@
     fn apply_due(&mut self) {
         self.upstream_list.apply_due(Time::now());
         self.publish_upstreams();
+        if let Some(evacuations) = &mut self.evacuations {
+            evacuations.apply_due(Time::now());
+            self.publish_evacuated();
+        }
     }
 
     fn tick(&mut self) {
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -19,6 +19,7 @@
         dialect::Dialect,
         dispatcher::Dispatcher,
         duties::Duties,
+        evacuation::Zones,
         exchange::{self, Exchange},
         fleet_state::{self, Decoding},
         handler::Handler,
@@ -32,6 +33,7 @@
         scaling,
         settings::Settings,
         stream_records,
+        table::Table,
         usage::{self, Meter, Usage},
     },
     store::Store,
@@ -160,12 +162,18 @@
         limiter::spawn(limiter::Options {
             host: settings.host.clone(),
             roster: fleet.roster.clone(),
+            verified_at: fleet.verified_at.clone(),
             messages,
             calls: permits,
             dispatcher: dispatcher.clone(),
             metrics: metrics.clone(),
         });
-        let capacity = scaling::Capacity { upstreams, leaving: dispatcher.leaving.clone() };
+        let capacity = scaling::Capacity {
+            upstreams,
+            leaving: dispatcher.leaving.clone(),
+            evacuated: fleet.evacuated.clone(),
+        };
+        task::spawn_local(pass_cold_rates(fleet.table.clone(), dispatcher.clone()));
         let links = connection_cache::Cache::default();
         task::spawn_local(sweep(links.clone()));
         let dialect = Rc::new(ports.dialect);
@@ -312,13 +320,15 @@
     page.wrap_err_with(|| format!("cannot listen on {address}"))
 }
 
-/// Content of the page that the load balancer probes. Ready once the configuration and the
-/// upstreams have been received, and until the host drains.
+/// Content of the page that the load balancer probes. Ready once the configuration, the evacuated zones and
+/// the upstreams have been received, and until the host drains.
 fn readiness_content(fleet: &fleet_state::Handle, draining: &watch::Receiver<bool>) -> Content {
     let (table, listed) = (fleet.table.clone(), fleet.upstreams_listed.clone());
+    let evacuated = fleet.evacuated.clone();
     let draining = draining.clone();
     Arc::new(move || {
-        if table.borrow().is_some() && *listed.borrow() && !*draining.borrow() {
+        let is_known = table.borrow().is_some() && *listed.borrow() && evacuated.borrow().is_some();
+        if is_known && !*draining.borrow() {
             (StatusCode::OK, "ready".to_owned())
         } else {
             (StatusCode::SERVICE_UNAVAILABLE, "not ready".to_owned())
@@ -328,14 +338,30 @@
 
 /// Content of the metrics page.
 fn metrics_content(metrics: Metrics, fleet: &fleet_state::Handle) -> Content {
-    let table = fleet.table.clone();
+    let (table, evacuated) = (fleet.table.clone(), fleet.evacuated.clone());
     Arc::new(move || {
+        let zones = evacuated.borrow().as_ref().map_or(0, Zones::len);
+        metrics.evacuated_zones.set(zones as i64);
         let version = table.borrow().as_ref().map_or(0, |it| it.version);
         metrics.revision.set(i64::try_from(version).unwrap_or(i64::MAX));
         (StatusCode::OK, metrics.render())
     })
 }
 
+/// Passes on at which rates the upstreams of each pool take requests while they are cold.
+async fn pass_cold_rates(mut table: watch::Receiver<Option<Arc<Table>>>, dispatcher: Dispatcher) {
+    loop {
+        if let Some(table) = &*table.borrow_and_update() {
+            let rates =
+                table.pools().iter().filter_map(|it| Some((it.name.clone(), it.cold_rate?)));
+            dispatcher.set_cold_rates(rates.collect());
+        }
+        if table.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Passes on evidence about crashes that other hosts report.
 async fn merge_evidence(mut evidence: mpsc::Receiver<messages::Evidence>, dispatcher: Dispatcher) {
     while let Some(news) = evidence.recv().await {
--- a/src/serving/limiter.rs
+++ b/src/serving/limiter.rs
@@ -10,12 +10,14 @@
 use crate::{
     metrics::Metrics,
     serving::{
+        cold,
         dispatcher::{Dispatcher, PermitAnswer},
         key::{TicketKey, UpstreamKey},
         messages,
         peers::{Peers, PermitCall},
         rate_limit::{Ask, Decision, Limit, Limiter, Rate},
         roster::Roster,
+        tier::TIERS,
     },
     time::{Span, Time},
 };
@@ -26,6 +28,10 @@
 /// Retry delay after which a host that no limiter answers asks again.
 const UNANSWERED_DELAY: Span = Span::from_ms(100);
 
+/// Bit of the tier in a request that is about the pace of a cold upstream. Hosts of earlier versions take such a tier for the
+/// least urgent one.
+const COLD_BIT: u8 = 0x80;
+
 /// What the dispatcher wants of the limiters of an upstream.
 #[derive(Debug, Clone, Copy)]
 pub enum Message {
@@ -41,6 +47,8 @@
     pub host: String,
     /// Registered hosts.
     pub roster: watch::Receiver<Rc<Roster>>,
+    /// When this host last verified its state of the fleet.
+    pub verified_at: watch::Receiver<Option<Time>>,
     /// Messages of this host's dispatcher.
     pub messages: mpsc::UnboundedReceiver<Message>,
     /// Requests of other hosts.
@@ -53,10 +61,12 @@
 
 /// Spawns the task on the current thread.
 pub fn spawn(options: Options) {
-    let Options { host, roster, mut messages, mut calls, dispatcher, metrics } = options;
+    let Options { host, roster, verified_at, mut messages, mut calls, dispatcher, metrics } =
+        options;
     let task = Rc::new(Task {
         host,
         roster,
+        verified_at,
         dispatcher,
         metrics,
         limiter: RefCell::default(),
@@ -82,6 +92,7 @@
 struct Task {
     host: String,
     roster: watch::Receiver<Rc<Roster>>,
+    verified_at: watch::Receiver<Option<Time>>,
     dispatcher: Dispatcher,
     metrics: Metrics,
     limiter: RefCell<Limiter>,
@@ -96,19 +107,29 @@
             Message::Ask(ticket, upstream, ask) => {
                 let asked_at = Time::now();
                 let response = self.call(request(asked_at, ask, false)).await;
-                self.metrics.permit_asked(match response {
+                let outcome = match response {
                     Some(response) if response.granted => "granted",
                     Some(_) => "denied",
                     None => "unanswered",
-                });
+                };
+                match ask.is_cold {
+                    true => self.metrics.cold_permit_asked(outcome),
+                    false => self.metrics.permit_asked(outcome),
+                }
                 let answer = match response {
-                    Some(response) => answer((ticket, upstream, asked_at), response),
+                    Some(response) => {
+                        let answer = answer((ticket, upstream, asked_at), response);
+                        // The pace of a cold upstream is no limit that it names.
+                        let limit = if ask.is_cold { Limit::default() } else { answer.limit };
+                        PermitAnswer { limit, ..answer }
+                    }
                     None => {
                         log::info!(
                             "no host answers about the limit of an upstream; it gets no request for now"
                         );
                         let decision = Decision::Denied(UNANSWERED_DELAY);
-                        PermitAnswer { ticket, upstream, asked_at, decision, limit: ask.limit }
+                        let limit = if ask.is_cold { Limit::default() } else { ask.limit };
+                        PermitAnswer { ticket, upstream, asked_at, decision, limit }
                     }
                 };
                 self.dispatcher.permit_answered(answer);
@@ -164,8 +185,16 @@
                 .limiters(request.upstream)
                 .iter()
                 .position(|it| it.id == self.host);
-            let tier = usize::from(request.tier);
-            limiter.ask(now, rank, Ask { upstream: request.upstream, limit, tier })
+            let tier = usize::from(request.tier & !COLD_BIT);
+            let is_cold = request.tier & COLD_BIT != 0;
+            let limit = match limit.rate().filter(|_| is_cold) {
+                Some(rate) => {
+                    let rate = cold::granted_rate(now, *self.verified_at.borrow(), rate);
+                    Limit::new(Some(rate), now)
+                }
+                None => limit,
+            };
+            limiter.ask(now, rank, Ask { upstream: request.upstream, limit, tier, is_cold })
         };
         let known = limiter.limit(request.upstream);
         let (granted, retry_after) = match decision {
@@ -186,7 +215,7 @@
         upstream: ask.upstream,
         rate: ask.limit.rate().map(Rate::per_second),
         age_us: ask.limit.age(now).0,
-        tier: u8::try_from(ask.tier).unwrap_or(u8::MAX),
+        tier: (ask.tier.min(TIERS - 1) as u8) | if ask.is_cold { COLD_BIT } else { 0 },
         is_report,
     }
 }
--- a/src/serving/messages.rs
+++ b/src/serving/messages.rs
@@ -213,7 +213,7 @@
     /// Whether the requesting host is a hub of another group, which sends no loads in requests.
     pub is_hub: bool,
     /// Revision of the requesting host's copy of each followed prefix, zero for one without a
-    /// listing.
+    /// listing. A further one for the evacuations if it follows them, which hosts of earlier versions ignore.
     pub revisions: Vec<u64>,
     /// Loads of the requesting host.
     pub loads: Vec<Load>,
@@ -238,8 +238,9 @@
     /// Remaining time in which upstreams rewrite their entries after an outage of the store, in
     /// microseconds.
     pub outage_grace_us: u64,
-    /// One for each followed prefix, one with the rate limits of upstreams, and one with evidence about crashes. The
-    /// last two are left out if there are none, and hosts of earlier versions ignore them.
+    /// One for each followed prefix, one with the rate limits of upstreams, one with evidence about crashes, and one with
+    /// evacuations of availability zones if the requesting host asks for them. The last three are left out at the end if
+    /// there are none, and hosts of earlier versions ignore them.
     pub prefixes: Vec<Prefix>,
     /// Loads of all other hosts, or of the responding host's group if the requesting host is a hub.
     pub loads: Vec<Load>,
--- a/src/serving/mirror.rs
+++ b/src/serving/mirror.rs
@@ -91,6 +91,11 @@
         self.items.get(key)
     }
 
+    /// Returns the keys of all items, sorted.
+    pub fn keys(&self) -> impl Iterator<Item = &str> {
+        self.items.keys().map(String::as_str)
+    }
+
     /// Applies an update from any source and returns the changes that were new.
     pub fn apply(&mut self, update: Update) -> Vec<Change> {
         match update {
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -15,6 +15,7 @@
         crash_evidence::{Content, Evidence, Reason, Verdict},
         demand,
         dialect::Prompt,
+        evacuation::Zones,
         key::{AttemptKey, TicketKey, UpstreamKey},
         messages,
         rate_limit::{self, Rate},
@@ -124,6 +125,10 @@
     pub last_activity: Rc<Cell<Time>>,
     /// Whether the upstream leaves, so that the request must not be sent any more.
     pub leaves: Rc<Cell<bool>>,
+    /// Whether the upstream's availability zone is evacuated, so that the request must not be sent any more.
+    pub evacuated: Rc<Cell<bool>>,
+    /// Time until which the upstream is cold, so that a request without a permit must not be sent.
+    pub cold_until: Rc<Cell<Time>>,
     /// Closed while this host backs off from the upstream.
     pub gate: Gate,
     /// Rate limit that the upstream names, if any.
@@ -223,6 +228,10 @@
     unlisted_leaving: Vec<u64>,
     /// Back-offs from such incarnations.
     unlisted_backoffs: Vec<(u64, Backoff)>,
+    /// Evacuated availability zones; `None` while they are not known, so that nothing is sent.
+    evacuated: Option<Zones>,
+    /// Requests per second that a cold upstream takes, by pool, sorted.
+    cold_rates: Vec<(Arc<str>, Rate)>,
     evidence: Evidence,
 }
 
@@ -243,6 +252,8 @@
             unlisted_limits: Vec::new(),
             unlisted_leaving: Vec::new(),
             unlisted_backoffs: Vec::new(),
+            evacuated: Some(Zones::default()),
+            cold_rates: Vec::new(),
         }
     }
 
@@ -291,6 +302,44 @@
         self.bound_unlisted_leaving();
         let excess = self.unlisted_backoffs.len().saturating_sub(MAX_UNLISTED);
         self.unlisted_backoffs.drain(..excess);
+        self.apply_evacuated();
+    }
+
+    /// Replaces the evacuated availability zones; `None` while they are not known, so that nothing is sent.
+    pub fn set_evacuated(&mut self, zones: Option<Zones>) {
+        self.evacuated = zones;
+        self.apply_evacuated();
+    }
+
+    fn apply_evacuated(&self) {
+        for (_, state) in &self.upstreams {
+            let zones = self.evacuated.as_ref();
+            let is_open = zones.is_some_and(|it| !it.contains(&state.entry.zone));
+            state.evacuated.set(!is_open);
+        }
+    }
+
+    /// Replaces the requests per second that cold upstreams take, by pool. `rates` must be sorted.
+    pub fn set_cold_rates(&mut self, now: Time, rates: Vec<(Arc<str>, Rate)>) {
+        self.cold_rates = rates;
+        self.observe_cold(now);
+    }
+
+    /// Reads from the entries of upstreams which of them are cold. To be called after [`Placement::set_upstreams`].
+    pub fn observe_cold(&mut self, now: Time) {
+        for (_, state) in &mut self.upstreams {
+            let found = self.cold_rates.binary_search_by(|it| it.0.cmp(&state.entry.pool));
+            let rate = found.ok().map(|at| self.cold_rates[at].1);
+            if state.cold.observe(now, rate, &state.entry) {
+                log::info!(
+                    "upstream {} of {} is cold for {} ms and takes {} requests a second from all hosts",
+                    state.entry.id,
+                    state.entry.pool,
+                    state.entry.warmup_ms,
+                    rate.map_or(0.0, Rate::per_second)
+                );
+            }
+        }
     }
 
     /// Places a ticket and appends the decision to `actions`.
@@ -323,17 +372,12 @@
                 let Some(upstream) = self.upstream_mut(best.key) else {
                     unreachable!("a selected candidate is one of the listed upstreams")
                 };
-                if upstream.limit.rate().is_none() {
+                let Some(ask) = upstream.ask(now, tier_index(ticket)) else {
                     let grant = self.grant(now, ticket, best);
                     actions.push(Action::Grant(ticket.key, grant));
                     return;
-                }
-                upstream.is_asking = true;
-                let ask = rate_limit::Ask {
-                    upstream: upstream.incarnation,
-                    limit: upstream.limit,
-                    tier: tier_index(ticket),
                 };
+                upstream.is_asking = true;
                 actions.push(Action::Ask(ticket.key, best.key, ask));
                 let start_by =
                     start_by.unwrap_or_else(|| latest_start(now, ticket, best.expected_first_byte));
@@ -510,8 +554,12 @@
         let change = upstream.limit.record(now, sent_at, named);
         log_change(&upstream.entry, change, "in a response");
         if change == rate_limit::Change::Ended {
-            let ask =
-                rate_limit::Ask { upstream: upstream.incarnation, limit: upstream.limit, tier: 0 };
+            let ask = rate_limit::Ask {
+                upstream: upstream.incarnation,
+                limit: upstream.limit,
+                tier: 0,
+                is_cold: false,
+            };
             actions.push(Action::Report(ask));
         }
     }
@@ -721,6 +769,8 @@
             expected_first_byte: best.expected_first_byte,
             last_activity: upstream.last_activity.clone(),
             leaves: upstream.leaves.clone(),
+            evacuated: upstream.evacuated.clone(),
+            cold_until: upstream.cold.until(),
             gate: upstream.backoff.gate.clone(),
             limit: upstream.limit.rate(),
             send_by: None,
@@ -833,6 +883,7 @@
         if state.is_ejected_elsewhere(now) {
             cost.0 += REMOTE_EJECTION_PENALTY.0;
         }
+        cost.0 += state.cold.penalty(now).0;
         let rank = match ticket.prompt.as_ref().and_then(affinity_part) {
             Some(part) => rendezvous::hash(&[&part.to_be_bytes(), state.entry.id.as_bytes()]),
             // Hosts number their tickets independently, so the host has to be hashed too.
--- a/src/serving/rate_limit.rs
+++ b/src/serving/rate_limit.rs
@@ -167,6 +167,8 @@
     pub limit: Limit,
     /// Priority tier of the request, zero first.
     pub tier: usize,
+    /// Whether the limit is the pace of a cold upstream, which no response names.
+    pub is_cold: bool,
 }
 
 /// Answer to the request for a permit.
--- a/src/serving/scaling.rs
+++ b/src/serving/scaling.rs
@@ -7,6 +7,7 @@
 use crate::{
     serving::{
         duties::{Duties, Failure, Order},
+        evacuation::Zones,
         leadership::Leadership,
         registry::{Entry, State},
         table::{Pool, Scaling, Table},
@@ -34,6 +35,8 @@
     pub upstreams: watch::Receiver<Rc<Vec<Entry>>>,
     /// Incarnations of those whose answers say that they leave, sorted.
     pub leaving: watch::Receiver<Rc<Vec<u64>>>,
+    /// Evacuated availability zones, `None` while they are not known.
+    pub evacuated: watch::Receiver<Option<Zones>>,
 }
 
 impl Capacity {
@@ -78,8 +81,9 @@
             scaler.forget_orders();
         }
         let Some(config) = table.borrow().clone() else { continue };
+        let Some(evacuated) = capacity.evacuated.borrow().clone() else { continue };
         let entries = capacity.entries();
-        for order in scaler.step(Time::now(), &config, &entries) {
+        for order in scaler.step(Time::now(), &config, &entries, &evacuated) {
             let held = *leadership.term.borrow();
             let number = held.and_then(|it| it.permits(Time::now(), MAX_ORDER_TIME));
             let Some(number) = number else { break };
@@ -107,7 +111,7 @@
 
 /// Computes the orders of each step.
 #[derive(Debug)]
-struct Scaler {
+pub struct Scaler {
     zones: Vec<String>,
     sent_orders: Vec<SentOrder>,
     /// Largest number of ready regular upstreams of each pool so far, which the operator sized for
@@ -116,7 +120,8 @@
 }
 
 impl Scaler {
-    fn new(zones: Vec<String>) -> Scaler {
+    /// Creates a scaler for all availability zones of the system.
+    pub fn new(zones: Vec<String>) -> Scaler {
         Scaler { zones, sent_orders: Vec::new(), baseline: Vec::new() }
     }
 
@@ -124,40 +129,62 @@
         self.sent_orders.clear();
     }
 
-    fn step(&mut self, now: Time, table: &Table, entries: &[Entry]) -> Vec<Order> {
+    /// Returns the orders that are due. Nothing is ordered in an evacuated zone: what runs there goes on for the time
+    /// after it is taken back, and the other zones get what it served.
+    pub fn step(
+        &mut self,
+        now: Time,
+        table: &Table,
+        entries: &[Entry],
+        evacuated: &Zones,
+    ) -> Vec<Order> {
+        self.sent_orders.retain(|it| !evacuated.contains(&it.zone));
         let mut orders = Vec::new();
         for pool in table.pools() {
             let Some(scaling) = &pool.scaling else { continue };
             let own: Vec<_> = entries.iter().filter(|it| it.pool == pool.name).collect();
-            let targets = self.targets(pool, scaling, &own);
+            let targets = self.targets(pool, scaling, &own, evacuated);
             orders.extend(targets.into_iter().filter(|it| self.is_due(now, it, &own)));
         }
         orders
     }
 
-    /// Computes the target number of spot and regular upstreams in each zone.
+    /// Computes the target number of spot and regular upstreams in each zone that is not evacuated.
     ///
     /// All spot instances of a zone can be reclaimed at once, so that the maximum is ordered in
     /// each zone and the others have enough without it. Regular upstreams cover the baseline until
     /// the spot instances are ready, and while too few of these are available.
-    fn targets(&mut self, pool: &Pool, scaling: &Scaling, own: &[&Entry]) -> Vec<Order> {
-        let ready = |spot| {
-            own.iter().filter(|it| it.spot == spot && it.state == State::Ready).count() as u32
+    fn targets(
+        &mut self,
+        pool: &Pool,
+        scaling: &Scaling,
+        own: &[&Entry],
+        evacuated: &Zones,
+    ) -> Vec<Order> {
+        let ready = |spot, is_open: fn(&Zones, &str) -> bool| {
+            let counts = |it: &&&Entry| {
+                it.spot == spot && it.state == State::Ready && is_open(evacuated, &it.zone)
+            };
+            own.iter().filter(counts).count() as u32
         };
-        let baseline = self.update_baseline(pool, ready(false));
-        let zones = self.zones.len().max(1) as u32;
+        let baseline = self.update_baseline(pool, ready(false, |_, _| true));
+        let open: Vec<_> = self.zones.iter().filter(|it| !evacuated.contains(it)).collect();
+        let zones = open.len().max(1) as u32;
         let share = baseline.div_ceil(zones).max(scaling.min);
         let spot = scaling.max;
-        let missing = baseline.saturating_sub(ready(true));
-        let regular = missing.div_ceil(zones).min(share);
+        let missing = baseline.saturating_sub(ready(true, |zones, it| !zones.contains(it)));
+        let mut regular = missing.div_ceil(zones).min(share);
+        if !evacuated.is_empty() {
+            regular = regular.min(scaling.max);
+        }
         let order = |zone: &String, spot, count| Order {
             pool: pool.name.to_string(),
             zone: zone.clone(),
             spot,
             count,
         };
-        let mut out: Vec<_> = self.zones.iter().map(|it| order(it, true, spot)).collect();
-        out.extend(self.zones.iter().map(|it| order(it, false, regular)));
+        let mut out: Vec<_> = open.iter().map(|it| order(it, true, spot)).collect();
+        out.extend(open.iter().map(|it| order(it, false, regular)));
         out
     }
 
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -45,6 +45,9 @@
     pub usage_window: Span,
     /// Time after the end of a window by which its usage has to be reported.
     pub usage_delay: Span,
+    /// Time within which an evacuation of an availability zone must be in force at every host; `None` if the operator
+    /// evacuates none.
+    pub evacuation: Option<Span>,
     /// Format of log lines.
     pub log_format: LogFormat,
     /// Least severe level that is logged.
@@ -104,6 +107,7 @@
         let lease_ms: Option<u64> = self.optional("lease-ms", MILLISECONDS);
         let window_s: Option<f64> = self.optional("usage-window-s", "seconds, as in 5");
         let delay_s: Option<f64> = self.optional("usage-delay-s", "seconds, as in 10");
+        let evacuation_ms: Option<u64> = self.optional("evacuation-ms", MILLISECONDS);
         let log_level = self.optional("log-level", "off, error, warn, info, debug or trace");
         let key_validity = key_validity_ms.filter(|_| keys_need_proof.unwrap_or(true));
         let seconds = |it: f64| Span((it.max(0.0) * 1e6) as u64);
@@ -126,6 +130,7 @@
             lease: Span::from_ms(lease_ms.unwrap_or(DEFAULT_LEASE_MS)),
             usage_window: window_s.map_or(DEFAULT_WINDOW, seconds),
             usage_delay: delay_s.map_or(DEFAULT_DELAY, seconds),
+            evacuation: evacuation_ms.map(Span::from_ms),
             log_format: LogFormat::Json,
             log_level: log_level.unwrap_or(log::LevelFilter::Info),
         })
--- a/src/serving/sync_client.rs
+++ b/src/serving/sync_client.rs
@@ -1,6 +1,10 @@
 //! Sync requests of a host: to the hubs of its group, and as a hub to the hubs of other groups.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use tokio::{
     sync::{mpsc, watch},
@@ -67,6 +71,8 @@
     pub(super) report_peers: Peers,
     pub(super) roster: watch::Receiver<Rc<Roster>>,
     pub(super) revisions: watch::Receiver<[u64; 3]>,
+    /// Revision of the evacuations that this host knows, `None` if it follows none.
+    pub(super) evacuations_revision: Rc<Cell<Option<u64>>>,
     pub(super) verified: watch::Receiver<[Option<Time>; 3]>,
     pub(super) meter: Meter,
     pub(super) messages: mpsc::Sender<Message>,
@@ -299,10 +305,12 @@
             false => self.meter.take_changed(self.tracker.borrow().counts_hub == Some(address)),
             true => Vec::new(),
         };
+        let mut revisions = self.revisions.borrow().to_vec();
+        revisions.extend(self.evacuations_revision.get());
         messages::Request {
             host: self.host.clone(),
             is_hub,
-            revisions: self.revisions.borrow().to_vec(),
+            revisions,
             loads: load.loads,
             placed: load.placed,
             placed_after: self.tracker.borrow().position(address),
--- a/src/serving/table.rs
+++ b/src/serving/table.rs
@@ -3,7 +3,10 @@
 
 use std::sync::Arc;
 
-use crate::{credential::Digest, serving::stream_origin::StreamKey};
+use crate::{
+    credential::Digest,
+    serving::{rate_limit::Rate, stream_origin::StreamKey},
+};
 
 /// How often upstreams may run one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -105,6 +108,8 @@
     pub engine: Option<Engine>,
     /// `None` if this system does not scale the pool.
     pub scaling: Option<Scaling>,
+    /// Requests per second that an upstream takes from all hosts together while it is cold, `None` if it takes any number.
+    pub cold_rate: Option<Rate>,
 }
 
 /// A customer, identified by the keys of its requests.
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -6,6 +6,7 @@
     rendezvous,
     serving::{
         backoff::Backoff,
+        cold::{self, Ration},
         dialect::Prompt,
         messages, rate_limit,
         registry::{self, Entry},
@@ -94,6 +95,10 @@
     pub is_asking: bool,
     /// Whether its answers say that it leaves; never unset. Shared with the grants that are not sent yet.
     pub leaves: Rc<Cell<bool>>,
+    /// Whether its availability zone is evacuated. Shared with the grants that are not sent yet.
+    pub evacuated: Rc<Cell<bool>>,
+    /// Cold phase after its start.
+    pub cold: Ration,
     /// Back-off that it asked for.
     pub backoff: Backoff,
     remote: RemoteLoad,
@@ -127,6 +132,8 @@
             no_permit_until: Time(0),
             is_asking: false,
             leaves: Rc::new(Cell::new(false)),
+            evacuated: Rc::new(Cell::new(false)),
+            cold: Ration::default(),
             backoff: Backoff::default(),
             remote: RemoteLoad::default(),
             cached_parts: Vec::new(),
@@ -138,17 +145,38 @@
         *self.entry.pool == *pool
             && self.entry.state == registry::State::Ready
             && !self.leaves.get()
+            && !self.evacuated.get()
     }
 
     /// Returns whether it may have room for a request, by its rate limit and the back-off that it asked for.
     pub fn may_have_room(&self, now: Time) -> bool {
-        let is_asking = self.limit.rate().is_some() && self.is_asking;
+        let is_asking = self.is_asking && self.ask(now, 0).is_some();
         !is_asking && now >= self.room_at() && self.backoff.may_send(now)
     }
 
+    /// Returns the request for a permit to send to it, `None` if that needs none. The lower of its limits counts.
+    pub fn ask(&self, now: Time, tier: usize) -> Option<rate_limit::Ask> {
+        let named = self.limit.rate();
+        match self.cold.rate(now) {
+            Some(rate) if named.is_none_or(|it| rate < it) => {
+                Some(cold::ask(now, self.incarnation, rate, tier))
+            }
+            _ => named.map(|_| rate_limit::Ask {
+                upstream: self.incarnation,
+                limit: self.limit,
+                tier,
+                is_cold: false,
+            }),
+        }
+    }
+
     /// Returns the earliest time at which it may have room for a request, which can be in the past.
     pub fn room_at(&self) -> Time {
-        let permit_at = self.limit.rate().map_or(Time(0), |_| self.no_permit_until);
+        let cold_until = self.cold.until().get();
+        let permit_at = match self.limit.rate() {
+            Some(_) => self.no_permit_until,
+            None => self.no_permit_until.min(cold_until),
+        };
         self.backoff.end().max(permit_at)
     }
 
--- a/tests/serving/callers.rs
+++ b/tests/serving/callers.rs
@@ -102,7 +102,8 @@
     let entries = vec![upstream(received.clone()).await];
     let meter = Meter::new(Span::from_ms(60_000), "host-1");
     let route = (*routed_request(false, RetryPolicy::Never).route).clone();
-    let pool = Pool { name: POOL.into(), connections: 100, engine: None, scaling: None };
+    let pool =
+        Pool { name: POOL.into(), connections: 100, engine: None, scaling: None, cold_rate: None };
     let parts = Parts {
         version: 1,
         limits: LIMITS,
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -288,6 +288,7 @@
             store: counted_store::Counted::new(store, metrics, Cause::Fleet),
             decoding: Decoding {
                 configuration_key: CONFIGURATION,
+                evacuations: None,
                 upstreams_prefix: UPSTREAMS,
                 table: decode_table,
                 entry: decode_entry,
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -576,6 +576,7 @@
 fn the_leader_takes_engines_that_leave_for_draining() {
     let entries = engines(2);
     let capacity = Capacity {
+        evacuated: watch::channel(None).1,
         upstreams: watch::channel(Rc::new(entries.clone())).1,
         leaving: watch::channel(Rc::new(vec![incarnation_id(&entries[1])])).1,
     };
--- a/tests/serving/rate_limit.rs
+++ b/tests/serving/rate_limit.rs
@@ -55,7 +55,7 @@
 }
 
 fn ask(per_second: f64, tier: usize) -> Ask {
-    Ask { upstream: 1, limit: Limit::new(Rate::new(per_second), at(0)), tier }
+    Ask { upstream: 1, limit: Limit::new(Rate::new(per_second), at(0)), tier, is_cold: false }
 }
 
 /// Grants to 295 hosts that ask all the time, each of them the given ranks.
--- a/tests/serving/stream_records.rs
+++ b/tests/serving/stream_records.rs
@@ -109,7 +109,8 @@
 
 /// Starts the tasks of a host that sees upstreams of two versions. `begin` records the streams that it forwarded.
 fn spawn(store: &SlowStore, host: usize, begin: impl FnOnce(&Records)) -> Records {
-    let pool = Pool { name: POOL.into(), connections: 100, engine: None, scaling: None };
+    let pool =
+        Pool { name: POOL.into(), connections: 100, engine: None, scaling: None, cold_rate: None };
     let parts = Parts {
         version: 1,
         limits: Limits::default(),
