Replay evacuations and the return of a cold zone

Cause: the new parts had no tests. Change: tests of placement, of the evacuations' copy, of orders, of a fleet whose store turns hosts away, and of a cold zone before 77 and 250 hosts, with a third of them cut off.

--- a/src/serving/scaling.rs
+++ b/src/serving/scaling.rs
@@ -219,7 +219,8 @@
         }
     }
 
-    fn record_result(&mut self, now: Time, order: &Order, result: &Result<(), Failure>) {
+    /// Records whether an order was accepted.
+    pub fn record_result(&mut self, now: Time, order: &Order, result: &Result<(), Failure>) {
         self.sent_orders.retain(|it| {
             !(*it.pool == *order.pool && it.zone == order.zone && it.spot == order.spot)
         });
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -35,6 +35,9 @@
 use crate::fixture::engine;
 
 const CONFIGURATION: &str = "configuration";
+/// Behind the key of the configuration, so that both are followed together.
+const EVACUATIONS: &str = "configuration/evacuate/";
+
 const UPSTREAMS: &str = "upstreams/";
 
 /// Number of upstreams, each of which rewrites its entry at each heartbeat.
@@ -288,7 +291,7 @@
             store: counted_store::Counted::new(store, metrics, Cause::Fleet),
             decoding: Decoding {
                 configuration_key: CONFIGURATION,
-                evacuations: None,
+                evacuations: Some((CONFIGURATION, EVACUATIONS)),
                 upstreams_prefix: UPSTREAMS,
                 table: decode_table,
                 entry: decode_entry,
@@ -388,6 +391,56 @@
     LocalSet::new().run_until(run).await;
 }
 
+/// Waits until all hosts know a zone as evacuated or as open, and returns how long that took.
+async fn evacuation_time(fleet: &Fleet, is_evacuated: bool) -> Duration {
+    let start = Instant::now();
+    let knows = |it: &&fleet_state::Handle| {
+        it.evacuated.borrow().as_ref().is_some_and(|it| it.contains("b") == is_evacuated)
+    };
+    while !fleet.hosts.iter().all(|it| knows(&it)) {
+        let known = fleet.hosts.iter().filter(knows).count();
+        let is_late = start.elapsed() > Duration::from_millis(4_000);
+        assert!(!is_late, "{known} of {} hosts know it", fleet.hosts.len());
+        sleep(Duration::from_millis(10)).await;
+    }
+    start.elapsed()
+}
+
+#[tokio::test]
+async fn an_evacuation_reaches_hosts_that_the_store_turns_away_and_those_that_start_meanwhile() {
+    let run = async {
+        let mut fleet = Fleet::spawn(30).await;
+        let key = format!("{EVACUATIONS}b");
+        fleet.store.put(&key, b"{}");
+        let calm = evacuation_time(&fleet, true).await;
+        assert!(calm < Duration::from_millis(700), "{calm:?}");
+        let spared = fleet.followers[1];
+        fleet.store.content.borrow_mut().refused = (0..31).filter(|it| *it != spared).collect();
+        fleet.store.remove(&key);
+        evacuation_time(&fleet, false).await;
+        fleet.store.put(&key, b"{}");
+        evacuation_time(&fleet, true).await;
+        // No host reaches the store any more.
+        fleet.store.content.borrow_mut().refused = (0..31).collect();
+        let seeds = {
+            let roster = fleet.hosts[0].roster.borrow();
+            roster.iter().filter(|it| it.id < "host-003".to_owned()).map(|it| it.address).collect()
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let host = roster::Host {
+            id: "host-030".to_owned(),
+            address: listener.local_addr().expect("the socket is bound"),
+            zone: "a".to_owned(),
+            cpu_per_mille: 100,
+            selects_pool_by_id: true,
+        };
+        fleet.open(30, listener, host, seeds);
+        assert!(fleet.hosts[30].evacuated.borrow().is_none());
+        evacuation_time(&fleet, true).await;
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 #[tokio::test]
 async fn every_host_hears_in_time_that_an_upstream_leaves() {
     let run = async {
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -3,9 +3,11 @@
 mod attempt_history;
 mod backoff;
 mod callers;
+mod cold;
 mod contact;
 mod crash_evidence;
 mod dispatcher;
+mod evacuation;
 mod exchange;
 mod fixture;
 mod followers;
