Read what upstreams report of their load, and predict by it

Cause: placement counts only what hosts sent, and nothing reads the header in which upstreams say what they run and how long work takes on their machine at this moment.

Change: the dialect decodes the header; reported_load keeps it with its age, passes it on to other hosts and weighs it by its age; pace learns the lasting speed apart from the moment's and the pace of output. Estimates of upstreams that state the fourth figure rest on them, near-equal ones are spread by a hash that differs by host and request, plain services are drawn by free slots and speed, and engines near their memory cost more. Candidates and grants have an expected end. Other upstreams are served as before.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -8,12 +8,15 @@
     TextEncoder, core::Collector as _,
 };
 
-use crate::error::Kind;
+use crate::{error::Kind, time::Span};
 
 /// Upper bounds of the buckets of the time to the first token, in seconds.
 const FIRST_TOKEN_BUCKETS: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.61, 1.0, 3.0, 10.0, 30.0, 120.0];
 
+/// Upper bounds of the buckets of the error of a predicted first byte, in seconds.
+const PREDICTION_BUCKETS: [f64; 9] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0];
+
 /// How a request ended for its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -48,6 +51,7 @@
     tokens: IntCounterVec,
     wasted: IntCounterVec,
     first_token: HistogramVec,
+    prediction_error: HistogramVec,
     store_calls: IntCounterVec,
     limited_sends: IntCounterVec,
     permits: IntCounterVec,
@@ -145,6 +149,13 @@
         let opts = opts.buckets(FIRST_TOKEN_BUCKETS.to_vec());
         let first_token = HistogramVec::new(opts, &["class"])?;
         registry.register(Box::new(first_token.clone()))?;
+        let opts = HistogramOpts::new(
+            "almondrack_prediction_error_seconds",
+            "Difference of the measured from the expected time to an attempt's first byte, by whether it came earlier or later, and by whether its upstream reports how long work takes there.",
+        );
+        let opts = opts.buckets(PREDICTION_BUCKETS.to_vec());
+        let prediction_error = HistogramVec::new(opts, &["side", "load"])?;
+        registry.register(Box::new(prediction_error.clone()))?;
         let in_flight = gauge("almondrack_in_flight", "Requests accepted and not ended.")?;
         let revision =
             gauge("almondrack_config_revision", "Revision of the configuration in force.")?;
@@ -159,6 +170,7 @@
             tokens,
             wasted,
             first_token,
+            prediction_error,
             store_calls,
             limited_sends,
             permits,
@@ -192,6 +204,14 @@
         self.first_token.with_label_values(&[class]).observe(elapsed.as_secs_f64());
     }
 
+    /// Observes how well the first byte of an attempt was predicted.
+    pub fn predicted(&self, expected: Span, took: Span, is_reported: bool) {
+        let side = if took < expected { "earlier" } else { "later" };
+        let load = if is_reported { "reported" } else { "counted" };
+        let error = took.0.abs_diff(expected.0) as f64 / 1e6;
+        self.prediction_error.with_label_values(&[side, load]).observe(error);
+    }
+
     /// Counts a call to the platform's store.
     pub fn store_called(&self, cause: &str, call: &str, outcome: &str) {
         self.store_calls.with_label_values(&[cause, call, outcome]).inc();
--- a/src/serving/demand.rs
+++ b/src/serving/demand.rs
@@ -6,14 +6,18 @@
 
 use std::sync::Arc;
 
-use crate::{rate::Rate, serving::placement::Ticket, time::Time};
+use crate::{
+    rate::Rate,
+    serving::placement::{Ticket, output_tokens},
+    time::Time,
+};
 
 /// Prompt tokens that an engine prefills per millisecond.
 const PREFILL_RATE: f64 = 40.0;
 
 /// Time of one decoding step without prefill, in milliseconds; the users' engines take at least 5.1
 /// to 5.2 ms.
-const STEP_MS: f64 = 5.3;
+pub const STEP_MS: f64 = 5.3;
 
 /// Assumed streams per decoding step.
 const TYPICAL_BATCH: f64 = 40.0;
@@ -47,7 +51,7 @@
         };
         let own_tokens = prompt.parts.last().map_or(prompt.tokens, |it| it.tokens);
         let prefill = f64::from(own_tokens) / PREFILL_RATE;
-        let output = prompt.expected_output.unwrap_or(prompt.max_output / 2);
+        let output = output_tokens(prompt);
         let decode = f64::from(output) * STEP_MS / TYPICAL_BATCH;
         let demand = &mut self.routes[at].1;
         demand.max_gap_ms = ticket.max_gap_ms;
--- a/src/serving/dialect.rs
+++ b/src/serving/dialect.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     error::{Error, Kind},
-    serving::{backoff, rate_limit},
+    serving::{backoff, rate_limit, reported_load},
     time::Span,
 };
 
@@ -172,6 +172,9 @@
     /// Reads for which time an upstream wants no requests from a response of its own.
     fn named_backoff(&self, head: &response::Parts) -> backoff::Named;
 
+    /// Reads what an upstream reports of its load in a response of its own. `None` if it reports nothing that can be true.
+    fn reported_load(&self, head: &response::Parts) -> Option<reported_load::Report>;
+
     /// Returns the HTTP status for an error of the given kind.
     fn status(&self, kind: Kind) -> StatusCode;
 }
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -19,6 +19,7 @@
         placement::{Action, Grant, Placement, Ticket},
         rate_limit,
         registry::Entry,
+        reported_load::{Dated, Report},
     },
     suspicion::Progress,
     time::{Span, Time},
@@ -37,6 +38,12 @@
     Answered(AttemptKey),
     /// A response to an attempt, which was sent at this time, and the limit that it names.
     Limit(AttemptKey, Time, rate_limit::Named),
+    /// What the response to an attempt reports of its upstream's load.
+    Report(AttemptKey, Time, Report),
+    /// The same of upstreams by incarnation, as other hosts heard it.
+    RemoteReports(Vec<(u64, Dated)>),
+    /// Memory of an engine in tokens, by pool.
+    Capacities(Vec<(Arc<str>, u64)>),
     /// The response to an attempt says that its upstream leaves.
     Departure(AttemptKey),
     /// Incarnations of upstreams that leave, as the host with this id reports.
@@ -66,6 +73,8 @@
     pub limits: Vec<(u64, rate_limit::Limit)>,
     /// What other hosts need to know of content that crashes upstreams.
     pub evidence: messages::Evidence,
+    /// What upstreams reported of their load since the last report, by incarnation.
+    pub reports: Vec<(u64, Dated)>,
 }
 
 /// Answer to the request for a permit.
@@ -190,6 +199,18 @@
         }
     }
 
+    /// Records what upstreams reported of their load to other hosts, by incarnation.
+    pub fn merge_reports(&self, reports: Vec<(u64, Dated)>) {
+        if !reports.is_empty() {
+            self.send(Message::RemoteReports(reports));
+        }
+    }
+
+    /// Sets the memory of an engine in tokens, by pool.
+    pub fn set_capacities(&self, capacities: Vec<(Arc<str>, u64)>) {
+        self.send(Message::Capacities(capacities));
+    }
+
     /// Passes on the answer to a request for a permit.
     pub fn permit_answered(&self, answer: PermitAnswer) {
         self.send(Message::Permit(answer));
@@ -248,6 +269,14 @@
         self.dispatcher.send(Message::Limit(self.attempt, sent_at, named));
     }
 
+    /// Records what the response to the attempt reports of its upstream's load. Only a report that states how long work
+    /// takes there counts.
+    pub fn record_report(&self, report: Report) {
+        if report.work_percent.is_some() {
+            self.dispatcher.send(Message::Report(self.attempt, Time::now(), report));
+        }
+    }
+
     /// Records that the response to the attempt says that its upstream leaves.
     pub fn record_departure(&self) {
         self.dispatcher.send(Message::Departure(self.attempt));
@@ -338,7 +367,16 @@
                 self.waiting.insert(ticket.key, answer);
                 self.placement.submit(now, &ticket, &mut self.actions);
             }
-            Message::Answered(attempt) => self.placement.attempt_answered(now, attempt),
+            Message::Answered(attempt) => {
+                if let Some(it) = self.placement.attempt_answered(now, attempt) {
+                    self.metrics.predicted(it.expected, it.took, it.is_reported);
+                }
+            }
+            Message::Report(attempt, at, report) => {
+                self.placement.report_heard(attempt, Dated { at, report });
+            }
+            Message::RemoteReports(reports) => self.placement.merge_reports(&reports),
+            Message::Capacities(capacities) => self.placement.set_capacities(capacities),
             Message::Limit(attempt, sent_at, named) => {
                 self.placement.limit_named(now, (attempt, sent_at), named, &mut self.actions);
             }
@@ -363,6 +401,7 @@
                     placed: self.placement.take_placed(),
                     limits: self.placement.limits(now),
                     evidence: self.placement.evidence_news(now),
+                    reports: self.placement.take_reports(),
                 };
                 // The receiver is dropped only when the host stops.
                 let _ = answer.send(load);
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -499,6 +499,9 @@
             self.record_limit(grant, (&head, sent_at), &guard);
             self.record_departure(grant, &head, &guard);
             self.record_backoff(grant, &head, &guard);
+            if let Some(report) = self.shared.dialect.reported_load(&head) {
+                guard.record_report(report);
+            }
         }
         if verdict == Verdict::Foreign && used {
             self.pause_reuse(grant);
--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -27,6 +27,7 @@
         peers::{Call, Peers},
         placed_log, rate_limit,
         registry::{DecodeError, Entry},
+        reported_load,
         roster::{self, Roster},
         sync_client,
         table::Table,
@@ -217,6 +218,8 @@
     pub upstreams: watch::Sender<Rc<Vec<Entry>>>,
     /// Sync requests of other hosts.
     pub calls: mpsc::Receiver<Call>,
+    /// Reports of upstreams that other hosts heard.
+    pub reports: mpsc::Receiver<messages::Prefix>,
     /// Usage counts of this host, and of its group if it is a hub.
     pub meter: Meter,
 }
@@ -303,6 +306,7 @@
         seeds: options.seeds.clone(),
         peers: Peers::default(),
         report_peers: Peers::default(),
+        hear_peers: Peers::default(),
         roster: roster.clone(),
         revisions: revisions.clone(),
         verified: verified.clone(),
@@ -344,13 +348,14 @@
         limits: Vec::new(),
         evidence: messages::Evidence::default(),
         evidence_at: Time(0),
+        news: reported_load::News::default(),
         placed: placed_log::Log::default(),
         role: role.subscribe(),
         store_reachable,
         store_answered_at: Time(0),
         startup_ends: startup_ends(&options.seeds, options.address),
     };
-    task::spawn_local(task.run(mailbox, options.calls));
+    task::spawn_local(task.run(mailbox, options.calls, options.reports));
     Handle {
         table,
         verified_at,
@@ -394,6 +399,8 @@
     /// What other hosts need to know of content that crashes upstreams.
     evidence: messages::Evidence,
     evidence_at: Time,
+    /// What upstreams report of their load, to pass it on.
+    news: reported_load::News,
     placed: placed_log::Log,
     role: watch::Receiver<Role>,
     /// Whether the store answered the last call since this host began to follow it.
@@ -404,7 +411,12 @@
 }
 
 impl Task {
-    async fn run(mut self, mut mailbox: mpsc::Receiver<Message>, mut calls: mpsc::Receiver<Call>) {
+    async fn run(
+        mut self,
+        mut mailbox: mpsc::Receiver<Message>,
+        mut calls: mpsc::Receiver<Call>,
+        mut reports: mpsc::Receiver<messages::Prefix>,
+    ) {
         let mut interval = tokio::time::interval(SYNC_INTERVAL);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -414,6 +426,11 @@
                     self.handle(message);
                 }
                 Some((request, reply)) = calls.recv() => self.respond(request, reply),
+                Some(reports) = reports.recv() => {
+                    let reports = reports.reports(Time::now());
+                    self.news.add(&reports, reported_load::Source::Group);
+                    self.dispatcher.merge_reports(reports);
+                }
                 () = wait_until(self.upstream_list.next_due()) => self.apply_due(),
                 _ = interval.tick() => self.tick(),
             }
@@ -447,6 +464,7 @@
             Message::LocalLoad(load) => {
                 self.loads.set_own(load.loads);
                 self.limits = load.limits;
+                self.news.add(&load.reports, reported_load::Source::Group);
                 self.evidence = load.evidence;
                 self.evidence_at = Time::now();
                 self.placed.add_own(load.placed);
@@ -488,6 +506,11 @@
         if let Some(evidence) = evidence.and_then(messages::Prefix::evidence) {
             self.dispatcher.merge_evidence(sent_at, evidence);
         }
+        if let Some(reports) = response.prefixes.get(Topic::ALL.len() + 2) {
+            let reports = reports.reports(sent_at);
+            self.news.add(&reports, reported_load::Source::Elsewhere);
+            self.dispatcher.merge_reports(reports);
+        }
         let leaving = messages::Load::leaving(&response.loads);
         self.dispatcher.merge_departures(&response.host, leaving);
         for (topic, state) in Topic::ALL.into_iter().zip(response.prefixes) {
@@ -638,6 +661,11 @@
                     table.version,
                     store::display(item.revision)
                 );
+                let engines = table
+                    .pools()
+                    .iter()
+                    .filter_map(|it| Some((it.name.clone(), it.engine.as_ref()?.kv_tokens)));
+                self.dispatcher.set_capacities(engines.collect());
                 self.outputs.table.send_replace(Some(Arc::new(table)));
             }
             Err(error) => {
@@ -725,13 +753,17 @@
                 update: self.mirrors[index].since(after).map(encode_update),
             });
         }
-        if !self.limits.is_empty() || !self.evidence.is_empty() {
+        let reports = self.news.recent(now, request.is_hub);
+        if !(self.limits.is_empty() && self.evidence.is_empty() && reports.is_empty()) {
             prefixes.push(messages::Prefix::from_limits(now, &self.limits));
         }
-        if !self.evidence.is_empty() {
+        if !self.evidence.is_empty() || !reports.is_empty() {
             let evidence = self.evidence.clone().aged(now.since(self.evidence_at));
             prefixes.push(messages::Prefix::from_evidence(&evidence));
         }
+        if !reports.is_empty() {
+            prefixes.push(messages::Prefix::from_reports(now, &reports));
+        }
         let after = request.placed_after;
         let (loads, (placed, placed_next)) = match request.is_hub {
             // Hubs send each other no loads in requests, since each requests those of the others.
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -50,6 +50,9 @@
 /// Capacity of the queue of other hosts' evidence about crashes.
 const EVIDENCE_QUEUE_CAPACITY: usize = 256;
 
+/// Messages with reports of upstreams that wait; each member of the group sends some a second.
+const REPORTS_QUEUE_CAPACITY: usize = 256;
+
 /// Assumed upper bound of the time for which a report of evidence is on its way.
 const REPORT_TIME: Span = Span::from_ms(200);
 
@@ -136,12 +139,14 @@
             .wrap_err_with(|| format!("cannot listen for other hosts on {}", settings.peers))?;
         let (calls_sender, calls) = mpsc::channel(SYNC_QUEUE_CAPACITY);
         let (permits_sender, permits) = mpsc::channel(PERMIT_QUEUE_CAPACITY);
+        let (reports_sender, reports) = mpsc::channel(REPORTS_QUEUE_CAPACITY);
         let (evidence_sender, evidence) = mpsc::channel(EVIDENCE_QUEUE_CAPACITY);
         task::spawn_local(merge_evidence(evidence, dispatcher.clone()));
         let mailboxes = peers::Mailboxes {
             calls: calls_sender,
             permits: permits_sender,
             evidence: evidence_sender,
+            reports: reports_sender,
         };
         tokio::spawn(peers::serve(listener, mailboxes));
         let store = counted_store::Counted::new(ports.store, metrics.clone(), Cause::Registration);
@@ -154,6 +159,7 @@
             seeds: settings.seeds.clone(),
             upstreams: upstreams_sender,
             calls,
+            reports,
             meter: meter.clone(),
         };
         let fleet = fleet_state::spawn(options, dispatcher.clone());
--- a/src/serving/messages.rs
+++ b/src/serving/messages.rs
@@ -9,6 +9,7 @@
     serving::{
         crash_evidence::Content,
         rate_limit::{Limit, Rate},
+        reported_load::{Dated, Report},
         tier::TIERS,
     },
     time::{Span, Time},
@@ -159,6 +160,48 @@
     }
 }
 
+/// Key under which a message holds what upstreams report of their load.
+const REPORTS_KEY: &str = "reported-load";
+
+/// Encoded size of a report in bytes: the incarnation, four figures and the age.
+const REPORT_BYTES: usize = 8 + 4 * 2 + 4;
+
+impl Prefix {
+    /// Encodes what upstreams reported of their load, under a key of its own.
+    pub fn from_reports(now: Time, reports: &[(u64, Dated)]) -> Prefix {
+        let mut value = Vec::with_capacity(reports.len() * REPORT_BYTES);
+        for (upstream, Dated { at, report }) in reports {
+            let age = now.since(*at).0.min(u64::from(u32::MAX)) as u32;
+            let Report { running, waiting, slots, work_percent } = *report;
+            value.extend(upstream.to_le_bytes());
+            for figure in [running, waiting, slots, work_percent.unwrap_or(0)] {
+                value.extend(figure.to_le_bytes());
+            }
+            value.extend(age.to_le_bytes());
+        }
+        let change = Change { key: REPORTS_KEY.to_owned(), revision: 0, value: Some(value) };
+        let update = Update { is_listing: true, changes: vec![change], revision: 0 };
+        Prefix { age_us: None, update: Some(update) }
+    }
+
+    /// Decodes reports of a message whose ages count from `sent_at`. Leaves out those that cannot be true.
+    pub fn reports(&self, sent_at: Time) -> Vec<(u64, Dated)> {
+        let change = self.update.as_ref().and_then(|it| it.changes.first());
+        let value = change.filter(|it| it.key == REPORTS_KEY).and_then(|it| it.value.as_deref());
+        let report = |bytes: &[u8]| {
+            let (upstream, rest) = bytes.split_first_chunk::<8>()?;
+            let (figures, age) = rest.split_at_checked(8)?;
+            let mut figures = figures.chunks_exact(2).map(|it| u16::from_le_bytes([it[0], it[1]]));
+            let (running, waiting, slots) = (figures.next()?, figures.next()?, figures.next()?);
+            let report = Report::new(running, waiting, slots, Some(figures.next()?))?;
+            let age = u32::from_le_bytes(age.try_into().ok()?);
+            let at = sent_at - Span(u64::from(age));
+            Some((u64::from_le_bytes(*upstream), Dated { at, report }))
+        };
+        value.unwrap_or_default().chunks_exact(REPORT_BYTES).filter_map(report).collect()
+    }
+}
+
 /// Attempts in progress at one upstream, as sent by one or more hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -238,8 +281,9 @@
     /// Remaining time in which upstreams rewrite their entries after an outage of the store, in
     /// microseconds.
     pub outage_grace_us: u64,
-    /// One for each followed prefix, one with the rate limits of upstreams, and one with evidence about crashes. The
-    /// last two are left out if there are none, and hosts of earlier versions ignore them.
+    /// One for each followed prefix, one with the rate limits of upstreams, one with evidence about crashes and one with
+    /// what upstreams report of their load. The last ones are left out if there are none, and hosts of earlier versions
+    /// ignore them.
     pub prefixes: Vec<Prefix>,
     /// Loads of all other hosts, or of the responding host's group if the requesting host is a hub.
     pub loads: Vec<Load>,
@@ -289,4 +333,7 @@
 
     /// Reports evidence about crashes. Hosts of earlier versions close the connection.
     async fn report(evidence: Evidence);
+
+    /// Passes on what upstreams reported of their load. Hosts of earlier versions close the connection.
+    async fn hear(reports: Prefix);
 }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -51,6 +51,8 @@
     pub permits: mpsc::Sender<PermitCall>,
     /// Evidence about crashes.
     pub evidence: mpsc::Sender<messages::Evidence>,
+    /// What upstreams reported of their load.
+    pub reports: mpsc::Sender<messages::Prefix>,
 }
 
 /// Forwards the requests of other hosts to mailboxes and returns the responses.
@@ -84,6 +86,11 @@
         // Fails only while the host stops, when it sends nothing any more.
         let _ = self.0.evidence.send(evidence).await;
     }
+
+    async fn hear(self, _: context::Context, reports: messages::Prefix) {
+        // Dropped while the host is busy or stops; they are news for a short time only.
+        let _ = self.0.reports.try_send(reports);
+    }
 }
 
 /// Accepts connections of other hosts and forwards their requests to the mailboxes. Does not return.
@@ -153,6 +160,15 @@
         .await
     }
 
+    /// Passes on to a host what upstreams reported of their load. `None` if it failed or timed out; its connection is then
+    /// closed.
+    pub async fn hear(&self, address: SocketAddr, reports: messages::Prefix) -> Option<()> {
+        self.exchange(address, REPORT_TIMEOUT, async move |client, context| {
+            client.hear(context, reports).await.ok()
+        })
+        .await
+    }
+
     async fn exchange<T>(
         &self,
         address: SocketAddr,
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -16,9 +16,10 @@
         demand,
         dialect::Prompt,
         key::{AttemptKey, TicketKey, UpstreamKey},
-        messages,
+        messages, pace,
         rate_limit::{self, Rate},
         registry::Entry,
+        reported_load,
         tier::TIERS,
         upstream_state::{self, prefill},
     },
@@ -49,6 +50,37 @@
 /// Cost of each request beside which a request is placed whose content may crash the upstream.
 const SUSPECT_COMPANY_PENALTY: Span = Span::from_ms(50);
 
+/// Difference of the estimates of two upstreams that says nothing, as each is that far off. Hosts that know the same spread
+/// their requests over such upstreams.
+const NEAR_EQUAL: Span = Span::from_ms(5);
+
+/// Part of the least estimate that is added to this difference.
+const NEAR_EQUAL_DIVISOR: u64 = 8;
+
+/// Time until hosts know what another one sent, so that requests with the same parts meet no news of each other.
+const NEWS_DELAY: Span = Span::from_ms(400);
+
+/// Upstreams outside the subset of a request that it considers too if upstreams report their load; a part that is asked for
+/// more often than its subset bears goes there.
+const SPILL_SIZE: usize = 4;
+
+/// Shared parts of which the rate of requests is kept.
+const MAX_HOT_PARTS: usize = 512;
+
+/// Cost of a request that would begin after its target, so that it goes where it is in time at the price of a longer
+/// prompt to read.
+const LATE_PENALTY: Span = Span::from_ms(2_000);
+
+/// Share of an engine's memory up to which it is filled; requests grow beyond what is expected, and it preempts some when it
+/// is full.
+const MEMORY_SHARE: f64 = 0.9;
+
+/// Cost of sending a request to an engine that is expected to be full.
+const MEMORY_PENALTY: Span = Span::from_ms(3_000);
+
+/// Weight of an upstream without a free slot among plain services, against that of one with a free slot.
+const FULL_WEIGHT: f64 = 0.01;
+
 /// Longest additional retry delay after a refusal for the upstreams' rate limits and back-offs, as a multiple of the delay
 /// itself.
 /// Callers return spread over this time.
@@ -120,6 +152,8 @@
     pub version: Option<Arc<str>>,
     /// Estimated time to the first byte.
     pub expected_first_byte: Span,
+    /// Estimated time to the end of the answer of an engine.
+    pub expected_end: Option<Span>,
     /// Time of the last bytes from the upstream, shared by all its connections.
     pub last_activity: Rc<Cell<Time>>,
     /// Whether the upstream leaves, so that the request must not be sent any more.
@@ -147,6 +181,25 @@
     Quarantine(TicketKey, Reason),
 }
 
+/// How well the first byte of an attempt was predicted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Prediction {
+    /// Estimated time to the first byte.
+    pub expected: Span,
+    /// Measured time.
+    pub took: Span,
+    /// Whether the upstream reports how long work takes there.
+    pub is_reported: bool,
+}
+
+/// What is known of the engines of a pool.
+#[derive(Debug, Default)]
+struct Engines {
+    output: pace::Output,
+    /// Memory of an engine in tokens, `None` if it is not known.
+    capacity: Option<u64>,
+}
+
 #[derive(Debug)]
 struct RunningAttempt {
     upstream: UpstreamKey,
@@ -162,8 +215,15 @@
     pending_tokens: u64,
     /// Estimated time from `started` to the first byte.
     expected_first_byte: Span,
+    /// The same on an upstream of usual speed under the same load of its machine.
+    usual_first_byte: Span,
+    /// Tokens of the prompt and the expected output.
+    held_tokens: u64,
+    /// Tokens of the expected output.
+    output_tokens: u32,
     started: Time,
     answered: bool,
+    answered_at: Time,
 }
 
 /// A ticket that waits for room within the rate limits and back-offs of the upstreams.
@@ -193,6 +253,14 @@
     key: UpstreamKey,
     /// Estimated time to the first byte.
     expected_first_byte: Span,
+    /// The same on an upstream of usual speed under the same load of its machine.
+    usual_first_byte: Span,
+    /// Estimated time to the end of the answer, `None` if the upstream is no engine.
+    expected_end: Option<Span>,
+    /// Weight among plain services that report their load: free slots by speed. `None` for others.
+    weight: Option<f64>,
+    /// Whether the upstream reports how long work takes there.
+    is_reported: bool,
     /// Time by which upstreams are compared: the estimate with weights and penalties.
     cost: Span,
     /// Breaks ties in cost; the same on all hosts for prompts with shared parts.
@@ -213,6 +281,12 @@
     last_upstream: u32,
     /// Demand by pool, sorted by pool name.
     demands: Vec<(Arc<str>, demand::Demand)>,
+    /// What is known of the engines of each pool, sorted by pool name.
+    engines: Vec<(Arc<str>, Engines)>,
+    /// Requests a second of all hosts for shared parts, as far as this host knows. Sorted by part.
+    hot_parts: Vec<(u64, crate::rate::Rate)>,
+    /// Reports of upstreams since the last [`Placement::take_reports`].
+    reports: Vec<(u64, reported_load::Dated)>,
     /// Prompt parts sent since the last [`Placement::take_placed`].
     placed: Vec<messages::Placement>,
     /// Sorted by tier, then in the order of arrival.
@@ -238,6 +312,9 @@
             last_attempt: 0,
             last_upstream: 0,
             demands: Vec::new(),
+            engines: Vec::new(),
+            hot_parts: Vec::new(),
+            reports: Vec::new(),
             placed: Vec::new(),
             waiting: Vec::new(),
             unlisted_limits: Vec::new(),
@@ -435,15 +512,57 @@
         self.waiting.retain(|it| it.ticket.key != ticket);
     }
 
-    /// Records that the first byte or event of an attempt has arrived.
-    pub fn attempt_answered(&mut self, now: Time, attempt: AttemptKey) {
-        let Some(running) = self.running.get_mut(&attempt) else { return };
+    /// Records what the response to an attempt reports of its upstream's load.
+    pub fn report_heard(&mut self, attempt: AttemptKey, dated: reported_load::Dated) {
+        let Some(running) = self.running.get(&attempt) else { return };
+        let (key, incarnation) = (running.upstream, running.incarnation);
+        let Some(upstream) = self.upstream_mut(key) else { return };
+        if upstream.heard.record(dated) {
+            self.reports.retain(|it| it.0 != incarnation);
+            self.reports.push((incarnation, dated));
+        }
+    }
+
+    /// Returns what upstreams reported to this host since the last call, for other hosts.
+    pub fn take_reports(&mut self) -> Vec<(u64, reported_load::Dated)> {
+        let mut reports = std::mem::take(&mut self.reports);
+        reported_load::newest(&mut reports);
+        reports
+    }
+
+    /// Records what upstreams reported to other hosts.
+    pub fn merge_reports(&mut self, reports: &[(u64, reported_load::Dated)]) {
+        let mut reports = reports.to_vec();
+        reports.sort_unstable_by_key(|it| it.0);
+        for (_, upstream) in &mut self.upstreams {
+            if let Ok(at) = reports.binary_search_by_key(&upstream.incarnation, |it| it.0) {
+                upstream.heard.record(reports[at].1);
+            }
+        }
+    }
+
+    /// Sets the memory of an engine in tokens, by pool.
+    pub fn set_capacities(&mut self, capacities: Vec<(Arc<str>, u64)>) {
+        self.engines.iter_mut().for_each(|it| it.1.capacity = None);
+        for (pool, capacity) in capacities {
+            self.engines_mut(&pool).capacity = Some(capacity);
+        }
+    }
+
+    /// Records that the first byte or event of an attempt has arrived. Returns how well it was predicted, `None` for later
+    /// bytes.
+    pub fn attempt_answered(&mut self, now: Time, attempt: AttemptKey) -> Option<Prediction> {
+        let running = self.running.get_mut(&attempt)?;
         let (key, tier) = (running.upstream, running.tier);
         self.evidence.record_alive(now, running.incarnation, running.started);
         let pending = std::mem::take(&mut running.pending_tokens);
         let (expected, took) = (running.expected_first_byte, now.since(running.started));
         let first = !std::mem::replace(&mut running.answered, true);
-        let Some(upstream) = self.upstream_mut(key) else { return };
+        if first {
+            running.answered_at = now;
+        }
+        let usual = running.usual_first_byte;
+        let upstream = self.upstream_mut(key)?;
         upstream.pending_tokens[tier] -= pending;
         upstream.health.record_success();
         upstream.backoff.record_answer(attempt, upstream.entry.slots);
@@ -451,6 +570,11 @@
             upstream.answering += 1;
             upstream.slowdown.record(now, expected, took);
         }
+        let is_reported = upstream.heard.last().is_some();
+        if first && is_reported {
+            upstream.lasting.record(now, usual, took);
+        }
+        first.then_some(Prediction { expected, took, is_reported })
     }
 
     /// Records how far the answer to an attempt had come when it failed.
@@ -623,7 +747,10 @@
             }
             _ => {}
         }
+        self.record_pace(now, &running, ending);
         let Some(upstream) = self.upstream_mut(running.upstream) else { return };
+        upstream.held_tokens -= running.held_tokens;
+        upstream.heard.record_change(now, -1);
         if ending == Ending::Failed {
             upstream.cut_at.get_or_insert(now);
         }
@@ -650,6 +777,25 @@
         upstream.backoff.record_end(attempt);
     }
 
+    /// Learns the pace of output from a whole answer of an engine that reports its load.
+    fn record_pace(&mut self, now: Time, running: &RunningAttempt, ending: Ending) {
+        if ending != Ending::Done || !running.answered || running.output_tokens == 0 {
+            return;
+        }
+        let Some(upstream) = self.upstream_mut(running.upstream) else { return };
+        if upstream.heard.last().is_none() {
+            return;
+        }
+        let work = upstream.heard.mean_work();
+        let slowness = upstream.lasting.factor(now) * work;
+        let took = now.since(running.answered_at);
+        let output = &mut self.engines_mut(&running.pool).output;
+        let ratio = output.record(running.output_tokens, took, slowness);
+        if let (Some(ratio), Some(upstream)) = (ratio, self.upstream_mut(running.upstream)) {
+            upstream.lasting.record_ratio(now, ratio / work);
+        }
+    }
+
     /// Returns this host's running attempts by upstream, for other hosts.
     pub fn local_loads(&self, now: Time) -> Vec<messages::Load> {
         self.upstreams.iter().filter_map(|(_, upstream)| upstream.local_load(now)).collect()
@@ -671,6 +817,7 @@
     /// Records prompt parts that other hosts have sent to engines.
     pub fn record_placed(&mut self, now: Time, placed: &[messages::Placement]) {
         for it in placed {
+            self.record_request(now, it.part);
             if let Some((_, upstream)) =
                 self.upstreams.iter_mut().find(|(_, upstream)| upstream.incarnation == it.upstream)
             {
@@ -679,7 +826,43 @@
         }
     }
 
+    /// Counts a request with a shared part.
+    fn record_request(&mut self, now: Time, part: u64) {
+        if self.upstreams.iter().all(|it| it.1.heard.last().is_none()) {
+            return;
+        }
+        let at = match self.hot_parts.binary_search_by_key(&part, |it| it.0) {
+            Ok(found) => found,
+            Err(at) => {
+                self.hot_parts.insert(at, (part, crate::rate::Rate::default()));
+                at
+            }
+        };
+        self.hot_parts[at].1.add(now, 1.0);
+        if self.hot_parts.len() > MAX_HOT_PARTS {
+            let coldest = self.hot_parts.iter().map(|it| it.1.get(now)).min_by(f64::total_cmp);
+            let coldest = coldest.unwrap_or(0.0).max(1.0);
+            let kept = |it: &(u64, crate::rate::Rate)| it.1.get(now) > coldest;
+            self.hot_parts.retain(kept);
+        }
+    }
+
+    /// Returns over how many near-equal upstreams requests with the same shared parts are spread: as many as arrive before
+    /// hosts know of each other's.
+    fn spread_of(&self, now: Time, part: u64) -> usize {
+        let found = self.hot_parts.binary_search_by_key(&part, |it| it.0);
+        let rate = found.map_or(0.0, |at| self.hot_parts[at].1.get(now));
+        1 + (rate * NEWS_DELAY.0 as f64 / 1e6) as usize
+    }
+
     fn grant(&mut self, now: Time, ticket: &Ticket, best: Candidate) -> Grant {
+        if let Some(prompt) = &ticket.prompt {
+            let tokens = u64::from(prompt.tokens) + u64::from(output_tokens(prompt));
+            self.engines_mut(&ticket.pool).output.record_size(tokens);
+            for part in prompt.shared_parts() {
+                self.record_request(now, part);
+            }
+        }
         self.evidence.record_send(now, &ticket.contents);
         self.last_attempt += 1;
         let attempt = AttemptKey(self.last_attempt);
@@ -691,6 +874,23 @@
         let pending = ticket.prompt.as_ref().map_or(0, |it| upstream.uncached_tokens(now, it));
         upstream.pending_tokens[tier] += pending;
         upstream.running += 1;
+        let output_tokens = ticket.prompt.as_ref().map_or(0, output_tokens);
+        let prompt_tokens = ticket.prompt.as_ref().map_or(0, |it| it.tokens);
+        let held_tokens = u64::from(prompt_tokens) + u64::from(output_tokens);
+        upstream.held_tokens += held_tokens;
+        log::debug!(
+            "ticket {} of {} goes to {} in {}: first byte expected after {} ms, end after {} ms, {pending} of              {prompt_tokens} prompt tokens to read, company {}, slowness {:.2}, load {} ms old",
+            ticket.key.0,
+            ticket.route,
+            upstream.entry.id,
+            upstream.entry.zone,
+            best.expected_first_byte.as_ms(),
+            best.expected_end.map_or(0, Span::as_ms),
+            upstream.company(now),
+            upstream.slowness(now),
+            upstream.heard.last().map_or(0, |it| now.since(it.at).as_ms()),
+        );
+        upstream.heard.record_change(now, 1);
         upstream.backoff.record_grant(now, attempt);
         if let Some(prompt) = &ticket.prompt {
             for part in prompt.shared_parts() {
@@ -708,8 +908,12 @@
             tier,
             pending_tokens: pending,
             expected_first_byte: best.expected_first_byte,
+            usual_first_byte: best.usual_first_byte,
+            held_tokens,
+            output_tokens,
             started: now,
             answered: false,
+            answered_at: now,
         };
         self.running.insert(attempt, running);
         Grant {
@@ -719,6 +923,7 @@
             address: upstream.entry.address,
             version: upstream.entry.version.clone(),
             expected_first_byte: best.expected_first_byte,
+            expected_end: best.expected_end,
             last_activity: upstream.last_activity.clone(),
             leaves: upstream.leaves.clone(),
             gate: upstream.backoff.gate.clone(),
@@ -776,11 +981,37 @@
                 candidate.cost.0 += RESERVATION_PENALTY.0 + prefill.0 * 2;
             }
             if is_suspect {
-                candidate.cost.0 += SUSPECT_COMPANY_PENALTY.0 * u64::from(upstream.company());
+                candidate.cost.0 += SUSPECT_COMPANY_PENALTY.0 * u64::from(upstream.company(now));
             }
             candidate
         });
-        candidates.min_by_key(|it| (it.cost, it.rank))
+        self.select(now, ticket, candidates.collect())
+    }
+
+    /// Selects among candidates. Where upstreams report their load, every host hears the same news, and not all may follow
+    /// them to the same upstream.
+    fn select(&self, now: Time, ticket: &Ticket, candidates: Vec<Candidate>) -> Option<Candidate> {
+        let best = *candidates.iter().min_by_key(|it| (it.cost, it.rank))?;
+        if !candidates.iter().any(|it| it.is_reported) {
+            return Some(best);
+        }
+        let draw = |it: &Candidate| {
+            let (host, ticket) = (self.host.as_bytes(), ticket.key.0.to_be_bytes());
+            rendezvous::hash(&[b"near", host, &ticket, &it.key.0.to_be_bytes()])
+        };
+        let limit = best.cost.0 + NEAR_EQUAL.0 + best.cost.0 / NEAR_EQUAL_DIVISOR;
+        let is_near = |it: &Candidate| it.weight.is_some() || it.cost.0 <= limit;
+        let mut near: Vec<_> = candidates.into_iter().filter(is_near).collect();
+        if let Some(part) = ticket.prompt.as_ref().and_then(|it| it.shared_parts().last()) {
+            near.sort_unstable_by_key(|it| it.rank);
+            near.truncate(self.spread_of(now, part));
+        }
+        // The least exponentially distributed number wins in proportion to the weights.
+        let order = |it: &Candidate| {
+            let uniform = (draw(it) >> 11) as f64 / (1_u64 << 53) as f64;
+            -(1.0 - uniform).ln() / it.weight.unwrap_or(1.0)
+        };
+        near.into_iter().min_by(|a, b| order(a).total_cmp(&order(b)))
     }
 
     /// Selects the upstreams to consider: a subset of a large pool, and all that cache the shared
@@ -801,7 +1032,14 @@
         // Requests with the same shared parts consider the same upstreams on all hosts.
         let session = ticket.prompt.as_ref().and_then(|it| it.shared_parts().last());
         let session = session.map(u64::to_be_bytes);
-        let seed = session.as_ref().map_or(self.host.as_bytes(), |it| it.as_slice());
+        let is_reported = eligible.iter().any(|it| it.1.heard.last().is_some());
+        let draw =
+            rendezvous::hash(&[self.host.as_bytes(), &ticket.key.0.to_be_bytes()]).to_be_bytes();
+        let seed = match &session {
+            Some(session) => session.as_slice(),
+            None if is_reported => draw.as_slice(),
+            None => self.host.as_bytes(),
+        };
         eligible
             .sort_by_cached_key(|(_, state)| rendezvous::hash(&[seed, state.entry.id.as_bytes()]));
         let (subset, rest) = eligible.split_at(SUBSET_SIZE);
@@ -810,7 +1048,14 @@
             prompt.is_some_and(|it| upstream.caches_shared_parts(now, it))
         };
         let caching = rest.iter().copied().filter(|(_, upstream)| caches_parts(upstream));
-        subset.iter().copied().chain(caching).collect()
+        let mut chosen: Vec<_> = subset.iter().copied().chain(caching).collect();
+        if is_reported {
+            let first = u64::from_be_bytes(draw) as usize % rest.len();
+            let spill = rest.iter().copied().cycle().skip(first).take(SPILL_SIZE.min(rest.len()));
+            let new: Vec<_> = spill.filter(|it| chosen.iter().all(|at| at.0 != it.0)).collect();
+            chosen.extend(new);
+        }
+        chosen
     }
 
     fn candidate(
@@ -824,16 +1069,53 @@
         let tier = tier_index(ticket);
         let (queueing, prefill) = match &ticket.prompt {
             Some(prompt) => (state.backlog(now, tier), prefill(state.uncached_tokens(now, prompt))),
-            None => (state.service_wait(), Span(0)),
+            None => (state.service_wait(now), Span(0)),
+        };
+        let slowness = state.slowness(now);
+        let slowed = |span: Span| Span((span.0 as f64 * slowness) as u64);
+        let is_reported = state.heard.last().is_some();
+        let output_us = ticket.prompt.as_ref().map(|it| self.output_us(ticket, it));
+        let queueing = match output_us {
+            // A slot becomes free each time that one of the answers ends.
+            Some(output_us) if is_reported => {
+                let over = f64::from(state.over_slots(now)) / f64::from(state.entry.slots.max(1));
+                Span(queueing.0 + (over * output_us) as u64)
+            }
+            _ => queueing,
         };
-        let slowed = |span: Span| Span((span.0 as f64 * state.slowdown.factor(now)) as u64);
         let expected_first_byte = Span(zone_penalty.0 + slowed(Span(queueing.0 + prefill.0)).0);
+        let usual_first_byte =
+            Span(((queueing.0 + prefill.0) as f64 * state.heard.work(now)) as u64);
+        // The moment's load of the machine does not last as long as an answer.
+        let lasting = if is_reported {
+            state.lasting.factor(now) * state.heard.mean_work()
+        } else {
+            slowness
+        };
+        let expected_end = output_us.map(|it| Span(expected_first_byte.0 + (it * lasting) as u64));
         let mut cost =
             Span(zone_penalty.0 + slowed(Span(queueing.0 + prefill.0 * PREFILL_WEIGHT)).0);
         if state.is_ejected_elsewhere(now) {
             cost.0 += REMOTE_EJECTION_PENALTY.0;
         }
-        let rank = match ticket.prompt.as_ref().and_then(affinity_part) {
+        if is_reported {
+            let is_late = now < ticket.target && now + expected_first_byte > ticket.target;
+            cost.0 += if is_late { LATE_PENALTY.0 } else { 0 };
+            cost.0 += self.memory_cost(now, ticket, state).0;
+        }
+        let weight = (is_reported && ticket.prompt.is_none()).then(|| {
+            let free = f64::from(state.entry.slots.saturating_sub(state.company(now)));
+            let is_ejected = state.is_ejected_elsewhere(now);
+            let free = if free > 0.0 && !is_ejected { free } else { FULL_WEIGHT };
+            free / slowness
+        });
+        // Upstreams of nearly the same cost are chosen by rank where they report their load, so that sessions which begin
+        // alike must not agree on it.
+        let part = match is_reported {
+            true => ticket.prompt.as_ref().and_then(|it| it.shared_parts().last()),
+            false => ticket.prompt.as_ref().and_then(affinity_part),
+        };
+        let rank = match part {
             Some(part) => rendezvous::hash(&[&part.to_be_bytes(), state.entry.id.as_bytes()]),
             // Hosts number their tickets independently, so the host has to be hashed too.
             None => rendezvous::hash(&[
@@ -842,7 +1124,52 @@
                 state.entry.id.as_bytes(),
             ]),
         };
-        Candidate { key, expected_first_byte, cost, rank: Reverse(rank) }
+        Candidate {
+            key,
+            expected_first_byte,
+            usual_first_byte,
+            expected_end,
+            weight,
+            is_reported,
+            cost,
+            rank: Reverse(rank),
+        }
+    }
+
+    /// Returns the expected time of a request's output on an engine of usual speed, in microseconds.
+    fn output_us(&self, ticket: &Ticket, prompt: &Prompt) -> f64 {
+        let engines = self.engines(&ticket.pool);
+        let step_us = engines.and_then(|it| it.output.step_us()).unwrap_or(demand::STEP_MS * 1e3);
+        f64::from(output_tokens(prompt)) * step_us
+    }
+
+    /// Returns the cost of a request by the memory that its engine is expected to need, which rises with it.
+    fn memory_cost(&self, now: Time, ticket: &Ticket, state: &upstream_state::State) -> Span {
+        let Some((prompt, engines)) = ticket.prompt.as_ref().zip(self.engines(&ticket.pool)) else {
+            return Span(0);
+        };
+        let Some(capacity) = engines.capacity else { return Span(0) };
+        let held = state.expected_tokens(now, engines.output.request_tokens());
+        let needed = held + u64::from(prompt.tokens) + u64::from(output_tokens(prompt));
+        let share = needed as f64 / capacity.max(1) as f64;
+        let is_full = share > MEMORY_SHARE;
+        Span(if is_full { (MEMORY_PENALTY.0 as f64 * share) as u64 } else { 0 })
+    }
+
+    fn engines(&self, pool: &str) -> Option<&Engines> {
+        let found = self.engines.binary_search_by(|it| (*it.0).cmp(pool)).ok()?;
+        Some(&self.engines[found].1)
+    }
+
+    fn engines_mut(&mut self, pool: &Arc<str>) -> &mut Engines {
+        let at = match self.engines.binary_search_by(|it| it.0.cmp(pool)) {
+            Ok(found) => found,
+            Err(at) => {
+                self.engines.insert(at, (pool.clone(), Engines::default()));
+                at
+            }
+        };
+        &mut self.engines[at].1
     }
 
     fn serving<'a>(
@@ -894,6 +1221,11 @@
     }
 }
 
+/// Returns the expected length of an answer in tokens.
+pub(super) fn output_tokens(prompt: &Prompt) -> u32 {
+    prompt.expected_output.unwrap_or(prompt.max_output / 2)
+}
+
 fn pool_hash(pool: &str) -> u64 {
     rendezvous::hash(&[pool.as_bytes()])
 }
--- a/src/serving/sync_client.rs
+++ b/src/serving/sync_client.rs
@@ -13,6 +13,7 @@
         fleet_state::{GroupRole, Message, Role, SYNC_INTERVAL, Topic},
         follower, messages,
         peers::Peers,
+        reported_load::Dated,
         roster::Roster,
         usage::Meter,
     },
@@ -44,7 +45,7 @@
 /// It receives several requests within this time.
 const NOT_FOLLOWING_TIME: Span = Span::from_ms(1_000);
 
-/// Time for which a host that did not take evidence gets none.
+/// Time for which a host that did not take evidence, or reports of upstreams, gets none.
 const NO_REPORT_TIME: Span = Span::from_ms(3_000);
 
 /// A host that is skipped after a failed request or as it is not current.
@@ -65,6 +66,8 @@
     pub(super) peers: Peers,
     /// Connections for evidence, as hosts of earlier versions close them.
     pub(super) report_peers: Peers,
+    /// Connections for reports of upstreams, as hosts of earlier versions close them too.
+    pub(super) hear_peers: Peers,
     pub(super) roster: watch::Receiver<Rc<Roster>>,
     pub(super) revisions: watch::Receiver<[u64; 3]>,
     pub(super) verified: watch::Receiver<[Option<Time>; 3]>,
@@ -87,6 +90,8 @@
     not_following: Vec<(SocketAddr, Time)>,
     /// Hosts that did not take evidence, each with the time until which they get none.
     not_reporting: Vec<(SocketAddr, Time)>,
+    /// Hosts that did not take reports of upstreams, each with the time until which they get none.
+    not_hearing: Vec<(SocketAddr, Time)>,
     /// Hub that has received all usage counts of this host so far.
     counts_hub: Option<SocketAddr>,
     /// Position in the placed parts of each host up to which they were received.
@@ -183,6 +188,9 @@
                 if !load.evidence.is_empty() {
                     tokio::task::spawn_local(client.clone().report(other, load.evidence.clone()));
                 }
+                if !load.reports.is_empty() {
+                    tokio::task::spawn_local(client.clone().pass_on(other, load.reports.clone()));
+                }
                 client.tracker.borrow_mut().in_flight.push(other);
                 tokio::task::spawn_local(client.clone().send_request(other, load));
             }
@@ -285,6 +293,21 @@
         }
     }
 
+    /// Passes on to a hub what upstreams reported of their load to this host.
+    async fn pass_on(self: Rc<Client>, address: SocketAddr, reports: Vec<(u64, Dated)>) {
+        let now = Time::now();
+        self.tracker.borrow_mut().not_hearing.retain(|it| now < it.1);
+        if self.tracker.borrow().not_hearing.iter().any(|it| it.0 == address) {
+            return;
+        }
+        let reports = messages::Prefix::from_reports(now, &reports);
+        if self.hear_peers.hear(address, reports).await.is_none() {
+            log::info!("the host at {address} takes no reports of upstreams");
+            let until = Time::now() + NO_REPORT_TIME;
+            self.tracker.borrow_mut().not_hearing.push((address, until));
+        }
+    }
+
     /// Sends a request as a member of the group.
     async fn send_request(self: Rc<Client>, address: SocketAddr, load: LocalLoad) {
         let request = self.request(address, load, false);
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -7,8 +7,9 @@
     serving::{
         backoff::Backoff,
         dialect::Prompt,
-        messages, rate_limit,
+        messages, pace, rate_limit,
         registry::{self, Entry},
+        reported_load,
         tier::TIERS,
     },
     time::{Span, Time},
@@ -86,6 +87,12 @@
     pub health: Health,
     /// How much slower it is than expected.
     pub slowdown: Slowdown,
+    /// What it reports of its load; the estimates rest on it if it states how long work takes there.
+    pub heard: reported_load::Heard,
+    /// How much slower than others it is for good, if it reports its load.
+    pub lasting: pace::Lasting,
+    /// Prompt and expected output of this host's attempts, in tokens.
+    pub held_tokens: u64,
     /// Rate limit that it names.
     pub limit: rate_limit::Limit,
     /// Time before which no permit to send within its limit is granted.
@@ -123,6 +130,9 @@
             cut_at: None,
             health: Health::default(),
             slowdown: Slowdown::default(),
+            heard: reported_load::Heard::default(),
+            lasting: pace::Lasting::default(),
+            held_tokens: 0,
             limit: rate_limit::Limit::default(),
             no_permit_until: Time(0),
             is_asking: false,
@@ -199,21 +209,41 @@
         let remote: u64 = self.remote.pending_tokens[..=tier].iter().sum();
         // The engine has prefilled some of the other hosts' tokens since their report.
         let prefilled = now.since(self.remote.received_at).0 as f64 / 1_000.0 * PREFILL_RATE;
-        let running = u64::from(self.company());
+        let running = u64::from(self.company(now));
         Span(
             prefill(own + remote.saturating_sub(prefilled as u64)).0 + running * RUNNING_REQUEST_US,
         )
     }
 
-    /// Returns the number of attempts of all hosts that run there.
-    pub fn company(&self) -> u32 {
-        self.running + self.remote.running
+    /// Returns the number of attempts of all hosts that run there, as they know from each other and as it reports.
+    pub fn company(&self, now: Time) -> u32 {
+        self.heard.company(now, self.running + self.remote.running, self.running)
+    }
+
+    /// Returns how many requests it would run beyond its slots with one more.
+    pub fn over_slots(&self, now: Time) -> u32 {
+        (self.company(now) + 1).saturating_sub(self.entry.slots)
+    }
+
+    /// Returns the factor by which times there are longer than expected.
+    pub fn slowness(&self, now: Time) -> f64 {
+        match self.heard.last() {
+            Some(_) => self.lasting.factor(now) * self.heard.work(now),
+            None => self.slowdown.factor(now),
+        }
+    }
+
+    /// Returns the tokens that it is expected to hold for all hosts: this host's own, and those of the others' requests at
+    /// the mean size of a request.
+    pub fn expected_tokens(&self, now: Time, request_tokens: u64) -> u64 {
+        let others = u64::from(self.company(now).saturating_sub(self.running));
+        self.held_tokens + others * request_tokens
     }
 
     /// Returns the expected time of a new request to a plain service, by its load.
-    pub fn service_wait(&self) -> Span {
-        let running = self.company();
-        let over_slots = (running + 1).saturating_sub(self.entry.slots);
+    pub fn service_wait(&self, now: Time) -> Span {
+        let running = self.company(now);
+        let over_slots = self.over_slots(now);
         Span(SERVICE_TIME_US + u64::from(running) * 1_000 + u64::from(over_slots) * SERVICE_TIME_US)
     }
 
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -13,7 +13,7 @@
         fleet_state::Verification,
         rate_limit,
         registry::Entry,
-        retry_budget, stream_records,
+        reported_load, retry_budget, stream_records,
         table::{Customer, Destination, RetryPolicy, Route},
         usage::Meter,
     },
@@ -86,6 +86,10 @@
         })
     }
 
+    fn reported_load(&self, _: &response::Parts) -> Option<reported_load::Report> {
+        None
+    }
+
     fn status(&self, kind: Kind) -> StatusCode {
         StatusCode::from_u16(kind.answer().status).expect("the status is valid")
     }
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -263,6 +263,7 @@
                 calls: calls_sender,
                 permits: mpsc::channel(1).0,
                 evidence: mpsc::channel(1).0,
+                reports: mpsc::channel(1).0,
             },
         ));
         let (passed, calls) = mpsc::channel(256);
@@ -298,6 +299,7 @@
             seeds,
             upstreams: sender,
             calls,
+            reports: mpsc::channel(1).1,
             meter: Meter::new(Span::from_ms(60_000), &host.id),
         };
         self.hosts.push(fleet_state::spawn(options, dispatcher));
--- a/tests/serving/peers.rs
+++ b/tests/serving/peers.rs
@@ -46,7 +46,12 @@
     let (calls, mut mailbox) = mpsc::channel::<peers::Call>(8);
     tokio::spawn(peers::serve(
         listener,
-        peers::Mailboxes { calls, permits: mpsc::channel(1).0, evidence: mpsc::channel(1).0 },
+        peers::Mailboxes {
+            calls,
+            permits: mpsc::channel(1).0,
+            evidence: mpsc::channel(1).0,
+            reports: mpsc::channel(1).0,
+        },
     ));
     tokio::spawn(async move {
         while let Some((_, reply)) = mailbox.recv().await {
@@ -83,7 +88,12 @@
         let (calls, mut mailbox) = mpsc::channel::<peers::Call>(8);
         tokio::spawn(peers::serve(
             listener,
-            peers::Mailboxes { calls, permits: mpsc::channel(1).0, evidence: mpsc::channel(1).0 },
+            peers::Mailboxes {
+                calls,
+                permits: mpsc::channel(1).0,
+                evidence: mpsc::channel(1).0,
+                reports: mpsc::channel(1).0,
+            },
         ));
         tokio::spawn(async move {
             while let Some((request, reply)) = mailbox.recv().await {
