Spread requests by speed and free slots where upstreams report their load

Cause: the first estimate sent all hosts to the fastest upstreams, and a service that turned a request away was ejected for 500 ms and more, which filled the others.

Change: hosts draw among near-equal upstreams by speed (plain services: by expected free slots as well), a refusal with a report ejects nothing, and the counts of plain services decay to their mean within tens of milliseconds.

--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -52,10 +52,10 @@
 
 /// Difference of the estimates of two upstreams that says nothing, as each is that far off. Hosts that know the same spread
 /// their requests over such upstreams.
-const NEAR_EQUAL: Span = Span::from_ms(5);
+const NEAR_EQUAL: Span = Span::from_ms(25);
 
-/// Part of the least estimate that is added to this difference.
-const NEAR_EQUAL_DIVISOR: u64 = 8;
+/// Near-equal upstreams of which the better one is taken.
+const CHOICES: usize = 2;
 
 /// Time until hosts know what another one sent, so that requests with the same parts meet no news of each other.
 const NEWS_DELAY: Span = Span::from_ms(400);
@@ -224,6 +224,8 @@
     started: Time,
     answered: bool,
     answered_at: Time,
+    /// Whether its upstream reported its load in the response, so that it is alive.
+    has_report: bool,
 }
 
 /// A ticket that waits for room within the rate limits and back-offs of the upstreams.
@@ -257,8 +259,10 @@
     usual_first_byte: Span,
     /// Estimated time to the end of the answer, `None` if the upstream is no engine.
     expected_end: Option<Span>,
-    /// Weight among plain services that report their load: free slots by speed. `None` for others.
-    weight: Option<f64>,
+    /// Id of the incarnation.
+    id: u64,
+    /// Weight among near-equal upstreams that report their load: its speed, of plain services times free slots.
+    weight: f64,
     /// Whether the upstream reports how long work takes there.
     is_reported: bool,
     /// Time by which upstreams are compared: the estimate with weights and penalties.
@@ -514,7 +518,8 @@
 
     /// Records what the response to an attempt reports of its upstream's load.
     pub fn report_heard(&mut self, attempt: AttemptKey, dated: reported_load::Dated) {
-        let Some(running) = self.running.get(&attempt) else { return };
+        let Some(running) = self.running.get_mut(&attempt) else { return };
+        running.has_report = dated.report.work_percent.is_some();
         let (key, incarnation) = (running.upstream, running.incarnation);
         let Some(upstream) = self.upstream_mut(key) else { return };
         if upstream.heard.record(dated) {
@@ -770,6 +775,8 @@
                 }
             }
             Ending::Cancelled | Ending::Unused | Ending::Preempted => {}
+            // It is full, as its report says, and not at fault.
+            Ending::Refused if running.has_report => {}
             Ending::Refused | Ending::Failed | Ending::Invalid | Ending::TimedOut => {
                 upstream.health.record_failure(now, running.started);
             }
@@ -914,6 +921,7 @@
             started: now,
             answered: false,
             answered_at: now,
+            has_report: false,
         };
         self.running.insert(attempt, running);
         Grant {
@@ -995,23 +1003,33 @@
         if !candidates.iter().any(|it| it.is_reported) {
             return Some(best);
         }
-        let draw = |it: &Candidate| {
-            let (host, ticket) = (self.host.as_bytes(), ticket.key.0.to_be_bytes());
-            rendezvous::hash(&[b"near", host, &ticket, &it.key.0.to_be_bytes()])
+        let shared = ticket.prompt.as_ref().and_then(|it| it.shared_parts().last());
+        let spread = shared.map_or(usize::MAX, |part| self.spread_of(now, part));
+        let seed = match shared {
+            Some(part) => part,
+            None => rendezvous::hash(&[self.host.as_bytes(), &ticket.key.0.to_be_bytes()]),
         };
-        let limit = best.cost.0 + NEAR_EQUAL.0 + best.cost.0 / NEAR_EQUAL_DIVISOR;
-        let is_near = |it: &Candidate| it.weight.is_some() || it.cost.0 <= limit;
-        let mut near: Vec<_> = candidates.into_iter().filter(is_near).collect();
-        if let Some(part) = ticket.prompt.as_ref().and_then(|it| it.shared_parts().last()) {
-            near.sort_unstable_by_key(|it| it.rank);
-            near.truncate(self.spread_of(now, part));
-        }
-        // The least exponentially distributed number wins in proportion to the weights.
+        // Sorted by exponentially distributed numbers, each upstream is first in proportion to its weight.
         let order = |it: &Candidate| {
-            let uniform = (draw(it) >> 11) as f64 / (1_u64 << 53) as f64;
-            -(1.0 - uniform).ln() / it.weight.unwrap_or(1.0)
+            let hash = rendezvous::hash(&[b"near", &seed.to_be_bytes(), &it.id.to_be_bytes()]);
+            let uniform = (hash >> 11) as f64 / (1_u64 << 53) as f64;
+            -(1.0 - uniform).ln() / it.weight.max(f64::MIN_POSITIVE)
         };
-        near.into_iter().min_by(|a, b| order(a).total_cmp(&order(b)))
+        let limit = best.cost.0 + NEAR_EQUAL.0;
+        let is_near = |it: &Candidate| ticket.prompt.is_none() || it.cost.0 <= limit;
+        let mut near: Vec<_> = candidates.into_iter().filter(is_near).collect();
+        near.sort_by(|a, b| order(a).total_cmp(&order(b)));
+        let host = [self.host.as_bytes(), &ticket.key.0.to_be_bytes()];
+        match (shared, spread) {
+            (Some(_), 1) => near.first().copied(),
+            (Some(_), _) => {
+                near.truncate(spread);
+                let drawn = rendezvous::hash(&host) as usize % near.len();
+                near.get(drawn).copied()
+            }
+            (None, _) if ticket.prompt.is_none() => near.first().copied(),
+            (None, _) => near.into_iter().take(CHOICES).min_by_key(|it| it.cost),
+        }
     }
 
     /// Selects the upstreams to consider: a subset of a large pool, and all that cache the shared
@@ -1093,8 +1111,11 @@
             slowness
         };
         let expected_end = output_us.map(|it| Span(expected_first_byte.0 + (it * lasting) as u64));
-        let mut cost =
-            Span(zone_penalty.0 + slowed(Span(queueing.0 + prefill.0 * PREFILL_WEIGHT)).0);
+        let mut cost = match is_reported {
+            // Speed is a weight, as news are late: a fast upstream gets more, and not all.
+            true => Span(zone_penalty.0 + slowed(queueing).0 + prefill.0 * PREFILL_WEIGHT),
+            false => Span(zone_penalty.0 + slowed(Span(queueing.0 + prefill.0 * PREFILL_WEIGHT)).0),
+        };
         if state.is_ejected_elsewhere(now) {
             cost.0 += REMOTE_EJECTION_PENALTY.0;
         }
@@ -1103,12 +1124,11 @@
             cost.0 += if is_late { LATE_PENALTY.0 } else { 0 };
             cost.0 += self.memory_cost(now, ticket, state).0;
         }
-        let weight = (is_reported && ticket.prompt.is_none()).then(|| {
-            let free = f64::from(state.entry.slots.saturating_sub(state.company(now)));
-            let is_ejected = state.is_ejected_elsewhere(now);
-            let free = if free > 0.0 && !is_ejected { free } else { FULL_WEIGHT };
-            free / slowness
-        });
+        let weight = match &ticket.prompt {
+            Some(_) => 1.0 / lasting,
+            None if state.is_ejected_elsewhere(now) => FULL_WEIGHT,
+            None => state.free_slots(now).max(FULL_WEIGHT) / lasting,
+        };
         // Upstreams of nearly the same cost are chosen by rank where they report their load, so that sessions which begin
         // alike must not agree on it.
         let part = match is_reported {
@@ -1129,6 +1149,7 @@
             expected_first_byte,
             usual_first_byte,
             expected_end,
+            id: state.incarnation,
             weight,
             is_reported,
             cost,
--- a/src/serving/reported_load.rs
+++ b/src/serving/reported_load.rs
@@ -11,7 +11,10 @@
 /// Age at which reported counts count half against those that hosts exchange. Exchanges take about as long.
 const COUNT_HALF_LIFE: Span = Span::from_ms(250);
 
-/// Time over which the mean of the work time is taken.
+/// The same for plain services, which take less time for a request.
+const SHORT_HALF_LIFE: Span = Span::from_ms(40);
+
+/// Time over which the means are taken.
 const MEAN_HALF_LIFE: Span = Span::from_ms(2_000);
 
 /// Age up to which a report is passed on to other hosts; with a later one they know no more than by the mean.
@@ -55,6 +58,11 @@
         let is_valid = slots > 0 && is_work && counts.iter().all(|it| *it <= MAX_COUNT);
         is_valid.then_some(Report { running, waiting, slots, work_percent })
     }
+
+    /// Returns the requests that run or wait.
+    fn company(&self) -> f64 {
+        f64::from(self.running) + f64::from(self.waiting)
+    }
 }
 
 /// A report with the time at which it was made, as far as this host knows.
@@ -72,6 +80,8 @@
     last: Option<Dated>,
     /// Mean of the work times as a factor; meaningless without `last`.
     mean_work: f64,
+    /// Mean of the requests that run or wait there; meaningless without `last`.
+    mean_company: f64,
     /// Begins (+1) and ends (-1) of this host's attempts, oldest first, not more than `MAX_CHANGES`.
     changes: Vec<(Time, i32)>,
 }
@@ -82,13 +92,15 @@
     pub fn record(&mut self, dated: Dated) -> bool {
         let Some(percent) = dated.report.work_percent else { return false };
         let work = f64::from(percent) / 100.0;
+        let company = dated.report.company();
         match self.last {
             Some(last) if dated.at <= last.at => return false,
             Some(last) => {
                 let kept = decay(dated.at.since(last.at), MEAN_HALF_LIFE);
                 self.mean_work = work + (self.mean_work - work) * kept;
+                self.mean_company = company + (self.mean_company - company) * kept;
             }
-            None => self.mean_work = work,
+            None => (self.mean_work, self.mean_company) = (work, company),
         }
         self.last = Some(dated);
         self.changes.retain(|it| it.0 > dated.at);
@@ -124,12 +136,21 @@
         if self.last.is_some() { self.mean_work } else { 1.0 }
     }
 
+    /// Returns the requests that are expected to run or wait at a plain service, where they take so short a time that with
+    /// the age of the report their mean counts.
+    pub fn short_company(&self, now: Time) -> f64 {
+        let Some(Dated { at, report }) = self.last else { return 0.0 };
+        let since: i32 = self.changes.iter().map(|it| it.1).sum();
+        let reported = report.company() + f64::from(since);
+        self.mean_company + (reported - self.mean_company) * decay(now.since(at), SHORT_HALF_LIFE)
+    }
+
     /// Returns the requests that run or wait there: as reported plus what this host began and ended since, and with the
     /// age of the report more and more `counted`, which hosts know from each other. At least `own`.
     pub fn company(&self, now: Time, counted: u32, own: u32) -> u32 {
         let Some(Dated { at, report }) = self.last else { return counted };
         let since: i32 = self.changes.iter().map(|it| it.1).sum();
-        let reported = f64::from(i32::from(report.running) + i32::from(report.waiting) + since);
+        let reported = report.company() + f64::from(since);
         let counted = f64::from(counted);
         let expected = counted + (reported - counted) * decay(now.since(at), COUNT_HALF_LIFE);
         (expected.max(0.0).round() as u32).max(own)
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -220,6 +220,11 @@
         self.heard.company(now, self.running + self.remote.running, self.running)
     }
 
+    /// Returns the slots that are expected to be free on a plain service.
+    pub fn free_slots(&self, now: Time) -> f64 {
+        f64::from(self.entry.slots) - self.heard.short_company(now)
+    }
+
     /// Returns how many requests it would run beyond its slots with one more.
     pub fn over_slots(&self, now: Time) -> u32 {
         (self.company(now) + 1).saturating_sub(self.entry.slots)
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod placement;
 mod rate_limit;
+mod reported_load;
 mod retry_budget;
 mod run_status;
 mod stream;
