--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -34,6 +34,7 @@
         peers::{Call, Peers},
         placed_log, rate_limit,
         registry::{DecodeError, Entry},
+        reported_load,
         roster::{self, Roster},
         sync_client,
         table::Table,
@@ -76,8 +77,12 @@
 /// whole do not all list the store at once.
 const STARTUP_JITTER_MS: u64 = 900;
 
-/// Index of the prefix in a response that holds evacuations, after those of the topics, rate limits and evidence.
-const EVACUATIONS_INDEX: usize = Topic::ALL.len() + 2;
+/// Index of the prefix in a response that holds what upstreams report of their load, after those of the topics, rate limits
+/// and evidence.
+const REPORTS_INDEX: usize = Topic::ALL.len() + 2;
+
+/// Index of the prefix in a response that holds evacuations.
+const EVACUATIONS_INDEX: usize = REPORTS_INDEX + 1;
 
 /// Capacity of the task's mailbox.
 const MAILBOX_CAPACITY: usize = 1_024;
@@ -232,6 +237,8 @@
     pub upstreams: watch::Sender<Rc<Vec<Entry>>>,
     /// Sync requests of other hosts.
     pub calls: mpsc::Receiver<Call>,
+    /// Reports of upstreams that other hosts heard.
+    pub reports: mpsc::Receiver<messages::Prefix>,
     /// Usage counts of this host, and of its group if it is a hub.
     pub meter: Meter,
 }
@@ -327,6 +334,7 @@
         seeds: options.seeds.clone(),
         peers: Peers::default(),
         report_peers: Peers::default(),
+        hear_peers: Peers::default(),
         roster: roster.clone(),
         revisions: revisions.clone(),
         evacuations_revision: evacuations_revision.clone(),
@@ -373,13 +381,14 @@
         limits: Vec::new(),
         evidence: messages::Evidence::default(),
         evidence_at: Time(0),
+        news: reported_load::News::default(),
         placed: placed_log::Log::default(),
         role: role.subscribe(),
         store_reachable,
         store_answered_at: Time(0),
         startup_ends: startup_ends(&options.seeds, options.address),
     };
-    task::spawn_local(task.run(mailbox, options.calls));
+    task::spawn_local(task.run(mailbox, options.calls, options.reports));
     Handle {
         table,
         verified_at,
@@ -428,6 +437,8 @@
     /// What other hosts need to know of content that crashes upstreams.
     evidence: messages::Evidence,
     evidence_at: Time,
+    /// What upstreams report of their load, to pass it on.
+    news: reported_load::News,
     placed: placed_log::Log,
     role: watch::Receiver<Role>,
     /// Whether the store answered the last call since this host began to follow it.
@@ -438,7 +449,12 @@
 }
 
 impl Task {
-    async fn run(mut self, mut mailbox: mpsc::Receiver<Message>, mut calls: mpsc::Receiver<Call>) {
+    async fn run(
+        mut self,
+        mut mailbox: mpsc::Receiver<Message>,
+        mut calls: mpsc::Receiver<Call>,
+        mut reports: mpsc::Receiver<messages::Prefix>,
+    ) {
         let mut interval = tokio::time::interval(SYNC_INTERVAL);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -448,6 +464,11 @@
                     self.handle(message);
                 }
                 Some((request, reply)) = calls.recv() => self.respond(request, reply),
+                Some(reports) = reports.recv() => {
+                    let reports = reports.reports(Time::now());
+                    self.news.add(&reports, reported_load::Source::Group);
+                    self.dispatcher.merge_reports(reports);
+                }
                 () = wait_until(self.next_due()) => self.apply_due(),
                 _ = interval.tick() => self.tick(),
             }
@@ -482,6 +503,7 @@
             Message::LocalLoad(load) => {
                 self.loads.set_own(load.loads);
                 self.limits = load.limits;
+                self.news.add(&load.reports, reported_load::Source::Group);
                 self.evidence = load.evidence;
                 self.evidence_at = Time::now();
                 self.placed.add_own(load.placed);
@@ -563,6 +585,11 @@
         if let Some(evidence) = evidence.and_then(messages::Prefix::evidence) {
             self.dispatcher.merge_evidence(sent_at, evidence);
         }
+        if let Some(reports) = response.prefixes.get(REPORTS_INDEX) {
+            let reports = reports.reports(sent_at);
+            self.news.add(&reports, reported_load::Source::Elsewhere);
+            self.dispatcher.merge_reports(reports);
+        }
         let leaving = messages::Load::leaving(&response.loads);
         self.dispatcher.merge_departures(&response.host, leaving);
         let evacuations = response.prefixes.get(EVACUATIONS_INDEX).cloned();
@@ -730,6 +757,11 @@
                     table.version,
                     store::display(item.revision)
                 );
+                let engines = table
+                    .pools()
+                    .iter()
+                    .filter_map(|it| Some((it.name.clone(), it.engine.as_ref()?.kv_tokens)));
+                self.dispatcher.set_capacities(engines.collect());
                 self.outputs.table.send_replace(Some(Arc::new(table)));
             }
             Err(error) => {
@@ -817,13 +849,17 @@
                 update: self.mirrors[index].since(after).map(encode_update),
             });
         }
-        if !self.limits.is_empty() || !self.evidence.is_empty() {
+        let reports = self.news.recent(now, request.is_hub);
+        if !(self.limits.is_empty() && self.evidence.is_empty() && reports.is_empty()) {
             prefixes.push(messages::Prefix::from_limits(now, &self.limits));
         }
-        if !self.evidence.is_empty() {
+        if !self.evidence.is_empty() || !reports.is_empty() {
             let evidence = self.evidence.clone().aged(now.since(self.evidence_at));
             prefixes.push(messages::Prefix::from_evidence(&evidence));
         }
+        if !reports.is_empty() {
+            prefixes.push(messages::Prefix::from_reports(now, &reports));
+        }
         let evacuations_after = request.revisions.get(Topic::ALL.len());
         if let Some((known, after)) = self.evacuations.as_ref().zip(evacuations_after) {
             // Each prefix has its place, and nothing says the same as an empty list.
