Send slow requests that may run twice to a second upstream as well

Cause: a few slow answers set the slowest hundredth of the requests that may be repeated; nothing was done between the send and the deadline.

Change: hedge::Hedger says when a copy is due (the multiple of the expected time to the first byte that all but the allowed share of recent requests stay below) and whether the setting hedge-share allows it. Placement selects another upstream with room to spare and refuses copies while tickets of the pool wait, above three quarters of its slots, for suspect content, and at upstreams with a limit, back-off or ejection. The exchange runs both attempts, passes on the first answer and drops the other one with its connection. The copy counts as a run, towards max_attempts and the retry budget, and usage is counted once. Off unless configured.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use eyre::Result;
 use prometheus::{
-    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    CounterVec, Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder, core::Collector as _,
 };
 
@@ -56,6 +56,9 @@
     upstream_answers: IntCounterVec,
     leaving_upstreams: IntCounterVec,
     backoffs: IntCounterVec,
+    hedges: IntCounterVec,
+    denied_hedges: IntCounterVec,
+    hedge_seconds: CounterVec,
     /// Requests accepted and not ended.
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
@@ -138,6 +141,24 @@
             "Refusals in which an upstream names a time without requests, by whether it can be read.",
             &["time"],
         )?;
+        let hedges = counter(
+            "almondrack_hedges_total",
+            "Requests that were sent to a second upstream as the first one was slow, by outcome.",
+            &["outcome"],
+        )?;
+        let denied_hedges = counter(
+            "almondrack_denied_hedges_total",
+            "Slow requests that were not sent to a second upstream, by reason.",
+            &["reason"],
+        )?;
+        let hedge_seconds = CounterVec::new(
+            Opts::new(
+                "almondrack_hedge_seconds_total",
+                "Time that two upstreams worked on one request, and estimated time that callers gained.",
+            ),
+            &["time"],
+        )?;
+        registry.register(Box::new(hedge_seconds.clone()))?;
         let opts = HistogramOpts::new(
             "almondrack_first_token_seconds",
             "Time from acceptance to the first token or byte.",
@@ -167,6 +188,9 @@
             upstream_answers,
             leaving_upstreams,
             backoffs,
+            hedges,
+            denied_hedges,
+            hedge_seconds,
             in_flight,
             revision,
             store_era,
@@ -234,6 +258,23 @@
         self.backoffs.with_label_values(&[time]).inc();
     }
 
+    /// Counts a request that two upstreams worked on for the time `extra`: `won` by the second one, `lost`, `failed` or
+    /// `abandoned`.
+    pub fn hedge_ended(&self, outcome: &str, extra: Duration) {
+        self.hedges.with_label_values(&[outcome]).inc();
+        self.hedge_seconds.with_label_values(&["extra"]).inc_by(extra.as_secs_f64());
+    }
+
+    /// Counts the time that a caller gained by a second upstream, as estimated.
+    pub fn hedge_gained(&self, time: Duration) {
+        self.hedge_seconds.with_label_values(&["gained"]).inc_by(time.as_secs_f64());
+    }
+
+    /// Counts a slow request that was not sent to a second upstream.
+    pub fn hedge_denied(&self, reason: &str) {
+        self.denied_hedges.with_label_values(&[reason]).inc();
+    }
+
     /// Number of calls to the platform's store so far, by cause, call and outcome, for a log line.
     pub fn store_calls(&self) -> String {
         let families = self.store_calls.collect();
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -18,6 +18,7 @@
 pub mod fleet_state;
 mod follower;
 pub mod handler;
+pub mod hedge;
 pub mod host;
 pub mod key;
 pub mod leadership;
--- a/src/serving/attempt_history.rs
+++ b/src/serving/attempt_history.rs
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Records an attempt that was cancelled. Its upstream may have run the request.
+    pub fn record_cancelled(&mut self) {
+        self.runs += 1;
+        self.run_failure.get_or_insert(Kind::UpstreamTimeout);
+    }
+
     /// Returns the error for the caller. The kind of a refusal says that the request did not run; if an upstream may
     /// have run it, the kind of that attempt's failure takes its place.
     pub fn caller_error(&self, error: Error) -> Error {
@@ -114,6 +120,18 @@
             RetryPolicy::Never => self.runs == 0,
             RetryPolicy::Always | RetryPolicy::Resume => self.runs < rules.max_attempts,
         };
-        may_run && self.sends < MAX_SENDS && now + MIN_TIME_LEFT < rules.deadline
+        may_run && self.can_send(now, rules)
+    }
+
+    /// Returns whether the rules permit a second attempt while one is in flight. The limits on such copies are checked
+    /// separately.
+    pub fn may_hedge(&self, now: Time, rules: RetryRules) -> bool {
+        let is_repeatable = rules.retry_policy == RetryPolicy::Always;
+        is_repeatable && self.runs + 1 < rules.max_attempts && self.can_send(now, rules)
+    }
+
+    /// Whether the sends so far and the time left permit another send.
+    fn can_send(&self, now: Time, rules: RetryRules) -> bool {
+        self.sends < MAX_SENDS && now + MIN_TIME_LEFT < rules.deadline
     }
 }
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    pin::pin,
     rc::Rc,
     sync::Arc,
 };
@@ -12,7 +13,10 @@
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::{sync::watch, time::timeout};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 use crate::{
     error::{Error, Kind, Run},
@@ -27,12 +31,13 @@
         dialect::{Departure, Dialect, Echo, Prompt, RouterHeaders, Verdict},
         dispatcher::{AttemptGuard, Dispatcher},
         fleet_state::Verification,
+        hedge,
         key::TicketKey,
         outbound_connection,
         placement::{Grant, Ticket},
         rate_limit,
         relay::{Cut, Relay, Resume},
-        retry_budget,
+        request_metrics, retry_budget,
         stream_origin::{Origin, StreamKey, Unknown},
         stream_records::Records,
         table::{self, Customer, RetryPolicy, Route},
@@ -53,7 +58,10 @@
     header::UPGRADE,
 ];
 
-/// Least time between two log lines on times that cannot be read.
+/// Time before the deadline that is left to pass on an answer.
+const ANSWER_TIME: Span = Span::from_ms(20);
+
+/// Least time between two log lines on the same subject.
 const MIN_LOG_INTERVAL: Span = Span::from_ms(1_000);
 
 /// An accepted request with its route.
@@ -145,6 +153,10 @@
     pub buffer_memory: buffer_memory::Memory,
     /// Metrics of the host.
     pub metrics: Metrics,
+    /// Decides about copies of slow requests.
+    pub hedger: RefCell<hedge::Hedger>,
+    /// Whether the host is stopping.
+    pub draining: watch::Receiver<bool>,
 }
 
 struct Shared<D> {
@@ -153,6 +165,15 @@
     contacts: RefCell<contact::Log>,
     /// When a `Retry-After` that is no time was last logged.
     invalid_backoff_logged: Cell<Time>,
+    /// When a copy of a request was last logged.
+    hedge_logged: Cell<Time>,
+}
+
+/// An attempt in flight.
+#[derive(Debug, Clone)]
+struct Sent {
+    grant: Grant,
+    at: Time,
 }
 
 impl<D> std::ops::Deref for Shared<D> {
@@ -215,6 +236,7 @@
             tickets: Cell::new(0),
             contacts: RefCell::default(),
             invalid_backoff_logged: Cell::new(Time(0)),
+            hedge_logged: Cell::new(Time(0)),
         };
         Exchange { shared: Rc::new(shared) }
     }
@@ -232,6 +254,9 @@
         };
         let version = origin.and_then(|it| it.version);
         self.shared.retry_budget.record_request(&pool);
+        if may_be_hedged(&request.route) {
+            self.shared.hedger.borrow_mut().record_request();
+        }
         let mut history = attempt_history::History::default();
         // A 5xx response of an upstream, which is returned if no retry gets a better one.
         let mut server_error = None;
@@ -307,25 +332,24 @@
                 self.shared.metrics.limited_send(attempt_label(history, resume_after));
             }
             history.record_send(grant.upstream);
-            let sent_at = Time::now();
-            let needs_version = version.is_some();
-            match self.send(request, (&grant, needs_version), guard, resume_after).await {
+            let sent = Sent { grant, at: Time::now() };
+            let answer = match self.hedge_delay(request, pool, history, &sent) {
+                Some(delay) => {
+                    self.send_hedged(request, pool, history, (&sent, guard), delay).await
+                }
+                None => {
+                    let target = (&sent.grant, version.is_some());
+                    let answer = self.send(request, target, guard, resume_after).await;
+                    self.record_first_byte(request, pool, &sent, &answer);
+                    answer.map_err(|it| (sent, it))
+                }
+            };
+            match answer {
                 Ok(response) => return Ok(response),
-                Err(failure) => {
+                Err((sent, failure)) => {
                     history.record_failure(failure);
-                    self.count_cut(failure, "none");
                     let retry = self.may_retry(request, pool, history, failure.reached_upstream);
-                    log::info!(
-                        "request {} failed at {}, first byte expected after {} ms: {} after {} ms, run {}, parts {}, {}",
-                        request.log_id(),
-                        grant.instance,
-                        grant.expected_first_byte.as_ms(),
-                        failure.kind.answer().name,
-                        Time::now().since(sent_at).as_ms(),
-                        failure.run.as_str(),
-                        request.log_parts(),
-                        retry_text(retry),
-                    );
+                    self.report_failure(request, &sent, failure, retry_text(retry));
                     if !retry {
                         return Err(final_error(failure, history));
                     }
@@ -334,6 +358,235 @@
         }
     }
 
+    /// Returns how long to wait for an answer before a copy of the request is due, `None` if none may be sent.
+    fn hedge_delay(
+        &self,
+        request: &RoutedRequest,
+        pool: &Arc<str>,
+        history: &attempt_history::History,
+        sent: &Sent,
+    ) -> Option<Span> {
+        let mut hedger = self.shared.hedger.borrow_mut();
+        let now = Time::now();
+        let may_hedge = hedger.is_active()
+            && may_be_hedged(&request.route)
+            && history.may_hedge(now, retry_rules(request));
+        if !may_hedge {
+            return None;
+        }
+        let path = hedge::Path { pool, route: &request.route.name };
+        let time_left = request.deadline.since(now);
+        hedger.delay(now, path, sent.grant.expected_first_byte, time_left)
+    }
+
+    /// Sends a request, and a copy of it to another upstream if there is no answer after `delay`. The first answer counts,
+    /// unless it is the upstream's own failure and the other attempt may still get a better one. The other attempt is
+    /// cancelled, which closes its connection.
+    ///
+    /// # Errors
+    /// Returns the last failure with its attempt if neither gets an answer.
+    async fn send_hedged(
+        &self,
+        request: &RoutedRequest,
+        pool: &Arc<str>,
+        history: &mut attempt_history::History,
+        (first, guard): (&Sent, AttemptGuard),
+        delay: Span,
+    ) -> Result<upstream_response::Response, (Sent, attempt_history::Failure)> {
+        let mut first_answer = pin!(self.send(request, (&first.grant, false), guard, None));
+        let placing = async {
+            sleep(delay.into()).await;
+            self.place_copy(request, pool, history).await
+        };
+        let only_answer = tokio::select! {
+            biased;
+            answer = &mut first_answer => Err(answer),
+            placed = placing => match placed {
+                Ok(placed) => Ok(placed),
+                Err(denial) => {
+                    self.shared.metrics.hedge_denied(denial.as_str());
+                    Err(first_answer.as_mut().await)
+                }
+            },
+        };
+        let (grant, guard) = match only_answer {
+            Ok(placed) => placed,
+            Err(answer) => {
+                self.record_first_byte(request, pool, first, &answer);
+                return answer.map_err(|it| (first.clone(), it));
+            }
+        };
+        history.record_send(grant.upstream);
+        let copy = Sent { grant, at: Time::now() };
+        let recorder = request_metrics::Hedge::start(self.shared.metrics.clone(), copy.at);
+        let mut copy_answer = pin!(self.send(request, (&copy.grant, false), guard, None));
+        let (is_copy, answer) = tokio::select! {
+            biased;
+            answer = &mut first_answer => (false, answer),
+            answer = &mut copy_answer => (true, answer),
+        };
+        let (attempt, other) = if is_copy { (&copy, first) } else { (first, &copy) };
+        self.record_first_byte(request, pool, attempt, &answer);
+        let outcome_of = |is_copy| if is_copy { hedge::Outcome::Won } else { hedge::Outcome::Lost };
+        let server_error = match answer {
+            Ok(response) if !response.http.status().is_server_error() => {
+                history.record_cancelled();
+                if is_copy {
+                    self.record_gain(request, pool, first);
+                }
+                self.end_hedge(request, (first, &copy), (pool, recorder), outcome_of(is_copy));
+                return Ok(response);
+            }
+            Ok(response) => Some(response),
+            Err(failure) => {
+                history.record_failure(failure);
+                self.report_failure(request, attempt, failure, "the other attempt goes on");
+                None
+            }
+        };
+        let other_answer = async { if is_copy { first_answer.await } else { copy_answer.await } };
+        let other_answer = match server_error {
+            None => other_answer.await,
+            Some(_) => {
+                let time_left = request.deadline.since(Time::now() + ANSWER_TIME);
+                let late = |_| attempt_history::Failure::sent(Kind::UpstreamTimeout);
+                timeout(time_left.into(), other_answer).await.map_err(late).flatten()
+            }
+        };
+        self.record_first_byte(request, pool, other, &other_answer);
+        let (outcome, answer) = match (server_error, other_answer) {
+            (None, Ok(response)) => (outcome_of(!is_copy), Ok(response)),
+            (None, Err(failure)) => (hedge::Outcome::Failed, Err((other.clone(), failure))),
+            (Some(_), Ok(response)) if !response.http.status().is_server_error() => {
+                history.record_cancelled();
+                (outcome_of(!is_copy), Ok(response))
+            }
+            (Some(response), Ok(_)) => {
+                history.record_cancelled();
+                (outcome_of(is_copy), Ok(response))
+            }
+            (Some(response), Err(failure)) => {
+                history.record_failure(failure);
+                self.report_failure(request, other, failure, "the other attempt has an answer");
+                (outcome_of(is_copy), Ok(response))
+            }
+        };
+        self.end_hedge(request, (first, &copy), (pool, recorder), outcome);
+        answer
+    }
+
+    /// Selects another upstream for the copy of a request that waits for its answer.
+    ///
+    /// # Errors
+    /// Returns why no copy may be sent.
+    async fn place_copy(
+        &self,
+        request: &RoutedRequest,
+        pool: &Arc<str>,
+        history: &attempt_history::History,
+    ) -> Result<(Grant, AttemptGuard), hedge::Denial> {
+        if *self.shared.draining.borrow() {
+            return Err(hedge::Denial::Draining);
+        }
+        self.shared.hedger.borrow_mut().check(pool)?;
+        let ticket = Ticket { is_hedge: true, ..self.new_ticket(request, pool, history) };
+        let placed = self.shared.dispatcher.submit(ticket).await;
+        let (grant, guard) = placed.map_err(|error| match error.kind {
+            Kind::Shed => hedge::Denial::Busy,
+            Kind::Quarantined => hedge::Denial::Content,
+            _ => hedge::Denial::NoUpstream,
+        })?;
+        // Other requests may have used the share up meanwhile.
+        let mut hedger = self.shared.hedger.borrow_mut();
+        let allowed = hedger.check(pool).and_then(|()| {
+            let is_granted = self.shared.retry_budget.try_retry(pool);
+            is_granted.then_some(()).ok_or(hedge::Denial::RetryBudget)
+        });
+        match allowed {
+            Ok(()) => {
+                hedger.record_copy(pool);
+                Ok((grant, guard))
+            }
+            Err(denial) => {
+                guard.end(Ending::Unused);
+                Err(denial)
+            }
+        }
+    }
+
+    /// Records the time to the first byte of an answer. An upstream's own failures may be faster than its answers.
+    fn record_first_byte(
+        &self,
+        request: &RoutedRequest,
+        pool: &Arc<str>,
+        sent: &Sent,
+        answer: &Result<upstream_response::Response, attempt_history::Failure>,
+    ) {
+        let mut hedger = self.shared.hedger.borrow_mut();
+        let is_answered = answer.as_ref().is_ok_and(|it| !it.http.status().is_server_error());
+        if is_answered && !request.route.stream && hedger.is_active() {
+            let (now, path) = (Time::now(), hedge::Path { pool, route: &request.route.name });
+            let expected = sent.grant.expected_first_byte;
+            hedger.record_first_byte(now, path, expected, now.since(sent.at));
+        }
+    }
+
+    /// Records the time that the caller gains as a copy answered before its first attempt, which is cancelled.
+    fn record_gain(&self, request: &RoutedRequest, pool: &Arc<str>, first: &Sent) {
+        let mut hedger = self.shared.hedger.borrow_mut();
+        let (now, path) = (Time::now(), hedge::Path { pool, route: &request.route.name });
+        let (expected, elapsed) = (first.grant.expected_first_byte, now.since(first.at));
+        let gained = hedger.time_gained(now, path, expected, elapsed);
+        self.shared.metrics.hedge_gained(gained.into());
+        hedger.record_first_byte(now, path, expected, elapsed);
+    }
+
+    /// Records how a request ended that was sent to two upstreams.
+    fn end_hedge(
+        &self,
+        request: &RoutedRequest,
+        (first, copy): (&Sent, &Sent),
+        (pool, recorder): (&Arc<str>, request_metrics::Hedge),
+        outcome: hedge::Outcome,
+    ) {
+        recorder.end(outcome);
+        self.shared.hedger.borrow_mut().record_outcome(pool, outcome);
+        let now = Time::now();
+        if now.since(self.shared.hedge_logged.get()) >= MIN_LOG_INTERVAL {
+            self.shared.hedge_logged.set(now);
+            log::info!(
+                "request {} was also sent to {}, as {} had not answered after {} ms: {} after {} ms",
+                request.log_id(),
+                copy.grant.instance,
+                first.grant.instance,
+                copy.at.since(first.at).as_ms(),
+                outcome.as_str(),
+                now.since(first.at).as_ms(),
+            );
+        }
+    }
+
+    /// Counts and logs the failure of an attempt without the head of an answer; `next` says what follows.
+    fn report_failure(
+        &self,
+        request: &RoutedRequest,
+        sent: &Sent,
+        failure: attempt_history::Failure,
+        next: &str,
+    ) {
+        self.count_cut(failure, "none");
+        log::info!(
+            "request {} failed at {}, first byte expected after {} ms: {} after {} ms, run {}, parts {}, {next}",
+            request.log_id(),
+            sent.grant.instance,
+            sent.grant.expected_first_byte.as_ms(),
+            failure.kind.answer().name,
+            Time::now().since(sent.at).as_ms(),
+            failure.run.as_str(),
+            request.log_parts(),
+        );
+    }
+
     /// Counts an attempt that the upstream cut; `answer` says how much of the answer had arrived.
     fn count_cut(&self, failure: attempt_history::Failure, answer: &str) {
         if failure.kind == Kind::UpstreamCut {
@@ -350,12 +603,7 @@
         history: &attempt_history::History,
         reached_upstream: bool,
     ) -> bool {
-        let rules = RetryRules {
-            retry_policy: request.route.retry_policy,
-            max_attempts: request.route.max_attempts,
-            deadline: request.deadline,
-        };
-        history.may_retry(Time::now(), rules)
+        history.may_retry(Time::now(), retry_rules(request))
             && (!reached_upstream || self.shared.retry_budget.try_retry(pool))
     }
 
@@ -798,6 +1046,7 @@
             contents: request.contents.clone(),
             version: None,
             avoided: Vec::new(),
+            is_hedge: false,
         }
     }
 
@@ -832,6 +1081,20 @@
     table::select(&request.route.destinations, key).map_or_else(|| "".into(), Arc::clone)
 }
 
+/// Whether requests of a route may be sent to a second upstream while the first one has not answered. Streams may not, as
+/// both upstreams would run the stream.
+fn may_be_hedged(route: &Route) -> bool {
+    route.retry_policy == RetryPolicy::Always && !route.stream
+}
+
+fn retry_rules(request: &RoutedRequest) -> RetryRules {
+    RetryRules {
+        retry_policy: request.route.retry_policy,
+        max_attempts: request.route.max_attempts,
+        deadline: request.deadline,
+    }
+}
+
 /// Returns the error for the caller after the last failed attempt. A request that did not run may be retried by the
 /// caller.
 fn final_error(failure: attempt_history::Failure, history: &attempt_history::History) -> Error {
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -1,6 +1,12 @@
 //! A running host: starts all tasks and drains them in order.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use eyre::{Result, WrapErr as _};
 use http::StatusCode;
@@ -22,6 +28,7 @@
         exchange::{self, Exchange},
         fleet_state::{self, Decoding},
         handler::Handler,
+        hedge,
         leadership::{self, Leadership},
         limiter,
         listener::{Listener, Stage},
@@ -181,6 +188,7 @@
             roster: fleet.roster.clone(),
         };
         stream_records::spawn(options, lookups);
+        let (draining, draining_seen) = watch::channel(false);
         let exchange = Exchange::new(exchange::Parts {
             dialect: dialect.clone(),
             dispatcher,
@@ -191,8 +199,9 @@
             meter: meter.clone(),
             buffer_memory: room,
             metrics: metrics.clone(),
+            hedger: RefCell::new(hedge::Hedger::new(settings.hedge_share)),
+            draining: draining_seen.clone(),
         });
-        let (draining, draining_seen) = watch::channel(false);
         let reject_from = Rc::new(Cell::new(Time(u64::MAX)));
         let handler = Handler {
             dialect,
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -60,6 +60,9 @@
 /// Time after a closed connection for which the other connections of its upstream are looked at.
 const CUT_MEMORY: Span = Span::from_ms(2_000);
 
+/// Share of a pool's slots in use above which copies of requests are not sent.
+const MAX_HEDGED_LOAD: f64 = 0.75;
+
 /// Limits and back-offs that are kept of incarnations which are not listed.
 const MAX_UNLISTED: usize = 1_024;
 
@@ -103,6 +106,9 @@
     pub version: Option<Arc<str>>,
     /// Versions whose upstreams are not selected while others serve.
     pub avoided: Vec<Option<Arc<str>>>,
+    /// Whether this is the copy of a request that runs on another upstream. It never waits, and is granted only where
+    /// there is room to spare.
+    pub is_hedge: bool,
 }
 
 /// Permission to send a request to an upstream.
@@ -295,6 +301,10 @@
 
     /// Places a ticket and appends the decision to `actions`.
     pub fn submit(&mut self, now: Time, ticket: &Ticket, actions: &mut Vec<Action>) {
+        if ticket.is_hedge {
+            actions.push(self.place_hedge(now, ticket));
+            return;
+        }
         self.demand_mut(&ticket.pool).observe(now, ticket);
         let has_room = self.serving(&ticket.pool).any(|(_, it)| it.may_have_room(now));
         if self.waiting.is_empty() || !has_room {
@@ -305,6 +315,38 @@
         }
     }
 
+    /// Places the copy of a request, or refuses it: `Quarantined` if its content may crash upstreams, `Shed` if other
+    /// requests need the room.
+    fn place_hedge(&mut self, now: Time, ticket: &Ticket) -> Action {
+        let refuse = |kind| Action::Refuse(ticket.key, kind, None);
+        if self.evidence.judge(now, &ticket.contents, true) != Verdict::Clear {
+            return refuse(Kind::Quarantined);
+        }
+        let is_awaited = self.waiting.iter().any(|it| it.ticket.pool == ticket.pool);
+        if is_awaited || !self.has_spare_room(&ticket.pool) {
+            return refuse(Kind::Shed);
+        }
+        let untried: Vec<_> = self.untried(ticket).collect();
+        if untried.is_empty() {
+            return refuse(Kind::NoUpstream);
+        }
+        let spare = untried.into_iter().filter(|(_, it)| it.has_spare_room(now)).collect();
+        match self.best(now, ticket, spare, false) {
+            Some(best) => Action::Grant(ticket.key, self.grant(now, ticket, best)),
+            None => refuse(Kind::Shed),
+        }
+    }
+
+    /// Whether the requests that run in a pool leave enough of its slots free.
+    fn has_spare_room(&self, pool: &str) -> bool {
+        let (mut running, mut slots) = (0, 0);
+        for (_, upstream) in self.serving(pool) {
+            running += u64::from(upstream.company());
+            slots += u64::from(upstream.entry.slots);
+        }
+        running as f64 <= slots as f64 * MAX_HEDGED_LOAD
+    }
+
     /// Places a ticket, makes it wait or refuses it. `start_by` is set if it has waited already.
     fn place(
         &mut self,
--- a/src/serving/request_metrics.rs
+++ b/src/serving/request_metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     metrics::{Metrics, Outcome},
+    serving::hedge,
     time::Time,
 };
 
@@ -54,3 +55,31 @@
         self.metrics.in_flight.dec();
     }
 }
+
+/// Records the metrics of a request that was sent to a second upstream. Dropped without an end, it records that the caller
+/// disconnected.
+#[derive(Debug)]
+pub struct Hedge {
+    metrics: Metrics,
+    sent_at: Time,
+    outcome: hedge::Outcome,
+}
+
+impl Hedge {
+    /// Starts when the second upstream gets the request.
+    pub fn start(metrics: Metrics, now: Time) -> Hedge {
+        Hedge { metrics, sent_at: now, outcome: hedge::Outcome::Abandoned }
+    }
+
+    /// Records the outcome.
+    pub fn end(mut self, outcome: hedge::Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Hedge {
+    fn drop(&mut self) {
+        let extra = Time::now().since(self.sent_at);
+        self.metrics.hedge_ended(self.outcome.as_str(), extra.into());
+    }
+}
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -39,6 +39,9 @@
     pub key_validity: Option<Span>,
     /// Retry budget that all hosts share.
     pub retries: retry_budget::Limits,
+    /// Copies of slow requests that may be sent to a second upstream, as a share of the requests that may run more than
+    /// once; zero if none are sent.
+    pub hedge_share: f64,
     /// Length of a leadership lease, and of the period in which at most one host acts as leader.
     pub lease: Span,
     /// Length of a window in which usage is counted.
@@ -101,6 +104,7 @@
         let keys_need_proof = self.optional("keys-need-proof", "true or false");
         let key_validity_ms: Option<u64> = self.optional("key-withdrawal-ms", MILLISECONDS);
         let retries = self.retries();
+        let hedge_share = self.hedge_share();
         let lease_ms: Option<u64> = self.optional("lease-ms", MILLISECONDS);
         let window_s: Option<f64> = self.optional("usage-window-s", "seconds, as in 5");
         let delay_s: Option<f64> = self.optional("usage-delay-s", "seconds, as in 10");
@@ -123,6 +127,7 @@
             grace: seconds(grace_s?).into(),
             key_validity: key_validity.map(Span::from_ms),
             retries: retries?,
+            hedge_share: hedge_share?,
             lease: Span::from_ms(lease_ms.unwrap_or(DEFAULT_LEASE_MS)),
             usage_window: window_s.map_or(DEFAULT_WINDOW, seconds),
             usage_delay: delay_s.map_or(DEFAULT_DELAY, seconds),
@@ -139,6 +144,19 @@
         Some(retry_budget::Limits { window, ratio: ratio?, allowance: allowance? })
     }
 
+    fn hedge_share(&mut self) -> Option<f64> {
+        const NAME: &str = "hedge-share";
+        if self.find(NAME).is_none() {
+            return Some(0.0);
+        }
+        let share: f64 = self.optional(NAME, HEDGE_SHARE)?;
+        let is_valid = (0.0..=MAX_HEDGE_SHARE).contains(&share);
+        if !is_valid {
+            self.fault(NAME, format!("'{share}' is not valid; expected {HEDGE_SHARE}"));
+        }
+        is_valid.then_some(share)
+    }
+
     fn find(&self, name: &str) -> Option<&'a str> {
         self.text.lines().find_map(|line| {
             let (found, value) = line.split_once('=')?;
@@ -188,6 +206,8 @@
 }
 
 const ADDRESS: &str = "IP and port, as in 10.0.0.1:8080";
+const HEDGE_SHARE: &str = "a share from 0 to 0.2, as in 0.05";
+const MAX_HEDGE_SHARE: f64 = 0.2;
 const MILLISECONDS: &str = "milliseconds, as in 3000";
 /// Memory of the smallest hosts of the users.
 const DEFAULT_MEMORY_MB: f64 = 88.0;
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -146,6 +146,14 @@
         !is_asking && now >= self.room_at() && self.backoff.may_send(now)
     }
 
+    /// Returns whether it can run the copy of a request and needs its room for nothing else: a slot is free, and it has
+    /// neither a rate limit, a back-off nor an ejection.
+    pub fn has_spare_room(&self, now: Time) -> bool {
+        let is_free = self.company() < self.entry.slots && self.limit.rate().is_none();
+        let is_healthy = !self.is_ejected(now) && !self.is_ejected_elsewhere(now);
+        is_free && is_healthy && !self.backoff.is_active()
+    }
+
     /// Returns the earliest time at which it may have room for a request, which can be in the past.
     pub fn room_at(&self) -> Time {
         let permit_at = self.limit.rate().map_or(Time(0), |_| self.no_permit_until);
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -1,6 +1,11 @@
 //! Requests that the exchange sends to upstreams on loopback sockets.
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use almondrack::{
     error::{Error, Kind, Run},
@@ -11,6 +16,7 @@
         dispatcher::Dispatcher,
         exchange::{Body, CallerResponse, Exchange, Parts, RoutedRequest},
         fleet_state::Verification,
+        hedge::Hedger,
         rate_limit,
         registry::Entry,
         retry_budget, stream_records,
@@ -271,6 +277,17 @@
     buffer_memory: buffer_memory::Memory,
     meter: Meter,
 ) -> Exchange<TestDialect> {
+    let draining = watch::channel(false).1;
+    open_hedged(entries, buffer_memory, meter, (Hedger::new(0.0), draining)).0
+}
+
+/// Opens an exchange with the given upstreams that may send copies of slow requests. Returns its metrics too.
+pub(crate) fn open_hedged(
+    entries: Vec<Entry>,
+    buffer_memory: buffer_memory::Memory,
+    meter: Meter,
+    (hedger, draining): (Hedger, watch::Receiver<bool>),
+) -> (Exchange<TestDialect>, Metrics) {
     let upstreams = watch::channel(Rc::new(entries)).1;
     let metrics = Metrics::open().expect("the names of the counters are unique");
     let limiter = mpsc::unbounded_channel().0;
@@ -279,7 +296,7 @@
     let budget_config =
         retry_budget::Limits { window: Span::from_ms(10_000), ratio: 0.2, allowance: 1_000.0 };
     let verified = watch::channel(Verification { at: Some(Time::now()), is_current: true }).1;
-    Exchange::new(Parts {
+    let exchange = Exchange::new(Parts {
         dialect: Rc::new(TestDialect),
         dispatcher,
         records: stream_records::Records::open(verified.clone()).0,
@@ -288,8 +305,11 @@
         retry_budget: retry_budget::Budget::new(budget_config),
         meter,
         buffer_memory,
-        metrics,
-    })
+        metrics: metrics.clone(),
+        hedger: RefCell::new(hedger),
+        draining,
+    });
+    (exchange, metrics)
 }
 
 const EVENTS: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 18\r\n\r\n\
--- a/tests/serving/fixture.rs
+++ b/tests/serving/fixture.rs
@@ -66,6 +66,7 @@
         contents: Vec::new(),
         version: None,
         avoided: Vec::new(),
+        is_hedge: false,
     }
 }
 
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod fixture;
 mod followers;
+mod hedge;
 mod hostile;
 mod knowledge;
 mod outbound_connection;
