--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -180,6 +180,15 @@
         }
     }
 
+    /// Returns whether it can run the copy of a request and needs its room for nothing else: a slot is free, it is not cold,
+    /// and it has neither a rate limit, a back-off nor an ejection.
+    pub fn has_spare_room(&self, now: Time) -> bool {
+        let is_limited = self.limit.rate().is_some() || self.cold.rate(now).is_some();
+        let is_free = self.company() < self.entry.slots && !is_limited;
+        let is_healthy = !self.is_ejected(now) && !self.is_ejected_elsewhere(now);
+        is_free && is_healthy && !self.backoff.is_active()
+    }
+
     /// Returns the earliest time at which it may have room for a request, which can be in the past.
     pub fn room_at(&self) -> Time {
         let cold_until = self.cold.until().get();
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod fixture;
 mod followers;
+mod hedge;
 mod hostile;
 mod knowledge;
 mod outbound_connection;
