--- a/stand-ins/src/cluster.rs
+++ b/stand-ins/src/cluster.rs
@@ -69,8 +69,17 @@
 
     /// Resident memory, in kilobytes.
     pub fn resident_kb(&self) -> u64 {
+        self.status_kb("VmRSS:")
+    }
+
+    /// Largest resident memory so far, in kilobytes; zero once the process has ended.
+    pub fn peak_kb(&self) -> u64 {
+        self.status_kb("VmHWM:")
+    }
+
+    fn status_kb(&self, name: &str) -> u64 {
         let status = self.proc("status");
-        let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"));
+        let line = status.lines().find_map(|it| it.strip_prefix(name));
         let number = line.and_then(|it| it.split_whitespace().next()?.parse().ok());
         number.unwrap_or_default()
     }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -5,4 +5,5 @@
 mod faults;
 mod history;
 mod stops;
+mod unruly_callers;
 mod whole_path;
