--- a/src/body.rs
+++ b/src/body.rs
@@ -1,4 +1,9 @@
-//! Reading of whole response bodies.
+//! Reading of whole bodies.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
@@ -38,3 +43,81 @@
     }
     Ok(out.freeze())
 }
+
+/// Bytes that every caller's body may take regardless of others.
+const UNSHARED_BYTES: usize = 16 << 10;
+
+/// Memory that the bodies of all callers share, whichever thread reads them; clones share it.
+#[derive(Debug, Clone)]
+pub struct Room {
+    free: Arc<AtomicUsize>,
+}
+
+/// A body whose buffer is reserved before it grows. Its room is free again with the last copy of its bytes.
+#[derive(Debug)]
+pub struct Roomed {
+    room: Room,
+    reserved: usize,
+    bytes: BytesMut,
+}
+
+impl Room {
+    /// Creates a room of `bytes` to share, in addition to the unshared bytes of each body.
+    pub fn new(bytes: usize) -> Room {
+        Room { free: Arc::new(AtomicUsize::new(bytes)) }
+    }
+
+    /// Returns an empty body.
+    pub fn body(&self) -> Roomed {
+        Roomed { room: self.clone(), reserved: 0, bytes: BytesMut::new() }
+    }
+}
+
+impl Roomed {
+    /// Bytes so far.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// Appends bytes. Returns false and changes nothing if there is no room.
+    pub fn push(&mut self, data: &[u8]) -> bool {
+        let length = self.bytes.len() + data.len();
+        if length > self.bytes.capacity() {
+            let capacity = length.next_power_of_two();
+            let growth = capacity.saturating_sub(UNSHARED_BYTES) - self.reserved;
+            let taken = self
+                .room
+                .free
+                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |it| it.checked_sub(growth));
+            if taken.is_err() {
+                return false;
+            }
+            self.reserved += growth;
+            self.bytes.reserve(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(data);
+        true
+    }
+
+    /// Ends the body.
+    pub fn finish(self) -> Bytes {
+        Bytes::from_owner(self)
+    }
+}
+
+impl AsRef<[u8]> for Roomed {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for Roomed {
+    fn drop(&mut self) {
+        self.room.free.fetch_add(self.reserved, Ordering::Relaxed);
+    }
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use tokio::{
     sync::{mpsc, watch},
@@ -33,6 +33,7 @@
 
 use crate::{
     attempts::Attempts,
+    body::{Room, Roomed},
     config::{Snapshot, permitted},
     credential::{self, Digest},
     disconnect::{Registration, disconnected},
@@ -89,6 +90,8 @@
     pub ended: mpsc::Sender<Ended>,
     /// Time for a caller to send its request.
     pub read_timeout: Duration,
+    /// Memory for bodies of callers.
+    pub bodies: Room,
     /// Longest silence of an upstream.
     pub idle_timeout: Duration,
     /// Time to connect to an upstream.
@@ -382,23 +385,24 @@
     limit: usize,
 ) -> Result<Bytes, Error> {
     let body = std::mem::take(&mut *context.body_borrow_mut());
-    let reading = collect(body, limit);
+    let reading = collect(body, worker.options.bodies.body(), limit);
     let timeout = worker.options.read_timeout;
     let late = || Error::new(Kind::ReadTimeout, "the body was not sent in time");
     tokio::time::timeout(timeout, reading).await.map_err(|_| late())?
 }
 
-async fn collect(mut body: RequestBody, limit: usize) -> Result<Bytes, Error> {
-    let mut out = BytesMut::new();
+async fn collect(mut body: RequestBody, mut out: Roomed, limit: usize) -> Result<Bytes, Error> {
     while let Some(frame) = body.data().await {
         let data = frame.map_err(|_| Error::new(Kind::BadRequest, "the body could not be read"))?;
         if out.len() + data.len() > limit {
             let message = format!("the body exceeds the limit of {limit} bytes");
             return Err(Error::new(Kind::BodyTooLarge, message));
         }
-        out.extend_from_slice(&data);
+        if !out.push(&data) {
+            return Err(Error::new(Kind::Shed, "the host has no room for the body at the moment"));
+        }
     }
-    Ok(out.freeze())
+    Ok(out.finish())
 }
 
 fn completion_job(
--- a/src/host.rs
+++ b/src/host.rs
@@ -19,7 +19,7 @@
     admin::{self, Admin, Section},
     aggregator::{self, Aggregator},
     attempts::{self, Attempts},
-    claim,
+    body, claim,
     config::Snapshot,
     controller::{self, Controller},
     dispatch_client, dispatchers,
@@ -56,6 +56,9 @@
 /// Time for a role to be given up at a planned stop.
 const RESIGN_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Memory that the bodies of callers' requests share, in bytes: four of the largest ones.
+const CALLERS_BODY_BYTES: usize = 32 << 20;
+
 /// Interval of the steps of the zone controller and of the usage reporter.
 const ROLE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -276,6 +279,7 @@
             platform: platform.clone(),
             ended: aggregator.ended.clone(),
             read_timeout: settings.read_timeout,
+            bodies: body::Room::new(CALLERS_BODY_BYTES),
             idle_timeout: settings.idle_timeout,
             connect_timeout: settings.connect_timeout,
             numbers: Arc::new(AtomicU64::new(1)),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -56,6 +56,7 @@
     upstream_answers: IntCounterVec,
     leaving_upstreams: IntCounterVec,
     backoffs: IntCounterVec,
+    turned_away: IntCounterVec,
     /// Requests accepted and not ended.
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
@@ -138,6 +139,11 @@
             "Refusals in which an upstream names a time without requests, by whether it can be read.",
             &["time"],
         )?;
+        let turned_away = counter(
+            "almondrack_turned_away_total",
+            "Callers that were refused or whose connections were closed, by the limit.",
+            &["limit"],
+        )?;
         let opts = HistogramOpts::new(
             "almondrack_first_token_seconds",
             "Time from acceptance to the first token or byte.",
@@ -167,6 +173,7 @@
             upstream_answers,
             leaving_upstreams,
             backoffs,
+            turned_away,
             in_flight,
             revision,
             store_era,
@@ -234,6 +241,11 @@
         self.backoffs.with_label_values(&[time]).inc();
     }
 
+    /// Counts a caller that is turned away at a limit.
+    pub fn turned_away(&self, limit: &str) {
+        self.turned_away.with_label_values(&[limit]).inc();
+    }
+
     /// Number of calls to the platform's store so far, by cause, call and outcome, for a log line.
     pub fn store_calls(&self) -> String {
         let families = self.store_calls.collect();
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -19,6 +19,7 @@
 mod follower;
 pub mod handler;
 pub mod host;
+pub mod intake;
 pub mod key;
 pub mod leadership;
 pub mod ledger;
--- a/src/serving/caller_connection.rs
+++ b/src/serving/caller_connection.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use bytes::{Buf as _, Bytes, BytesMut};
+use bytes::{Buf as _, Bytes};
 use tokio::{
     io::Interest,
     net::TcpStream,
@@ -23,6 +23,17 @@
 use xitca_io::io::{AsyncBufRead, AsyncBufWrite, BoundedBuf, BoundedBufMut};
 use xitca_service::Service;
 
+use crate::{
+    error::{Error, Kind},
+    metrics::Metrics,
+    serving::{
+        handler,
+        intake::{Full, Intake, Room, Stage},
+        table::Limits,
+    },
+    time::{Span, Time},
+};
+
 /// Most bytes that one read takes from a socket.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
@@ -43,6 +54,61 @@
 /// second.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Most bytes of a head that one read takes from a socket. Connections that wait for a request reserve as much.
+const HEAD_READ_BYTES: usize = 4 << 10;
+
+/// Bytes of a head that are passed on beyond the configured limit, which counts neither the request line's method nor
+/// blanks. The handler checks heads that are whole.
+const HEAD_SLACK_BYTES: usize = 4 << 10;
+
+/// Bytes on the wire for a byte of a body: a chunk of one byte takes six.
+const MAX_CHUNKED_RATIO: usize = 8;
+
+/// Bytes of chunk sizes, extensions and trailers beyond that.
+const CHUNKED_SLACK_BYTES: usize = 64 << 10;
+
+/// Bytes that the connection to the upstream and the answer's frames take while the caller does not read.
+const PAUSED_ANSWER_BYTES: usize = 64 << 10;
+
+/// Least time between two log lines on the same limit.
+const MIN_LOG_INTERVAL: Span = Span::from_ms(1_000);
+
+thread_local! {
+    /// Bytes on their way from a socket to the HTTP server. One is enough, as they are copied before the next read.
+    static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BUFFER_BYTES]);
+}
+
+/// A limit at which a caller is turned away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Limit {
+    /// The head, or what precedes it, has more bytes than are taken.
+    Head,
+    /// A body has more bytes on the wire than its limit allows.
+    BodyBytes,
+    /// A body takes longer than its size allows.
+    BodyTime,
+    /// The callers hold as many bytes as there is room for.
+    Memory,
+    /// There are as many connections as there is room for.
+    Connections,
+    /// An answer was not read for too long.
+    Unread,
+}
+
+impl Limit {
+    /// Value of the `limit` label, and name in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Limit::Head => "head",
+            Limit::BodyBytes => "body_bytes",
+            Limit::BodyTime => "body_time",
+            Limit::Memory => "memory",
+            Limit::Connections => "connections",
+            Limit::Unread => "unread",
+        }
+    }
+}
+
 /// Connection of a caller. Clones share the socket.
 #[derive(Debug, Clone)]
 pub struct Connection {
@@ -66,8 +132,64 @@
     has_partial_request: Cell<bool>,
     /// Whether the body of the last request was not read to its end.
     has_unread_body: Cell<bool>,
+    /// Bytes on the wire of the head or body that is arriving.
+    arrived: Cell<usize>,
+    /// Bytes of the head of the request in progress for which there is room.
+    held_head: Cell<usize>,
+    /// Bytes of its body for which there is room.
+    held_body: Cell<usize>,
+    /// Whether the request's body is being read, so that it can be refused with an answer.
+    is_reading_body: Cell<bool>,
+    /// Whether the body had more bytes than it may.
+    is_overrun: Cell<bool>,
+    /// Notified when the body that is being read has to be refused.
+    body_turned_away: Notify,
+    /// Notified when the connection has to close at once.
+    turned_away: Notify,
     /// Notified when a request begins or ends, and when the server starts to wait for bytes.
     state_changed: Notify,
+    caller: SocketAddr,
+    all: Connections,
+}
+
+/// Whether more of a head may be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Admission {
+    Granted,
+    /// The refusal was written, and the connection closes.
+    Refused,
+}
+
+/// The error of a request for which there is no room.
+pub fn no_room() -> Error {
+    let error = Error::new(Kind::Shed, "the host has no room for the request at the moment");
+    error.with_retry_after_ms(NO_ROOM_RETRY_AFTER_MS)
+}
+
+/// `Retry-After` of a request for which there is no room, in milliseconds.
+const NO_ROOM_RETRY_AFTER_MS: u64 = 100;
+
+/// Marks a body as being read.
+#[derive(Debug)]
+pub struct BodyGuard<'a> {
+    connection: &'a Connection,
+    is_whole: bool,
+}
+
+impl BodyGuard<'_> {
+    /// Notes that the body has arrived whole.
+    pub fn finish(mut self) {
+        self.is_whole = true;
+    }
+}
+
+impl Drop for BodyGuard<'_> {
+    fn drop(&mut self) {
+        self.connection.shared.is_reading_body.set(false);
+        if self.is_whole {
+            self.connection.enter(Stage::Running);
+        }
+    }
 }
 
 /// Marks a connection as busy with a request. Dropping it ends the request.
@@ -81,13 +203,19 @@
         self.connection.shared.busy.set(false);
         self.connection.shared.request_expected.set(false);
         self.connection.shared.has_partial_request.set(false);
+        self.connection.shared.held_head.set(0);
+        self.connection.shared.held_body.set(0);
+        self.connection.shared.arrived.set(0);
+        // Less is always granted.
+        let _ = self.connection.hold(0);
+        self.connection.enter(Stage::Idle);
         self.connection.shared.state_changed.notify_waiters();
     }
 }
 
 impl Connection {
     /// Wraps an accepted socket.
-    pub fn new(stream: TcpStream) -> Connection {
+    fn new(stream: TcpStream, caller: SocketAddr, all: Connections) -> Connection {
         let shared = Shared {
             stream,
             unread: RefCell::default(),
@@ -97,7 +225,16 @@
             request_expected: Cell::new(true),
             has_partial_request: Cell::new(false),
             has_unread_body: Cell::new(false),
+            arrived: Cell::new(0),
+            held_head: Cell::new(0),
+            held_body: Cell::new(0),
+            is_reading_body: Cell::new(false),
+            is_overrun: Cell::new(false),
+            body_turned_away: Notify::new(),
+            turned_away: Notify::new(),
             state_changed: Notify::new(),
+            caller,
+            all,
         };
         Connection { shared: Rc::new(shared) }
     }
@@ -105,6 +242,8 @@
     /// Marks the connection as busy with a request until the guard is dropped.
     pub fn begin_request(&self) -> RequestGuard {
         self.shared.busy.set(true);
+        self.shared.arrived.set(0);
+        self.shared.is_overrun.set(false);
         self.shared.state_changed.notify_waiters();
         RequestGuard { connection: self.clone() }
     }
@@ -125,6 +264,114 @@
         self.shared.is_closing.get()
     }
 
+    /// Notes that the request's body is read from now on. Dropping the guard ends it.
+    pub fn read_body(&self) -> BodyGuard<'_> {
+        self.shared.is_reading_body.set(true);
+        BodyGuard { connection: self, is_whole: false }
+    }
+
+    /// Waits until the body that is being read has to be refused for lack of room.
+    pub async fn body_turned_away(&self) {
+        self.shared.body_turned_away.notified().await;
+    }
+
+    /// Waits until the connection has to close at once for lack of room.
+    pub async fn turned_away(&self) {
+        self.shared.turned_away.notified().await;
+    }
+
+    /// Whether the body of the request in progress had more bytes on the wire than its limit allows.
+    pub fn is_overrun(&self) -> bool {
+        self.shared.is_overrun.get()
+    }
+
+    /// Notes that the request is refused at a limit.
+    pub fn refuse_at(&self, limit: Limit) {
+        self.shared.all.count(limit);
+    }
+
+    /// Makes room for the body of the request in progress, in addition to its head.
+    ///
+    /// # Errors
+    /// `Full` if the request has to be refused.
+    pub fn hold_body(&self, bytes: usize) -> Result<(), Full> {
+        self.hold(self.shared.held_head.get() + bytes)?;
+        self.shared.held_body.set(bytes);
+        Ok(())
+    }
+
+    /// Bytes of the request in progress.
+    fn held(&self) -> usize {
+        self.shared.held_head.get() + self.shared.held_body.get()
+    }
+
+    fn hold(&self, bytes: usize) -> Result<(), Full> {
+        self.shared.all.hold(self.shared.caller, bytes)
+    }
+
+    fn enter(&self, stage: Stage) {
+        self.shared.all.intake.borrow_mut().enter(self.shared.caller, stage, Time::now());
+    }
+
+    /// Refuses a head that has not arrived whole, as the HTTP server would.
+    async fn refuse_head(&self, error: &Error) {
+        let response = handler::refusal_text(error);
+        let mut rest = response.as_bytes();
+        while !rest.is_empty() {
+            let written = match timeout(CLOSE_TIMEOUT, self.shared.stream.writable()).await {
+                Ok(Ok(())) => self.shared.stream.try_write(rest),
+                _ => return,
+            };
+            match written {
+                Ok(length) => rest.advance(length),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Makes room for the next bytes of a head or body that is arriving.
+    async fn admit_bytes(&self, space: usize) -> io::Result<Admission> {
+        let limits = self.shared.all.limits.get();
+        let arrived = self.shared.arrived.get();
+        if self.shared.busy.get() {
+            let most = limits.max_body_bytes.saturating_mul(MAX_CHUNKED_RATIO);
+            if arrived > most.saturating_add(CHUNKED_SLACK_BYTES) {
+                self.shared.is_overrun.set(true);
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+            return Ok(Admission::Granted);
+        }
+        if arrived > limits.max_head_bytes.saturating_add(HEAD_SLACK_BYTES) {
+            self.shared.all.count(Limit::Head);
+            let message = format!("the head exceeds the limit of {} bytes", limits.max_head_bytes);
+            self.refuse_head(&Error::new(Kind::HeadTooLarge, message)).await;
+            return Ok(Admission::Refused);
+        }
+        // The server's buffer doubles as it grows.
+        let held = (arrived + space).next_power_of_two();
+        if self.hold(held).is_err() {
+            self.shared.all.count(Limit::Memory);
+            self.refuse_head(&no_room()).await;
+            return Ok(Admission::Refused);
+        }
+        self.shared.held_head.set(held);
+        Ok(Admission::Granted)
+    }
+
+    /// Makes room for an answer that the caller does not read at the moment.
+    fn begin_unread(&self, length: usize) -> Result<(), Full> {
+        let paused = if self.shared.busy.get() { PAUSED_ANSWER_BYTES } else { 0 };
+        self.enter(Stage::Unread);
+        self.hold(self.held() + length.next_power_of_two() + paused)
+    }
+
+    fn end_unread(&self) {
+        // Less is always granted.
+        let _ = self.hold(self.held());
+        self.enter(if self.shared.busy.get() { Stage::Running } else { Stage::Idle });
+    }
+
     /// Whether a request is in progress.
     pub fn is_busy(&self) -> bool {
         self.shared.busy.get()
@@ -166,6 +413,21 @@
         }
     }
 
+    /// Passes the next received bytes on.
+    async fn receive_with<T>(&self, most: usize, take: impl Fn(&[u8]) -> T) -> io::Result<T> {
+        loop {
+            self.shared.stream.readable().await?;
+            let received = SCRATCH.with_borrow_mut(|scratch| {
+                let length = self.shared.stream.try_read(&mut scratch[..most])?;
+                Ok(take(&scratch[..length]))
+            });
+            match received {
+                Err(error) if io::Error::kind(&error) == io::ErrorKind::WouldBlock => {}
+                result => return result,
+            }
+        }
+    }
+
     async fn receive(&self, buffer: &mut [u8]) -> io::Result<usize> {
         loop {
             self.shared.stream.readable().await?;
@@ -193,20 +455,29 @@
     {
         let space = buf.bytes_total() - buf.bytes_init();
         if self.shared.unread.borrow().is_empty() {
-            let mut read = BytesMut::zeroed(space.min(READ_BUFFER_BYTES));
+            let is_body = self.shared.busy.get();
+            let most = space.min(if is_body { READ_BUFFER_BYTES } else { HEAD_READ_BYTES });
+            match self.admit_bytes(most).await {
+                Ok(Admission::Granted) => {}
+                Ok(Admission::Refused) => return (Ok(0), buf),
+                Err(error) => return (Err(error), buf),
+            }
             self.shared.awaiting_bytes.set(true);
             self.shared.state_changed.notify_waiters();
-            let received = self.receive(&mut read).await;
+            let received = self.receive_with(most, Bytes::copy_from_slice).await;
             self.shared.awaiting_bytes.set(false);
             match received {
-                Ok(length) => {
+                Ok(received) => {
                     self.shared.request_expected.set(true);
                     self.shared.has_partial_request.set(true);
-                    read.truncate(length);
+                    self.shared.arrived.set(self.shared.arrived.get() + received.len());
+                    if !received.is_empty() {
+                        self.enter(Stage::Arriving);
+                    }
+                    *self.shared.unread.borrow_mut() = received;
                 }
                 Err(error) => return (Err(error), buf),
             }
-            *self.shared.unread.borrow_mut() = read.freeze();
         }
         let mut unread = self.shared.unread.borrow_mut();
         let length = deliverable_len(&unread).min(space);
@@ -221,13 +492,30 @@
     where
         B: BoundedBuf,
     {
+        let mut is_unread = false;
+        let limit = Duration::from_millis(self.shared.all.limits.get().idle_timeout_ms);
         loop {
-            if let Err(error) = self.shared.stream.writable().await {
-                return (Err(error), buf);
+            match timeout(limit, self.shared.stream.writable()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => return (Err(error), buf),
+                Err(_) => {
+                    self.shared.all.count(Limit::Unread);
+                    return (Err(io::ErrorKind::TimedOut.into()), buf);
+                }
             }
             match self.shared.stream.try_write(buf.chunk()) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => return (result, buf),
+                result => {
+                    if is_unread {
+                        self.end_unread();
+                    }
+                    return (result, buf);
+                }
+            }
+            is_unread = true;
+            if self.begin_unread(buf.chunk().len()).is_err() {
+                self.shared.all.count(Limit::Memory);
+                return (Err(io::ErrorKind::OutOfMemory.into()), buf);
             }
         }
     }
@@ -260,13 +548,88 @@
 }
 
 /// Open connections of callers, by address. Clones share the list.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Connections {
     /// Sorted by address.
     open: Rc<RefCell<Vec<(SocketAddr, Connection)>>>,
+    /// What the callers hold, and who has to go.
+    intake: Rc<RefCell<Intake>>,
+    /// Limits of the configuration in force.
+    limits: Rc<Cell<Limits>>,
+    /// When a limit was last logged, with the callers turned away since.
+    logged: Rc<RefCell<[(Time, u64); 6]>>,
+    metrics: Metrics,
 }
 
 impl Connections {
+    /// Creates an empty list with room for as much as stated.
+    pub fn new(room: Room, metrics: Metrics) -> Connections {
+        Connections {
+            open: Rc::default(),
+            intake: Rc::new(RefCell::new(Intake::new(room))),
+            limits: Rc::default(),
+            logged: Rc::default(),
+            metrics,
+        }
+    }
+
+    /// Changes the limits of callers' requests.
+    pub fn set_limits(&self, limits: Limits) {
+        self.limits.set(limits);
+    }
+
+    /// Makes room for a connection that was accepted; another one that is idle closes if need be.
+    ///
+    /// # Errors
+    /// `Full` if all connections carry requests.
+    pub fn admit(&self, caller: SocketAddr) -> Result<(), Full> {
+        let admitted = self.intake.borrow_mut().open(caller, Time::now());
+        if !matches!(admitted, Ok(None)) {
+            self.count(Limit::Connections);
+        }
+        if let Some(victim) = admitted? {
+            self.turn_away(victim);
+        }
+        Ok(())
+    }
+
+    fn hold(&self, caller: SocketAddr, bytes: usize) -> Result<(), Full> {
+        let victims = self.intake.borrow_mut().hold(caller, bytes, Time::now())?;
+        for victim in victims {
+            self.count(Limit::Memory);
+            self.turn_away(victim);
+        }
+        Ok(())
+    }
+
+    fn turn_away(&self, caller: SocketAddr) {
+        if let Some(connection) = self.get(caller) {
+            let shared = &connection.shared;
+            let is_reading_body = shared.is_reading_body.get();
+            let notice =
+                if is_reading_body { &shared.body_turned_away } else { &shared.turned_away };
+            notice.notify_one();
+        }
+    }
+
+    /// Counts a caller that is turned away, and logs it from time to time.
+    fn count(&self, limit: Limit) {
+        self.metrics.turned_away(limit.as_str());
+        let now = Time::now();
+        let mut logged = self.logged.borrow_mut();
+        let (last, count) = &mut logged[limit as usize];
+        *count += 1;
+        if now.since(*last) >= MIN_LOG_INTERVAL {
+            let held = self.intake.borrow().held();
+            log::warn!(
+                "{count} callers turned away at the limit {}; callers hold {held} bytes, {} connections are open",
+                limit.as_str(),
+                self.len()
+            );
+            (*last, *count) = (now, 0);
+        }
+    }
+
     /// Adds a connection that was accepted.
     pub fn insert(&self, caller: SocketAddr, connection: Connection) {
         let mut open = self.open.borrow_mut();
@@ -280,6 +643,7 @@
         if let Ok(at) = open.binary_search_by_key(&caller, |it| it.0) {
             open.remove(at);
         }
+        self.intake.borrow_mut().close(caller);
     }
 
     /// Returns the connection of a caller; `None` after it was closed.
@@ -324,7 +688,7 @@
     async fn call(&self, stream: xitca_io::net::TcpStream) -> Result<Connection, ()> {
         let stream = stream.into_std().and_then(TcpStream::from_std).map_err(|_| ())?;
         let caller = stream.peer_addr().map_err(|_| ())?;
-        let connection = Connection::new(stream);
+        let connection = Connection::new(stream, caller, self.connections.clone());
         self.connections.insert(caller, connection.clone());
         Ok(connection)
     }
--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -5,11 +5,11 @@
     io,
     rc::Rc,
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Version, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Version, header};
 use send_wrapper::SendWrapper;
 use tokio::{sync::watch, time::timeout};
 use xitca_web::{
@@ -24,7 +24,7 @@
     metrics::{Metrics, Outcome},
     serving::{
         buffered::LargeResponse,
-        caller_connection::{self, RequestGuard},
+        caller_connection::{self, BodyGuard, Connection, Limit, RequestGuard, no_room},
         dialect::{CallerHeaders, Dialect},
         exchange::{self, Body, CallerResponse, Exchange, RoutedRequest},
         relay::Relay,
@@ -48,6 +48,9 @@
     header::UPGRADE,
 ];
 
+/// Bytes of a body that a caller sends at least in a millisecond, after the time that it may pause.
+const MIN_BODY_RATE: usize = 8;
+
 /// Longest time that a request waits for the first configuration of a host that has just started.
 const FIRST_CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -96,7 +99,7 @@
             error: Error::new(Kind::Draining, "the connection closes"),
             close: true,
         }),
-        _ => serve(context, handler, &mut metrics).await,
+        _ => serve(context, handler, connection.as_ref(), &mut metrics).await,
     };
     let mut response = match result {
         Ok(response) => {
@@ -149,6 +152,7 @@
 async fn serve<D: Dialect>(
     context: &WebContext<'_, State<D>>,
     handler: &Handler<D>,
+    connection: Option<&Connection>,
     metrics: &mut request_metrics::Recorder,
 ) -> Result<CallerResponse, Rejection> {
     let accepted_at = Time::now();
@@ -166,7 +170,7 @@
     let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
     let declared_length =
         request.headers().get(header::CONTENT_LENGTH).and_then(|it| it.to_str().ok()?.parse().ok());
-    let body = read_body(body, limit, declared_length, idle_timeout).await;
+    let body = read_body(connection, body, (limit, declared_length), idle_timeout).await;
     let body = body.map_err(|error| Rejection { error, close: true })?;
     let no_configuration = || Error::new(Kind::StoreUnavailable, "no configuration is known yet");
     let table = table.ok_or_else(no_configuration)?;
@@ -281,35 +285,75 @@
     Ok(name.to_ascii_lowercase())
 }
 
+/// Reads a body whole. Its buffer is reserved before it grows, and its time grows with what has arrived.
 async fn read_body(
+    connection: Option<&Connection>,
     mut body: RequestBody,
-    limit: usize,
-    declared_length: Option<usize>,
+    (limit, declared_length): (usize, Option<usize>),
     idle_timeout: Duration,
 ) -> Result<Bytes, Error> {
+    let refuse_at = |limit| connection.into_iter().for_each(|it| it.refuse_at(limit));
     let too_large = || {
         let message = format!("the body exceeds the limit of {limit} bytes");
         Error::new(Kind::BodyTooLarge, message)
     };
+    let late = || {
+        refuse_at(Limit::BodyTime);
+        Error::new(Kind::ReadTimeout, "the body was not sent in time")
+    };
     if declared_length.is_some_and(|it| it > limit) {
         return Err(too_large());
     }
+    let guard = connection.map(Connection::read_body);
+    let begin = Instant::now();
     let mut out = BytesMut::new();
     loop {
-        let late = |_| Error::new(Kind::ReadTimeout, "the body was not sent in time");
-        let Some(frame) = timeout(idle_timeout, body.data()).await.map_err(late)? else { break };
-        let data = frame.map_err(|_| Error::new(Kind::BadRequest, "the body cannot be read"))?;
-        if out.len() + data.len() > limit {
+        let time_limit = idle_timeout + Duration::from_millis((out.len() / MIN_BODY_RATE) as u64);
+        let time_left = time_limit.saturating_sub(begin.elapsed()).min(idle_timeout);
+        let frame = tokio::select! {
+            biased;
+            () = turned_away(connection) => return Err(no_room()),
+            frame = timeout(time_left, body.data()) => frame.map_err(|_| late())?,
+        };
+        let Some(frame) = frame else { break };
+        let data = match frame {
+            Ok(data) => data,
+            Err(_) if connection.is_some_and(Connection::is_overrun) => {
+                refuse_at(Limit::BodyBytes);
+                return Err(too_large());
+            }
+            Err(_) => return Err(Error::new(Kind::BadRequest, "the body cannot be read")),
+        };
+        let length = out.len() + data.len();
+        if length > limit {
             return Err(too_large());
         }
+        if length > out.capacity() {
+            let capacity = length.next_power_of_two().min(declared_length.unwrap_or(limit));
+            let capacity = capacity.max(length);
+            if connection.is_some_and(|it| it.hold_body(capacity).is_err()) {
+                refuse_at(Limit::Memory);
+                return Err(no_room());
+            }
+            out.reserve(capacity - out.len());
+        }
         out.extend_from_slice(&data);
     }
     if declared_length.is_some_and(|it| it != out.len()) {
         return Err(Error::new(Kind::BadRequest, "the body ended early"));
     }
+    guard.into_iter().for_each(BodyGuard::finish);
     Ok(out.freeze())
 }
 
+/// Waits until the body that is being read has to be refused for lack of room.
+async fn turned_away(connection: Option<&Connection>) {
+    match connection {
+        Some(connection) => connection.body_turned_away().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Returns the customer of the request's key. `None` if no keys are configured, or on a public route without a valid
 /// key.
 fn authenticate<D>(
@@ -369,17 +413,37 @@
     out
 }
 
-fn error_response<D: Dialect>(dialect: &D, error: &Error) -> WebResponse {
+fn error_body(error: &Error) -> String {
     let answer = error.kind.answer();
     let body = serde_json::json!({
         "error": { "kind": answer.name, "message": error.message, "run": error.run }
     });
-    let mut response = WebResponse::new(ResponseBody::bytes(body.to_string()));
+    body.to_string()
+}
+
+fn retry_after(ms: u64) -> String {
+    format!("{:.3}", ms as f64 / 1_000.0)
+}
+
+/// A whole response that refuses a request whose head has not arrived, as bytes for the socket.
+pub(crate) fn refusal_text(error: &Error) -> String {
+    let status = StatusCode::from_u16(error.status()).unwrap_or(StatusCode::BAD_REQUEST);
+    let body = error_body(error);
+    let delay = error.retry_after_ms.map(|it| format!("retry-after: {}\r\n", retry_after(it)));
+    format!(
+        "HTTP/1.1 {status}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n{}connection: close\r\n\r\n{body}",
+        body.len(),
+        delay.unwrap_or_default(),
+    )
+}
+
+fn error_response<D: Dialect>(dialect: &D, error: &Error) -> WebResponse {
+    let mut response = WebResponse::new(ResponseBody::bytes(error_body(error)));
     *response.status_mut() = dialect.status(error.kind);
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Some(ms) = error.retry_after_ms
-        && let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", ms as f64 / 1_000.0))
+        && let Ok(seconds) = HeaderValue::from_str(&retry_after(ms))
     {
         headers.insert(header::RETRY_AFTER, seconds);
     }
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -22,6 +22,7 @@
         exchange::{self, Exchange},
         fleet_state::{self, Decoding},
         handler::Handler,
+        intake,
         leadership::{self, Leadership},
         limiter,
         listener::{Listener, Stage},
@@ -77,6 +78,22 @@
 /// and the state of the fleet take 25 MB of 88 MB in a fleet of 295 hosts.
 const BUFFER_DIVISOR: usize = 8;
 
+/// Divisor of a host's memory that gives the share for what callers send and do not read.
+const INTAKE_DIVISOR: usize = 8;
+
+/// Divisor of a host's memory that gives the share for the state of connections.
+const CONNECTIONS_DIVISOR: usize = 4;
+
+/// Memory that a connection and a request on it take, in bytes, without what the caller holds beyond its unshared bytes.
+const CONNECTION_BYTES: usize = 24 << 10;
+
+/// Descriptors that are kept for files.
+const FILE_DESCRIPTORS: usize = 200;
+
+/// Share of the other descriptors that connections of callers may take, in eighths. Each
+/// may need one to an upstream; the rest is for the store and other hosts.
+const CALLER_EIGHTHS: usize = 3;
+
 /// Interval between checks for open connections while the host drains.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -199,7 +216,10 @@
             table: fleet.table.clone(),
             keys_valid_until: key_expiry(fleet.verified_at.clone(), settings.key_validity),
             exchange,
-            connections: caller_connection::Connections::default(),
+            connections: caller_connection::Connections::new(
+                room_for_callers(settings),
+                metrics.clone(),
+            ),
             metrics: metrics.clone(),
             draining: draining_seen.clone(),
             reject_from: reject_from.clone(),
@@ -327,6 +347,16 @@
 }
 
 /// Content of the metrics page.
+fn room_for_callers(settings: &Settings) -> intake::Room {
+    let sockets = settings.descriptors.saturating_sub(FILE_DESCRIPTORS);
+    let by_descriptors = sockets / 8 * CALLER_EIGHTHS;
+    let by_memory = settings.memory_bytes / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
+    intake::Room {
+        connections: by_descriptors.min(by_memory).max(1),
+        bytes: settings.memory_bytes / INTAKE_DIVISOR,
+    }
+}
+
 fn metrics_content(metrics: Metrics, fleet: &fleet_state::Handle) -> Content {
     let table = fleet.table.clone();
     Arc::new(move || {
--- a/src/serving/listener.rs
+++ b/src/serving/listener.rs
@@ -30,6 +30,9 @@
 /// keeps a buffer of this size or larger.
 const WRITE_BUFFER_BYTES: usize = 16 << 10;
 
+/// Why a connection ends for which there is no room.
+const NO_ROOM: &str = "there is no room for it";
+
 /// Stage of the listener between start and shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -84,6 +87,7 @@
 ) {
     let mut tables = handler.table.clone();
     let mut limits = tables.borrow_and_update().as_ref().map(|it| it.limits).unwrap_or_default();
+    handler.connections.set_limits(limits);
     let mut serve = build_service(handler.clone(), limits).await;
     let mut stage = stages.clone();
     loop {
@@ -93,6 +97,7 @@
                 let newest = tables.borrow_and_update().as_ref().map(|it| it.limits);
                 if newest.is_some_and(|it| it != limits) {
                     limits = newest.unwrap_or_default();
+                    handler.connections.set_limits(limits);
                     serve = build_service(handler.clone(), limits).await;
                 }
                 continue;
@@ -107,6 +112,12 @@
         match accepted {
             Ok((stream, caller)) => {
                 let connections = handler.connections.clone();
+                if connections.admit(caller).is_err() {
+                    // Closing it tells the caller that its request was not read.
+                    drop(stream);
+                    task::yield_now().await;
+                    continue;
+                }
                 task::spawn_local(serve_connection(
                     serve.clone(),
                     stream,
@@ -114,6 +125,8 @@
                     connections,
                     stages.clone(),
                 ));
+                // A connection that has to close for this one does so before the next one is accepted.
+                task::yield_now().await;
             }
             Err(error) => {
                 log::warn!("cannot accept a caller's connection: {error}");
@@ -134,6 +147,7 @@
     // Nagle's algorithm would hold back an event until the previous one is acknowledged.
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY, the caller has disconnected: {error}");
+        connections.remove(caller);
         return;
     }
     let served = serve(stream, caller);
@@ -141,9 +155,11 @@
         biased;
         () = served => "the HTTP server ended it",
         () = caller_disconnected(&connections, caller) => "the caller disconnected",
+        () = turned_away(&connections, caller) => NO_ROOM,
         () = closing(&connections, caller, &mut stages) => "the host stops",
     };
-    if connections.get(caller).is_some_and(|it| it.is_busy()) {
+    // Connections that close for lack of room are counted and logged together.
+    if end != NO_ROOM && connections.get(caller).is_some_and(|it| it.is_busy()) {
         log::info!("the connection of caller {caller} ends with a request in progress: {end}");
     }
     connections.remove(caller);
@@ -156,6 +172,14 @@
     }
 }
 
+/// Waits until the connection has to close at once as there is no room for it.
+async fn turned_away(connections: &caller_connection::Connections, caller: SocketAddr) {
+    match connections.get(caller) {
+        Some(connection) => connection.turned_away().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits until the connection has to be closed: once it is idle while the host drains, or as soon as the stage is
 /// `Closed`.
 async fn closing(
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -32,6 +32,8 @@
     pub cpu_per_mille: u32,
     /// Memory of the host, in bytes.
     pub memory_bytes: usize,
+    /// Descriptors that the process may have open, with those that the platform keeps for files.
+    pub descriptors: usize,
     /// Time from a planned stop to the end of the process.
     pub grace: Duration,
     /// Time for which keys are accepted after the configuration was last verified to be the newest; `None` if there is
@@ -97,6 +99,7 @@
         let duties = self.optional("duties", ADDRESS);
         let cpu_share: Option<f64> = self.optional("cpu-share", "a share, as in 0.25");
         let memory_mb: Option<f64> = self.optional("memory-mb", "megabytes, as in 110");
+        let descriptors: Option<usize> = self.optional("descriptors", "a number, as in 4100");
         let grace_s: Option<f64> = self.required("grace-s", "seconds, as in 8");
         let keys_need_proof = self.optional("keys-need-proof", "true or false");
         let key_validity_ms: Option<u64> = self.optional("key-withdrawal-ms", MILLISECONDS);
@@ -120,6 +123,7 @@
             duties,
             cpu_per_mille: (cpu_share.unwrap_or(1.0).clamp(0.0, 1_000.0) * 1_000.0) as u32,
             memory_bytes: (memory_mb.unwrap_or(DEFAULT_MEMORY_MB).max(0.0) * 1e6) as usize,
+            descriptors: descriptors.unwrap_or(DEFAULT_DESCRIPTORS),
             grace: seconds(grace_s?).into(),
             key_validity: key_validity.map(Span::from_ms),
             retries: retries?,
@@ -191,6 +195,8 @@
 const MILLISECONDS: &str = "milliseconds, as in 3000";
 /// Memory of the smallest hosts of the users.
 const DEFAULT_MEMORY_MB: f64 = 88.0;
+/// Descriptors of the smallest hosts of the users.
+const DEFAULT_DESCRIPTORS: usize = 4_100;
 const DEFAULT_LEASE_MS: u64 = 3_000;
 const DEFAULT_WINDOW: Span = Span::from_ms(5_000);
 const DEFAULT_DELAY: Span = Span::from_ms(10_000);
--- a/tests/serving/callers.rs
+++ b/tests/serving/callers.rs
@@ -13,6 +13,7 @@
     serving::{
         buffer_memory, caller_connection,
         handler::Handler,
+        intake,
         listener::{Listener, Stage},
         registry::Entry,
         table::{Limits, Parts, Pool, RetryPolicy, Table},
@@ -112,13 +113,15 @@
     };
     let (draining, draining_seen) = watch::channel(false);
     let reject_from = Rc::new(Cell::new(Time(u64::MAX)));
+    let metrics = Metrics::open().expect("the names of the counters are unique");
+    let room = intake::Room { connections: 100, bytes: 1 << 20 };
     let handler = Handler {
         dialect: Rc::new(TestDialect),
         table: watch::channel(Some(Arc::new(Table::build(parts)))).1,
         keys_valid_until: watch::channel(Time(u64::MAX)).1,
         exchange: open_with(entries, buffer_memory::Memory::new(1 << 20), meter),
-        connections: caller_connection::Connections::default(),
-        metrics: Metrics::open().expect("the names of the counters are unique"),
+        connections: caller_connection::Connections::new(room, metrics.clone()),
+        metrics,
         draining: draining_seen,
         reject_from: reject_from.clone(),
     };
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -10,6 +10,7 @@
 mod fixture;
 mod followers;
 mod hostile;
+mod intake;
 mod knowledge;
 mod outbound_connection;
 mod page;
