--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -64,6 +64,7 @@
     hedges: IntCounterVec,
     denied_hedges: IntCounterVec,
     hedge_seconds: CounterVec,
+    turned_away: IntCounterVec,
     /// Requests accepted and not ended.
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
@@ -171,6 +172,11 @@
             &["time"],
         )?;
         registry.register(Box::new(hedge_seconds.clone()))?;
+        let turned_away = counter(
+            "almondrack_turned_away_total",
+            "Callers that were refused or whose connections were closed, by the limit.",
+            &["limit"],
+        )?;
         let opts = HistogramOpts::new(
             "almondrack_first_token_seconds",
             "Time from acceptance to the first token or byte.",
@@ -216,6 +222,7 @@
             hedges,
             denied_hedges,
             hedge_seconds,
+            turned_away,
             in_flight,
             revision,
             evacuated_zones,
@@ -314,6 +321,11 @@
         self.denied_hedges.with_label_values(&[reason]).inc();
     }
 
+    /// Counts a caller that is turned away at a limit.
+    pub fn turned_away(&self, limit: &str) {
+        self.turned_away.with_label_values(&[limit]).inc();
+    }
+
     /// Number of calls to the platform's store so far, by cause, call and outcome, for a log line.
     pub fn store_calls(&self) -> String {
         let families = self.store_calls.collect();
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -22,6 +22,7 @@
 pub mod handler;
 pub mod hedge;
 pub mod host;
+pub mod intake;
 pub mod key;
 pub mod leadership;
 pub mod ledger;
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -13,6 +13,7 @@
 mod followers;
 mod hedge;
 mod hostile;
+mod intake;
 mod knowledge;
 mod outbound_connection;
 mod page;
