--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -453,7 +453,7 @@
             return refuse(Kind::Quarantined);
         }
         let is_awaited = self.waiting.iter().any(|it| it.ticket.pool == ticket.pool);
-        if is_awaited || !self.has_spare_room(&ticket.pool) {
+        if is_awaited || !self.has_spare_room(now, &ticket.pool) {
             return refuse(Kind::Shed);
         }
         let untried: Vec<_> = self.untried(ticket).collect();
@@ -468,10 +468,10 @@
     }
 
     /// Whether the requests that run in a pool leave enough of its slots free.
-    fn has_spare_room(&self, pool: &str) -> bool {
+    fn has_spare_room(&self, now: Time, pool: &str) -> bool {
         let (mut running, mut slots) = (0, 0);
         for (_, upstream) in self.serving(pool) {
-            running += u64::from(upstream.company());
+            running += u64::from(upstream.company(now));
             slots += u64::from(upstream.entry.slots);
         }
         running as f64 <= slots as f64 * MAX_HEDGED_LOAD
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -184,7 +184,7 @@
     /// and it has neither a rate limit, a back-off nor an ejection.
     pub fn has_spare_room(&self, now: Time) -> bool {
         let is_limited = self.limit.rate().is_some() || self.cold.rate(now).is_some();
-        let is_free = self.company() < self.entry.slots && !is_limited;
+        let is_free = self.company(now) < self.entry.slots && !is_limited;
         let is_healthy = !self.is_ejected(now) && !self.is_ejected_elsewhere(now);
         is_free && is_healthy && !self.backoff.is_active()
     }
