Play a burst that the upstreams can just bear in the test of hedging

Cause: with eight times as many requests no copy was due in the burst even without the check for spare room, as the deadline left no time for one; the test did not show the check at work.

Change: six times as many requests, which take all slots.

--- a/tests/serving/hedge.rs
+++ b/tests/serving/hedge.rs
@@ -64,7 +64,7 @@
     AllSlow,
     /// Each upstream takes 2.5 times as long for 15% of the time.
     Noise,
-    /// Eight times as many requests for five seconds.
+    /// Six times as many requests for five seconds.
     Burst,
 }
 
@@ -134,7 +134,7 @@
             Event::Arrival => {
                 let ms = now.since(at(0)).as_ms();
                 let is_burst = pattern == Pattern::Burst && (40_000..45_000).contains(&ms);
-                let rate = RATE * if is_burst { 8 } else { 1 };
+                let rate = RATE * if is_burst { 6 } else { 1 };
                 let gap = -draw([1, requests.len() as u64, 0]).max(1e-9).ln() * 1e6 / rate as f64;
                 if now + Span(gap as u64) < end {
                     events.push(Reverse((now + Span(gap as u64), Event::Arrival)));
