--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -56,6 +56,11 @@
     upstream_answers: IntCounterVec,
     leaving_upstreams: IntCounterVec,
     backoffs: IntCounterVec,
+    unserved_attempts: IntCounterVec,
+    unserved_tokens: IntCounterVec,
+    admission_refusals: IntCounterVec,
+    waiting: IntGauge,
+    waiting_age_ms: IntGauge,
     /// Requests accepted and not ended.
     pub in_flight: IntGauge,
     /// Revision of the configuration in force.
@@ -138,6 +143,21 @@
             "Refusals in which an upstream names a time without requests, by whether it can be read.",
             &["time"],
         )?;
+        let unserved_attempts = counter(
+            "almondrack_unserved_attempts_total",
+            "Attempts that upstreams had begun or queued and that served no one, by pool, tier and ending.",
+            &["pool", "tier", "ending"],
+        )?;
+        let unserved_tokens = counter(
+            "almondrack_unserved_tokens_total",
+            "Prompt tokens that engines are estimated to have read for such attempts.",
+            &["pool", "tier", "ending"],
+        )?;
+        let admission_refusals = counter(
+            "almondrack_admission_refusals_total",
+            "Requests refused for want of room, by reason and tier.",
+            &["reason", "tier"],
+        )?;
         let opts = HistogramOpts::new(
             "almondrack_first_token_seconds",
             "Time from acceptance to the first token or byte.",
@@ -145,6 +165,11 @@
         let opts = opts.buckets(FIRST_TOKEN_BUCKETS.to_vec());
         let first_token = HistogramVec::new(opts, &["class"])?;
         registry.register(Box::new(first_token.clone()))?;
+        let waiting = gauge("almondrack_waiting_requests", "Requests that wait for a place.")?;
+        let waiting_age_ms = gauge(
+            "almondrack_waiting_age_ms",
+            "Time for which the oldest waiting request has waited, in milliseconds.",
+        )?;
         let in_flight = gauge("almondrack_in_flight", "Requests accepted and not ended.")?;
         let revision =
             gauge("almondrack_config_revision", "Revision of the configuration in force.")?;
@@ -167,6 +192,11 @@
             upstream_answers,
             leaving_upstreams,
             backoffs,
+            unserved_attempts,
+            unserved_tokens,
+            admission_refusals,
+            waiting,
+            waiting_age_ms,
             in_flight,
             revision,
             store_era,
@@ -234,6 +264,25 @@
         self.backoffs.with_label_values(&[time]).inc();
     }
 
+    /// Counts an attempt that served no one, and the tokens read for it: it ended at its `deadline`, as the `caller_left`,
+    /// or was `cut`.
+    pub fn attempt_unserved(&self, pool: &str, tier: usize, ending: &str, tokens: u64) {
+        let labels = [pool, &tier.to_string(), ending];
+        self.unserved_attempts.with_label_values(&labels).inc();
+        self.unserved_tokens.with_label_values(&labels).inc_by(tokens);
+    }
+
+    /// Counts a request that is refused for want of room.
+    pub fn admission_refused(&self, reason: &str, tier: u8) {
+        self.admission_refusals.with_label_values(&[reason, &tier.to_string()]).inc();
+    }
+
+    /// Sets how many requests wait for a place, and the age of the oldest one in milliseconds.
+    pub fn waiting(&self, length: usize, age_ms: u64) {
+        self.waiting.set(length as i64);
+        self.waiting_age_ms.set(age_ms as i64);
+    }
+
     /// Number of calls to the platform's store so far, by cause, call and outcome, for a log line.
     pub fn store_calls(&self) -> String {
         let families = self.store_calls.collect();
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -1,5 +1,6 @@
 //! The serving hosts: request path, placement, and the fleet's shared state and leader duties.
 
+pub mod admission;
 pub mod attempt_history;
 pub mod backoff;
 pub mod buffer_memory;
@@ -51,3 +52,4 @@
 pub mod upstream_response;
 pub mod upstream_state;
 pub mod usage;
+pub mod waiting;
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -12,6 +12,7 @@
     error::{Error, Kind},
     metrics::Metrics,
     serving::{
+        admission,
         backoff::Gate,
         crash_evidence::Reason,
         key::{AttemptKey, TicketKey, UpstreamKey},
@@ -48,6 +49,8 @@
     RemoteLoads(Vec<messages::Load>),
     Permit(PermitAnswer),
     RemoteLimits(Vec<(u64, rate_limit::Limit)>),
+    /// The upstream of an attempt is full and has turned the request away.
+    TurnedAway(AttemptKey),
     BrokenOff(AttemptKey, Progress),
     Proceeded(AttemptKey, Progress),
     /// Evidence of another host, and a time at which it had not sent this yet.
@@ -112,18 +115,20 @@
 
 impl Dispatcher {
     /// Spawns the task on the current thread, which follows the list of upstreams and requests permits from the
-    /// limiters.
+    /// limiters. `admits` is whether requests wait for places and are refused for want of room.
     pub fn spawn(
         host: Arc<str>,
-        zone: Arc<str>,
+        (zone, admits): (Arc<str>, bool),
         upstreams: watch::Receiver<Rc<Vec<Entry>>>,
         limiter: mpsc::UnboundedSender<limiter::Message>,
         metrics: Metrics,
     ) -> Dispatcher {
         let (messages, mailbox) = mpsc::unbounded_channel();
         let (leaving_sender, leaving) = watch::channel(Rc::default());
+        let mut placement = Placement::new(host, zone);
+        placement.set_admission(admits);
         let task = Task {
-            placement: Placement::new(host, zone),
+            placement,
             messages: messages.downgrade(),
             waiting: BTreeMap::new(),
             actions: Vec::new(),
@@ -248,6 +253,11 @@
         self.dispatcher.send(Message::Limit(self.attempt, sent_at, named));
     }
 
+    /// Records that the upstream is full and has turned the request away.
+    pub fn record_turned_away(&self) {
+        self.dispatcher.send(Message::TurnedAway(self.attempt));
+    }
+
     /// Records that the response to the attempt says that its upstream leaves.
     pub fn record_departure(&self) {
         self.dispatcher.send(Message::Departure(self.attempt));
@@ -356,7 +366,17 @@
                 }
             }
             Message::Backoff(attempt, until) => self.placement.backoff_named(now, attempt, until),
-            Message::Ended(attempt, ending) => self.placement.attempt_ended(now, attempt, ending),
+            Message::Ended(attempt, ending) => {
+                if let Some(waste) = self.placement.attempt_ended(now, attempt, ending) {
+                    self.metrics.attempt_unserved(
+                        &waste.pool,
+                        waste.tier,
+                        ending_label(waste.ending),
+                        waste.tokens,
+                    );
+                }
+            }
+            Message::TurnedAway(attempt) => self.placement.attempt_turned_away(attempt),
             Message::LocalLoad(answer) => {
                 let load = LocalLoad {
                     loads: self.placement.local_loads(now),
@@ -406,6 +426,8 @@
     }
 
     fn execute_actions(&mut self) {
+        let (length, age) = self.placement.held(Time::now());
+        self.metrics.waiting(length, age.as_ms());
         for action in std::mem::take(&mut self.actions) {
             match action {
                 Action::Grant(ticket, grant) => self.deliver(ticket, grant),
@@ -421,6 +443,20 @@
                     error.retry_after_ms = delay.map(|it| it.as_ms());
                     self.refuse(ticket, error);
                 }
+                Action::Deny(ticket, refusal) => {
+                    let admission::Refusal { reason, tier, waiting, .. } = refusal;
+                    self.metrics.admission_refused(reason.as_str(), tier);
+                    let predicted =
+                        refusal.predicted.map_or("none".to_owned(), |it| it.as_ms().to_string());
+                    let message = format!(
+                        "no room in time: reason={} tier={tier} predicted_ms={predicted} left_ms={} waited_ms={} waiting={waiting}",
+                        reason.as_str(),
+                        refusal.time_left.as_ms(),
+                        refusal.waited.as_ms(),
+                    );
+                    let error = Error::new(reason.kind(), message);
+                    self.refuse(ticket, error.with_retry_after_ms(refusal.retry_after.as_ms()));
+                }
                 Action::Quarantine(ticket, reason) => {
                     let Reason { content, crashes, age, retry_after } = reason;
                     let message = format!(
@@ -454,6 +490,15 @@
     }
 }
 
+/// Label of an ending without service in metrics.
+fn ending_label(ending: Ending) -> &'static str {
+    match ending {
+        Ending::TimedOut => "deadline",
+        Ending::Cancelled => "caller_left",
+        _ => "cut",
+    }
+}
+
 fn refusal_message(kind: Kind) -> &'static str {
     match kind {
         Kind::Shed => "the rate limits and back-offs of the upstreams leave no room in time",
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -520,6 +520,7 @@
                 })
             }
             Verdict::NotRun => {
+                guard.record_turned_away();
                 guard.end(Ending::Refused);
                 let connections = self.shared.connections.clone();
                 tokio::task::spawn_local(buffered::discard_refusal(
@@ -789,6 +790,7 @@
             key: TicketKey(number),
             pool: pool.clone(),
             tier: request.tier,
+            customer: request.customer.as_ref().map(|it| it.name.clone()),
             route: request.route.name.clone(),
             max_gap_ms: request.route.max_gap_ms,
             prompt: request.prompt.clone(),
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -11,6 +11,7 @@
     error::Kind,
     rendezvous,
     serving::{
+        admission,
         backoff::{Backoff, Gate},
         crash_evidence::{Content, Evidence, Reason, Verdict},
         demand,
@@ -21,6 +22,7 @@
         registry::Entry,
         tier::TIERS,
         upstream_state::{self, prefill},
+        waiting,
     },
     suspicion::Progress,
     time::{Span, Time},
@@ -72,6 +74,9 @@
 /// Incarnations that are not listed of which is kept that they leave.
 const MAX_UNLISTED_LEAVING: usize = 1_024;
 
+/// Requests of a pool that find no room in one round, after which the less urgent ones are not looked at.
+const MAX_MISSES: usize = 4;
+
 /// Retry delay returned when no upstream is ready; one usually returns within this time.
 const NO_UPSTREAM_RETRY_AFTER: Span = Span::from_ms(500);
 
@@ -84,6 +89,8 @@
     pub pool: Arc<str>,
     /// Priority tier, zero first.
     pub tier: u8,
+    /// Customer of the request, between whom waiting requests share the upstreams; `None` without one.
+    pub customer: Option<Arc<str>>,
     /// Name of the route, by which demand is measured.
     pub route: Arc<str>,
     /// Target for the longest gap between events of a stream, in milliseconds; `None` without one.
@@ -143,6 +150,8 @@
     Report(rate_limit::Ask),
     /// The request is refused, with the delay after which a retry may succeed.
     Refuse(TicketKey, Kind, Option<Span>),
+    /// The request is refused as it cannot be served in time.
+    Deny(TicketKey, admission::Refusal),
     /// The request is refused as its content crashes upstreams.
     Quarantine(TicketKey, Reason),
 }
@@ -164,6 +173,23 @@
     expected_first_byte: Span,
     started: Time,
     answered: bool,
+    /// Prompt tokens that the engine had to prefill.
+    uncached_tokens: u64,
+    /// Whether the upstream turned the request away as it is full.
+    turned_away: bool,
+}
+
+/// Work on an attempt that ended without serving its request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Waste {
+    /// Pool of the upstream.
+    pub pool: Arc<str>,
+    /// Tier of the request.
+    pub tier: usize,
+    /// How it ended.
+    pub ending: Ending,
+    /// Prompt tokens that the engine is estimated to have prefilled.
+    pub tokens: u64,
 }
 
 /// A ticket that waits for room within the rate limits and back-offs of the upstreams.
@@ -181,6 +207,8 @@
 enum Choice {
     /// To this upstream.
     Upstream(Candidate),
+    /// Nowhere for now, or not at all, as it could not be served in time. With the predicted time to the end, if any.
+    Held(admission::Decision, Option<Span>),
     /// Nowhere before this time, as rate limits and back-offs leave no room.
     Later(Time),
     /// Nowhere.
@@ -193,6 +221,8 @@
     key: UpstreamKey,
     /// Estimated time to the first byte.
     expected_first_byte: Span,
+    /// Estimated time to the end of the answer, `None` if the upstream is no engine.
+    expected_end: Option<Span>,
     /// Time by which upstreams are compared: the estimate with weights and penalties.
     cost: Span,
     /// Breaks ties in cost; the same on all hosts for prompts with shared parts.
@@ -224,6 +254,10 @@
     /// Back-offs from such incarnations.
     unlisted_backoffs: Vec<(u64, Backoff)>,
     evidence: Evidence,
+    /// Whether requests wait for places and are refused for want of room, in pools whose upstreams report their load.
+    admits: bool,
+    /// Requests that wait for a place, and the shares of their customers.
+    held: waiting::Queue,
 }
 
 impl Placement {
@@ -243,9 +277,41 @@
             unlisted_limits: Vec::new(),
             unlisted_leaving: Vec::new(),
             unlisted_backoffs: Vec::new(),
+            admits: true,
+            held: waiting::Queue::default(),
+        }
+    }
+
+    /// Sets whether requests wait for places and are refused for want of room.
+    pub fn set_admission(&mut self, admits: bool) {
+        self.admits = admits;
+    }
+
+    /// Returns how many requests wait for a place, and for how long the oldest one has.
+    pub fn held(&self, now: Time) -> (usize, Span) {
+        (self.held.len(), self.held.age(now))
+    }
+
+    /// Records that the answer to an attempt states how long work takes at its upstream.
+    pub fn load_reported(&mut self, attempt: AttemptKey) {
+        let Some(key) = self.running.get(&attempt).map(|it| it.upstream) else { return };
+        if let Some(upstream) = self.upstream_mut(key) {
+            upstream.has_reported_load = true;
+        }
+    }
+
+    /// Records that the upstream of an attempt is full and has turned the request away.
+    pub fn attempt_turned_away(&mut self, attempt: AttemptKey) {
+        if let Some(running) = self.running.get_mut(&attempt) {
+            running.turned_away = true;
         }
     }
 
+    /// Whether requests to a pool wait for places and are refused for want of room.
+    fn admits(&self, pool: &str) -> bool {
+        self.admits && self.serving(pool).any(|(_, it)| it.has_reported_load)
+    }
+
     /// Replaces the list of upstreams. Those that remain keep their state.
     pub fn set_upstreams(&mut self, entries: &[Entry]) {
         let mut listed: BTreeMap<_, _> = entries.iter().map(|it| (incarnation(it), it)).collect();
@@ -296,21 +362,28 @@
     /// Places a ticket and appends the decision to `actions`.
     pub fn submit(&mut self, now: Time, ticket: &Ticket, actions: &mut Vec<Action>) {
         self.demand_mut(&ticket.pool).observe(now, ticket);
+        if !self.held.is_empty() && self.held.precedes(&ticket.pool, ticket.tier) {
+            // The next round, a few milliseconds from now, looks at the requests in their order.
+            let until = need(ticket, now).wait_until();
+            self.hold(now, waiting::Waiting { ticket: ticket.clone(), since: now, until }, actions);
+            return;
+        }
         let has_room = self.serving(&ticket.pool).any(|(_, it)| it.may_have_room(now));
         if self.waiting.is_empty() || !has_room {
-            self.place(now, ticket, None, actions);
+            self.place(now, ticket, (None, None), actions);
         } else {
             self.wait(ticket, None, false);
             self.place_waiting(now, actions);
         }
     }
 
-    /// Places a ticket, makes it wait or refuses it. `start_by` is set if it has waited already.
+    /// Places a ticket, makes it wait or refuses it. `start_by` is set if it has waited already for rate limits, `held` is the
+    /// time from which it waits for a place.
     fn place(
         &mut self,
         now: Time,
         ticket: &Ticket,
-        start_by: Option<Time>,
+        (start_by, held): (Option<Time>, Option<Time>),
         actions: &mut Vec<Action>,
     ) {
         let verdict = self.evidence.judge(now, &ticket.contents, !ticket.tried.is_empty());
@@ -318,7 +391,7 @@
             actions.push(Action::Quarantine(ticket.key, reason));
             return;
         }
-        match self.choose(now, ticket, verdict == Verdict::Suspect) {
+        match self.choose(now, ticket, verdict == Verdict::Suspect, held) {
             Choice::Upstream(best) => {
                 let Some(upstream) = self.upstream_mut(best.key) else {
                     unreachable!("a selected candidate is one of the listed upstreams")
@@ -339,6 +412,26 @@
                     start_by.unwrap_or_else(|| latest_start(now, ticket, best.expected_first_byte));
                 self.wait(ticket, Some(start_by), true);
             }
+            Choice::Held(admission::Decision::Refuse(reason, room), predicted) => {
+                let time_left = ticket.deadline.since(now);
+                let refusal = admission::Refusal {
+                    reason,
+                    retry_after: admission::retry_after(room, time_left, ticket.key.0),
+                    tier: ticket.tier,
+                    predicted,
+                    time_left,
+                    waited: held.map_or(Span(0), |it| now.since(it)),
+                    waiting: self.held.len(),
+                };
+                actions.push(Action::Deny(ticket.key, refusal));
+            }
+            Choice::Held(decision, _) => {
+                let admission::Decision::Wait(until) = decision else {
+                    unreachable!("a request that begins is not held")
+                };
+                let since = held.unwrap_or(now);
+                self.hold(now, waiting::Waiting { ticket: ticket.clone(), since, until }, actions);
+            }
             Choice::Later(room_at) => {
                 let start_by = start_by.unwrap_or_else(|| {
                     let best = self.best(now, ticket, self.untried(ticket).collect(), false);
@@ -359,6 +452,50 @@
         }
     }
 
+    /// Makes a request wait for a place. Refuses the last one if too many wait.
+    fn hold(&mut self, now: Time, waiting: waiting::Waiting, actions: &mut Vec<Action>) {
+        let Some(last) = self.held.push(now, waiting) else { return };
+        let time_left = last.ticket.deadline.since(now);
+        let room = last.until.since(now);
+        let refusal = admission::Refusal {
+            reason: admission::Reason::QueueFull,
+            retry_after: admission::retry_after(room, time_left, last.ticket.key.0),
+            tier: last.ticket.tier,
+            predicted: None,
+            time_left,
+            waited: now.since(last.since),
+            waiting: self.held.len(),
+        };
+        actions.push(Action::Deny(last.ticket.key, refusal));
+    }
+
+    /// Places the requests that wait for a place, in their order.
+    fn place_held(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let mut rest = self.held.take(now);
+        // Pools with the number of requests in this round that found no room.
+        let mut misses: Vec<(Arc<str>, usize)> = Vec::new();
+        while let Some(it) = rest.pop() {
+            let at = match misses.iter().position(|(pool, _)| *pool == it.ticket.pool) {
+                Some(at) => at,
+                None => {
+                    misses.push((it.ticket.pool.clone(), 0));
+                    misses.len() - 1
+                }
+            };
+            if misses[at].1 >= MAX_MISSES && now < it.until {
+                self.hold(now, it, actions);
+                continue;
+            }
+            let held = self.held.len();
+            self.place(now, &it.ticket, (None, Some(it.since)), actions);
+            if self.held.len() > held {
+                misses[at].1 += 1;
+            } else if matches!(actions.last(), Some(Action::Grant(..))) {
+                self.held.sort(now, &mut rest);
+            }
+        }
+    }
+
     /// Returns the retry delay for a request that no upstream can take: the time until the first back-off ends if this
     /// host backs off from all upstreams of the pool.
     fn retry_after(&self, now: Time, ticket: &Ticket) -> Span {
@@ -414,7 +551,7 @@
                     grant.send_by = Some(asked_at + rate_limit::PERMIT_LIFETIME);
                     actions.push(Action::Grant(ticket, grant));
                 }
-                _ => self.place(now, &waiting.ticket, waiting.start_by, actions),
+                _ => self.place(now, &waiting.ticket, (waiting.start_by, None), actions),
             }
         }
         self.place_waiting(now, actions);
@@ -426,13 +563,15 @@
             std::mem::take(&mut self.waiting).into_iter().partition(|it| it.is_asking);
         self.waiting = asking;
         for it in ready {
-            self.place(now, &it.ticket, it.start_by, actions);
+            self.place(now, &it.ticket, (it.start_by, None), actions);
         }
+        self.place_held(now, actions);
     }
 
     /// Forgets a ticket whose caller has left.
     pub fn withdraw(&mut self, ticket: TicketKey) {
         self.waiting.retain(|it| it.ticket.key != ticket);
+        self.held.remove(ticket);
     }
 
     /// Records that the first byte or event of an attempt has arrived.
@@ -444,6 +583,7 @@
         let (expected, took) = (running.expected_first_byte, now.since(running.started));
         let first = !std::mem::replace(&mut running.answered, true);
         let Some(upstream) = self.upstream_mut(key) else { return };
+        upstream.pause.record_answer();
         upstream.pending_tokens[tier] -= pending;
         upstream.health.record_success();
         upstream.backoff.record_answer(attempt, upstream.entry.slots);
@@ -606,9 +746,17 @@
         self.unlisted_leaving.drain(..excess);
     }
 
-    /// Records the end of an attempt. Attempts that have already ended are ignored.
-    pub fn attempt_ended(&mut self, now: Time, attempt: AttemptKey, ending: Ending) {
-        let Some(running) = self.running.remove(&attempt) else { return };
+    /// Records the end of an attempt. Attempts that have already ended are ignored. Returns the work that was in vain.
+    pub fn attempt_ended(
+        &mut self,
+        now: Time,
+        attempt: AttemptKey,
+        ending: Ending,
+    ) -> Option<Waste> {
+        let running = self.running.remove(&attempt)?;
+        let waste = running.waste(now, ending);
+        let admits = self.admits(&running.pool);
+        let seed = rendezvous::hash(&[self.host.as_bytes(), &attempt.0.to_be_bytes()]);
         let pool = pool_hash(&running.pool);
         match ending {
             Ending::Done => {
@@ -623,7 +771,7 @@
             }
             _ => {}
         }
-        let Some(upstream) = self.upstream_mut(running.upstream) else { return };
+        let Some(upstream) = self.upstream_mut(running.upstream) else { return waste };
         if ending == Ending::Failed {
             upstream.cut_at.get_or_insert(now);
         }
@@ -643,11 +791,14 @@
                 }
             }
             Ending::Cancelled | Ending::Unused | Ending::Preempted => {}
+            // A full upstream is not a failed one, and other hosts need not hear of it.
+            Ending::Refused if running.turned_away && admits => upstream.pause.begin(now, seed),
             Ending::Refused | Ending::Failed | Ending::Invalid | Ending::TimedOut => {
                 upstream.health.record_failure(now, running.started);
             }
         }
         upstream.backoff.record_end(attempt);
+        waste
     }
 
     /// Returns this host's running attempts by upstream, for other hosts.
@@ -680,6 +831,9 @@
     }
 
     fn grant(&mut self, now: Time, ticket: &Ticket, best: Candidate) -> Grant {
+        if self.admits(&ticket.pool) {
+            self.held.charge(now, ticket);
+        }
         self.evidence.record_send(now, &ticket.contents);
         self.last_attempt += 1;
         let attempt = AttemptKey(self.last_attempt);
@@ -710,6 +864,8 @@
             expected_first_byte: best.expected_first_byte,
             started: now,
             answered: false,
+            uncached_tokens: pending,
+            turned_away: false,
         };
         self.running.insert(attempt, running);
         Grant {
@@ -728,9 +884,23 @@
     }
 
     /// Selects the upstream with the least cost among those that may have room.
-    fn choose(&self, now: Time, ticket: &Ticket, is_suspect: bool) -> Choice {
+    fn choose(&self, now: Time, ticket: &Ticket, is_suspect: bool, held: Option<Time>) -> Choice {
         let (open, full): (Vec<_>, Vec<_>) =
             self.untried(ticket).partition(|(_, upstream)| upstream.may_have_room(now));
+        // A stream that has begun goes on wherever it can.
+        if ticket.version.is_none() && self.admits(&ticket.pool) {
+            let room_at = full.iter().map(|it| it.1.room_at()).min();
+            if !open.is_empty() {
+                return self.choose_admitted(now, ticket, open, is_suspect, held);
+            } else if let Some(room_at) = room_at.filter(|_| full.iter().any(|it| it.1.pauses(now)))
+            {
+                let need = need(ticket, held.unwrap_or(now));
+                let decision = admission::decide_without_place(now, need).unwrap_or(
+                    admission::Decision::Refuse(admission::Reason::Late, room_at.since(now)),
+                );
+                return Choice::Held(decision, None);
+            }
+        }
         if let Some(best) = self.best(now, ticket, open, is_suspect) {
             return Choice::Upstream(best);
         }
@@ -738,6 +908,63 @@
         room_at.map_or(Choice::Nothing, Choice::Later)
     }
 
+    /// Selects the upstream with the least cost among those with a place, if the request can be served there in time.
+    fn choose_admitted(
+        &self,
+        now: Time,
+        ticket: &Ticket,
+        mut open: Vec<&(UpstreamKey, upstream_state::State)>,
+        is_suspect: bool,
+        held: Option<Time>,
+    ) -> Choice {
+        if open.iter().any(|(_, it)| !it.is_ejected(now)) {
+            open.retain(|(_, it)| !it.is_ejected(now));
+        }
+        let need = need(ticket, held.unwrap_or(now));
+        let free: Vec<_> = open.iter().copied().filter(|(_, it)| it.has_place(now)).collect();
+        if free.is_empty() {
+            if let Some(decision) = admission::decide_without_place(now, need) {
+                return Choice::Held(decision, None);
+            }
+            // The counts of other hosts are old, and the upstream knows better.
+            return self
+                .best(now, ticket, open, is_suspect)
+                .map_or(Choice::Nothing, Choice::Upstream);
+        }
+        let Some(best) = self.best(now, ticket, free.clone(), is_suspect) else {
+            return Choice::Nothing;
+        };
+        let decide = |it: &Candidate| admission::decide(now, need, self.prospect(ticket, it));
+        let decision = decide(&best);
+        if decision == admission::Decision::Begin {
+            return Choice::Upstream(best);
+        }
+        // The least cost is where parts are cached; elsewhere the request may still be in time.
+        let others = self.subset(now, ticket, free);
+        let others =
+            others.into_iter().map(|(key, state)| self.candidate(now, ticket, *key, state));
+        let soonest = others.min_by_key(|it| (it.expected_end, it.expected_first_byte, it.rank));
+        let Some(soonest) = soonest else { return Choice::Nothing };
+        match decide(&soonest) {
+            admission::Decision::Begin => Choice::Upstream(soonest),
+            decision => Choice::Held(decision, soonest.expected_end),
+        }
+    }
+
+    fn prospect(&self, ticket: &Ticket, candidate: &Candidate) -> admission::Prospect {
+        let state = self.upstreams.binary_search_by_key(&candidate.key, |it| it.0);
+        let queueing = match (state, &ticket.prompt) {
+            (Ok(at), Some(_)) => self.upstreams[at].1.queue(tier_index(ticket)),
+            // A plain service with a place begins at once.
+            _ => Span(0),
+        };
+        admission::Prospect {
+            queueing,
+            first_byte: candidate.expected_first_byte,
+            end: candidate.expected_end,
+        }
+    }
+
     /// Returns the upstreams of a ticket's pool that may run the request and to which it was not sent yet.
     fn untried<'a>(
         &'a self,
@@ -842,7 +1069,9 @@
                 state.entry.id.as_bytes(),
             ]),
         };
-        Candidate { key, expected_first_byte, cost, rank: Reverse(rank) }
+        let output = ticket.prompt.as_ref().map(admission::output_time);
+        let expected_end = output.map(|it| Span(expected_first_byte.0 + slowed(it).0));
+        Candidate { key, expected_first_byte, expected_end, cost, rank: Reverse(rank) }
     }
 
     fn serving<'a>(
@@ -894,6 +1123,28 @@
     }
 }
 
+impl RunningAttempt {
+    /// Returns the work on the attempt if it ends without serving its request.
+    fn waste(&self, now: Time, ending: Ending) -> Option<Waste> {
+        if !matches!(ending, Ending::TimedOut | Ending::Cancelled | Ending::Failed) {
+            return None;
+        }
+        let tokens = if self.answered {
+            self.uncached_tokens
+        } else {
+            let reading = prefill(self.uncached_tokens);
+            let queueing = self.expected_first_byte.0.saturating_sub(reading.0);
+            let read = now.since(self.started).0.saturating_sub(queueing).min(reading.0);
+            self.uncached_tokens * read / reading.0.max(1)
+        };
+        Some(Waste { pool: self.pool.clone(), tier: self.tier, ending, tokens })
+    }
+}
+
+fn need(ticket: &Ticket, since: Time) -> admission::Need {
+    admission::Need { target: ticket.target, deadline: ticket.deadline, since }
+}
+
 fn pool_hash(pool: &str) -> u64 {
     rendezvous::hash(&[pool.as_bytes()])
 }
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -45,6 +45,8 @@
     pub usage_window: Span,
     /// Time after the end of a window by which its usage has to be reported.
     pub usage_delay: Span,
+    /// Whether requests wait for places and are refused for want of room, where upstreams report their load.
+    pub admission: bool,
     /// Format of log lines.
     pub log_format: LogFormat,
     /// Least severe level that is logged.
@@ -104,6 +106,7 @@
         let lease_ms: Option<u64> = self.optional("lease-ms", MILLISECONDS);
         let window_s: Option<f64> = self.optional("usage-window-s", "seconds, as in 5");
         let delay_s: Option<f64> = self.optional("usage-delay-s", "seconds, as in 10");
+        let admission = self.admission();
         let log_level = self.optional("log-level", "off, error, warn, info, debug or trace");
         let key_validity = key_validity_ms.filter(|_| keys_need_proof.unwrap_or(true));
         let seconds = |it: f64| Span((it.max(0.0) * 1e6) as u64);
@@ -126,6 +129,7 @@
             lease: Span::from_ms(lease_ms.unwrap_or(DEFAULT_LEASE_MS)),
             usage_window: window_s.map_or(DEFAULT_WINDOW, seconds),
             usage_delay: delay_s.map_or(DEFAULT_DELAY, seconds),
+            admission,
             log_format: LogFormat::Json,
             log_level: log_level.unwrap_or(log::LevelFilter::Info),
         })
@@ -139,6 +143,17 @@
         Some(retry_budget::Limits { window, ratio: ratio?, allowance: allowance? })
     }
 
+    fn admission(&mut self) -> bool {
+        match self.find("admission") {
+            None | Some("on") => true,
+            Some("off") => false,
+            Some(text) => {
+                self.fault("admission", format!("'{text}' is not valid; expected on or off"));
+                true
+            }
+        }
+    }
+
     fn find(&self, name: &str) -> Option<&'a str> {
         self.text.lines().find_map(|line| {
             let (found, value) = line.split_once('=')?;
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -5,6 +5,7 @@
 use crate::{
     rendezvous,
     serving::{
+        admission::Pause,
         backoff::Backoff,
         dialect::Prompt,
         messages, rate_limit,
@@ -33,6 +34,9 @@
 /// prefills prompts still sends an event at least every 0.3 s.
 const MAX_SILENCE: Span = Span::from_ms(700);
 
+/// Age up to which counts of other hosts tell whether a place is free; most work of plain services ends by then.
+const COUNT_LIFETIME: Span = Span::from_ms(100);
+
 /// Duration of the first ejection after a failure.
 const FIRST_EJECTION: Span = Span::from_ms(500);
 
@@ -96,6 +100,10 @@
     pub leaves: Rc<Cell<bool>>,
     /// Back-off that it asked for.
     pub backoff: Backoff,
+    /// Whether its answers state how long work takes there at the moment.
+    pub has_reported_load: bool,
+    /// Pause after it turned requests of this host away.
+    pub pause: Pause,
     remote: RemoteLoad,
     /// Prompt parts that were sent there, with the time of their last use. Sorted by part.
     cached_parts: Vec<(u64, Time)>,
@@ -128,6 +136,8 @@
             is_asking: false,
             leaves: Rc::new(Cell::new(false)),
             backoff: Backoff::default(),
+            has_reported_load: false,
+            pause: Pause::default(),
             remote: RemoteLoad::default(),
             cached_parts: Vec::new(),
         }
@@ -149,7 +159,7 @@
     /// Returns the earliest time at which it may have room for a request, which can be in the past.
     pub fn room_at(&self) -> Time {
         let permit_at = self.limit.rate().map_or(Time(0), |_| self.no_permit_until);
-        self.backoff.end().max(permit_at)
+        self.backoff.end().max(permit_at).max(self.pause.end())
     }
 
     /// Returns whether it is ejected after a failure, or has sent nothing during answers for too
@@ -205,11 +215,31 @@
         )
     }
 
+    /// Returns the time to read the pending prompts of the same and more urgent tiers, as far as they are known to pend. What
+    /// the engine has read since the other hosts' reports they may have sent anew.
+    pub fn queue(&self, tier: usize) -> Span {
+        let own: u64 = self.pending_tokens[..=tier].iter().sum();
+        let remote: u64 = self.remote.pending_tokens[..=tier].iter().sum();
+        prefill(own + remote)
+    }
+
     /// Returns the number of attempts of all hosts that run there.
     pub fn company(&self) -> u32 {
         self.running + self.remote.running
     }
 
+    /// Whether this host sends nothing there for now, as it turned a request away.
+    pub fn pauses(&self, now: Time) -> bool {
+        now < self.pause.end()
+    }
+
+    /// Whether it runs fewer requests than it has slots, as far as this host knows.
+    pub fn has_place(&self, now: Time) -> bool {
+        let is_known = now.since(self.remote.received_at) <= COUNT_LIFETIME;
+        let remote = if is_known { self.remote.running } else { 0 };
+        self.running + remote < self.entry.slots
+    }
+
     /// Returns the expected time of a new request to a plain service, by its load.
     pub fn service_wait(&self) -> Span {
         let running = self.company();
--- a/tests/serving/dispatcher.rs
+++ b/tests/serving/dispatcher.rs
@@ -21,7 +21,8 @@
         let upstreams = watch::channel(Rc::new(vec![engine(0)])).1;
         let limiter = mpsc::unbounded_channel().0;
         let metrics = Metrics::open().expect("the names of the counters are unique");
-        let dispatcher = Dispatcher::spawn("host".into(), "a".into(), upstreams, limiter, metrics);
+        let dispatcher =
+            Dispatcher::spawn("host".into(), ("a".into(), true), upstreams, limiter, metrics);
         let mut submission = Box::pin(dispatcher.submit(ticket(1, prompt(&[1], 100, 10))));
         assert!(futures::poll!(submission.as_mut()).is_pending(), "the task has not run yet");
         // The task grants the ticket, and the caller leaves before it looks at the grant.
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -275,7 +275,7 @@
     let metrics = Metrics::open().expect("the names of the counters are unique");
     let limiter = mpsc::unbounded_channel().0;
     let dispatcher =
-        Dispatcher::spawn("host".into(), "a".into(), upstreams, limiter, metrics.clone());
+        Dispatcher::spawn("host".into(), ("a".into(), true), upstreams, limiter, metrics.clone());
     let budget_config =
         retry_budget::Limits { window: Span::from_ms(10_000), ratio: 0.2, allowance: 1_000.0 };
     let verified = watch::channel(Verification { at: Some(Time::now()), is_current: true }).1;
--- a/tests/serving/fixture.rs
+++ b/tests/serving/fixture.rs
@@ -57,6 +57,7 @@
         key: TicketKey(number),
         pool: POOL.into(),
         tier: 4,
+        customer: None,
         route: "route".into(),
         max_gap_ms: Some(1_000),
         prompt: Some(prompt),
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -277,7 +277,7 @@
         });
         let dispatcher = Dispatcher::spawn(
             host.id.as_str().into(),
-            "a".into(),
+            ("a".into(), true),
             upstreams.clone(),
             mpsc::unbounded_channel().0,
             Metrics::open().expect("the names of metrics are unique"),
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a host that serves callers; most need neither sockets nor clocks.
 
+mod admission;
 mod attempt_history;
 mod backoff;
 mod callers;
