Admit requests to engines by their predicted end, and leave plain services as they were

At engines, a request that found no place in its time began without a look at its end. Change: admission and waiting act for prompts only; what waited in vain for a place is judged by its end like any other.

--- a/src/serving/admission.rs
+++ b/src/serving/admission.rs
@@ -30,10 +30,6 @@
 /// Divisor of the time that a caller has left which gives the longest delay that it honours.
 const HONOURED_DIVISOR: u64 = 3;
 
-/// Shortest and longest time for which a host sends nothing to an upstream that turned a request away. Work there takes some
-/// tens of milliseconds.
-const PAUSE: (Span, Span) = (Span::from_ms(10), Span::from_ms(80));
-
 /// What a request needs.
 #[derive(Debug, Clone, Copy)]
 pub struct Need {
@@ -52,8 +48,8 @@
     pub queueing: Span,
     /// Time to the first byte.
     pub first_byte: Span,
-    /// Time to the end of the answer, `None` if the upstream is no engine.
-    pub end: Option<Span>,
+    /// Time to the end of the answer.
+    pub end: Span,
 }
 
 /// Why a request does not begin.
@@ -142,7 +138,7 @@
 
 /// Decides on a request with a prospect at the upstream where it would go.
 pub fn decide(now: Time, need: Need, prospect: Prospect) -> Decision {
-    let end = prospect.end.unwrap_or(prospect.first_byte);
+    let end = prospect.end;
     let left = need.deadline.since(now);
     // Without a queue neither waiting nor a repeat makes the end any earlier.
     if prospect.queueing <= EMPTY_QUEUEING {
@@ -164,13 +160,6 @@
     Decision::Refuse(Reason::Late, Span(prospect.queueing.0.saturating_sub(need.wait().0)))
 }
 
-/// Decides on a request for which no upstream is known to have a place. `None` stands for trying one all the same, as the
-/// counts of other hosts are old.
-pub fn decide_without_place(now: Time, need: Need) -> Option<Decision> {
-    let until = need.wait_until();
-    (now < until).then_some(Decision::Wait(until))
-}
-
 /// Returns the delay after which a refused caller may return: when room is expected, spread, and within what it honours.
 pub fn retry_after(room: Span, time_left: Span, seed: u64) -> Span {
     let longest = time_left.0 / HONOURED_DIVISOR;
@@ -178,33 +167,3 @@
     let drawn = rendezvous::hash(&[b"return", &seed.to_be_bytes()]) % 1_000;
     Span(base + base * drawn / 1_000)
 }
-
-/// Pause of one host from an upstream that turned its requests away.
-///
-/// Each host draws its own length, so that not all return at once.
-#[derive(Debug, Default)]
-pub struct Pause {
-    until: Time,
-    /// Requests turned away since the last one that was answered.
-    turned_away: u32,
-}
-
-impl Pause {
-    /// Begins a pause as a request was turned away. `seed` differs by host and request.
-    pub fn begin(&mut self, now: Time, seed: u64) {
-        let longest = (PAUSE.0.0 << self.turned_away.min(8)).min(PAUSE.1.0);
-        let drawn = rendezvous::hash(&[b"pause", &seed.to_be_bytes()]) % 1_000;
-        self.turned_away = self.turned_away.saturating_add(1);
-        self.until = self.until.max(now + Span(longest / 2 + longest * drawn / 1_000));
-    }
-
-    /// Records an answer.
-    pub fn record_answer(&mut self) {
-        self.turned_away = 0;
-    }
-
-    /// Returns the end of the pause, in the past after it.
-    pub fn end(&self) -> Time {
-        self.until
-    }
-}
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -49,8 +49,6 @@
     RemoteLoads(Vec<messages::Load>),
     Permit(PermitAnswer),
     RemoteLimits(Vec<(u64, rate_limit::Limit)>),
-    /// The upstream of an attempt is full and has turned the request away.
-    TurnedAway(AttemptKey),
     BrokenOff(AttemptKey, Progress),
     Proceeded(AttemptKey, Progress),
     /// Evidence of another host, and a time at which it had not sent this yet.
@@ -253,11 +251,6 @@
         self.dispatcher.send(Message::Limit(self.attempt, sent_at, named));
     }
 
-    /// Records that the upstream is full and has turned the request away.
-    pub fn record_turned_away(&self) {
-        self.dispatcher.send(Message::TurnedAway(self.attempt));
-    }
-
     /// Records that the response to the attempt says that its upstream leaves.
     pub fn record_departure(&self) {
         self.dispatcher.send(Message::Departure(self.attempt));
@@ -376,7 +369,6 @@
                     );
                 }
             }
-            Message::TurnedAway(attempt) => self.placement.attempt_turned_away(attempt),
             Message::LocalLoad(answer) => {
                 let load = LocalLoad {
                     loads: self.placement.local_loads(now),
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -520,7 +520,6 @@
                 })
             }
             Verdict::NotRun => {
-                guard.record_turned_away();
                 guard.end(Ending::Refused);
                 let connections = self.shared.connections.clone();
                 tokio::task::spawn_local(buffered::discard_refusal(
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -175,8 +175,6 @@
     answered: bool,
     /// Prompt tokens that the engine had to prefill.
     uncached_tokens: u64,
-    /// Whether the upstream turned the request away as it is full.
-    turned_away: bool,
 }
 
 /// Work on an attempt that ended without serving its request.
@@ -300,13 +298,6 @@
         }
     }
 
-    /// Records that the upstream of an attempt is full and has turned the request away.
-    pub fn attempt_turned_away(&mut self, attempt: AttemptKey) {
-        if let Some(running) = self.running.get_mut(&attempt) {
-            running.turned_away = true;
-        }
-    }
-
     /// Whether requests to a pool wait for places and are refused for want of room.
     fn admits(&self, pool: &str) -> bool {
         self.admits && self.serving(pool).any(|(_, it)| it.has_reported_load)
@@ -583,7 +574,6 @@
         let (expected, took) = (running.expected_first_byte, now.since(running.started));
         let first = !std::mem::replace(&mut running.answered, true);
         let Some(upstream) = self.upstream_mut(key) else { return };
-        upstream.pause.record_answer();
         upstream.pending_tokens[tier] -= pending;
         upstream.health.record_success();
         upstream.backoff.record_answer(attempt, upstream.entry.slots);
@@ -755,8 +745,6 @@
     ) -> Option<Waste> {
         let running = self.running.remove(&attempt)?;
         let waste = running.waste(now, ending);
-        let admits = self.admits(&running.pool);
-        let seed = rendezvous::hash(&[self.host.as_bytes(), &attempt.0.to_be_bytes()]);
         let pool = pool_hash(&running.pool);
         match ending {
             Ending::Done => {
@@ -791,8 +779,6 @@
                 }
             }
             Ending::Cancelled | Ending::Unused | Ending::Preempted => {}
-            // A full upstream is not a failed one, and other hosts need not hear of it.
-            Ending::Refused if running.turned_away && admits => upstream.pause.begin(now, seed),
             Ending::Refused | Ending::Failed | Ending::Invalid | Ending::TimedOut => {
                 upstream.health.record_failure(now, running.started);
             }
@@ -865,7 +851,6 @@
             started: now,
             answered: false,
             uncached_tokens: pending,
-            turned_away: false,
         };
         self.running.insert(attempt, running);
         Grant {
@@ -888,18 +873,10 @@
         let (open, full): (Vec<_>, Vec<_>) =
             self.untried(ticket).partition(|(_, upstream)| upstream.may_have_room(now));
         // A stream that has begun goes on wherever it can.
-        if ticket.version.is_none() && self.admits(&ticket.pool) {
-            let room_at = full.iter().map(|it| it.1.room_at()).min();
-            if !open.is_empty() {
-                return self.choose_admitted(now, ticket, open, is_suspect, held);
-            } else if let Some(room_at) = room_at.filter(|_| full.iter().any(|it| it.1.pauses(now)))
-            {
-                let need = need(ticket, held.unwrap_or(now));
-                let decision = admission::decide_without_place(now, need).unwrap_or(
-                    admission::Decision::Refuse(admission::Reason::Late, room_at.since(now)),
-                );
-                return Choice::Held(decision, None);
-            }
+        let is_engine = ticket.prompt.is_some();
+        let is_new = ticket.version.is_none();
+        if !open.is_empty() && is_engine && is_new && self.admits(&ticket.pool) {
+            return self.choose_admitted(now, ticket, open, is_suspect, held);
         }
         if let Some(best) = self.best(now, ticket, open, is_suspect) {
             return Choice::Upstream(best);
@@ -921,15 +898,13 @@
             open.retain(|(_, it)| !it.is_ejected(now));
         }
         let need = need(ticket, held.unwrap_or(now));
-        let free: Vec<_> = open.iter().copied().filter(|(_, it)| it.has_place(now)).collect();
+        let mut free: Vec<_> = open.iter().copied().filter(|(_, it)| it.has_place()).collect();
         if free.is_empty() {
-            if let Some(decision) = admission::decide_without_place(now, need) {
-                return Choice::Held(decision, None);
+            if now < need.wait_until() {
+                return Choice::Held(admission::Decision::Wait(need.wait_until()), None);
             }
-            // The counts of other hosts are old, and the upstream knows better.
-            return self
-                .best(now, ticket, open, is_suspect)
-                .map_or(Choice::Nothing, Choice::Upstream);
+            // The counts of other hosts are old, and the engine knows better.
+            free = open;
         }
         let Some(best) = self.best(now, ticket, free.clone(), is_suspect) else {
             return Choice::Nothing;
@@ -953,16 +928,10 @@
 
     fn prospect(&self, ticket: &Ticket, candidate: &Candidate) -> admission::Prospect {
         let state = self.upstreams.binary_search_by_key(&candidate.key, |it| it.0);
-        let queueing = match (state, &ticket.prompt) {
-            (Ok(at), Some(_)) => self.upstreams[at].1.queue(tier_index(ticket)),
-            // A plain service with a place begins at once.
-            _ => Span(0),
-        };
-        admission::Prospect {
-            queueing,
-            first_byte: candidate.expected_first_byte,
-            end: candidate.expected_end,
-        }
+        let queueing = state.map_or(Span(0), |at| self.upstreams[at].1.queue(tier_index(ticket)));
+        let first_byte = candidate.expected_first_byte;
+        let end = candidate.expected_end.unwrap_or(first_byte);
+        admission::Prospect { queueing, first_byte, end }
     }
 
     /// Returns the upstreams of a ticket's pool that may run the request and to which it was not sent yet.
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -5,7 +5,6 @@
 use crate::{
     rendezvous,
     serving::{
-        admission::Pause,
         backoff::Backoff,
         dialect::Prompt,
         messages, rate_limit,
@@ -34,9 +33,6 @@
 /// prefills prompts still sends an event at least every 0.3 s.
 const MAX_SILENCE: Span = Span::from_ms(700);
 
-/// Age up to which counts of other hosts tell whether a place is free; most work of plain services ends by then.
-const COUNT_LIFETIME: Span = Span::from_ms(100);
-
 /// Duration of the first ejection after a failure.
 const FIRST_EJECTION: Span = Span::from_ms(500);
 
@@ -102,8 +98,6 @@
     pub backoff: Backoff,
     /// Whether its answers state how long work takes there at the moment.
     pub has_reported_load: bool,
-    /// Pause after it turned requests of this host away.
-    pub pause: Pause,
     remote: RemoteLoad,
     /// Prompt parts that were sent there, with the time of their last use. Sorted by part.
     cached_parts: Vec<(u64, Time)>,
@@ -137,7 +131,6 @@
             leaves: Rc::new(Cell::new(false)),
             backoff: Backoff::default(),
             has_reported_load: false,
-            pause: Pause::default(),
             remote: RemoteLoad::default(),
             cached_parts: Vec::new(),
         }
@@ -159,7 +152,7 @@
     /// Returns the earliest time at which it may have room for a request, which can be in the past.
     pub fn room_at(&self) -> Time {
         let permit_at = self.limit.rate().map_or(Time(0), |_| self.no_permit_until);
-        self.backoff.end().max(permit_at).max(self.pause.end())
+        self.backoff.end().max(permit_at)
     }
 
     /// Returns whether it is ejected after a failure, or has sent nothing during answers for too
@@ -228,16 +221,9 @@
         self.running + self.remote.running
     }
 
-    /// Whether this host sends nothing there for now, as it turned a request away.
-    pub fn pauses(&self, now: Time) -> bool {
-        now < self.pause.end()
-    }
-
     /// Whether it runs fewer requests than it has slots, as far as this host knows.
-    pub fn has_place(&self, now: Time) -> bool {
-        let is_known = now.since(self.remote.received_at) <= COUNT_LIFETIME;
-        let remote = if is_known { self.remote.running } else { 0 };
-        self.running + remote < self.entry.slots
+    pub fn has_place(&self) -> bool {
+        self.company() < self.entry.slots
     }
 
     /// Returns the expected time of a new request to a plain service, by its load.
