--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -1042,6 +1042,7 @@
             key: TicketKey(number),
             pool: pool.clone(),
             tier: request.tier,
+            customer: request.customer.as_ref().map(|it| it.name.clone()),
             route: request.route.name.clone(),
             max_gap_ms: request.route.max_gap_ms,
             prompt: request.prompt.clone(),
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -29,8 +29,7 @@
         exchange::{self, Exchange},
         fleet_state::{self, Decoding},
         handler::Handler,
-        hedge,
-        intake,
+        hedge, intake,
         leadership::{self, Leadership},
         limiter,
         listener::{Listener, Stage},
@@ -152,7 +151,7 @@
         let (limiter_messages, messages) = mpsc::unbounded_channel();
         let dispatcher = Dispatcher::spawn(
             settings.host.as_str().into(),
-            settings.zone.as_str().into(),
+            (settings.zone.as_str().into(), settings.admission),
             upstreams.clone(),
             limiter_messages,
             metrics.clone(),
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -53,6 +53,8 @@
     /// Time within which an evacuation of an availability zone must be in force at every host; `None` if the operator
     /// evacuates none.
     pub evacuation: Option<Span>,
+    /// Whether requests wait for places and are refused for want of room, where upstreams report their load.
+    pub admission: bool,
     /// Format of log lines.
     pub log_format: LogFormat,
     /// Least severe level that is logged.
@@ -115,6 +117,7 @@
         let window_s: Option<f64> = self.optional("usage-window-s", "seconds, as in 5");
         let delay_s: Option<f64> = self.optional("usage-delay-s", "seconds, as in 10");
         let evacuation_ms: Option<u64> = self.optional("evacuation-ms", MILLISECONDS);
+        let admission = self.admission();
         let log_level = self.optional("log-level", "off, error, warn, info, debug or trace");
         let key_validity = key_validity_ms.filter(|_| keys_need_proof.unwrap_or(true));
         let seconds = |it: f64| Span((it.max(0.0) * 1e6) as u64);
@@ -140,6 +143,7 @@
             usage_window: window_s.map_or(DEFAULT_WINDOW, seconds),
             usage_delay: delay_s.map_or(DEFAULT_DELAY, seconds),
             evacuation: evacuation_ms.map(Span::from_ms),
+            admission,
             log_format: LogFormat::Json,
             log_level: log_level.unwrap_or(log::LevelFilter::Info),
         })
@@ -166,6 +170,17 @@
         is_valid.then_some(share)
     }
 
+    fn admission(&mut self) -> bool {
+        match self.find("admission") {
+            None | Some("on") => true,
+            Some("off") => false,
+            Some(text) => {
+                self.fault("admission", format!("'{text}' is not valid; expected on or off"));
+                true
+            }
+        }
+    }
+
     fn find(&self, name: &str) -> Option<&'a str> {
         self.text.lines().find_map(|line| {
             let (found, value) = line.split_once('=')?;
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -282,6 +282,19 @@
         self.held_tokens + others * request_tokens
     }
 
+    /// Returns the time to read the pending prompts of the same and more urgent tiers, as far as they are known to pend. What
+    /// the engine has read since the other hosts' reports they may have sent anew.
+    pub fn queue(&self, tier: usize) -> Span {
+        let own: u64 = self.pending_tokens[..=tier].iter().sum();
+        let remote: u64 = self.remote.pending_tokens[..=tier].iter().sum();
+        prefill(own + remote)
+    }
+
+    /// Whether it runs fewer requests than it has slots, as far as this host knows.
+    pub fn has_place(&self, now: Time) -> bool {
+        self.company(now) < self.entry.slots
+    }
+
     /// Returns the expected time of a new request to a plain service, by its load.
     pub fn service_wait(&self, now: Time) -> Span {
         let running = self.company(now);
