Draw one near-equal upstream by speed, not the better of two

Cause: hosts hear the same late news, so that the better of two or more drawn engines is the same for many of them: in the replay of uneven engines (82 hosts, 380 requests a second) 1,041 of 7,600 came late with two, 2,016 with eight, 574 with one, and 804 with the reports withheld.

--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -54,9 +54,6 @@
 /// their requests over such upstreams.
 const NEAR_EQUAL: Span = Span::from_ms(25);
 
-/// Near-equal upstreams of which the better one is taken.
-const CHOICES: usize = 2;
-
 /// Time until hosts know what another one sent, so that requests with the same parts meet no news of each other.
 const NEWS_DELAY: Span = Span::from_ms(400);
 
@@ -1004,7 +1001,7 @@
             return Some(best);
         }
         let shared = ticket.prompt.as_ref().and_then(|it| it.shared_parts().last());
-        let spread = shared.map_or(usize::MAX, |part| self.spread_of(now, part));
+        let spread = shared.map_or(1, |part| self.spread_of(now, part));
         let seed = match shared {
             Some(part) => part,
             None => rendezvous::hash(&[self.host.as_bytes(), &ticket.key.0.to_be_bytes()]),
@@ -1019,17 +1016,12 @@
         let is_near = |it: &Candidate| ticket.prompt.is_none() || it.cost.0 <= limit;
         let mut near: Vec<_> = candidates.into_iter().filter(is_near).collect();
         near.sort_by(|a, b| order(a).total_cmp(&order(b)));
-        let host = [self.host.as_bytes(), &ticket.key.0.to_be_bytes()];
-        match (shared, spread) {
-            (Some(_), 1) => near.first().copied(),
-            (Some(_), _) => {
-                near.truncate(spread);
-                let drawn = rendezvous::hash(&host) as usize % near.len();
-                near.get(drawn).copied()
-            }
-            (None, _) if ticket.prompt.is_none() => near.first().copied(),
-            (None, _) => near.into_iter().take(CHOICES).min_by_key(|it| it.cost),
+        if spread > 1 {
+            near.truncate(spread);
+            let drawn = rendezvous::hash(&[self.host.as_bytes(), &ticket.key.0.to_be_bytes()]);
+            return near.get(drawn as usize % near.len()).copied();
         }
+        near.first().copied()
     }
 
     /// Selects the upstreams to consider: a subset of a large pool, and all that cache the shared
--- a/tests/serving/reported_load.rs
+++ b/tests/serving/reported_load.rs
@@ -71,6 +71,9 @@
     Ended,
 }
 
+/// An event with its time, host, upstream and attempt; the earliest is the greatest.
+type Due = Reverse<(Time, Event, usize, usize, AttemptKey)>;
+
 fn replay(pattern: &Pattern, next: impl Fn(&mut SmallRng) -> Prompt) -> Outcome {
     let mut random = SmallRng::seed_from_u64(7);
     let mut entries = engines(pattern.upstreams);
@@ -86,8 +89,7 @@
         busy: Span(0),
     };
     let mut upstreams: Vec<_> = (0..pattern.upstreams).map(upstream).collect();
-    let mut events: BinaryHeap<Reverse<(Time, Event, usize, usize, AttemptKey)>> =
-        BinaryHeap::new();
+    let mut events: BinaryHeap<Due> = BinaryHeap::new();
     let mut caches: Vec<BTreeMap<u64, ()>> = vec![BTreeMap::new(); pattern.upstreams];
     let mut known = BTreeMap::new();
     let mut outcome = Outcome::default();
@@ -222,9 +224,9 @@
         replay(&pattern, |random| prompt(&[], 0, random.random_range(1_000..4_000)))
     };
     let (with, without) = (play(true), play(false));
-    println!("{with:?}\n{without:?}");
     assert!(with.busiest <= 1.2, "{with:?}");
-    assert!(without.busiest > with.busiest && without.late * 5 > with.late * 6, "{without:?}");
+    assert!(without.busiest > with.busiest, "{with:?} {without:?}");
+    assert!(without.late * 5 > with.late * 6, "{with:?} {without:?}");
 }
 
 #[test]
@@ -246,7 +248,6 @@
         })
     };
     let (with, without) = (play(true), play(false));
-    println!("{with:?}\n{without:?}");
     assert!(with.late * 20 <= with.sent, "{with:?}");
     assert!(without.late > with.late, "{without:?}");
     assert!(with.read_again <= without.read_again, "{with:?} {without:?}");
@@ -265,7 +266,6 @@
     };
     let play = |reports| replay(&Pattern { reports, ..pattern.clone() }, |_| prompt(&[], 0, 1));
     let (with, without) = (play(true), play(false));
-    println!("{with:?}\n{without:?}");
     assert!(with.turned_away * 20 <= with.sent, "{with:?}");
     assert!(without.turned_away > with.turned_away * 2, "{without:?}");
 }
