Close connections that are slow, or crowded by pipelined requests, for new ones

Change: answers close their connection while there is no room, and requests or answers that have been slow for a second go for new connections.

--- a/src/serving/caller_connection.rs
+++ b/src/serving/caller_connection.rs
@@ -258,6 +258,12 @@
         self.shared.has_unread_body.set(true);
     }
 
+    /// Whether there is no room for further connections, so that this one had better close after its answer. Requests that
+    /// are pipelined behind each other would keep it for ever.
+    pub fn is_crowded(&self) -> bool {
+        self.shared.all.intake.borrow().is_crowded()
+    }
+
     /// Whether the last answer has been given. The HTTP server still reads requests that were pipelined behind it, which
     /// the caller takes as not run.
     pub fn is_closing(&self) -> bool {
--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -115,6 +115,7 @@
             error_response(&*handler.dialect, &rejection.error)
         }
     };
+    closes |= connection.as_ref().is_some_and(Connection::is_crowded);
     if closes || *handler.draining.borrow() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         if let Some(connection) = connection {
--- a/src/serving/intake.rs
+++ b/src/serving/intake.rs
@@ -5,7 +5,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 
-use crate::time::Time;
+use crate::time::{Span, Time};
 
 /// Bytes that every caller may hold regardless of others. They are part of the memory that a connection takes.
 pub const UNSHARED_BYTES: usize = 8 << 10;
@@ -13,6 +13,9 @@
 /// Share of the bytes that the callers at one address may hold together, in quarters.
 const ADDRESS_QUARTERS: usize = 3;
 
+/// Time after which a request that is still arriving, or an answer that is still unread, is slow.
+const SLOW_TIME: Span = Span::from_ms(1_000);
+
 /// Room of a host for its callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Room {
@@ -55,6 +58,16 @@
 }
 
 impl Caller {
+    /// Place in the order in which connections close for others; `None` if it does not.
+    fn rank(&self, now: Time) -> Option<u8> {
+        match self.stage {
+            Stage::Silent => Some(0),
+            Stage::Idle => Some(1),
+            Stage::Arriving | Stage::Unread if now.since(self.since) >= SLOW_TIME => Some(2),
+            _ => None,
+        }
+    }
+
     fn shared(&self) -> usize {
         shared(self.bytes)
     }
@@ -77,18 +90,17 @@
     }
 
     /// Adds a connection. Returns the one that has to close for it, if any: the one that has been silent for the
-    /// longest, otherwise the one that has been idle for the longest.
+    /// longest, otherwise idle, otherwise the one that sends or reads slowly.
     ///
     /// # Errors
     /// `Full` if all connections carry requests.
     pub fn open(&mut self, address: SocketAddr, now: Time) -> Result<Option<SocketAddr>, Full> {
         let mut victim = None;
         if self.callers.len() >= self.room.connections {
-            let open = self.callers.iter_mut();
-            let closable = open.filter(|it| matches!(it.stage, Stage::Silent | Stage::Idle));
-            let first =
-                closable.min_by_key(|it| (it.stage == Stage::Idle, it.since)).ok_or(Full)?;
-            first.stage = Stage::Leaving;
+            let ranked = self.callers.iter_mut().filter_map(|it| Some((it.rank(now)?, it)));
+            let (_, first) = ranked.min_by_key(|(rank, it)| (*rank, it.since)).ok_or(Full)?;
+            self.held -= first.shared();
+            (first.stage, first.bytes) = (Stage::Leaving, 0);
             victim = Some(first.address);
         }
         self.close(address);
@@ -183,6 +195,11 @@
         }
     }
 
+    /// Whether there is no room for a further connection, so that answers had better close theirs.
+    pub fn is_crowded(&self) -> bool {
+        self.callers.len() >= self.room.connections
+    }
+
     /// Bytes that all callers hold, without the unshared ones.
     pub fn held(&self) -> usize {
         self.held
--- a/tests/serving/intake.rs
+++ b/tests/serving/intake.rs
@@ -109,7 +109,10 @@
     assert_eq!(intake.open(caller(4), at(30)), Ok(Some(caller(0))));
     intake.close(caller(0));
     intake.enter(caller(4), Stage::Running, at(30));
+    assert!(intake.is_crowded());
     assert_eq!(intake.open(caller(5), at(40)), Err(Full));
+    // A request that has been arriving for a second is slow.
+    assert_eq!(intake.open(caller(5), at(1_020)), Ok(Some(caller(3))));
 }
 
 #[test]
