--- a/tests/serving/cold.rs
+++ b/tests/serving/cold.rs
@@ -114,7 +114,7 @@
     fn run(&mut self) -> (usize, usize) {
         let count = self.hosts.len() as u64;
         for ms in 0..COLD_MS {
-            let busy = (ms % 10 == 0).then(|| self.cut.clone()).unwrap_or_default();
+            let busy = if ms % 10 == 0 { self.cut.clone() } else { Vec::new() };
             let host = rendezvous::hash(&[&ms.to_be_bytes()]) % count;
             for host in busy.into_iter().chain([host as usize]) {
                 let number = ms * count + host as u64 + 1;
@@ -183,3 +183,12 @@
     let again = crate::fixture::grant(&mut host, at(1_500), &ticket(2, prompt(&[], 0, 9)));
     assert!(again.send_by.is_none());
 }
+
+#[test]
+fn a_limiter_that_may_have_been_replaced_grants_a_part() {
+    let rate = Rate::new(8.0).expect("the rate is valid");
+    let granted = |verified_at| granted_rate(at(9_000), verified_at, rate).per_second();
+    assert_eq!(granted(Some(at(8_000))), 8.0);
+    assert_eq!(granted(Some(at(5_000))), 2.0);
+    assert_eq!(granted(None), 2.0, "a host that has just started");
+}
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -424,7 +424,7 @@
         fleet.store.content.borrow_mut().refused = (0..31).collect();
         let seeds = {
             let roster = fleet.hosts[0].roster.borrow();
-            roster.iter().filter(|it| it.id < "host-003".to_owned()).map(|it| it.address).collect()
+            roster.iter().filter(|it| it.id.as_str() < "host-003").map(|it| it.address).collect()
         };
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let host = roster::Host {
