Keep the limit on copies by pool, and learn slowness from overtaken attempts

Cause: a review of hedging found that one pool's copies used up the credit with which another one finds out whether copies help again, that slots of ejected upstreams counted as free, that whole answers of engines were compared by the time of their output, and that an upstream whose slow attempts are all overtaken never became known as slow. The tests of reported load place every request at once, which admission changes. Change: credit by pool; copies of requests without a prompt only; ejected upstreams left out of the spare room; the future of a copy is boxed; an overtaken attempt counts as slow for the time until then, and not as a failure.

--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -38,6 +38,8 @@
 enum Message {
     Submit(Box<Ticket>, oneshot::Sender<Decision>),
     Answered(AttemptKey),
+    /// The copy of the attempt's request was answered first.
+    Overtaken(AttemptKey),
     /// A response to an attempt, which was sent at this time, and the limit that it names.
     Limit(AttemptKey, Time, rate_limit::Named),
     /// What the response to an attempt reports of its upstream's load.
@@ -227,6 +229,11 @@
         self.send(Message::Capacities(capacities));
     }
 
+    /// Records that the copy of an attempt's request was answered first.
+    pub fn record_overtaken(&self, attempt: AttemptKey) {
+        self.send(Message::Overtaken(attempt));
+    }
+
     /// Passes on the answer to a request for a permit.
     pub fn permit_answered(&self, answer: PermitAnswer) {
         self.send(Message::Permit(answer));
@@ -384,6 +391,7 @@
                 self.waiting.insert(ticket.key, answer);
                 self.placement.submit(now, &ticket, &mut self.actions);
             }
+            Message::Overtaken(attempt) => self.placement.attempt_overtaken(now, attempt),
             Message::Answered(attempt) => {
                 if let Some(it) = self.placement.attempt_answered(now, attempt) {
                     self.metrics.predicted(it.expected, it.took, it.is_reported);
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -254,8 +254,8 @@
         };
         let version = origin.and_then(|it| it.version);
         self.shared.retry_budget.record_request(&pool);
-        if may_be_hedged(&request.route) {
-            self.shared.hedger.borrow_mut().record_request();
+        if may_be_hedged(&request) {
+            self.shared.hedger.borrow_mut().record_request(&pool);
         }
         let mut history = attempt_history::History::default();
         // A 5xx response of an upstream, which is returned if no retry gets a better one.
@@ -335,7 +335,9 @@
             let sent = Sent { grant, at: Time::now() };
             let answer = match self.hedge_delay(request, pool, history, &sent) {
                 Some(delay) => {
-                    self.send_hedged(request, pool, history, (&sent, guard), delay).await
+                    // Boxed, as the futures of all requests would otherwise have room for two attempts.
+                    let sent = (&sent, guard);
+                    Box::pin(self.send_hedged(request, pool, history, sent, delay)).await
                 }
                 None => {
                     let target = (&sent.grant, version.is_some());
@@ -369,7 +371,7 @@
         let mut hedger = self.shared.hedger.borrow_mut();
         let now = Time::now();
         let may_hedge = hedger.is_active()
-            && may_be_hedged(&request.route)
+            && may_be_hedged(request)
             && history.may_hedge(now, retry_rules(request));
         if !may_hedge {
             return None;
@@ -432,6 +434,7 @@
             Ok(response) if !response.http.status().is_server_error() => {
                 history.record_cancelled();
                 if is_copy {
+                    self.shared.dispatcher.record_overtaken(first.grant.attempt);
                     self.record_gain(request, pool, first);
                 }
                 self.end_hedge(request, (first, &copy), (pool, recorder), outcome_of(is_copy));
@@ -1087,10 +1090,11 @@
     table::select(&request.route.destinations, key).map_or_else(|| "".into(), Arc::clone)
 }
 
-/// Whether requests of a route may be sent to a second upstream while the first one has not answered. Streams may not, as
-/// both upstreams would run the stream.
-fn may_be_hedged(route: &Route) -> bool {
-    route.retry_policy == RetryPolicy::Always && !route.stream
+/// Whether a request may be sent to a second upstream while the first one has not answered. Streams may not, as both
+/// upstreams would run the stream. Whole answers of engines may not, as their time depends on the length of the output.
+fn may_be_hedged(request: &RoutedRequest) -> bool {
+    let route = &request.route;
+    route.retry_policy == RetryPolicy::Always && !route.stream && request.prompt.is_none()
 }
 
 fn retry_rules(request: &RoutedRequest) -> RetryRules {
--- a/src/serving/hedge.rs
+++ b/src/serving/hedge.rs
@@ -162,11 +162,25 @@
     samples: Samples,
     /// Smoothed share of copies that answered first.
     benefit: f64,
+    /// Copies that may be sent now, at most `MAX_CREDIT`.
+    credit: f64,
 }
 
 impl Default for Pool {
     fn default() -> Pool {
-        Pool { samples: Samples::default(), benefit: INITIAL_BENEFIT }
+        Pool { samples: Samples::default(), benefit: INITIAL_BENEFIT, credit: 0.0 }
+    }
+}
+
+impl Pool {
+    /// Whether recent copies helped.
+    fn is_useful(&self) -> bool {
+        self.benefit >= MIN_BENEFIT
+    }
+
+    /// Returns the credit that a copy takes.
+    fn cost(&self) -> f64 {
+        if self.is_useful() { 1.0 } else { PROBE_COST }
     }
 }
 
@@ -175,8 +189,6 @@
 pub struct Hedger {
     /// Copies per request that may be hedged.
     share: f64,
-    /// Copies that may be sent now, at most `MAX_CREDIT`.
-    credit: f64,
     /// Sorted by name, at most `MAX_TRACKED`.
     routes: Vec<(Arc<str>, Samples)>,
     /// Sorted by name, at most `MAX_TRACKED`.
@@ -187,7 +199,7 @@
     /// Creates the state of a host that sends at most `share` copies for each request that may be hedged. As each host
     /// keeps to it, so do all hosts together.
     pub fn new(share: f64) -> Hedger {
-        Hedger { share, credit: 0.0, routes: Vec::new(), pools: Vec::new() }
+        Hedger { share, routes: Vec::new(), pools: Vec::new() }
     }
 
     /// Returns whether any request may be hedged.
@@ -195,9 +207,12 @@
         self.share > 0.0
     }
 
-    /// Records a request that may be hedged, which adds to the copies that may be sent.
-    pub fn record_request(&mut self) {
-        self.credit = (self.credit + self.share).min(MAX_CREDIT);
+    /// Records a request that may be hedged, which adds to the copies that may be sent to its pool.
+    pub fn record_request(&mut self, pool: &Arc<str>) {
+        if self.is_active() {
+            let pool = tracked(&mut self.pools, pool);
+            pool.credit = (pool.credit + self.share).min(MAX_CREDIT);
+        }
     }
 
     /// Returns how long to wait for the first byte before a copy is due: longer than all but the share of recent requests
@@ -234,22 +249,18 @@
     /// # Errors
     /// Returns why it may not.
     pub fn check(&mut self, pool: &Arc<str>) -> Result<(), Denial> {
-        let is_useful = self.is_useful(pool);
-        if self.credit >= cost(is_useful) {
+        let pool = tracked(&mut self.pools, pool);
+        if pool.credit >= pool.cost() {
             Ok(())
         } else {
-            Err(if is_useful { Denial::Share } else { Denial::NoBenefit })
+            Err(if pool.is_useful() { Denial::Share } else { Denial::NoBenefit })
         }
     }
 
-    /// Whether recent copies to a pool helped.
-    fn is_useful(&mut self, pool: &Arc<str>) -> bool {
-        tracked(&mut self.pools, pool).benefit >= MIN_BENEFIT
-    }
-
     /// Records that a copy is sent.
     pub fn record_copy(&mut self, pool: &Arc<str>) {
-        self.credit -= cost(self.is_useful(pool));
+        let pool = tracked(&mut self.pools, pool);
+        pool.credit -= pool.cost();
     }
 
     /// Records the time after which the first byte arrived, or after which an attempt without one was cancelled in favour
@@ -279,11 +290,6 @@
     }
 }
 
-/// Returns the credit that a copy takes.
-fn cost(is_useful: bool) -> f64 {
-    if is_useful { 1.0 } else { PROBE_COST }
-}
-
 /// Returns a measured time as a multiple of the expected one, in thousandths.
 fn ratio(took: Span, expected: Span) -> u32 {
     let ratio = (took.0 + OFFSET.0).saturating_mul(1_000) / (expected.0 + OFFSET.0);
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -520,11 +520,14 @@
     /// Whether the requests that run in a pool leave enough of its slots free.
     fn has_spare_room(&self, now: Time, pool: &str) -> bool {
         let (mut running, mut slots) = (0, 0);
-        for (_, upstream) in self.serving(pool) {
+        let is_used = |it: &upstream_state::State| {
+            !it.is_ejected(now) && !it.is_ejected_elsewhere(now) && !it.backoff.is_active()
+        };
+        for (_, upstream) in self.serving(pool).filter(|it| is_used(&it.1)) {
             running += u64::from(upstream.company(now));
             slots += u64::from(upstream.entry.slots);
         }
-        running as f64 <= slots as f64 * MAX_HEDGED_LOAD
+        (running as f64) < slots as f64 * MAX_HEDGED_LOAD
     }
 
     /// Places a ticket, makes it wait or refuses it. `start_by` is set if it has waited already for rate limits, `held` is the
@@ -785,6 +788,19 @@
         first.then_some(Prediction { expected, took, is_reported })
     }
 
+    /// Records that the copy of an attempt's request was answered first. The time until then counts as if the first byte had
+    /// come, so that an upstream whose slow attempts are overtaken is still known to be slow. It is no failure.
+    pub fn attempt_overtaken(&mut self, now: Time, attempt: AttemptKey) {
+        let Some(running) = self.running.get(&attempt).filter(|it| !it.answered) else { return };
+        let (key, took) = (running.upstream, now.since(running.started));
+        let (expected, usual) = (running.expected_first_byte, running.usual_first_byte);
+        let Some(upstream) = self.upstream_mut(key) else { return };
+        upstream.slowdown.record(now, expected, took);
+        if upstream.heard.last().is_some() {
+            upstream.lasting.record(now, usual, took);
+        }
+    }
+
     /// Records how far the answer to an attempt had come when it failed.
     pub fn attempt_broken_off(&mut self, attempt: AttemptKey, progress: Progress) {
         if let Some(running) = self.running.get_mut(&attempt) {
--- a/tests/serving/hedge.rs
+++ b/tests/serving/hedge.rs
@@ -141,7 +141,7 @@
                 }
                 let number = requests.len();
                 let grant = grant(&mut placement, now, &new_ticket(number, now));
-                hedger.record_request();
+                hedger.record_request(&pool);
                 let delay = hedger.delay(now, path, grant.expected_first_byte, deadline);
                 if let Some(delay) = delay {
                     events.push(Reverse((now + delay, Event::Due(number))));
@@ -275,7 +275,7 @@
     for _ in 0..80 {
         let mut hedger = Hedger::new(0.05);
         for number in 0..100 {
-            hedger.record_request();
+            hedger.record_request(&pool);
             if number >= 50 && hedger.check(&pool).is_ok() {
                 hedger.record_copy(&pool);
                 hedger.record_outcome(&pool, Outcome::Won);
@@ -440,10 +440,11 @@
 /// A hedger for which an answer is late after 30 ms.
 fn hedger() -> Hedger {
     let mut hedger = Hedger::new(0.2);
-    let path = Path { pool: &POOL.into(), route: &"route".into() };
+    let pool = POOL.into();
+    let path = Path { pool: &pool, route: &"route".into() };
     for _ in 0..40 {
         hedger.record_first_byte(Time::now(), path, Span::from_ms(20), Span::from_ms(30));
-        hedger.record_request();
+        hedger.record_request(&pool);
     }
     hedger
 }
--- a/tests/serving/reported_load.rs
+++ b/tests/serving/reported_load.rs
@@ -80,6 +80,8 @@
     entries.iter_mut().for_each(|it| it.slots = pattern.slots);
     let mut hosts: Vec<_> =
         (0..pattern.hosts).map(|it| host(&format!("host-{it}"), &entries)).collect();
+    // Placement alone: every request goes to an upstream at once.
+    hosts.iter_mut().for_each(|it| it.set_admission(false));
     let last = (pattern.upstreams - 1) as f64;
     let upstream = |it: usize| Upstream {
         slowness: 0.6 + it as f64 / last,
