--- a/tests/serving/hedge.rs
+++ b/tests/serving/hedge.rs
@@ -60,6 +60,8 @@
 enum Pattern {
     /// One upstream takes six times as long for a sixth of its requests.
     Pauses,
+    /// One upstream takes six times as long for all requests.
+    Slow,
     /// All upstreams take four times as long.
     AllSlow,
     /// Each upstream takes 2.5 times as long for 15% of the time.
@@ -105,6 +107,7 @@
     match pattern {
         _ if ms < PATTERN_START_MS => 1.0,
         Pattern::Pauses if key == 1 && draw([3, number, 0]) < 1.0 / 6.0 => 6.0,
+        Pattern::Slow if key == 1 => 6.0,
         Pattern::AllSlow => 4.0,
         Pattern::Noise if draw([7, key, ms / 1_500]) < 0.15 => 2.5,
         _ => 1.0,
@@ -187,6 +190,8 @@
                     let took = now.since(sent_at);
                     if is_winner {
                         placement.attempt_answered(now, grant.attempt);
+                    } else if place == 0 {
+                        placement.attempt_overtaken(now, grant.attempt);
                     }
                     let ending = if is_winner { Ending::Done } else { Ending::Cancelled };
                     placement.attempt_ended(now, grant.attempt, ending);
@@ -247,6 +252,12 @@
     assert!(with.p99.0 * 3 <= without.p99.0 * 2, "{with:?} instead of {without:?}");
 }
 
+#[test]
+fn copies_cut_the_slowest_answers_where_one_of_six_upstreams_is_always_slow() {
+    let (without, with) = with_and_without(Pattern::Slow);
+    assert!(with.p99.0 * 3 <= without.p99.0 * 2, "{with:?} instead of {without:?}");
+}
+
 #[test]
 fn few_copies_are_sent_where_all_upstreams_are_slow_alike() {
     let (without, with) = with_and_without(Pattern::AllSlow);
