Send to engines that stand empty before a request waits or is refused

Cause: a request looked at the 24 upstreams of its subset and a few more, and waited or was refused while engines outside it had a place and nothing to read; the soonest one was the same for all hosts. Requests of a round that began while others waited were held even if they may not be: streams that have begun and requests without a prompt. Copies were sent while requests waited for a place.

Change: where the usual choice would not begin a request, the best of all empty engines with a place takes it, then one drawn as usual among those that would begin it. What cannot end is judged over the whole pool. Placement::may_hold says in both places which requests may wait. A copy is refused while a request of the pool waits for a place.

Without the change no_request_waits_while_an_engine_stands_empty printed 'the request was not placed: None', and the copy was granted ('Grant(TicketKey(2), ..)').

--- a/src/serving/admission.rs
+++ b/src/serving/admission.rs
@@ -15,7 +15,7 @@
 const MIN_TOKEN_US: u64 = 3_400;
 
 /// Time before an engine reads a new prompt up to which its places count as empty.
-const EMPTY_QUEUEING: Span = Span::from_ms(20);
+pub(super) const EMPTY_QUEUEING: Span = Span::from_ms(20);
 
 /// Factor by which predictions may be wrong. A request that can only be late begins if it ends in time even so, and is refused
 /// at once if it ends too late even so.
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -388,6 +388,11 @@
         self.admits && self.serving(pool).any(|(_, it)| it.heard.last().is_some())
     }
 
+    /// Whether a request may wait for a place. A stream that has begun goes on wherever it can.
+    fn may_hold(&self, ticket: &Ticket) -> bool {
+        ticket.prompt.is_some() && ticket.version.is_none() && self.admits(&ticket.pool)
+    }
+
     /// Replaces the list of upstreams. Those that remain keep their state.
     pub fn set_upstreams(&mut self, entries: &[Entry]) {
         let mut listed: BTreeMap<_, _> = entries.iter().map(|it| (incarnation(it), it)).collect();
@@ -480,7 +485,7 @@
             return;
         }
         self.demand_mut(&ticket.pool).observe(now, ticket);
-        if !self.held.is_empty() && self.held.precedes(&ticket.pool, ticket.tier) {
+        if self.held.precedes(&ticket.pool, ticket.tier) && self.may_hold(ticket) {
             // The next round, a few milliseconds from now, looks at the requests in their order.
             let until = need(ticket, now).wait_until();
             self.hold(now, waiting::Waiting { ticket: ticket.clone(), since: now, until }, actions);
@@ -502,7 +507,8 @@
         if self.evidence.judge(now, &ticket.contents, true) != Verdict::Clear {
             return refuse(Kind::Quarantined);
         }
-        let is_awaited = self.waiting.iter().any(|it| it.ticket.pool == ticket.pool);
+        let is_awaited = self.waiting.iter().any(|it| it.ticket.pool == ticket.pool)
+            || self.held.precedes(&ticket.pool, u8::MAX);
         if is_awaited || !self.has_spare_room(now, &ticket.pool) {
             return refuse(Kind::Shed);
         }
@@ -1180,10 +1186,7 @@
     fn choose(&self, now: Time, ticket: &Ticket, is_suspect: bool, held: Option<Time>) -> Choice {
         let (open, full): (Vec<_>, Vec<_>) =
             self.untried(ticket).partition(|(_, upstream)| upstream.may_have_room(now));
-        // A stream that has begun goes on wherever it can.
-        let is_engine = ticket.prompt.is_some();
-        let is_new = ticket.version.is_none();
-        if !open.is_empty() && is_engine && is_new && self.admits(&ticket.pool) {
+        if !open.is_empty() && self.may_hold(ticket) {
             return self.choose_admitted(now, ticket, open, is_suspect, held);
         }
         if let Some(best) = self.best(now, ticket, open, is_suspect) {
@@ -1222,16 +1225,29 @@
         if decision == admission::Decision::Begin {
             return Choice::Upstream(best);
         }
-        // The least cost is where parts are cached; elsewhere the request may still be in time.
-        let others = self.subset(now, ticket, free);
-        let others =
-            others.into_iter().map(|(key, state)| self.candidate(now, ticket, *key, state));
-        let soonest = others.min_by_key(|it| (it.expected_end, it.expected_first_byte, it.rank));
-        let Some(soonest) = soonest else { return Choice::Nothing };
-        match decide(&soonest) {
-            admission::Decision::Begin => Choice::Upstream(soonest),
-            decision => Choice::Held(decision, soonest.expected_end),
+        // The least cost is where parts are cached; elsewhere the request may still be in time. An engine with nothing to
+        // read may be outside the subset.
+        let tier = tier_index(ticket);
+        let is_idle = |it: &upstream_state::State| {
+            it.queue(tier) <= admission::EMPTY_QUEUEING && it.has_place(now)
+        };
+        let idle = free.iter().copied().filter(|(_, it)| is_idle(it)).collect();
+        if let Some(best) = self.best(now, ticket, idle, is_suspect) {
+            return Choice::Upstream(best);
+        }
+        let all: Vec<_> = free
+            .into_iter()
+            .map(|it| (it, self.candidate(now, ticket, it.0, &it.1)))
+            .map(|(it, candidate)| (it, candidate, decide(&candidate)))
+            .collect();
+        // Hosts that hear the same news would all send to the soonest.
+        let in_time = all.iter().filter(|it| it.2 == admission::Decision::Begin);
+        if let Some(best) = self.best(now, ticket, in_time.map(|it| it.0).collect(), is_suspect) {
+            return Choice::Upstream(best);
         }
+        let end = |it: &Candidate| (it.expected_end, it.expected_first_byte, it.rank);
+        let soonest = all.into_iter().min_by_key(|it| end(&it.1));
+        soonest.map_or(Choice::Nothing, |(_, it, decision)| Choice::Held(decision, it.expected_end))
     }
 
     fn prospect(&self, ticket: &Ticket, candidate: &Candidate) -> admission::Prospect {
--- a/tests/serving/admission.rs
+++ b/tests/serving/admission.rs
@@ -4,13 +4,16 @@
 use std::collections::BTreeMap;
 
 use almondrack::{
+    error::Kind,
     serving::{
         admission::{self, Decision, Need, Prospect, Reason},
         key::{AttemptKey, TicketKey},
         loads::Loads,
+        messages::Load,
         placement::{Action, Placement, Ticket},
         registry::Entry,
         reported_load::{Dated, Report},
+        upstream_state,
         waiting::MAX_WAITING,
     },
     time::{Span, Time},
@@ -401,3 +404,59 @@
     let [Action::Grant(key, _)] = granted[..] else { panic!("one place is free: {actions:?}") };
     assert_eq!(*key, TicketKey(1_000), "the most urgent one goes first");
 }
+
+/// A host that knows of tokens to read at each of some engines.
+fn host_with_queues(tokens: &[u32]) -> Placement {
+    let entries = engines(tokens.len());
+    let mut host = host("host", &entries);
+    let ids: Vec<_> = entries.iter().map(upstream_state::incarnation_id).collect();
+    host.merge_reports(&ids.iter().map(|it| (*it, report(at(0), 1))).collect::<Vec<_>>());
+    let load = |(upstream, tokens): (&u64, &u32)| Load {
+        upstream: *upstream,
+        pending: std::array::from_fn(|tier| if tier == 0 { *tokens } else { 0 }),
+        running: 1,
+        ejected_ms: 0,
+    };
+    let mut loads: Vec<_> = ids.iter().zip(tokens).map(load).collect();
+    loads.sort_unstable_by_key(|it| it.upstream);
+    host.set_remote_loads(at(0), &loads);
+    host
+}
+
+#[test]
+fn no_request_waits_while_an_engine_stands_empty() {
+    let mut queues = [40_000; 60];
+    queues[17] = 0;
+    let instances = (1..=40).map(|number| {
+        let new = Ticket { target: at(1_500), ..ticket(number, prompt(&[], 0, 100)) };
+        crate::fixture::place(&mut host_with_queues(&queues), at(0), &new).0
+    });
+    assert!(instances.into_iter().all(|it| it == "engine-17"));
+}
+
+#[test]
+fn begun_streams_and_requests_without_a_prompt_pass_waiting_ones() {
+    let mut host = host_with_a_waiting_request();
+    let begun = Ticket { version: Some("v1".into()), ..ticket(3, prompt(&[], 0, 100)) };
+    crate::fixture::grant(&mut host, at(0), &begun);
+    let plain = Ticket { prompt: None, ..ticket(4, prompt(&[], 0, 100)) };
+    crate::fixture::grant(&mut host, at(0), &plain);
+}
+
+#[test]
+fn no_copy_is_sent_while_requests_wait_for_a_place() {
+    let mut host = host_with_a_waiting_request();
+    let mut actions = Vec::new();
+    let copy = Ticket { is_hedge: true, ..ticket(2, prompt(&[], 0, 100)) };
+    host.submit(at(0), &copy, &mut actions);
+    assert!(matches!(actions[..], [Action::Refuse(_, Kind::Shed, None)]), "{actions:?}");
+}
+
+fn host_with_a_waiting_request() -> Placement {
+    let mut host = host_with_queues(&[40_000; 2]);
+    let mut actions = Vec::new();
+    let new = Ticket { target: at(1_500), ..ticket(1, prompt(&[], 0, 100)) };
+    host.submit(at(0), &new, &mut actions);
+    assert_eq!((actions.len(), host.held(at(0)).0), (0, 1), "{actions:?}");
+    host
+}
