--- a/src/serving/admission.rs
+++ b/src/serving/admission.rs
@@ -15,7 +15,7 @@
 const MIN_TOKEN_US: u64 = 3_400;
 
 /// Time before an engine reads a new prompt up to which its places count as empty.
-const EMPTY_QUEUEING: Span = Span::from_ms(20);
+pub(super) const EMPTY_QUEUEING: Span = Span::from_ms(20);
 
 /// Factor by which predictions may be wrong. A request that can only be late begins if it ends in time even so, and is refused
 /// at once if it ends too late even so.
@@ -154,7 +154,9 @@
         return Decision::Begin;
     }
     let until = need.wait_until();
-    if now < until {
+    // What is read until then must leave a queue that is short enough.
+    let passable = (need.wait().0 + until.since(now).0) as f64;
+    if now < until && prospect.queueing.0 as f64 <= UNCERTAINTY * passable {
         return Decision::Wait(until);
     }
     Decision::Refuse(Reason::Late, Span(prospect.queueing.0.saturating_sub(need.wait().0)))
--- a/tests/serving/admission.rs
+++ b/tests/serving/admission.rs
@@ -4,20 +4,24 @@
 use std::collections::BTreeMap;
 
 use almondrack::{
+    error::Kind,
     serving::{
         admission::{self, Decision, Need, Prospect, Reason},
         key::{AttemptKey, TicketKey},
         loads::Loads,
+        messages::Load,
         placement::{Action, Placement, Ticket},
+        rate_limit::{self, Rate},
         registry::Entry,
         reported_load::{Dated, Report},
+        upstream_state,
         waiting::MAX_WAITING,
     },
     time::{Span, Time},
     wire::Ending,
 };
 
-use crate::fixture::{at, engines, host, prompt, ticket};
+use crate::fixture::{POOL, at, engines, host, prompt, ticket};
 
 /// Length of a step of a play, and of the interval at which hosts exchange their loads, in milliseconds.
 const STEP_MS: u64 = 5;
@@ -358,6 +362,9 @@
     let refused = decide(0, prospect(4_000, 5_000));
     assert_eq!(refused, Decision::Refuse(Reason::CannotEnd, Span::from_ms(2_000)));
     assert_eq!(decide(800, prospect(400, 1_000)), Decision::Begin, "late and surely whole");
+    assert_eq!(decide(0, prospect(1_500, 2_000)), Decision::Wait(at(500)), "perhaps it helps");
+    let in_vain = Decision::Refuse(Reason::Late, Span::from_ms(1_100));
+    assert_eq!(decide(0, prospect(1_600, 2_000)), in_vain, "no wait helps");
     let late = decide(500, prospect(900, 2_000));
     assert_eq!(late, Decision::Refuse(Reason::Late, Span::from_ms(400)));
 }
@@ -401,3 +408,87 @@
     let [Action::Grant(key, _)] = granted[..] else { panic!("one place is free: {actions:?}") };
     assert_eq!(*key, TicketKey(1_000), "the most urgent one goes first");
 }
+
+/// A host that knows of tokens to read at each of some engines.
+fn host_with_queues(tokens: &[u32]) -> Placement {
+    let entries = engines(tokens.len());
+    let mut host = host("host", &entries);
+    let ids: Vec<_> = entries.iter().map(upstream_state::incarnation_id).collect();
+    host.merge_reports(&ids.iter().map(|it| (*it, report(at(0), 1))).collect::<Vec<_>>());
+    let load = |(upstream, tokens): (&u64, &u32)| Load {
+        upstream: *upstream,
+        pending: std::array::from_fn(|tier| if tier == 0 { *tokens } else { 0 }),
+        running: 1,
+        ejected_ms: 0,
+    };
+    let mut loads: Vec<_> = ids.iter().zip(tokens).map(load).collect();
+    loads.sort_unstable_by_key(|it| it.upstream);
+    host.set_remote_loads(at(0), &loads);
+    host
+}
+
+#[test]
+fn no_request_waits_while_an_engine_stands_empty() {
+    let mut queues = [40_000; 60];
+    queues[17] = 0;
+    let instances = (1..=40).map(|number| {
+        let new = Ticket { target: at(1_500), ..ticket(number, prompt(&[], 0, 100)) };
+        crate::fixture::place(&mut host_with_queues(&queues), at(0), &new).0
+    });
+    assert!(instances.into_iter().all(|it| it == "engine-17"));
+}
+
+#[test]
+fn begun_streams_and_requests_without_a_prompt_pass_waiting_ones() {
+    let mut host = host_with_a_waiting_request();
+    let begun = Ticket { version: Some("v1".into()), ..ticket(3, prompt(&[], 0, 100)) };
+    crate::fixture::grant(&mut host, at(0), &begun);
+    let plain = Ticket { prompt: None, ..ticket(4, prompt(&[], 0, 100)) };
+    crate::fixture::grant(&mut host, at(0), &plain);
+}
+
+#[test]
+fn no_copy_is_sent_while_requests_wait_for_a_place() {
+    let mut host = host_with_a_waiting_request();
+    let mut actions = Vec::new();
+    let copy = Ticket { is_hedge: true, ..ticket(2, prompt(&[], 0, 100)) };
+    host.submit(at(0), &copy, &mut actions);
+    assert!(matches!(actions[..], [Action::Refuse(_, Kind::Shed, None)]), "{actions:?}");
+}
+
+fn host_with_a_waiting_request() -> Placement {
+    let mut host = host_with_queues(&[40_000; 2]);
+    let mut actions = Vec::new();
+    let new = Ticket { target: at(1_500), ..ticket(1, prompt(&[], 0, 100)) };
+    host.submit(at(0), &new, &mut actions);
+    assert_eq!((actions.len(), host.held(at(0)).0), (0, 1), "{actions:?}");
+    host
+}
+
+#[test]
+fn a_request_that_is_denied_a_permit_does_not_begin_its_wait_anew() {
+    let mut host = host_with_a_waiting_request();
+    let mut actions = Vec::new();
+    // The engines become cold and empty, and then it asks for a permit.
+    let cold: Vec<_> = engines(2).into_iter().map(|it| Entry { warmup_ms: 10_000, ..it }).collect();
+    host.set_upstreams(&cold);
+    host.set_cold_rates(at(0), vec![(POOL.into(), Rate::new(5.0).expect("valid"))]);
+    host.set_remote_loads(at(0), &[]);
+    host.place_waiting(at(500), &mut actions);
+    let Some(Action::Ask(key, upstream, ask)) = actions.pop() else { panic!("{actions:?}") };
+    let ids: Vec<_> = cold.iter().map(upstream_state::incarnation_id).collect();
+    let load = |id: &u64| Load {
+        upstream: *id,
+        pending: std::array::from_fn(|tier| if tier == 0 { 40_000 } else { 0 }),
+        running: 1,
+        ejected_ms: 0,
+    };
+    let mut loads: Vec<_> = ids.iter().map(load).collect();
+    loads.sort_unstable_by_key(|it| it.upstream);
+    host.set_remote_loads(at(760), &loads);
+    let denied = (rate_limit::Decision::Denied(Span::from_ms(1)), ask.limit);
+    host.permit_answered(at(760), (key, upstream), at(500), denied, &mut actions);
+    host.place_waiting(at(765), &mut actions);
+    let [Action::Deny(_, refusal)] = actions[..] else { panic!("{actions:?}") };
+    assert!(refusal.waited >= Span::from_ms(760), "{refusal:?}");
+}
