Keep the baseline of a pool through an evacuation, and count no cold spot upstreams

Cause: the baseline of regular upstreams is the most that were ever ready, in all zones. An evacuation orders more of them in the other zones beside those of the evacuated one, so that each evacuation raised it and the orders stayed after it was taken back. Spot upstreams that are still cold counted as full capacity, so that regular ones were ordered away at once.

Change: while a zone is evacuated, and until the regular upstreams are back at the baseline, it is not raised. Where the pool names a rate for cold upstreams, cold spot upstreams don't count, and a zone that returns with cold ones counts as absent for the regular orders until they are warm; its spot upstreams are ordered at once.

--- a/src/serving/scaling.rs
+++ b/src/serving/scaling.rs
@@ -114,15 +114,46 @@
 pub struct Scaler {
     zones: Vec<String>,
     sent_orders: Vec<SentOrder>,
-    /// Largest number of ready regular upstreams of each pool so far, which the operator sized for
-    /// the usual load. Sorted by pool.
-    baseline: Vec<(Arc<str>, u32)>,
+    /// Sorted by pool.
+    baselines: Vec<(Arc<str>, Baseline)>,
+}
+
+/// What the scaler knows of the usual load of a pool.
+#[derive(Debug, Default)]
+struct Baseline {
+    /// Largest number of ready regular upstreams so far, which the operator sized for the usual load.
+    regular: u32,
+    /// Whether more regular upstreams may run than that, as an evacuation ordered them.
+    is_exceeded: bool,
+    /// Zones that are evacuated or have returned with upstreams that are still cold.
+    absent: Vec<String>,
+}
+
+impl Baseline {
+    /// Records the zones that are evacuated and the ready regular upstreams of all zones.
+    fn observe(&mut self, pool: &Pool, own: &[&Entry], evacuated: &[String]) {
+        self.absent.retain(|zone| {
+            !evacuated.contains(zone)
+                && own.iter().any(|it| *it.zone == **zone && is_cold(pool, it))
+        });
+        self.absent.extend_from_slice(evacuated);
+        let regular = own.iter().filter(|it| !it.spot && it.state == State::Ready).count() as u32;
+        self.is_exceeded = !self.absent.is_empty() || (self.is_exceeded && regular > self.regular);
+        if !self.is_exceeded || self.regular == 0 {
+            self.regular = self.regular.max(regular);
+        }
+    }
+}
+
+/// Whether an upstream does not take its share of the requests yet, as its pool names a pace for cold ones.
+fn is_cold(pool: &Pool, entry: &Entry) -> bool {
+    pool.cold_rate.is_some() && entry.warmup_ms > 0
 }
 
 impl Scaler {
     /// Creates a scaler for all availability zones of the system.
     pub fn new(zones: Vec<String>) -> Scaler {
-        Scaler { zones, sent_orders: Vec::new(), baseline: Vec::new() }
+        Scaler { zones, sent_orders: Vec::new(), baselines: Vec::new() }
     }
 
     fn forget_orders(&mut self) {
@@ -130,7 +161,7 @@
     }
 
     /// Returns the orders that are due. Nothing is ordered in an evacuated zone: what runs there goes on for the time
-    /// after it is taken back, and the other zones get what it served.
+    /// after it is taken back, and the other zones get what it served, until its upstreams are no longer cold.
     pub fn step(
         &mut self,
         now: Time,
@@ -153,7 +184,7 @@
     ///
     /// All spot instances of a zone can be reclaimed at once, so that the maximum is ordered in
     /// each zone and the others have enough without it. Regular upstreams cover the baseline until
-    /// the spot instances are ready, and while too few of these are available.
+    /// the spot instances are ready and no longer cold, and while too few of these are available.
     fn targets(
         &mut self,
         pool: &Pool,
@@ -161,20 +192,21 @@
         own: &[&Entry],
         evacuated: &Zones,
     ) -> Vec<Order> {
-        let ready = |spot, is_open: fn(&Zones, &str) -> bool| {
-            let counts = |it: &&&Entry| {
-                it.spot == spot && it.state == State::Ready && is_open(evacuated, &it.zone)
-            };
-            own.iter().filter(counts).count() as u32
-        };
-        let baseline = self.update_baseline(pool, ready(false, |_, _| true));
-        let open: Vec<_> = self.zones.iter().filter(|it| !evacuated.contains(it)).collect();
-        let zones = open.len().max(1) as u32;
+        let (closed, open): (Vec<_>, Vec<_>) =
+            self.zones.iter().cloned().partition(|it| evacuated.contains(it));
+        let baseline = self.baseline(pool);
+        baseline.observe(pool, own, &closed);
+        let (baseline, absent) = (baseline.regular, baseline.absent.clone());
+        let serving: Vec<_> = open.iter().filter(|it| !absent.contains(it)).collect();
+        let zones = serving.len().max(1) as u32;
         let share = baseline.div_ceil(zones).max(scaling.min);
         let spot = scaling.max;
-        let missing = baseline.saturating_sub(ready(true, |zones, it| !zones.contains(it)));
-        let mut regular = missing.div_ceil(zones).min(share);
-        if !evacuated.is_empty() {
+        let serves = |it: &&&Entry| {
+            it.state == State::Ready && !evacuated.contains(&it.zone) && !is_cold(pool, it)
+        };
+        let ready_spot = own.iter().filter(|it| it.spot).filter(serves).count() as u32;
+        let mut regular = baseline.saturating_sub(ready_spot).div_ceil(zones).min(share);
+        if !absent.is_empty() {
             regular = regular.min(scaling.max);
         }
         let order = |zone: &String, spot, count| Order {
@@ -184,22 +216,19 @@
             count,
         };
         let mut out: Vec<_> = open.iter().map(|it| order(it, true, spot)).collect();
-        out.extend(open.iter().map(|it| order(it, false, regular)));
+        out.extend(serving.iter().map(|it| order(it, false, regular)));
         out
     }
 
-    fn update_baseline(&mut self, pool: &Pool, regular: u32) -> u32 {
-        match self.baseline.binary_search_by(|it| it.0.cmp(&pool.name)) {
-            Ok(at) => {
-                let baseline = &mut self.baseline[at].1;
-                *baseline = (*baseline).max(regular);
-                *baseline
-            }
+    fn baseline(&mut self, pool: &Pool) -> &mut Baseline {
+        let at = match self.baselines.binary_search_by(|it| it.0.cmp(&pool.name)) {
+            Ok(found) => found,
             Err(at) => {
-                self.baseline.insert(at, (pool.name.clone(), regular));
-                regular
+                self.baselines.insert(at, (pool.name.clone(), Baseline::default()));
+                at
             }
-        }
+        };
+        &mut self.baselines[at].1
     }
 
     fn is_due(&self, now: Time, order: &Order, own: &[&Entry]) -> bool {
--- a/tests/serving/evacuation.rs
+++ b/tests/serving/evacuation.rs
@@ -170,3 +170,87 @@
     assert_eq!(counts(&zones(&["b"]), 500), []);
     assert_eq!(counts(&Zones::default(), 750), [("a".to_owned(), 20)]);
 }
+
+/// The scaler's regular orders for each zone, fed back as upstreams that are ready at once.
+struct Orders {
+    scaler: Scaler,
+    table: Table,
+    entries: Vec<Entry>,
+    now_ms: u64,
+}
+
+impl Orders {
+    fn new(entries: Vec<Entry>, cold_rate: Option<Rate>) -> Orders {
+        let scaling =
+            Scaling { min: 0, max: 40, boot_ms: 4_000, spot_price_ratio: 0.5, prices: Vec::new() };
+        let scaling = Some(scaling);
+        let pool = Pool { name: POOL.into(), connections: 100, engine: None, scaling, cold_rate };
+        let table = Table::build(Parts { pools: vec![pool], ..Parts::default() });
+        let scaler = Scaler::new(vec!["a".to_owned(), "b".to_owned()]);
+        Orders { scaler, table, entries, now_ms: 0 }
+    }
+
+    fn regular(&self, zone: &str) -> usize {
+        self.entries.iter().filter(|it| !it.spot && *it.zone == *zone).count()
+    }
+
+    /// Returns the regular upstreams of each zone after some steps.
+    fn settle(&mut self, evacuated: &Zones) -> [usize; 2] {
+        for _ in 0..4 {
+            self.now_ms += 250;
+            let now = at(self.now_ms);
+            for order in self.scaler.step(now, &self.table, &self.entries, evacuated) {
+                self.scaler.record_result(now, &order, &Ok(()));
+                if order.spot {
+                    continue;
+                }
+                let mut present = 0;
+                self.entries.retain(|it| {
+                    let is_other = it.spot || *it.zone != *order.zone;
+                    present += u32::from(!is_other);
+                    is_other || present <= order.count
+                });
+                for _ in present.min(order.count)..order.count {
+                    let zone = order.zone.as_str().into();
+                    self.entries.push(Entry { zone, ..engine(self.entries.len() + 100) });
+                }
+            }
+        }
+        [self.regular("a"), self.regular("b")]
+    }
+}
+
+#[test]
+fn the_orders_after_an_evacuation_are_those_before_it() {
+    let mut orders = Orders::new(engines(24), None);
+    assert_eq!(orders.settle(&Zones::default()), [12, 12]);
+    for _ in 0..3 {
+        assert_eq!(orders.settle(&zones(&["b"])), [24, 12]);
+        assert_eq!(orders.settle(&Zones::default()), [12, 12]);
+    }
+}
+
+#[test]
+fn upstreams_that_are_cold_replace_no_regular_ones() {
+    let spot = |it: usize, warmup_ms| {
+        let zone = if it % 2 == 0 { "a" } else { "b" };
+        Entry { spot: true, warmup_ms, zone: zone.into(), ..engine(it + 50) }
+    };
+    let rate = Rate::new(11.0);
+    let mut orders = Orders::new(engines(24), rate);
+    assert_eq!(orders.settle(&Zones::default()), [12, 12]);
+    orders.entries.extend((0..24).map(|it| spot(it, 3_000)));
+    assert_eq!(orders.settle(&Zones::default()), [12, 12], "the spot upstreams are cold");
+    let warm = |orders: &mut Orders| orders.entries.iter_mut().for_each(|it| it.warmup_ms = 0);
+    warm(&mut orders);
+    assert_eq!(orders.settle(&Zones::default()), [0, 0]);
+    // A zone that returns cold gets back its part when it is warm.
+    let mut orders = Orders::new(engines(24), rate);
+    assert_eq!(orders.settle(&Zones::default()), [12, 12]);
+    assert_eq!(orders.settle(&zones(&["b"])), [24, 12]);
+    let returned = orders.entries.iter_mut().filter(|it| *it.zone == *"b");
+    returned.for_each(|it| it.warmup_ms = 3_000);
+    assert_eq!(orders.settle(&Zones::default()), [24, 12], "the returned zone is cold");
+    warm(&mut orders);
+    assert_eq!(orders.settle(&Zones::default()), [12, 12]);
+}
