Use more of the pace of cold upstreams

Cause: a denied request for a cold upstream goes elsewhere at once, yet it claimed the next permit and kept less urgent tiers from it. A new bucket denied its first request. In calm only the first limiter grants, 0.6 of the pace. Entries that arrived late prolonged the cold phase.

Change: requests for cold upstreams make and heed no claims. A new bucket for one holds one permit. The first limiter grants 0.75 of the pace and the others 0.1 and 0.05 of that: 0.75 x 1.15 x 1.3 = 1.12 of the pace in one second, and the bursts. Within one phase the earliest end counts; one more than 2 s later begins a new phase.

--- a/src/serving/cold.rs
+++ b/src/serving/cold.rs
@@ -15,9 +15,9 @@
     time::{Span, Time},
 };
 
-/// Part of a cold upstream's pace that the first granting host gives out. All three ranks together give out 1.3 times
-/// that, and permits of 1.3 s may arrive within one second, so that the sum stays at the pace.
-const GRANTED_SHARE: f64 = 0.6;
+/// Part of a cold upstream's pace that the first granting host gives out. All three ranks together give out 1.15 times
+/// that, and permits of 1.3 s may arrive within one second, so that the sum stays near the pace.
+const GRANTED_SHARE: f64 = 0.75;
 
 /// Part of the permits that a granting host gives out while it does not know the fleet as of now. Others may have replaced
 /// it, and all of them together must keep the pace.
@@ -29,6 +29,9 @@
 /// Cost of a request to a cold upstream, which is slow, compared with others.
 const PENALTY: Span = Span::from_ms(100);
 
+/// How much longer than known a cold phase may seem by entries that arrive late. A phase that ends later is a new one.
+const LATE_ENTRY: Span = Span::from_ms(2_000);
+
 /// Time after the cold phase in which that cost decreases to nothing, so that hosts do not all turn to the upstream at once.
 const WARM_UP: Span = Span::from_ms(2_000);
 
@@ -54,7 +57,11 @@
             self.seen = seen;
             self.warm_at = match entry.warmup_ms {
                 0 => self.warm_at.min(now),
-                remaining => now + Span::from_ms(remaining),
+                remaining => {
+                    let end = now + Span::from_ms(remaining);
+                    let is_same_phase = now < self.warm_at && end <= self.warm_at + LATE_ENTRY;
+                    if is_same_phase { self.warm_at.min(end) } else { end }
+                }
             };
         }
         self.rate = rate;
--- a/src/serving/rate_limit.rs
+++ b/src/serving/rate_limit.rs
@@ -133,6 +133,9 @@
 /// Part of a rate that each rank grants. All hosts ask the first rank while it answers.
 const RANK_SHARES: [f64; RANKS] = [1.0, 0.2, 0.1];
 
+/// The same for the pace of a cold upstream.
+const COLD_RANK_SHARES: [f64; RANKS] = [1.0, 0.1, 0.05];
+
 /// Hosts that grant permits for one upstream.
 pub const RANKS: usize = 3;
 
@@ -152,7 +155,8 @@
 /// One of this many permits goes to the first request that asks, whatever its tier, so that none is starved.
 const OPEN_TURN: u32 = 4;
 
-/// Time without requests after which a bucket is dropped. A new one is empty.
+/// Time without requests after which a bucket is dropped. A new one is empty, or holds one
+/// permit if it is for a cold upstream.
 const BUCKET_LIFETIME: Span = Span::from_ms(60_000);
 
 /// Retry delay from a host that has no part of the rate, as its roster differs from that of the asking host.
@@ -197,17 +201,19 @@
 impl Limiter {
     /// Decides about a permit. `rank` is the rank of this host for the upstream, `None` if it has none.
     pub fn ask(&mut self, now: Time, rank: Option<usize>, ask: Ask) -> Decision {
-        let bucket = self.bucket(now, ask.upstream);
+        let bucket = self.bucket(now, ask.upstream, if ask.is_cold { 1.0 } else { 0.0 });
         bucket.limit.merge(ask.limit);
         let Some(limit) = bucket.limit.rate() else { return Decision::Granted };
-        let share = rank.and_then(|it| RANK_SHARES.get(it));
+        let shares = if ask.is_cold { COLD_RANK_SHARES } else { RANK_SHARES };
+        let share = rank.and_then(|it| shares.get(it));
         let Some(share) = share else { return Decision::Denied(NOT_RANKED_DELAY) };
-        bucket.take(now, limit.per_second().max(MIN_RATE) * share, ask.tier.min(TIERS - 1))
+        let tier = (!ask.is_cold).then_some(ask.tier.min(TIERS - 1));
+        bucket.take(now, limit.per_second().max(MIN_RATE) * share, tier)
     }
 
     /// Records a limit as another host knows it.
     pub fn report(&mut self, now: Time, upstream: u64, limit: Limit) {
-        self.bucket(now, upstream).limit.merge(limit);
+        self.bucket(now, upstream, 0.0).limit.merge(limit);
     }
 
     /// Limit of an upstream as this host knows it from others.
@@ -216,12 +222,13 @@
         found.map_or(Limit::default(), |at| self.buckets[at].1.limit)
     }
 
-    fn bucket(&mut self, now: Time, upstream: u64) -> &mut Bucket {
+    /// Returns the bucket of an upstream. A new one holds the given tokens.
+    fn bucket(&mut self, now: Time, upstream: u64, tokens: f64) -> &mut Bucket {
         self.buckets.retain(|it| it.0 == upstream || now.since(it.1.asked_at) < BUCKET_LIFETIME);
         let at = match self.buckets.binary_search_by_key(&upstream, |it| it.0) {
             Ok(found) => found,
             Err(at) => {
-                self.buckets.insert(at, (upstream, Bucket::new(now)));
+                self.buckets.insert(at, (upstream, Bucket::new(now, tokens)));
                 at
             }
         };
@@ -232,10 +239,10 @@
 }
 
 impl Bucket {
-    fn new(now: Time) -> Bucket {
+    fn new(now: Time, tokens: f64) -> Bucket {
         Bucket {
             limit: Limit::default(),
-            tokens: 0.0,
+            tokens,
             filled_at: now,
             asked_at: now,
             claims: [Time(0); TIERS],
@@ -243,24 +250,30 @@
         }
     }
 
-    /// Takes a token at a rate in requests per second.
-    fn take(&mut self, now: Time, rate: f64, tier: usize) -> Decision {
+    /// Takes a token at a rate in requests per second. Without a tier none is kept for the request if it is denied, which
+    /// goes elsewhere, and none is kept from it.
+    fn take(&mut self, now: Time, rate: f64, tier: Option<usize>) -> Decision {
         let elapsed = now.since(self.filled_at).0 as f64 / 1e6;
         let capacity = (rate * BURST_S).max(1.0);
         self.tokens = (self.tokens + elapsed * rate).min(capacity);
         self.filled_at = now;
         let is_open_turn = self.granted % OPEN_TURN == OPEN_TURN - 1;
-        let is_claimed = !is_open_turn && self.claims[..tier].iter().any(|until| now < *until);
+        let claims = &self.claims[..tier.unwrap_or(0)];
+        let is_claimed = !is_open_turn && claims.iter().any(|until| now < *until);
         if self.tokens >= 1.0 && !is_claimed {
             self.tokens -= 1.0;
             self.granted = self.granted.wrapping_add(1);
-            self.claims[tier] = Time(0);
+            if let Some(tier) = tier {
+                self.claims[tier] = Time(0);
+            }
             return Decision::Granted;
         }
         // A claimed token is followed by another one after the time of a whole token.
         let missing = if self.tokens < 1.0 { 1.0 - self.tokens } else { 1.0 };
         let delay = Span((missing / rate * 1e6).ceil() as u64);
-        self.claims[tier] = now + delay + CLAIM_MARGIN;
+        if let Some(tier) = tier {
+            self.claims[tier] = now + delay + CLAIM_MARGIN;
+        }
         Decision::Denied(delay)
     }
 }
--- a/tests/serving/cold.rs
+++ b/tests/serving/cold.rs
@@ -192,3 +192,19 @@
     assert_eq!(granted(Some(at(5_000))), 2.0);
     assert_eq!(granted(None), 2.0, "a host that has just started");
 }
+
+#[test]
+fn entries_that_arrive_late_do_not_prolong_a_cold_phase() {
+    let mut host = host("host", &[engine(0)]);
+    host.set_cold_rates(at(0), vec![(POOL.into(), Rate::new(PACE).expect("valid"))]);
+    let grant = crate::fixture::grant(&mut host, at(0), &ticket(1, prompt(&[], 0, 9)));
+    let mut observe = |ms, warmup_ms, sequence| {
+        host.set_upstreams(&[Entry { warmup_ms, sequence, ..engine(0) }]);
+        host.observe_cold(at(ms));
+        grant.cold_until.get()
+    };
+    assert_eq!(observe(0, 5_000, 2), at(5_000));
+    assert_eq!(observe(1_500, 4_500, 3), at(5_000), "written 1 s ago");
+    assert_eq!(observe(2_000, 2_500, 4), at(4_500));
+    assert_eq!(observe(3_000, 5_000, 5), at(8_000), "cold anew");
+}
--- a/tests/serving/rate_limit.rs
+++ b/tests/serving/rate_limit.rs
@@ -135,3 +135,13 @@
     limiter.report(at(30), 1, Limit::new(None, at(30)));
     assert_eq!(limiter.ask(at(40), Some(0), ask(1.0, 0)), Decision::Granted);
 }
+
+#[test]
+fn a_denied_request_for_a_cold_upstream_keeps_no_permit_from_others() {
+    let mut limiter = Limiter::default();
+    let mut ask = |ms, tier| limiter.ask(at(ms), Some(0), Ask { is_cold: true, ..ask(2.0, tier) });
+    assert_eq!(ask(0, 0), Decision::Granted, "a new one begins with one permit");
+    assert_eq!(ask(0, 0), Decision::Denied(Span::from_ms(500)));
+    assert_eq!(ask(510, 9), Decision::Granted, "the urgent one went elsewhere");
+    assert!(matches!(ask(520, 0), Decision::Denied(_)));
+}
