Test that nothing is written after an evacuation or a cold start since the grant

Cause: the two checks before a write had no test through the exchange.

Change: the test tells the dispatcher right behind the request, so that the cell of the grant is set before the exchange sees it, and expects no arrival. Without news the same upstream gets the request.

--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -14,6 +14,7 @@
         backoff, buffer_memory, connection_cache,
         dialect::{CallerHeaders, Departure, Dialect, Echo, RouterHeaders, Verdict},
         dispatcher::Dispatcher,
+        evacuation::Zones,
         exchange::{Body, CallerResponse, Exchange, Parts, RoutedRequest},
         fleet_state::Verification,
         hedge::Hedger,
@@ -290,8 +291,19 @@
     entries: Vec<Entry>,
     buffer_memory: buffer_memory::Memory,
     meter: Meter,
-    (hedger, draining): (Hedger, watch::Receiver<bool>),
+    hedging: (Hedger, watch::Receiver<bool>),
 ) -> (Exchange<TestDialect>, Metrics) {
+    let (exchange, metrics, _) = open_dispatched(entries, buffer_memory, meter, hedging);
+    (exchange, metrics)
+}
+
+/// Opens an exchange with the given upstreams. Returns its dispatcher too.
+fn open_dispatched(
+    entries: Vec<Entry>,
+    buffer_memory: buffer_memory::Memory,
+    meter: Meter,
+    (hedger, draining): (Hedger, watch::Receiver<bool>),
+) -> (Exchange<TestDialect>, Metrics, Dispatcher) {
     let upstreams = watch::channel(Rc::new(entries)).1;
     let metrics = Metrics::open().expect("the names of the counters are unique");
     let limiter = mpsc::unbounded_channel().0;
@@ -302,7 +314,7 @@
     let verified = watch::channel(Verification { at: Some(Time::now()), is_current: true }).1;
     let exchange = Exchange::new(Parts {
         dialect: Rc::new(TestDialect),
-        dispatcher,
+        dispatcher: dispatcher.clone(),
         records: stream_records::Records::open(verified.clone()).0,
         upstreams_verified: verified,
         connections: connection_cache::Cache::default(),
@@ -313,7 +325,7 @@
         hedger: RefCell::new(hedger),
         draining,
     });
-    (exchange, metrics)
+    (exchange, metrics, dispatcher)
 }
 
 const EVENTS: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 18\r\n\r\n\
@@ -433,3 +445,38 @@
     };
     assert_eq!(LocalSet::new().run_until(run).await, 8, "each request is sent once");
 }
+
+/// Runs a request for an upstream that is cold where its pool names a pace, and tells the dispatcher something right after
+/// the request is submitted, so that its grant comes first. Returns how many requests the upstream got.
+async fn sent_after(news: impl AsyncFnOnce(&Dispatcher)) -> u32 {
+    let script = Script { first: EVENTS, then: Continuation::Close };
+    let counters =
+        (SharedCounter::default(), ByteCounter::default(), SharedCounter::<u32>::default());
+    let entry = Entry { warmup_ms: 60_000, ..upstream(0, script, counters.clone()).await };
+    let memory = buffer_memory::Memory::new(1 << 20);
+    let meter = Meter::new(Span::from_ms(60_000), "host-1");
+    let hedging = (Hedger::new(0.0), watch::channel(false).1);
+    let (exchange, _, dispatcher) = open_dispatched(vec![entry], memory, meter, hedging);
+    // The dispatcher has read the upstream.
+    dispatcher.local_load().await;
+    let run = exchange.run(routed_request(true, RetryPolicy::Never));
+    // Submits the request; the future of the other branch is polled next.
+    let (response, ()) = tokio::join!(biased; run, news(&dispatcher));
+    assert_eq!(response.is_ok(), counters.0.get() == 1);
+    counters.0.get()
+}
+
+#[tokio::test]
+async fn nothing_is_written_to_an_upstream_that_was_evacuated_or_turned_cold_since_the_grant() {
+    let evacuate = async |dispatcher: &Dispatcher| {
+        dispatcher.set_evacuated(Some(Zones::new(vec!["a".into()])));
+    };
+    let name_pace = async |dispatcher: &Dispatcher| {
+        let rate = rate_limit::Rate::new(1.0).expect("the rate is valid");
+        dispatcher.set_cold_rates(vec![(POOL.into(), rate)]);
+    };
+    let local = LocalSet::new();
+    assert_eq!(local.run_until(sent_after(async |_: &Dispatcher| {})).await, 1, "no news");
+    assert_eq!(local.run_until(sent_after(evacuate)).await, 0, "evacuated");
+    assert_eq!(local.run_until(sent_after(name_pace)).await, 0, "cold without a permit");
+}
