Show both checks before a write in one assertion

Cause: with both checks out, the assertion about the evacuation hid the one about the cold upstream.

Measured: without the two checks it prints [1, 1, 1] in place of [1, 0, 0].

--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -476,7 +476,12 @@
         dispatcher.set_cold_rates(vec![(POOL.into(), rate)]);
     };
     let local = LocalSet::new();
-    assert_eq!(local.run_until(sent_after(async |_: &Dispatcher| {})).await, 1, "no news");
-    assert_eq!(local.run_until(sent_after(evacuate)).await, 0, "evacuated");
-    assert_eq!(local.run_until(sent_after(name_pace)).await, 0, "cold without a permit");
+    let sent = async {
+        [
+            sent_after(async |_: &Dispatcher| {}).await,
+            sent_after(evacuate).await,
+            sent_after(name_pace).await,
+        ]
+    };
+    assert_eq!(local.run_until(sent).await, [1, 0, 0], "no news, evacuated, cold without a permit");
 }
