Refuse fewer legal callers at the limits for callers

Cause: on a host of 88 MB the second body of 4 MiB of an address was refused on an otherwise empty host; chunked bodies were charged up to twice what they held; a request read while its connection had to go was cut; every answer closed its connection on a full host, although idle connections could go; a few legal pauses of a body added up to 408; each write blocked for however short a time was charged 64 kB; heads over the default limit got 431 before the configuration was known; a body behind a head that expects 100 Continue and came in two reads was never read. Change: a seventh of the memory for what callers hold, a fifth for connections; bodies grow by a quarter; a connection that is turned away refuses requests as not run; crowded only if nobody else is silent or idle; pauses of four idle time-outs together; an answer is unread after a blocked write of 200 ms; the server's largest head until the configuration is known; the search for the header goes across reads. Not mended: a slow and steady reader can still be cut.

--- a/src/serving/caller_connection.rs
+++ b/src/serving/caller_connection.rs
@@ -70,6 +70,9 @@
 /// Bytes that the connection to the upstream and the answer's frames take while the caller does not read.
 const PAUSED_ANSWER_BYTES: usize = 64 << 10;
 
+/// Time after which a blocked write counts as an answer that is not read.
+const UNREAD_DELAY: Duration = Duration::from_millis(200);
+
 /// Least time between two log lines on the same limit.
 const MIN_LOG_INTERVAL: Span = Span::from_ms(1_000);
 
@@ -120,6 +123,8 @@
     stream: TcpStream,
     /// Bytes that were received and not yet passed to the HTTP server.
     unread: RefCell<Bytes>,
+    /// What was passed to it, as far as the next bytes depend on it.
+    scan: Cell<Scan>,
     /// Whether a request is in progress; the server serves one request at a time.
     busy: Cell<bool>,
     /// Whether the server is waiting for bytes.
@@ -219,6 +224,7 @@
         let shared = Shared {
             stream,
             unread: RefCell::default(),
+            scan: Cell::default(),
             busy: Cell::new(false),
             awaiting_bytes: Cell::new(false),
             is_closing: Cell::new(false),
@@ -258,10 +264,10 @@
         self.shared.has_unread_body.set(true);
     }
 
-    /// Whether there is no room for further connections, so that this one had better close after its answer. Requests that
-    /// are pipelined behind each other would keep it for ever.
+    /// Whether there is no room for further connections and nobody else could close, so that this one had better close
+    /// after its answer. Requests that are pipelined behind each other would keep it for ever.
     pub fn is_crowded(&self) -> bool {
-        self.shared.all.intake.borrow().is_crowded()
+        self.shared.all.intake.borrow().is_crowded(self.shared.caller)
     }
 
     /// Whether the last answer has been given. The HTTP server still reads requests that were pipelined behind it, which
@@ -445,13 +451,45 @@
     }
 }
 
-/// Returns how many bytes may be passed to the HTTP server at once: all, or only the head if the caller expects
-/// `100 Continue`.
-fn deliverable_len(bytes: &[u8]) -> usize {
-    let Some(end) = bytes.windows(4).position(|it| it == b"\r\n\r\n") else { return bytes.len() };
-    let head = &bytes[..end];
-    let expects_continue = head.windows(9).any(|it| it.eq_ignore_ascii_case(b"\r\nexpect:"));
-    if expects_continue { end + 4 } else { bytes.len() }
+/// Start of the header by which a caller expects `100 Continue`, in lower case.
+const EXPECT: u128 = bits(b"\r\nexpect:");
+
+/// End of a head.
+const HEAD_END: u32 = bits(b"\r\n\r\n") as u32;
+
+/// Bytes as they are found in [`Scan::recent`].
+const fn bits(bytes: &[u8]) -> u128 {
+    let (mut out, mut at) = (0, 0);
+    while at < bytes.len() {
+        out = out << 8 | bytes[at] as u128;
+        at += 1;
+    }
+    out
+}
+
+/// Finds the ends of heads whose callers expect `100 Continue`, which may come in several reads.
+#[derive(Debug, Clone, Copy, Default)]
+struct Scan {
+    /// The last bytes that were passed to the HTTP server in lower case, the newest one lowest.
+    recent: u128,
+    /// Whether they contained the header since the last empty line.
+    expects_continue: bool,
+}
+
+impl Scan {
+    /// Returns how many of the next bytes may be passed to the HTTP server at once: all, or those up to the end of a head
+    /// whose caller expects `100 Continue`.
+    fn pass(&mut self, bytes: &[u8]) -> usize {
+        for (at, byte) in bytes.iter().enumerate() {
+            self.recent = self.recent << 8 | u128::from(byte.to_ascii_lowercase());
+            if self.recent & ((1 << 72) - 1) == EXPECT {
+                self.expects_continue = true;
+            } else if self.recent as u32 == HEAD_END && std::mem::take(&mut self.expects_continue) {
+                return at + 1;
+            }
+        }
+        bytes.len()
+    }
 }
 
 impl AsyncBufRead for Connection {
@@ -486,7 +524,9 @@
             }
         }
         let mut unread = self.shared.unread.borrow_mut();
-        let length = deliverable_len(&unread).min(space);
+        let mut scan = self.shared.scan.get();
+        let length = scan.pass(&unread[..space.min(unread.len())]);
+        self.shared.scan.set(scan);
         buf.put_slice(&unread[..length]);
         unread.advance(length);
         (Ok(length), buf)
@@ -500,10 +540,20 @@
     {
         let mut is_unread = false;
         let limit = Duration::from_millis(self.shared.all.limits.get().idle_timeout_ms);
+        let delay = UNREAD_DELAY.min(limit);
         loop {
-            match timeout(limit, self.shared.stream.writable()).await {
+            let wait = if is_unread { limit - delay } else { delay };
+            match timeout(wait, self.shared.stream.writable()).await {
                 Ok(Ok(())) => {}
                 Ok(Err(error)) => return (Err(error), buf),
+                Err(_) if !is_unread => {
+                    is_unread = true;
+                    if self.begin_unread(buf.chunk().len()).is_err() {
+                        self.shared.all.count(Limit::Memory);
+                        return (Err(io::ErrorKind::OutOfMemory.into()), buf);
+                    }
+                    continue;
+                }
                 Err(_) => {
                     self.shared.all.count(Limit::Unread);
                     return (Err(io::ErrorKind::TimedOut.into()), buf);
@@ -518,11 +568,6 @@
                     return (result, buf);
                 }
             }
-            is_unread = true;
-            if self.begin_unread(buf.chunk().len()).is_err() {
-                self.shared.all.count(Limit::Memory);
-                return (Err(io::ErrorKind::OutOfMemory.into()), buf);
-            }
         }
     }
 
@@ -612,6 +657,10 @@
         if let Some(connection) = self.get(caller) {
             let shared = &connection.shared;
             let is_reading_body = shared.is_reading_body.get();
+            if !is_reading_body {
+                // A request that is read before the connection is cut is refused as not run.
+                shared.is_closing.set(true);
+            }
             let notice =
                 if is_reading_body { &shared.body_turned_away } else { &shared.turned_away };
             notice.notify_one();
--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Version, header};
 use send_wrapper::SendWrapper;
 use tokio::{sync::watch, time::timeout};
@@ -51,6 +51,9 @@
 /// Bytes of a body that a caller sends at least in a millisecond, after the time that it may pause.
 const MIN_BODY_RATE: usize = 8;
 
+/// Idle time-outs that the pauses of a body may take together.
+const MAX_BODY_PAUSES: u32 = 4;
+
 /// Longest time that a request waits for the first configuration of a host that has just started.
 const FIRST_CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -307,9 +310,10 @@
     }
     let guard = connection.map(Connection::read_body);
     let begin = Instant::now();
-    let mut out = BytesMut::new();
+    let mut out = Vec::new();
     loop {
-        let time_limit = idle_timeout + Duration::from_millis((out.len() / MIN_BODY_RATE) as u64);
+        let time_limit = idle_timeout * MAX_BODY_PAUSES
+            + Duration::from_millis((out.len() / MIN_BODY_RATE) as u64);
         let time_left = time_limit.saturating_sub(begin.elapsed()).min(idle_timeout);
         let frame = tokio::select! {
             biased;
@@ -330,13 +334,13 @@
             return Err(too_large());
         }
         if length > out.capacity() {
-            let capacity = length.next_power_of_two().min(declared_length.unwrap_or(limit));
+            let capacity = (length + length / 4).min(declared_length.unwrap_or(limit));
             let capacity = capacity.max(length);
             if connection.is_some_and(|it| it.hold_body(capacity).is_err()) {
                 refuse_at(Limit::Memory);
                 return Err(no_room());
             }
-            out.reserve(capacity - out.len());
+            out.reserve_exact(capacity - out.len());
         }
         out.extend_from_slice(&data);
     }
@@ -344,7 +348,7 @@
         return Err(Error::new(Kind::BadRequest, "the body ended early"));
     }
     guard.into_iter().for_each(BodyGuard::finish);
-    Ok(out.freeze())
+    Ok(out.into())
 }
 
 /// Waits until the body that is being read has to be refused for lack of room.
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -89,15 +89,6 @@
 /// and the state of the fleet take 25 MB of 88 MB in a fleet of 295 hosts.
 const BUFFER_DIVISOR: usize = 8;
 
-/// Divisor of a host's memory that gives the share for what callers send and do not read.
-const INTAKE_DIVISOR: usize = 8;
-
-/// Divisor of a host's memory that gives the share for the state of connections.
-const CONNECTIONS_DIVISOR: usize = 4;
-
-/// Memory that a connection and a request on it take, in bytes, without what the caller holds beyond its unshared bytes.
-const CONNECTION_BYTES: usize = 24 << 10;
-
 /// Descriptors that are kept for files.
 const FILE_DESCRIPTORS: usize = 200;
 
@@ -374,11 +365,7 @@
 fn room_for_callers(settings: &Settings) -> intake::Room {
     let sockets = settings.descriptors.saturating_sub(FILE_DESCRIPTORS);
     let by_descriptors = sockets / 8 * CALLER_EIGHTHS;
-    let by_memory = settings.memory_bytes / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
-    intake::Room {
-        connections: by_descriptors.min(by_memory).max(1),
-        bytes: settings.memory_bytes / INTAKE_DIVISOR,
-    }
+    intake::Room::of_host(settings.memory_bytes, by_descriptors)
 }
 
 /// Content of the metrics page.
--- a/src/serving/intake.rs
+++ b/src/serving/intake.rs
@@ -10,6 +10,15 @@
 /// Bytes that every caller may hold regardless of others. They are part of the memory that a connection takes.
 pub const UNSHARED_BYTES: usize = 8 << 10;
 
+/// Divisor of a host's memory that gives the share for what callers send and do not read.
+const INTAKE_DIVISOR: usize = 7;
+
+/// Divisor of a host's memory that gives the share for the state of connections.
+const CONNECTIONS_DIVISOR: usize = 5;
+
+/// Memory that a connection and a request on it take, in bytes, without what the caller holds beyond its unshared bytes.
+const CONNECTION_BYTES: usize = 24 << 10;
+
 /// Share of the bytes that the callers at one address may hold together, in quarters.
 const ADDRESS_QUARTERS: usize = 3;
 
@@ -25,6 +34,14 @@
     pub bytes: usize,
 }
 
+impl Room {
+    /// Room of a host with so much memory, in bytes, and sockets for so many callers.
+    pub fn of_host(memory_bytes: usize, sockets: usize) -> Room {
+        let by_memory = memory_bytes / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
+        Room { connections: sockets.min(by_memory).max(1), bytes: memory_bytes / INTAKE_DIVISOR }
+    }
+}
+
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -195,9 +212,12 @@
         }
     }
 
-    /// Whether there is no room for a further connection, so that answers had better close theirs.
-    pub fn is_crowded(&self) -> bool {
-        self.callers.len() >= self.room.connections
+    /// Whether there is no room for a further connection and nobody else could close for it, so that the answer had better
+    /// close the connection.
+    pub fn is_crowded(&self, address: SocketAddr) -> bool {
+        let can_close =
+            |it: &Caller| it.address != address && matches!(it.stage, Stage::Silent | Stage::Idle);
+        self.callers.len() >= self.room.connections && !self.callers.iter().any(can_close)
     }
 
     /// Bytes that all callers hold, without the unshared ones.
--- a/src/serving/listener.rs
+++ b/src/serving/listener.rs
@@ -86,7 +86,9 @@
     stages: watch::Receiver<Stage>,
 ) {
     let mut tables = handler.table.clone();
-    let mut limits = tables.borrow_and_update().as_ref().map(|it| it.limits).unwrap_or_default();
+    // The configuration may allow larger heads than the default.
+    let unknown = Limits { max_head_bytes: MAX_HEAD_BYTES, ..Limits::default() };
+    let mut limits = tables.borrow_and_update().as_ref().map_or(unknown, |it| it.limits);
     handler.connections.set_limits(limits);
     let mut serve = build_service(handler.clone(), limits).await;
     let mut stage = stages.clone();
