Add a setting that switches reported load off

Change: setting `reported-load`, `on` unless stated, beside `admission`; both are one `placement::Features`.

--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -18,7 +18,7 @@
         evacuation::Zones,
         key::{AttemptKey, TicketKey, UpstreamKey},
         limiter, messages,
-        placement::{Action, Grant, Placement, Ticket},
+        placement::{Action, Features, Grant, Placement, Ticket},
         rate_limit,
         registry::Entry,
         reported_load::{Dated, Report},
@@ -127,10 +127,10 @@
 
 impl Dispatcher {
     /// Spawns the task on the current thread, which follows the list of upstreams and requests permits from the
-    /// limiters. `admits` is whether requests wait for places and are refused for want of room.
+    /// limiters.
     pub fn spawn(
         host: Arc<str>,
-        (zone, admits): (Arc<str>, bool),
+        (zone, features): (Arc<str>, Features),
         upstreams: watch::Receiver<Rc<Vec<Entry>>>,
         limiter: mpsc::UnboundedSender<limiter::Message>,
         metrics: Metrics,
@@ -138,7 +138,7 @@
         let (messages, mailbox) = mpsc::unbounded_channel();
         let (leaving_sender, leaving) = watch::channel(Rc::default());
         let mut placement = Placement::new(host, zone);
-        placement.set_admission(admits);
+        placement.set_features(features);
         let task = Task {
             placement,
             messages: messages.downgrade(),
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -142,7 +142,7 @@
         let (limiter_messages, messages) = mpsc::unbounded_channel();
         let dispatcher = Dispatcher::spawn(
             settings.host.as_str().into(),
-            (settings.zone.as_str().into(), settings.admission),
+            (settings.zone.as_str().into(), settings.features),
             upstreams.clone(),
             limiter_messages,
             metrics.clone(),
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -148,6 +148,15 @@
     pub is_hedge: bool,
 }
 
+/// What is done in pools whose upstreams report how long work takes at the moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Features {
+    /// Whether upstreams are selected by their reports.
+    pub reported_load: bool,
+    /// Whether requests wait for places and are refused for want of room. Needs the reports.
+    pub admission: bool,
+}
+
 /// Permission to send a request to an upstream.
 #[derive(Debug, Clone)]
 pub struct Grant {
@@ -342,6 +351,8 @@
     /// Requests per second that a cold upstream takes, by pool, sorted.
     cold_rates: Vec<(Arc<str>, Rate)>,
     evidence: Evidence,
+    /// Whether what upstreams report of their load is read.
+    reads_reports: bool,
     /// Whether requests wait for places and are refused for want of room, in pools whose upstreams report their load.
     admits: bool,
     /// Requests that wait for a place, and the shares of their customers.
@@ -370,11 +381,18 @@
             unlisted_backoffs: Vec::new(),
             evacuated: Some(Zones::default()),
             cold_rates: Vec::new(),
+            reads_reports: true,
             admits: true,
             held: waiting::Queue::default(),
         }
     }
 
+    /// Sets what is done in pools whose upstreams report their load.
+    pub fn set_features(&mut self, features: Features) {
+        self.reads_reports = features.reported_load;
+        self.admits = features.admission;
+    }
+
     /// Sets whether requests wait for places and are refused for want of room.
     pub fn set_admission(&mut self, admits: bool) {
         self.admits = admits;
@@ -743,7 +761,8 @@
 
     /// Records what the response to an attempt reports of its upstream's load.
     pub fn report_heard(&mut self, attempt: AttemptKey, dated: reported_load::Dated) {
-        let Some(running) = self.running.get_mut(&attempt) else { return };
+        let running = self.running.get_mut(&attempt).filter(|_| self.reads_reports);
+        let Some(running) = running else { return };
         running.is_full = dated.report.work_percent.is_some() && dated.report.is_full();
         let (key, incarnation) = (running.upstream, running.incarnation);
         let Some(upstream) = self.upstream_mut(key) else { return };
@@ -762,6 +781,9 @@
 
     /// Records what upstreams reported to other hosts.
     pub fn merge_reports(&mut self, reports: &[(u64, reported_load::Dated)]) {
+        if !self.reads_reports {
+            return;
+        }
         let mut reports = reports.to_vec();
         reports.sort_unstable_by_key(|it| it.0);
         for (_, upstream) in &mut self.upstreams {
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -2,7 +2,11 @@
 
 use std::{fmt, net::SocketAddr, str::FromStr, time::Duration};
 
-use crate::{serving::retry_budget, settings::LogFormat, time::Span};
+use crate::{
+    serving::{placement::Features, retry_budget},
+    settings::LogFormat,
+    time::Span,
+};
 
 /// Settings that have been validated.
 #[derive(Debug, Clone, PartialEq)]
@@ -53,8 +57,8 @@
     /// Time within which an evacuation of an availability zone must be in force at every host; `None` if the operator
     /// evacuates none.
     pub evacuation: Option<Span>,
-    /// Whether requests wait for places and are refused for want of room, where upstreams report their load.
-    pub admission: bool,
+    /// What is done in pools whose upstreams report their load.
+    pub features: Features,
     /// Format of log lines.
     pub log_format: LogFormat,
     /// Least severe level that is logged.
@@ -117,7 +121,10 @@
         let window_s: Option<f64> = self.optional("usage-window-s", "seconds, as in 5");
         let delay_s: Option<f64> = self.optional("usage-delay-s", "seconds, as in 10");
         let evacuation_ms: Option<u64> = self.optional("evacuation-ms", MILLISECONDS);
-        let admission = self.admission();
+        let features = Features {
+            reported_load: self.switch("reported-load"),
+            admission: self.switch("admission"),
+        };
         let log_level = self.optional("log-level", "off, error, warn, info, debug or trace");
         let key_validity = key_validity_ms.filter(|_| keys_need_proof.unwrap_or(true));
         let seconds = |it: f64| Span((it.max(0.0) * 1e6) as u64);
@@ -143,7 +150,7 @@
             usage_window: window_s.map_or(DEFAULT_WINDOW, seconds),
             usage_delay: delay_s.map_or(DEFAULT_DELAY, seconds),
             evacuation: evacuation_ms.map(Span::from_ms),
-            admission,
+            features,
             log_format: LogFormat::Json,
             log_level: log_level.unwrap_or(log::LevelFilter::Info),
         })
@@ -170,12 +177,13 @@
         is_valid.then_some(share)
     }
 
-    fn admission(&mut self) -> bool {
-        match self.find("admission") {
+    /// Reads a switch, which is on unless stated.
+    fn switch(&mut self, name: &'static str) -> bool {
+        match self.find(name) {
             None | Some("on") => true,
             Some("off") => false,
             Some(text) => {
-                self.fault("admission", format!("'{text}' is not valid; expected on or off"));
+                self.fault(name, format!("'{text}' is not valid; expected on or off"));
                 true
             }
         }
--- a/tests/serving/dispatcher.rs
+++ b/tests/serving/dispatcher.rs
@@ -8,7 +8,7 @@
     task::LocalSet,
 };
 
-use crate::fixture::{engine, prompt, ticket};
+use crate::fixture::{FEATURES, engine, prompt, ticket};
 
 /// Returns the attempts that count as running.
 async fn running(dispatcher: &Dispatcher) -> u16 {
@@ -22,7 +22,7 @@
         let limiter = mpsc::unbounded_channel().0;
         let metrics = Metrics::open().expect("the names of the counters are unique");
         let dispatcher =
-            Dispatcher::spawn("host".into(), ("a".into(), true), upstreams, limiter, metrics);
+            Dispatcher::spawn("host".into(), ("a".into(), FEATURES), upstreams, limiter, metrics);
         let mut submission = Box::pin(dispatcher.submit(ticket(1, prompt(&[1], 100, 10))));
         assert!(futures::poll!(submission.as_mut()).is_pending(), "the task has not run yet");
         // The task grants the ticket, and the caller leaves before it looks at the grant.
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -35,7 +35,7 @@
     task::LocalSet,
 };
 
-use crate::fixture::{POOL, engine};
+use crate::fixture::{FEATURES, POOL, engine};
 
 /// Header with the id of a request.
 pub(crate) const ID: HeaderName = HeaderName::from_static("x-id");
@@ -307,8 +307,13 @@
     let upstreams = watch::channel(Rc::new(entries)).1;
     let metrics = Metrics::open().expect("the names of the counters are unique");
     let limiter = mpsc::unbounded_channel().0;
-    let dispatcher =
-        Dispatcher::spawn("host".into(), ("a".into(), true), upstreams, limiter, metrics.clone());
+    let dispatcher = Dispatcher::spawn(
+        "host".into(),
+        ("a".into(), FEATURES),
+        upstreams,
+        limiter,
+        metrics.clone(),
+    );
     let budget_config =
         retry_budget::Limits { window: Span::from_ms(10_000), ratio: 0.2, allowance: 1_000.0 };
     let verified = watch::channel(Verification { at: Some(Time::now()), is_current: true }).1;
--- a/tests/serving/fixture.rs
+++ b/tests/serving/fixture.rs
@@ -4,7 +4,7 @@
     serving::{
         dialect::{Prompt, PromptPart},
         key::{AttemptKey, TicketKey},
-        placement::{Action, Grant, Placement, Ticket},
+        placement::{Action, Features, Grant, Placement, Ticket},
         registry::{Entry, State},
     },
     time::{Span, Time},
@@ -12,6 +12,8 @@
 
 pub(crate) const POOL: &str = "engines";
 
+pub(crate) const FEATURES: Features = Features { reported_load: true, admission: true };
+
 pub(crate) fn at(ms: u64) -> Time {
     Time(1_000_000) + Span::from_ms(ms)
 }
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -32,7 +32,7 @@
     time::{Instant, sleep, timeout},
 };
 
-use crate::fixture::engine;
+use crate::fixture::{FEATURES, engine};
 
 const CONFIGURATION: &str = "configuration";
 /// Behind the key of the configuration, so that both are followed together.
@@ -281,7 +281,7 @@
         });
         let dispatcher = Dispatcher::spawn(
             host.id.as_str().into(),
-            ("a".into(), true),
+            ("a".into(), FEATURES),
             upstreams.clone(),
             mpsc::unbounded_channel().0,
             Metrics::open().expect("the names of metrics are unique"),
