Refuse at once what no wait helps, and mend what load reports miss

Cause: a request behind a queue that its wait cannot shorten enough was refused only after half its target. An upstream that refused though its report showed free slots was never ejected. A plain service without a report counted as empty beside others that report. A request that was denied a permit began its wait anew. Hot parts at or below one request a second all went when they were too many. Each submit looked at all held requests while another waited for a rate limit, and hashes were computed anew in each comparison of a sort.

Change: a wait is refused if the queue is longer than 1.5 times what may wait and what is read meanwhile; only a report of no free slot keeps a refusing upstream from ejection; free slots without a report are by the hosts' counts; a waiting ticket carries the time from which it was held; the lower half of the hot parts goes; held requests are placed in the round only.

Measured: 78 tests of admission, placement, dispatcher, hedge, reported_load, cold and rate_limit pass with their bounds as they were. What hot parts, rounds and sort cost was not measured.

--- a/src/serving/admission.rs
+++ b/src/serving/admission.rs
@@ -154,7 +154,9 @@
         return Decision::Begin;
     }
     let until = need.wait_until();
-    if now < until {
+    // What is read until then must leave a queue that is short enough.
+    let passable = (need.wait().0 + until.since(now).0) as f64;
+    if now < until && prospect.queueing.0 as f64 <= UNCERTAINTY * passable {
         return Decision::Wait(until);
     }
     Decision::Refuse(Reason::Late, Span(prospect.queueing.0.saturating_sub(need.wait().0)))
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -241,8 +241,8 @@
     started: Time,
     answered: bool,
     answered_at: Time,
-    /// Whether its upstream reported its load in the response, so that it is alive.
-    has_report: bool,
+    /// Whether its upstream reported in the response that all its slots are taken.
+    is_full: bool,
     /// Prompt tokens that the engine had to prefill.
     uncached_tokens: u64,
 }
@@ -266,6 +266,8 @@
     ticket: Ticket,
     /// Time after which the request would be late and is refused; `None` before the first attempt to place it.
     start_by: Option<Time>,
+    /// Time from which it waited for a place before; `None` if it did not.
+    held: Option<Time>,
     /// Whether the answer to a request for a permit is outstanding.
     is_asking: bool,
 }
@@ -495,8 +497,8 @@
         if self.waiting.is_empty() || !has_room {
             self.place(now, ticket, (None, None), actions);
         } else {
-            self.wait(ticket, None, false);
-            self.place_waiting(now, actions);
+            self.wait(ticket, (None, None), false);
+            self.place_limited(now, actions);
         }
     }
 
@@ -564,7 +566,7 @@
                 actions.push(Action::Ask(ticket.key, best.key, ask));
                 let start_by =
                     start_by.unwrap_or_else(|| latest_start(now, ticket, best.expected_first_byte));
-                self.wait(ticket, Some(start_by), true);
+                self.wait(ticket, (Some(start_by), held), true);
             }
             Choice::Held(admission::Decision::Refuse(reason, room), predicted) => {
                 let time_left = ticket.deadline.since(now);
@@ -592,7 +594,7 @@
                     latest_start(now, ticket, best.map_or(Span(0), |it| it.expected_first_byte))
                 });
                 if room_at.max(now) <= start_by {
-                    self.wait(ticket, Some(start_by), false);
+                    self.wait(ticket, (Some(start_by), held), false);
                 } else {
                     let delay =
                         spread(ticket, room_at.since(now).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER));
@@ -660,10 +662,16 @@
         }
     }
 
-    fn wait(&mut self, ticket: &Ticket, start_by: Option<Time>, is_asking: bool) {
+    fn wait(
+        &mut self,
+        ticket: &Ticket,
+        (start_by, held): (Option<Time>, Option<Time>),
+        is_asking: bool,
+    ) {
         let order = |it: &Ticket| (it.tier, it.key);
         let at = self.waiting.partition_point(|it| order(&it.ticket) < order(ticket));
-        self.waiting.insert(at, WaitingTicket { ticket: ticket.clone(), start_by, is_asking });
+        self.waiting
+            .insert(at, WaitingTicket { ticket: ticket.clone(), start_by, held, is_asking });
     }
 
     /// Records the answer to a request for a permit that was sent at `asked_at`.
@@ -705,7 +713,7 @@
                     grant.send_by = Some(asked_at + rate_limit::PERMIT_LIFETIME);
                     actions.push(Action::Grant(ticket, grant));
                 }
-                _ => self.place(now, &waiting.ticket, (waiting.start_by, None), actions),
+                _ => self.place(now, &waiting.ticket, (waiting.start_by, waiting.held), actions),
             }
         }
         self.place_waiting(now, actions);
@@ -713,13 +721,18 @@
 
     /// Places the tickets that wait for room, most urgent first.
     pub fn place_waiting(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.place_limited(now, actions);
+        self.place_held(now, actions);
+    }
+
+    /// Places the tickets that wait for room within rate limits and back-offs.
+    fn place_limited(&mut self, now: Time, actions: &mut Vec<Action>) {
         let (asking, ready) =
             std::mem::take(&mut self.waiting).into_iter().partition(|it| it.is_asking);
         self.waiting = asking;
         for it in ready {
-            self.place(now, &it.ticket, (it.start_by, None), actions);
+            self.place(now, &it.ticket, (it.start_by, it.held), actions);
         }
-        self.place_held(now, actions);
     }
 
     /// Forgets a ticket whose caller has left.
@@ -731,7 +744,7 @@
     /// Records what the response to an attempt reports of its upstream's load.
     pub fn report_heard(&mut self, attempt: AttemptKey, dated: reported_load::Dated) {
         let Some(running) = self.running.get_mut(&attempt) else { return };
-        running.has_report = dated.report.work_percent.is_some();
+        running.is_full = dated.report.work_percent.is_some() && dated.report.is_full();
         let (key, incarnation) = (running.upstream, running.incarnation);
         let Some(upstream) = self.upstream_mut(key) else { return };
         if upstream.heard.record(dated) {
@@ -1011,7 +1024,7 @@
             }
             Ending::Cancelled | Ending::Unused | Ending::Preempted => {}
             // It is full, as its report says, and not at fault.
-            Ending::Refused if running.has_report => {}
+            Ending::Refused if running.is_full => {}
             Ending::Refused | Ending::Failed | Ending::Invalid | Ending::TimedOut => {
                 upstream.health.record_failure(now, running.started);
             }
@@ -1083,10 +1096,9 @@
         };
         self.hot_parts[at].1.add(now, 1.0);
         if self.hot_parts.len() > MAX_HOT_PARTS {
-            let coldest = self.hot_parts.iter().map(|it| it.1.get(now)).min_by(f64::total_cmp);
-            let coldest = coldest.unwrap_or(0.0).max(1.0);
-            let kept = |it: &(u64, crate::rate::Rate)| it.1.get(now) > coldest;
-            self.hot_parts.retain(kept);
+            self.hot_parts.sort_by(|a, b| b.1.get(now).total_cmp(&a.1.get(now)));
+            self.hot_parts.truncate(MAX_HOT_PARTS / 2);
+            self.hot_parts.sort_unstable_by_key(|it| it.0);
         }
     }
 
@@ -1160,7 +1172,7 @@
             started: now,
             answered: false,
             answered_at: now,
-            has_report: false,
+            is_full: false,
             uncached_tokens: pending,
         };
         self.running.insert(attempt, running);
@@ -1325,7 +1337,8 @@
         let limit = best.cost.0 + NEAR_EQUAL.0;
         let is_near = |it: &Candidate| ticket.prompt.is_none() || it.cost.0 <= limit;
         let mut near: Vec<_> = candidates.into_iter().filter(is_near).collect();
-        near.sort_by(|a, b| order(a).total_cmp(&order(b)));
+        // Numbers that are not negative are in the order of their bits.
+        near.sort_by_cached_key(|it| order(it).to_bits());
         if spread > 1 {
             near.truncate(spread);
             let drawn = rendezvous::hash(&[self.host.as_bytes(), &ticket.key.0.to_be_bytes()]);
--- a/src/serving/reported_load.rs
+++ b/src/serving/reported_load.rs
@@ -59,6 +59,11 @@
         is_valid.then_some(Report { running, waiting, slots, work_percent })
     }
 
+    /// Whether it has no free slot.
+    pub fn is_full(&self) -> bool {
+        self.company() >= f64::from(self.slots)
+    }
+
     /// Returns the requests that run or wait.
     fn company(&self) -> f64 {
         f64::from(self.running) + f64::from(self.waiting)
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -259,7 +259,11 @@
 
     /// Returns the slots that are expected to be free on a plain service.
     pub fn free_slots(&self, now: Time) -> f64 {
-        f64::from(self.entry.slots) - self.heard.short_company(now)
+        let company = match self.heard.last() {
+            Some(_) => self.heard.short_company(now),
+            None => f64::from(self.company(now)),
+        };
+        f64::from(self.entry.slots) - company
     }
 
     /// Returns how many requests it would run beyond its slots with one more.
--- a/tests/serving/admission.rs
+++ b/tests/serving/admission.rs
@@ -11,6 +11,7 @@
         loads::Loads,
         messages::Load,
         placement::{Action, Placement, Ticket},
+        rate_limit::{self, Rate},
         registry::Entry,
         reported_load::{Dated, Report},
         upstream_state,
@@ -20,7 +21,7 @@
     wire::Ending,
 };
 
-use crate::fixture::{at, engines, host, prompt, ticket};
+use crate::fixture::{POOL, at, engines, host, prompt, ticket};
 
 /// Length of a step of a play, and of the interval at which hosts exchange their loads, in milliseconds.
 const STEP_MS: u64 = 5;
@@ -361,6 +362,9 @@
     let refused = decide(0, prospect(4_000, 5_000));
     assert_eq!(refused, Decision::Refuse(Reason::CannotEnd, Span::from_ms(2_000)));
     assert_eq!(decide(800, prospect(400, 1_000)), Decision::Begin, "late and surely whole");
+    assert_eq!(decide(0, prospect(1_500, 2_000)), Decision::Wait(at(500)), "perhaps it helps");
+    let in_vain = Decision::Refuse(Reason::Late, Span::from_ms(1_100));
+    assert_eq!(decide(0, prospect(1_600, 2_000)), in_vain, "no wait helps");
     let late = decide(500, prospect(900, 2_000));
     assert_eq!(late, Decision::Refuse(Reason::Late, Span::from_ms(400)));
 }
@@ -460,3 +464,31 @@
     assert_eq!((actions.len(), host.held(at(0)).0), (0, 1), "{actions:?}");
     host
 }
+
+#[test]
+fn a_request_that_is_denied_a_permit_does_not_begin_its_wait_anew() {
+    let mut host = host_with_a_waiting_request();
+    let mut actions = Vec::new();
+    // The engines become cold and empty, and then it asks for a permit.
+    let cold: Vec<_> = engines(2).into_iter().map(|it| Entry { warmup_ms: 10_000, ..it }).collect();
+    host.set_upstreams(&cold);
+    host.set_cold_rates(at(0), vec![(POOL.into(), Rate::new(5.0).expect("valid"))]);
+    host.set_remote_loads(at(0), &[]);
+    host.place_waiting(at(500), &mut actions);
+    let Some(Action::Ask(key, upstream, ask)) = actions.pop() else { panic!("{actions:?}") };
+    let ids: Vec<_> = cold.iter().map(upstream_state::incarnation_id).collect();
+    let load = |id: &u64| Load {
+        upstream: *id,
+        pending: std::array::from_fn(|tier| if tier == 0 { 40_000 } else { 0 }),
+        running: 1,
+        ejected_ms: 0,
+    };
+    let mut loads: Vec<_> = ids.iter().map(load).collect();
+    loads.sort_unstable_by_key(|it| it.upstream);
+    host.set_remote_loads(at(760), &loads);
+    let denied = (rate_limit::Decision::Denied(Span::from_ms(1)), ask.limit);
+    host.permit_answered(at(760), (key, upstream), at(500), denied, &mut actions);
+    host.place_waiting(at(765), &mut actions);
+    let [Action::Deny(_, refusal)] = actions[..] else { panic!("{actions:?}") };
+    assert!(refusal.waited >= Span::from_ms(760), "{refusal:?}");
+}
--- a/tests/serving/reported_load.rs
+++ b/tests/serving/reported_load.rs
@@ -13,9 +13,10 @@
         dialect::Prompt,
         key::AttemptKey,
         loads::Loads,
-        messages::{Change, Prefix, Update},
-        placement::Placement,
+        messages::{Change, Load, Prefix, Update},
+        placement::{Placement, Ticket},
         reported_load::{Dated, Heard, MAX_NEWS, News, Report, Source},
+        upstream_state,
     },
     time::{Span, Time},
     wire::Ending,
@@ -337,3 +338,31 @@
     let next = place(&mut host, 40, 5_000);
     assert_eq!(next.upstream, other.upstream, "the other one holds 15,000 of 20,000 tokens");
 }
+
+#[test]
+fn an_upstream_that_refuses_though_it_has_room_is_ejected() {
+    let is_ejected = |running| {
+        let mut host = host("host", &engines(1));
+        let grant = grant(&mut host, at(0), &ticket(1, prompt(&[], 0, 100)));
+        host.report_heard(grant.attempt, dated(1, running, 100));
+        host.attempt_ended(at(1), grant.attempt, Ending::Refused);
+        host.local_loads(at(2)).iter().any(|it| it.ejected_ms > 0)
+    };
+    assert!(is_ejected(3));
+    assert!(!is_ejected(24), "it is full and not at fault");
+}
+
+#[test]
+fn a_full_plain_service_without_a_report_gets_less_than_others_in_its_pool() {
+    let entries = engines(2);
+    let mut host = host("host", &entries);
+    let [reports, silent] = [0, 1].map(|it| upstream_state::incarnation_id(&entries[it]));
+    host.merge_reports(&[(reports, dated(0, 4, 100))]);
+    let full = Load { upstream: silent, pending: Default::default(), running: 24, ejected_ms: 0 };
+    host.set_remote_loads(at(0), &[full]);
+    let to_full = (1..=20).filter(|it| {
+        let plain = Ticket { prompt: None, ..ticket(*it, prompt(&[], 0, 1)) };
+        &*grant(&mut host, at(1), &plain).instance == "engine-1"
+    });
+    assert_eq!(to_full.count(), 0);
+}
