--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -81,6 +81,9 @@
 /// Weight of an upstream without a free slot among plain services, against that of one with a free slot.
 const FULL_WEIGHT: f64 = 0.01;
 
+/// Weight from which a plain service counts as having a free slot: one slot of a service of half the usual speed.
+const FREE_SLOT_WEIGHT: f64 = 0.5;
+
 /// Longest additional retry delay after a refusal for the upstreams' rate limits and back-offs, as a multiple of the delay
 /// itself.
 /// Callers return spread over this time.
@@ -310,6 +313,8 @@
     weight: f64,
     /// Whether the upstream reports how long work takes there.
     is_reported: bool,
+    /// Whether it is in the host's availability zone.
+    is_local: bool,
     /// Time by which upstreams are compared: the estimate with weights and penalties.
     cost: Span,
     /// Breaks ties in cost; the same on all hosts for prompts with shared parts.
@@ -1359,6 +1364,11 @@
         let limit = best.cost.0 + NEAR_EQUAL.0;
         let is_near = |it: &Candidate| ticket.prompt.is_none() || it.cost.0 <= limit;
         let mut near: Vec<_> = candidates.into_iter().filter(is_near).collect();
+        // Traffic between zones is billed, and a near-equal upstream of another zone is no better for the caller.
+        let has_room = |it: &Candidate| ticket.prompt.is_some() || it.weight >= FREE_SLOT_WEIGHT;
+        if near.iter().any(|it| it.is_local && has_room(it)) {
+            near.retain(|it| it.is_local);
+        }
         // Numbers that are not negative are in the order of their bits.
         near.sort_by_cached_key(|it| order(it).to_bits());
         if spread > 1 {
@@ -1490,6 +1500,7 @@
             id: state.incarnation,
             weight,
             is_reported,
+            is_local: state.entry.zone == self.zone,
             cost,
             rank: Reverse(rank),
         }
