Warn of an evacuation that an older copy of the store brings back

Cause: a store that came back from an older copy may list an evacuation that was taken back, and only the usual line told of it.

--- a/src/serving/evacuation.rs
+++ b/src/serving/evacuation.rs
@@ -121,6 +121,7 @@
         let is_restored = update.as_ref().is_some_and(|it| {
             known > 0 && it.is_listing() && era_of(it.revision()) > era_of(known)
         });
+        let before = self.zones(now).unwrap_or_default();
         let changes = update.map(|it| self.mirror.apply(it)).unwrap_or_default();
         for change in changes {
             let (key, is_written) = match &change {
@@ -129,6 +130,11 @@
             };
             let Some(zone) = zone_of(self.prefix, key) else { continue };
             self.held.retain(|it| *it.0 != *zone);
+            if is_restored && is_written && !before.contains(zone) {
+                log::warn!(
+                    "an older copy of the store lists an evacuation of zone {zone} that was not in force; it holds until it is taken back again"
+                );
+            }
             if is_restored && !is_written {
                 log::warn!(
                     "an older copy of the store does not list the evacuation of zone {zone}; it stays in force for {} ms",
