--- a/tests/serving/evacuation.rs
+++ b/tests/serving/evacuation.rs
@@ -233,7 +233,7 @@
 #[test]
 fn upstreams_that_are_cold_replace_no_regular_ones() {
     let spot = |it: usize, warmup_ms| {
-        let zone = if it % 2 == 0 { "a" } else { "b" };
+        let zone = if it.is_multiple_of(2) { "a" } else { "b" };
         Entry { spot: true, warmup_ms, zone: zone.into(), ..engine(it + 50) }
     };
     let rate = Rate::new(11.0);
