Leave reported load and admission off unless the settings ask for them

Cause: a deployment is served as before unless its settings call for something new, and both parts cost more than they gain on the new deployment with dear traffic between zones.

--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -177,14 +177,14 @@
         is_valid.then_some(share)
     }
 
-    /// Reads a switch, which is on unless stated.
+    /// Reads a switch, which is off unless stated.
     fn switch(&mut self, name: &'static str) -> bool {
         match self.find(name) {
-            None | Some("on") => true,
-            Some("off") => false,
+            Some("on") => true,
+            None | Some("off") => false,
             Some(text) => {
                 self.fault(name, format!("'{text}' is not valid; expected on or off"));
-                true
+                false
             }
         }
     }
