Measure how old the copies of the store's keys are, and name the source of a change

Cause: neither logs nor counters tell apart the hypotheses of the incident of late changes. A host logged which configuration is in force, but not from whom it came nor how long it may have been unknown there, and nothing said that a removed upstream is kept. Change: histograms of the age of the copies, sampled once a second, and of the age that a change has at most when it is applied, by source; the line about a configuration names its source and that age; a line says that a removed upstream is kept, and for how long. No decision changes.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -17,6 +17,9 @@
 /// Upper bounds of the buckets of the error of a predicted first byte, in seconds.
 const PREDICTION_BUCKETS: [f64; 9] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0];
 
+/// Upper bounds of the buckets of the age of a copy of the store's keys, in seconds.
+const COPY_AGE_BUCKETS: [f64; 10] = [0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0];
+
 /// How a request ended for its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -52,6 +55,8 @@
     wasted: IntCounterVec,
     first_token: HistogramVec,
     prediction_error: HistogramVec,
+    copy_age: HistogramVec,
+    change_age: HistogramVec,
     store_calls: IntCounterVec,
     limited_sends: IntCounterVec,
     permits: IntCounterVec,
@@ -211,6 +216,23 @@
         let opts = opts.buckets(PREDICTION_BUCKETS.to_vec());
         let prediction_error = HistogramVec::new(opts, &["side", "load"])?;
         registry.register(Box::new(prediction_error.clone()))?;
+        let copy_age_histogram =
+            |name: &str, help: &str, labels: &[&str]| -> Result<HistogramVec> {
+                let opts = HistogramOpts::new(name, help).buckets(COPY_AGE_BUCKETS.to_vec());
+                let histogram = HistogramVec::new(opts, labels)?;
+                registry.register(Box::new(histogram.clone()))?;
+                Ok(histogram)
+            };
+        let copy_age = copy_age_histogram(
+            "almondrack_copy_age_seconds",
+            "Time since this host's copy of the store's keys was last verified to be the newest, sampled at intervals.",
+            &["keys"],
+        )?;
+        let change_age = copy_age_histogram(
+            "almondrack_change_age_seconds",
+            "Longest time since which a change may have been in the store when this host applies it, by the source of the change.",
+            &["keys", "source"],
+        )?;
         let waiting = gauge("almondrack_waiting_requests", "Requests that wait for a place.")?;
         let waiting_age_ms = gauge(
             "almondrack_waiting_age_ms",
@@ -235,6 +257,8 @@
             wasted,
             first_token,
             prediction_error,
+            copy_age,
+            change_age,
             store_calls,
             limited_sends,
             permits,
@@ -287,6 +311,17 @@
         self.prediction_error.with_label_values(&[side, load]).observe(error);
     }
 
+    /// Observes the age of the copy of some keys.
+    pub fn copy_aged(&self, keys: &str, age: Span) {
+        self.copy_age.with_label_values(&[keys]).observe(Duration::from(age).as_secs_f64());
+    }
+
+    /// Observes the age that a change has at most, from the `store` or another `host`.
+    pub fn change_applied(&self, keys: &str, source: &str, age: Span) {
+        let histogram = self.change_age.with_label_values(&[keys, source]);
+        histogram.observe(Duration::from(age).as_secs_f64());
+    }
+
     /// Counts a call to the platform's store.
     pub fn store_called(&self, cause: &str, call: &str, outcome: &str) {
         self.store_calls.with_label_values(&[cause, call, outcome]).inc();
--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -7,6 +7,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    fmt,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -21,6 +22,7 @@
 };
 
 use crate::{
+    metrics::Metrics,
     serving::{
         configuration_era,
         counted_store::{self, Cause},
@@ -84,6 +86,9 @@
 /// Index of the prefix in a response that holds evacuations.
 const EVACUATIONS_INDEX: usize = REPORTS_INDEX + 1;
 
+/// Interval between samples of the age of the copies.
+const AGE_SAMPLE_INTERVAL: Span = Span::from_ms(1_000);
+
 /// Capacity of the task's mailbox.
 const MAILBOX_CAPACITY: usize = 1_024;
 
@@ -152,6 +157,42 @@
             Topic::Fleet => Cause::Fleet,
         }
     }
+
+    /// Value of the `keys` label of metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Topic::Configuration => "configuration",
+            Topic::Upstreams => "upstreams",
+            Topic::Fleet => "fleet",
+        }
+    }
+}
+
+/// Where an update comes from.
+#[derive(Debug, Clone, Copy)]
+enum Source<'a> {
+    Store,
+    /// Another host, by id.
+    Host(&'a str),
+}
+
+impl Source<'_> {
+    /// Value of the `source` label of metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Source::Store => "store",
+            Source::Host(_) => "host",
+        }
+    }
+}
+
+impl fmt::Display for Source<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Source::Store => f.write_str("the store"),
+            Source::Host(id) => write!(f, "host {id}"),
+        }
+    }
 }
 
 /// Decoders of the store's values, and the keys under which they are stored.
@@ -241,6 +282,8 @@
     pub reports: mpsc::Receiver<messages::Prefix>,
     /// Usage counts of this host, and of its group if it is a hub.
     pub meter: Meter,
+    /// Metrics of the host.
+    pub metrics: Metrics,
 }
 
 #[derive(Debug)]
@@ -367,6 +410,8 @@
         decoding: options.decoding,
         host: options.host,
         meter: options.meter,
+        metrics: options.metrics,
+        sampled_at: Time(0),
         dispatcher,
         outputs,
         mirrors: Default::default(),
@@ -415,6 +460,9 @@
     decoding: Decoding,
     host: String,
     meter: Meter,
+    metrics: Metrics,
+    /// When the age of the copies was last sampled.
+    sampled_at: Time,
     dispatcher: Dispatcher,
     outputs: Outputs,
     mirrors: [Mirror; 3],
@@ -486,7 +534,7 @@
                 }
                 let update = self.without_heartbeats(topic, update);
                 let update = self.without_evacuations(topic, update, sent_at);
-                self.apply_update(topic, Some(update), Some(sent_at));
+                self.apply_update((topic, Source::Store), Some(update), Some(sent_at));
                 if topic == Topic::Upstreams {
                     let grace_left = self.upstream_list.grace_left(self.store_answered_at);
                     self.publish_verification(Some(sent_at), grace_left);
@@ -608,7 +656,8 @@
                 };
                 self.peer_verified_at = self.peer_verified_at.max(served_at);
             }
-            self.apply_update(topic, state.update.map(decode_update), verified_at);
+            let source = Source::Host(&response.host);
+            self.apply_update((topic, source), state.update.map(decode_update), verified_at);
             if topic == Topic::Upstreams {
                 self.publish_verification(verified_at, Span(response.outage_grace_us));
             }
@@ -677,7 +726,12 @@
         }
     }
 
-    fn apply_update(&mut self, topic: Topic, update: Option<Update>, verified_at: Option<Time>) {
+    fn apply_update(
+        &mut self,
+        (topic, source): (Topic, Source<'_>),
+        update: Option<Update>,
+        verified_at: Option<Time>,
+    ) {
         let index = topic as usize;
         let known = self.mirrors[index].revision();
         let update = update.map(|it| self.without_outdated(topic, it));
@@ -688,6 +742,11 @@
             self.store_restored(topic, update);
         }
         let changes = update.map(|it| self.mirrors[index].apply(it)).unwrap_or_default();
+        let verified_before = self.verified[index];
+        if let Some(at) = verified_before.filter(|_| !changes.is_empty()) {
+            let age = Time::now().since(at);
+            self.metrics.change_applied(topic.label(), source.label(), age);
+        }
         if self.mirrors[index].revision() > 0 {
             self.verified[index] = self.verified[index].max(verified_at);
         }
@@ -699,7 +758,8 @@
                 } else if !is_restored && changes.iter().any(|it| matches!(it, Change::Put(_))) {
                     self.restored_at = None;
                 }
-                changes.iter().for_each(|it| self.apply_configuration(it));
+                let known_at = (source, verified_before);
+                changes.iter().for_each(|it| self.apply_configuration(it, known_at));
                 self.publish_configuration_verified();
             }
             Topic::Upstreams => {
@@ -741,7 +801,12 @@
         }
     }
 
-    fn apply_configuration(&mut self, change: &Change) {
+    /// Applies a change of the configuration from `source`, which was last verified at `verified_before`.
+    fn apply_configuration(
+        &mut self,
+        change: &Change,
+        (source, verified_before): (Source<'_>, Option<Time>),
+    ) {
         let item = match change {
             Change::Put(item) if item.key == self.decoding.configuration_key => item,
             Change::Put(_) => return,
@@ -752,10 +817,13 @@
         };
         match (self.decoding.table)(&item.value) {
             Ok(table) => {
+                let age = verified_before
+                    .map(|it| format!(", at most {} ms old", Time::now().since(it).as_ms()));
                 log::info!(
-                    "configuration {} is in force, revision {}",
+                    "configuration {} is in force, revision {}, from {source}{}",
                     table.version,
-                    store::display(item.revision)
+                    store::display(item.revision),
+                    age.unwrap_or_default()
                 );
                 let engines = table
                     .pools()
@@ -906,8 +974,22 @@
         }
     }
 
+    /// Samples the age of the copies that requests depend on.
+    fn sample_ages(&mut self, now: Time) {
+        if now.since(self.sampled_at) < AGE_SAMPLE_INTERVAL {
+            return;
+        }
+        self.sampled_at = now;
+        for topic in [Topic::Configuration, Topic::Upstreams] {
+            if let Some(at) = self.verified[topic as usize] {
+                self.metrics.copy_aged(topic.label(), now.since(at));
+            }
+        }
+    }
+
     fn tick(&mut self) {
         let now = Time::now();
+        self.sample_ages(now);
         let role = *self.role.borrow();
         let served = self.peer_verified_at.is_some_and(|it| now.since(it) < role.max_age());
         let known = self.verified[Topic::Configuration as usize].is_some();
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -177,6 +177,7 @@
             calls,
             reports,
             meter: meter.clone(),
+            metrics: metrics.clone(),
         };
         let fleet = fleet_state::spawn(options, dispatcher.clone());
         limiter::spawn(limiter::Options {
--- a/src/serving/upstream_list.rs
+++ b/src/serving/upstream_list.rs
@@ -153,6 +153,10 @@
         if left == Span(0) {
             self.entries.remove(key);
         } else if let Some(listed) = self.entries.get_mut(key) {
+            log::info!(
+                "upstream entry {key} is gone, perhaps as the store was away; the upstream is kept for {} ms",
+                left.as_ms()
+            );
             listed.remove_at.get_or_insert(now + left);
         }
     }
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -289,6 +289,7 @@
         let store = MemoryStore { host: index, ..self.store.clone() };
         let metrics = Metrics::open().expect("the names of metrics are unique");
         let options = fleet_state::Options {
+            metrics: metrics.clone(),
             store: counted_store::Counted::new(store, metrics, Cause::Fleet),
             decoding: Decoding {
                 configuration_key: CONFIGURATION,
