Show that a removed upstream is used too long while the store turns one host away

What callers saw: requests cut in the middle of the answer, as their upstream had left (DRAIN). The test has hosts of which the store turns one away, in its waiting calls too, and removes upstreams. The stand-in for the store now also ends a waiting call of a host that it turns away, as a cut connection does; without that the test passed, as the host noticed an outage at its configuration first.

--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -7,6 +7,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -19,7 +20,7 @@
         peers,
         registry::{DecodeError, Entry, State},
         roster::{self, Roster},
-        table::Table,
+        table::{Parts, Table},
         usage::Meter,
     },
     store::{Change, Commit, Committed, Failure, Item, LeaseId, Page, Store, Watch},
@@ -69,6 +70,9 @@
 /// and two rounds of sync requests. Less than the time-out of a request.
 const HANG_BOUND: Duration = Duration::from_millis(1_100);
 
+/// Time after which a test no longer waits for a change.
+const PATIENCE: Duration = Duration::from_millis(12_000);
+
 /// Age of a verification up to which keys may be used, less the margin for clock drift, at the
 /// strictest of the users' sites.
 const KEY_BOUND: Span = Span::from_ms(4_800);
@@ -158,6 +162,10 @@
         };
         // Returns no changes after the wait.
         let _ = timeout(Duration::from_millis(wait_ms), wait_for_change).await;
+        // A waiting call ends with its connection.
+        if self.content.borrow().refused.contains(&self.host) {
+            return Err(Failure::Unknown("the connection was cut".to_owned()));
+        }
         let revision = self.content.borrow().revision;
         Ok(Watch::Changes(self.changes(prefix, after), revision))
     }
@@ -190,8 +198,11 @@
     Ok(Entry { state, sequence, ..engine(index as usize) })
 }
 
-fn decode_table(_: &[u8]) -> Result<Table, DecodeError> {
-    Err(DecodeError("these tests have no routes".to_owned()))
+/// Decodes a configuration, which is its version.
+fn decode_table(value: &[u8]) -> Result<Table, DecodeError> {
+    let version = std::str::from_utf8(value).ok().and_then(|it| it.parse().ok());
+    let version = version.ok_or_else(|| DecodeError("the version is missing".to_owned()))?;
+    Ok(Table::build(Parts { version, ..Parts::default() }))
 }
 
 /// A fleet with its store.
@@ -203,6 +214,8 @@
     upstreams: Vec<watch::Receiver<Rc<Vec<Entry>>>>,
     /// Gate of each host, which holds back the sync requests to it while it is false.
     gates: Vec<watch::Sender<bool>>,
+    /// Ids of hosts whose sync requests get no response from any host.
+    unanswered: Arc<Mutex<Vec<String>>>,
     leaving: Rc<Cell<bool>>,
 }
 
@@ -210,7 +223,7 @@
     /// Starts hosts in three availability zones and waits until they have found their hubs.
     async fn spawn(count: usize) -> Fleet {
         let store = MemoryStore::new();
-        store.put(CONFIGURATION, b"");
+        store.put(CONFIGURATION, b"1");
         let leaving = Rc::new(Cell::new(false));
         tokio::task::spawn_local(write_heartbeats(store.clone(), leaving.clone()));
         let mut listeners = Vec::new();
@@ -242,6 +255,7 @@
             followers,
             upstreams: Vec::new(),
             gates: Vec::new(),
+            unanswered: Arc::default(),
             leaving,
         };
         for (index, (listener, host)) in listeners.into_iter().enumerate() {
@@ -272,8 +286,16 @@
         let (passed, calls) = mpsc::channel(256);
         let (gate, mut is_open) = watch::channel(true);
         self.gates.push(gate);
+        let unanswered = self.unanswered.clone();
         tokio::spawn(async move {
+            let mut held: Vec<peers::Call> = Vec::new();
             while let Some(request) = requests.recv().await {
+                let hosts =
+                    unanswered.lock().expect("no test panics while it holds the lock").clone();
+                if hosts.contains(&request.0.host) {
+                    held.push(request);
+                    continue;
+                }
                 // Both channels are open until the end of the test.
                 let _ = is_open.wait_for(|it| *it).await;
                 let _ = passed.send(request).await;
@@ -316,6 +338,27 @@
         self.gates[host].send_replace(false);
     }
 
+    /// Adds an upstream, waits until all hosts use it, and removes it after `pause`. Returns how long hosts use it after
+    /// that.
+    async fn removal_time(&self, index: usize, pause: Duration) -> Duration {
+        let key = format!("{UPSTREAMS}engine-{index}");
+        self.store.put(&key, format!("{index} 0 1").as_bytes());
+        let id = engine(index).id;
+        let uses = |it: &watch::Receiver<Rc<Vec<Entry>>>| {
+            it.borrow().iter().any(|it| it.id == id && it.state == State::Ready)
+        };
+        while !self.upstreams.iter().all(uses) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        sleep(pause).await;
+        self.store.remove(&key);
+        let start = Instant::now();
+        while self.upstreams.iter().any(uses) && start.elapsed() < PATIENCE {
+            sleep(Duration::from_millis(5)).await;
+        }
+        start.elapsed()
+    }
+
     /// Counts the calls by prefix within a time, and the hosts that made any.
     async fn calls(&self, time: Duration) -> (BTreeMap<String, usize>, usize) {
         self.store.content.borrow_mut().calls.clear();
@@ -602,3 +645,22 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+#[tokio::test]
+async fn an_upstream_that_is_removed_gets_no_late_request_while_the_store_turns_one_host_away() {
+    let run = async {
+        for count in [6, 30] {
+            let fleet = Fleet::spawn(count).await;
+            fleet.store.content.borrow_mut().refused = vec![fleet.followers[1]];
+            let mut times = Vec::new();
+            for round in 0..4 {
+                let pause = Duration::from_millis(1_000 + 170 * round as u64);
+                times.push(fleet.removal_time(UPSTREAM_COUNT + round, pause).await);
+            }
+            let limit = DRAIN_BOUND - ARRIVAL_TIME;
+
+            assert!(times.iter().all(|it| *it <= limit), "{count} hosts use it for {times:?}");
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
