Show that a hub without an answer delays those of all other hubs

What callers saw: changes that whole zones learn of late (CONFIG, DRAIN). The test has 30 hosts in three zones. The store turns one zone away, and a hub of another zone hangs; the first zone then waits for the time-out of 1.2 s although the third zone has answered.

--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -664,3 +664,34 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+#[tokio::test]
+async fn a_hub_that_hangs_does_not_delay_what_other_hubs_answer() {
+    let run = async {
+        let mut fleet = Fleet::spawn(30).await;
+        // The hubs of the second zone hear of upstreams from those of the other zones only.
+        fleet.store.content.borrow_mut().refused = (0..30).filter(|it| it % 3 == 1).collect();
+        let zone_of = |host: usize| host % 3;
+        let primary = fleet.followers[0];
+        let hanging =
+            fleet.followers.iter().find(|it| ![zone_of(primary), 1].contains(&zone_of(**it)));
+        let hanging = *hanging.expect("the followers are of different zones");
+        let entry = |state: u64| format!("{UPSTREAM_COUNT} {state} {}", state + 1);
+        let key = format!("{UPSTREAMS}engine-{UPSTREAM_COUNT}");
+        fleet.store.put(&key, entry(0).as_bytes());
+        sleep(Duration::from_millis(3_000)).await;
+        fleet.stop_responses(hanging);
+        sleep(Duration::from_millis(250)).await;
+        fleet.store.put(&key, entry(1).as_bytes());
+        let start = Instant::now();
+        let knows =
+            |it: &usize| fleet.upstreams[*it].borrow().iter().any(|it| it.state == State::Draining);
+        while (0..30).filter(|it| zone_of(*it) == 1).any(|it| !knows(&it)) {
+            assert!(start.elapsed() < PATIENCE, "the second zone never receives it");
+            sleep(Duration::from_millis(5)).await;
+        }
+        let waited = start.elapsed();
+        assert!(waited < HANG_BOUND, "the second zone has received it after {waited:?}");
+    };
+    LocalSet::new().run_until(run).await;
+}
