Show that a host without answers of others takes up a configuration late

What callers saw: a request handled by an older configuration (CONFIG). The test has 60 hosts and lets the sync requests of one member after the other go unanswered, with the store within reach of all.

--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -70,6 +70,9 @@
 /// and two rounds of sync requests. Less than the time-out of a request.
 const HANG_BOUND: Duration = Duration::from_millis(1_100);
 
+/// Time within which every host serves by a configuration, at the strictest of the users' sites.
+const CONFIGURATION_BOUND: Duration = Duration::from_millis(2_000);
+
 /// Time after which a test no longer waits for a change.
 const PATIENCE: Duration = Duration::from_millis(12_000);
 
@@ -338,6 +341,25 @@
         self.gates[host].send_replace(false);
     }
 
+    /// Leaves the sync requests of a host to all others without responses.
+    fn cut_off(&self, host: usize) {
+        let id = format!("host-{host:03}");
+        self.unanswered.lock().expect("no test panics while it holds the lock").push(id);
+    }
+
+    /// Writes a configuration and returns how long it takes until all hosts serve by it.
+    async fn configuration_time(&self, version: u64) -> Duration {
+        self.store.put(CONFIGURATION, version.to_string().as_bytes());
+        let start = Instant::now();
+        let is_in_force = |it: &fleet_state::Handle| {
+            it.table.borrow().as_ref().is_some_and(|it| it.version == version)
+        };
+        while !self.hosts.iter().all(is_in_force) && start.elapsed() < PATIENCE {
+            sleep(Duration::from_millis(5)).await;
+        }
+        start.elapsed()
+    }
+
     /// Adds an upstream, waits until all hosts use it, and removes it after `pause`. Returns how long hosts use it after
     /// that.
     async fn removal_time(&self, index: usize, pause: Duration) -> Duration {
@@ -695,3 +717,23 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+#[tokio::test]
+async fn a_host_without_answers_of_others_serves_by_a_new_configuration_in_time() {
+    let run = async {
+        let fleet = Fleet::spawn(60).await;
+        let mut version = 1;
+        let mut times = Vec::new();
+        // The first hosts of the roster are seeds; the followers are not affected.
+        let members = (3..60).filter(|it| !fleet.followers.contains(it));
+        for (host, delay) in members.zip([100, 400, 700, 1_000, 1_300]) {
+            fleet.cut_off(host);
+            sleep(Duration::from_millis(delay)).await;
+            version += 1;
+            times.push(fleet.configuration_time(version).await);
+        }
+        let is_late = |it: &Duration| *it > CONFIGURATION_BOUND - ARRIVAL_TIME;
+        assert!(!times.iter().any(is_late), "hosts cut off from others: {times:?}");
+    };
+    LocalSet::new().run_until(run).await;
+}
