Use a removed upstream no longer than it serves after its removal

What callers saw: requests cut in the middle of the answer, as their upstream had left (DRAIN). Cause: a host whose own call to the store fails takes it for an outage of the store, and reports it with its responses to others for as long as it lasts. Entries that are removed meanwhile count as lapsed in the outage and are kept for 1.9 s from when the removal arrives, less 0.3 s for requests on their way: with a way of 0.4 s, that is more than 2 s after the store acknowledged the removal. One host that is cut off from the store does that to all. Change: a host knows when its list was last verified, and that the removal came after that. It keeps the upstream for no more than 1.9 s from there. Only if nothing was verified for that long, which is an outage, the grace period counts from the arrival as before; so it does after the return of an older copy.

--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -764,7 +764,8 @@
             }
             Topic::Upstreams => {
                 if !changes.is_empty() {
-                    changes.iter().for_each(|it| self.apply_upstream(it, is_restored));
+                    let known_at = verified_before.filter(|_| !is_restored);
+                    changes.iter().for_each(|it| self.apply_upstream(it, is_restored, known_at));
                     self.publish_upstreams();
                 }
                 if self.mirrors[index].revision() > 0 {
@@ -841,8 +842,14 @@
         }
     }
 
-    /// Applies a change. `is_restored` tells whether it comes from an older copy of the store.
-    fn apply_upstream(&mut self, change: &Change, is_restored: bool) {
+    /// Applies a change. `is_restored` tells whether it comes from an older copy of the store; otherwise the list was
+    /// last verified at `verified_before`.
+    fn apply_upstream(
+        &mut self,
+        change: &Change,
+        is_restored: bool,
+        verified_before: Option<Time>,
+    ) {
         match change {
             Change::Put(item) => {
                 let entry = (self.decoding.entry)(&item.key, &item.value);
@@ -851,7 +858,10 @@
                     false => self.upstream_list.put(&item.key, entry),
                 }
             }
-            Change::Deleted(key, _) => self.upstream_list.delete(Time::now(), key),
+            Change::Deleted(key, _) => match verified_before {
+                Some(at) => self.upstream_list.delete_since(Time::now(), key, at),
+                None => self.upstream_list.delete(Time::now(), key),
+            },
         }
     }
 
--- a/src/serving/upstream_list.rs
+++ b/src/serving/upstream_list.rs
@@ -142,6 +142,24 @@
     /// Records that an entry was removed from the store. During an outage and its grace period the
     /// upstream is kept for the rest of that period.
     pub fn delete(&mut self, now: Time, key: &str) {
+        self.delete_by(key, now, now + self.grace_left(now));
+    }
+
+    /// Records that an entry was removed from the store after the list was verified at `verified_at`.
+    ///
+    /// Hosts that the store turns away report an outage too, so that the removal may be one of an
+    /// upstream that has left. The upstream is then not kept beyond the time for which it serves
+    /// after a removal just after the verification.
+    pub fn delete_since(&mut self, now: Time, key: &str, verified_at: Time) {
+        let grace_end = now + self.grace_left(now);
+        let served_until = verified_at + GRACE_PERIOD;
+        // A longer time without verification is an outage.
+        let is_outage = served_until <= now;
+        self.delete_by(key, now, if is_outage { grace_end } else { grace_end.min(served_until) });
+    }
+
+    /// Records a removal; the upstream is kept until `remove_at`.
+    fn delete_by(&mut self, key: &str, now: Time, remove_at: Time) {
         self.returning.retain(|it| it.0 != key);
         if let Some(listed) = self.entries.get(key) {
             let started_ms = listed.entry.started_ms;
@@ -149,15 +167,14 @@
             let excess = self.removed.len().saturating_sub(MAX_REMOVED);
             self.removed.drain(..excess);
         }
-        let left = self.grace_left(now);
-        if left == Span(0) {
+        if remove_at <= now {
             self.entries.remove(key);
         } else if let Some(listed) = self.entries.get_mut(key) {
             log::info!(
                 "upstream entry {key} is gone, perhaps as the store was away; the upstream is kept for {} ms",
-                left.as_ms()
+                remove_at.since(now).as_ms()
             );
-            listed.remove_at.get_or_insert(now + left);
+            listed.remove_at.get_or_insert(remove_at);
         }
     }
 
--- a/tests/upstream_list.rs
+++ b/tests/upstream_list.rs
@@ -74,6 +74,24 @@
     assert_eq!(list.next_due(), None);
 }
 
+#[test]
+fn an_entry_removed_soon_after_a_verification_is_not_kept_for_a_whole_grace_period() {
+    let mut list = upstream_list::List::default();
+    list.put("a", Ok(entry("a")));
+    list.put("b", Ok(entry("b")));
+    // Another host reports an outage that this one does not see.
+    list.outage_reported(at(5_000), Span::from_ms(1_900));
+    list.delete_since(at(5_000), "a", at(4_400));
+    let closing = list.next_due().expect("the entry has a time of its last request");
+    assert!(closing <= at(4_400 + 1_700), "it may have been removed just after the verification");
+    // In an outage the removal may be as old as the outage, and the upstream may return.
+    list.outage_reported(at(8_000), Span::from_ms(1_900));
+    list.delete_since(at(8_000), "b", at(3_000));
+    expect!["a Ready, b Ready"].assert_eq(&states(&list));
+    list.apply_due(at(8_000));
+    expect!["b Ready"].assert_eq(&states(&list));
+}
+
 #[test]
 fn upstreams_that_write_their_entries_late_in_the_grace_period_are_used_at_once() {
     let mut list = upstream_list::List::default();
