Handle each hub's response as it arrives

What callers saw: changes that whole zones learn of late (CONFIG, DRAIN). Cause: a hub asks the hubs of all other groups and handled their responses together. One of them that hangs, as it is frozen, cut off or busy, held up the others for the time-out of 1.2 s, and no new request was sent meanwhile. With a pause of 0.4 s at the follower and two rounds below, the sum passes 2 s. Change: each request runs in a task of its own, as those of members do, and while one hub of a group has not answered the other one is asked.

--- a/src/serving/sync_client.rs
+++ b/src/serving/sync_client.rs
@@ -261,30 +261,38 @@
     }
 
     /// Synchronizes with the hubs of the other groups while this host is a hub of its own group.
+    ///
+    /// Each request runs in a task of its own, so that a hub that does not respond delays no other group, and the other hub
+    /// of its group is asked meanwhile.
     pub(super) async fn run_as_hub(self) {
+        let client = Rc::new(self);
         let mut interval = tokio::time::interval(SYNC_INTERVAL * LARGE_FLEET_STRIDE as u32);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        while !self.messages.is_closed() {
+        while !client.messages.is_closed() {
             interval.tick().await;
-            let roster = self.roster.borrow().clone();
-            let group = roster.group(&self.zone).to_owned();
-            if group.is_empty() || self.role.borrow().group == GroupRole::Member {
+            let roster = client.roster.borrow().clone();
+            let group = roster.group(&client.zone).to_owned();
+            if group.is_empty() || client.role.borrow().group == GroupRole::Member {
                 continue;
             }
-            let others = roster.zones().into_iter().filter(|it| *it != group);
-            let hubs = others.filter_map(|it| Some((it, *self.hubs(&roster, it).first()?)));
-            // Concurrent, so that a hub that does not respond does not delay the others.
-            let requests = hubs.map(|(zone, hub)| {
-                let request = self.request(hub, LocalLoad::default(), true);
-                let peers = self.peers.clone();
-                async move { (zone, hub, Time::now(), peers.sync(hub, request).await) }
-            });
-            for (zone, hub, sent_at, response) in futures::future::join_all(requests).await {
-                self.handle_response(hub, sent_at, response, Some(zone.to_owned())).await;
+            for other in roster.zones().into_iter().filter(|it| *it != group) {
+                let hubs = client.hubs(&roster, other);
+                let is_free = |it: &SocketAddr| !client.tracker.borrow().in_flight.contains(it);
+                if let Some(hub) = hubs.into_iter().find(is_free) {
+                    client.tracker.borrow_mut().in_flight.push(hub);
+                    let request = client.clone().send_hub_request(hub, other.to_owned());
+                    tokio::task::spawn_local(request);
+                }
             }
         }
     }
 
+    /// Sends a request to the hub of another group.
+    async fn send_hub_request(self: Rc<Client>, address: SocketAddr, group: String) {
+        let request = self.request(address, LocalLoad::default(), true);
+        self.exchange(address, request, Some(group)).await;
+    }
+
     /// Reports evidence about crashes to a hub, whose responses pass it on.
     async fn report(self: Rc<Client>, address: SocketAddr, evidence: messages::Evidence) {
         let now = Time::now();
@@ -317,10 +325,20 @@
     /// Sends a request as a member of the group.
     async fn send_request(self: Rc<Client>, address: SocketAddr, load: LocalLoad) {
         let request = self.request(address, load, false);
+        self.exchange(address, request, None).await;
+    }
+
+    /// Sends a request to a host that is marked as having one in flight, and handles the response.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: messages::Request,
+        group: Option<String>,
+    ) {
         let sent_at = Time::now();
         let response = self.peers.sync(address, request).await;
         self.tracker.borrow_mut().in_flight.retain(|it| *it != address);
-        self.handle_response(address, sent_at, response, None).await;
+        self.handle_response(address, sent_at, response, group).await;
     }
 
     fn request(&self, address: SocketAddr, load: LocalLoad, is_hub: bool) -> messages::Request {
