Follow the store at once where no other host responds

What callers saw: a request handled by an older configuration than the bound allows (CONFIG); with the same cause an upstream that has left gets requests (DRAIN). Cause: a host called the store itself only after 2.8 s without a verification by others, and then waited for a random part of 80 ms for each host of the fleet, as in an outage of the store: up to 9.4 s at 82 hosts. A host that reaches the store but none of its hubs is not in an outage, and the store has no herd to fear from it. Change: a host that no other host has responded to for 1 s follows the store, and calls it at once. In an outage others still respond, with old copies, so that the slow way of calling stays for that.

--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -64,6 +64,10 @@
 /// other hosts select another hub.
 const CURRENT_AGE: Span = Span::from_ms(2_000);
 
+/// Time without any response of another host after which this host follows the store itself. In an
+/// outage of the store others still respond, so that the hosts of a fleet do not call it at once.
+const ISOLATION_TIME: Span = Span::from_ms(1_000);
+
 /// Time since the store's last answer after which a host reports that it does not follow the store.
 /// Longer than the wait of a watch.
 const STORE_ANSWER_MAX_AGE: Span = Span::from_ms(1_000);
@@ -420,6 +424,8 @@
         verified: [None; 3],
         restored_at: None,
         peer_verified_at: None,
+        peer_responded_at: Time::now(),
+        is_isolated: false,
         upstream_list: upstream_list::List::default(),
         outage_seen_at: Time(0),
         loads: Loads::default(),
@@ -476,6 +482,10 @@
     restored_at: Option<Time>,
     /// The same for the configuration, as other hosts reported it.
     peer_verified_at: Option<Time>,
+    /// When another host last responded.
+    peer_responded_at: Time,
+    /// Whether no other host has responded for `ISOLATION_TIME`.
+    is_isolated: bool,
     upstream_list: upstream_list::List,
     /// When an outage of the store, or the time after one in which upstreams write their entries again, was last seen.
     outage_seen_at: Time,
@@ -625,6 +635,7 @@
         group: Option<String>,
     ) {
         let now = Time::now();
+        self.peer_responded_at = now;
         self.upstream_list.outage_reported(now, Span(response.outage_grace_us));
         if let Some(limits) = response.prefixes.get(Topic::ALL.len()) {
             self.dispatcher.merge_limits(limits.limits(sent_at));
@@ -1001,7 +1012,11 @@
         let now = Time::now();
         self.sample_ages(now);
         let role = *self.role.borrow();
-        let served = self.peer_verified_at.is_some_and(|it| now.since(it) < role.max_age());
+        let is_isolated = self.lacks_peers(now);
+        let was_isolated = std::mem::replace(&mut self.is_isolated, is_isolated);
+        let verified_recently =
+            self.peer_verified_at.is_some_and(|it| now.since(it) < role.max_age());
+        let served = verified_recently && !self.is_isolated;
         let known = self.verified[Topic::Configuration as usize].is_some();
         let modes = if known || now >= self.startup_ends {
             follow_modes(role, served)
@@ -1013,6 +1028,14 @@
         if was_served && modes != *self.outputs.modes.borrow() {
             self.store_reachable.send_replace(false);
         }
+        if self.is_isolated && !was_isolated {
+            log::info!(
+                "no other host has responded for {} ms; following the store",
+                ISOLATION_TIME.as_ms()
+            );
+            // The store is called at once, as nothing tells that it is away.
+            self.store_reachable.send_replace(true);
+        }
         set_if_changed(&self.outputs.modes, modes);
         // Without a hub a host writes its own counts, unless it cannot reach the store either.
         let standalone = !(role.is_hub() || served) && *self.store_reachable.borrow();
@@ -1020,6 +1043,12 @@
         set_if_changed(&self.outputs.writes_usage, writes);
     }
 
+    /// Whether there are other hosts of which none has responded for `ISOLATION_TIME`.
+    fn lacks_peers(&self, now: Time) -> bool {
+        let has_others = self.outputs.roster.borrow().len() > 1;
+        has_others && now.since(self.peer_responded_at) >= ISOLATION_TIME
+    }
+
     /// Whether the configuration was verified to be the newest within `CURRENT_AGE`.
     fn is_current(&self, now: Time) -> bool {
         let verified_at = self.verified[Topic::Configuration as usize];
