Show that a host that reaches no upstream refuses its callers

The tests run two hosts that know each other. The first one reaches the upstreams over links that are cut: refused and reset, refused while open connections live on, or silent. From 3 s after the cut it must serve two thirds of what the other one serves, no request that may run once may run twice, and a 503 must be true.

--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -93,18 +93,18 @@
 
 /// In-memory store, as the client of one host. Clones share its content.
 #[derive(Debug, Clone)]
-struct MemoryStore {
+pub(crate) struct MemoryStore {
     content: Rc<RefCell<Content>>,
     changed: watch::Sender<u64>,
     host: usize,
 }
 
 impl MemoryStore {
-    fn new() -> MemoryStore {
+    pub(crate) fn new() -> MemoryStore {
         MemoryStore { content: Rc::default(), changed: watch::channel(0).0, host: usize::MAX }
     }
 
-    fn put(&self, key: &str, value: &[u8]) {
+    pub(crate) fn put(&self, key: &str, value: &[u8]) {
         let mut content = self.content.borrow_mut();
         content.revision += 1;
         let revision = content.revision;
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod contact;
 mod crash_evidence;
+mod cut_off;
 mod dispatcher;
 mod evacuation;
 mod exchange;
