Reach upstreams through other hosts while this one is cut off from them

Cause: a host had one way to an upstream. Each request failed at as many upstreams as its route allows, 0.25 s each, was refused, and the upstreams were ejected, though the fault lay at the host's own end. Class: failures of many peers that have one cause at this end are judged one by one. Change: a host compares a failed or slow connect with one to another upstream. Once two in a row fail and none opens, it counts as cut off (reach), and opens its connections through other hosts (dialer, tunnel): it names the incarnation, the other host connects to it directly, never through a third one, and forwards bytes without reading them. Placement, deadlines, retries, limits, usage and the truth of 'not run' stay with the host that took the request. A reset passes the tunnel as a reset. Failures while cut off do not eject upstreams. Idle direct connections are not used unless something arrived on them since the cut; requests and streams that may be sent again leave a silent path after 0.5 s. A direct connection is tried beside a tunnel each 0.5 s, which ends the cut; tunnels are used for 2 s at most. Setting tunnels, its address in the record of the host: hosts without it neither ask nor serve, so that mixed fleets go on as before. Memory and sockets of tunnels are bounded; a host without room or one that stops says so.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -70,6 +70,7 @@
     denied_hedges: IntCounterVec,
     hedge_seconds: CounterVec,
     turned_away: IntCounterVec,
+    tunnels: IntCounterVec,
     unserved_attempts: IntCounterVec,
     unserved_tokens: IntCounterVec,
     admission_refusals: IntCounterVec,
@@ -77,6 +78,8 @@
     waiting_age_ms: IntGauge,
     /// Requests accepted and not ended.
     pub in_flight: IntGauge,
+    /// Whether this host reaches no upstream by itself, 0 or 1.
+    pub cut_off: IntGauge,
     /// Revision of the configuration in force.
     pub revision: IntGauge,
     /// Evacuated availability zones that this host knows.
@@ -187,6 +190,11 @@
             "Callers that were refused or whose connections were closed, by the limit.",
             &["limit"],
         )?;
+        let tunnels = counter(
+            "almondrack_tunnels_total",
+            "Connections to upstreams through other hosts, by whether this host asked for the tunnel or served it, and by outcome.",
+            &["side", "outcome"],
+        )?;
         let unserved_attempts = counter(
             "almondrack_unserved_attempts_total",
             "Attempts that upstreams had begun or queued and that served no one, by pool, tier and ending.",
@@ -239,6 +247,10 @@
             "Time for which the oldest waiting request has waited, in milliseconds.",
         )?;
         let in_flight = gauge("almondrack_in_flight", "Requests accepted and not ended.")?;
+        let cut_off = gauge(
+            "almondrack_cut_off",
+            "Whether this host reaches no upstream by itself, so that its connections go through other hosts.",
+        )?;
         let revision =
             gauge("almondrack_config_revision", "Revision of the configuration in force.")?;
         let evacuated_zones = gauge(
@@ -272,12 +284,14 @@
             denied_hedges,
             hedge_seconds,
             turned_away,
+            tunnels,
             unserved_attempts,
             unserved_tokens,
             admission_refusals,
             waiting,
             waiting_age_ms,
             in_flight,
+            cut_off,
             revision,
             evacuated_zones,
             store_era,
@@ -386,6 +400,16 @@
         self.denied_hedges.with_label_values(&[reason]).inc();
     }
 
+    /// Counts a tunnel for which this host asked another one.
+    pub fn tunnel_asked(&self, outcome: &str) {
+        self.tunnels.with_label_values(&["asked", outcome]).inc();
+    }
+
+    /// Counts a tunnel for which another host asked this one.
+    pub fn tunnel_served(&self, outcome: &str) {
+        self.tunnels.with_label_values(&["served", outcome]).inc();
+    }
+
     /// Counts a caller that is turned away at a limit.
     pub fn turned_away(&self, limit: &str) {
         self.turned_away.with_label_values(&[limit]).inc();
--- a/src/serving/connection_cache.rs
+++ b/src/serving/connection_cache.rs
@@ -1,16 +1,16 @@
 //! Cache of idle connections to upstreams.
 
-use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, io, rc::Rc};
 
 use crate::{
-    serving::{key::UpstreamKey, outbound_connection},
+    serving::{
+        dialer::{Dialer, Target},
+        key::UpstreamKey,
+        outbound_connection::{self, Path},
+    },
     time::{Span, Time},
 };
 
-/// Timeout for a connection to an upstream. TCP retransmits a lost SYN only after a second; another upstream is tried
-/// before.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Idle time after which a connection is closed.
 const IDLE_TIMEOUT: Span = Span::from_ms(4_000);
 
@@ -22,6 +22,10 @@
 /// where the answer to another one was due.
 const REUSE_PAUSE: Span = Span::from_ms(10_000);
 
+/// Age up to which a connection through another host is used again, so that connections are soon direct after a cut, and
+/// that a host which stops is rid of them.
+const MAX_TUNNEL_AGE: Span = Span::from_ms(2_000);
+
 /// Most idle connections that are cached for one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
@@ -31,12 +35,23 @@
     idle: Rc<RefCell<IdleConnections>>,
     /// Upstreams whose connections are not used again before a time. Sorted by upstream.
     paused: Rc<RefCell<Vec<(UpstreamKey, Time)>>>,
+    dialer: Rc<Dialer>,
 }
 
 /// Sorted by upstream; the most recently used connection of each upstream comes last.
 type IdleConnections = Vec<(UpstreamKey, Vec<outbound_connection::Connection>)>;
 
 impl Cache {
+    /// Creates an empty cache that opens connections with the given dialer.
+    pub fn new(dialer: Rc<Dialer>) -> Cache {
+        Cache { dialer, ..Cache::default() }
+    }
+
+    /// Opens the connections.
+    pub fn dialer(&self) -> &Dialer {
+        &self.dialer
+    }
+
     /// Takes an idle connection out of the cache, or opens a new one.
     ///
     /// A request that may not be retried gets a connection that was used a short time ago or a new one, since one that
@@ -46,15 +61,14 @@
     /// Returns an error if the upstream does not accept a connection in time.
     pub async fn take(
         &self,
-        upstream: UpstreamKey,
-        address: SocketAddr,
+        target: Target,
         retryable: bool,
     ) -> io::Result<outbound_connection::Connection> {
         let max_idle_time = if retryable { IDLE_TIMEOUT } else { MAX_IDLE_NOT_RETRYABLE };
-        if let Some(connection) = self.take_idle(upstream, max_idle_time) {
+        if let Some(connection) = self.take_idle(target.upstream, max_idle_time) {
             return Ok(connection);
         }
-        outbound_connection::Connection::connect(address, CONNECT_TIMEOUT).await
+        self.dialer.connect(target).await
     }
 
     /// Closes the idle connections of an upstream that sent an answer which belongs to no request, and uses each of its
@@ -122,10 +136,20 @@
         let found = idle.binary_search_by_key(&upstream, |it| it.0).ok()?;
         let connections = &mut idle[found].1;
         while let Some(connection) = connections.pop() {
-            if connection.is_idle() && now.since(connection.idle_since) < max_idle_time {
+            let is_recent = now.since(connection.idle_since) < max_idle_time;
+            if is_recent && connection.is_idle() && self.may_reuse(now, &connection) {
                 return Some(connection);
             }
         }
         None
     }
+
+    /// Whether nothing speaks against the path of a connection. During a cut, direct connections may be dead unless a
+    /// response has arrived since it began.
+    fn may_reuse(&self, now: Time, connection: &outbound_connection::Connection) -> bool {
+        match connection.path {
+            Path::Direct => self.dialer.cut_since().is_none_or(|it| connection.idle_since > it),
+            Path::Tunnel => now.since(connection.opened_at) < MAX_TUNNEL_AGE,
+        }
+    }
 }
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -29,11 +29,12 @@
         connection_cache, contact,
         crash_evidence::Content,
         dialect::{Departure, Dialect, Echo, Prompt, RouterHeaders, Verdict},
+        dialer::Target,
         dispatcher::{AttemptGuard, Dispatcher},
         fleet_state::Verification,
         hedge,
         key::TicketKey,
-        outbound_connection,
+        outbound_connection::{self, Path},
         placement::{Grant, Ticket},
         rate_limit,
         relay::{Cut, Relay, Resume},
@@ -623,11 +624,21 @@
     ) -> Result<upstream_response::Response, attempt_history::Failure> {
         let retryable = request.route.retry_policy != RetryPolicy::Never;
         loop {
-            let taken =
-                self.shared.connections.take(grant.upstream, grant.address, retryable).await;
+            let target = Target {
+                upstream: grant.upstream,
+                incarnation: grant.incarnation,
+                address: grant.address,
+            };
+            let taken = self.shared.connections.take(target, retryable).await;
             let Ok(mut connection) = taken else {
-                self.record_refusal(grant);
-                guard.end(Ending::Refused);
+                // Says nothing about the upstream if this host reaches none.
+                let ending = if self.shared.connections.dialer().is_cut_off() {
+                    Ending::Unused
+                } else {
+                    self.record_refusal(grant);
+                    Ending::Refused
+                };
+                guard.end(ending);
                 return Err(attempt_history::Failure::unsent(Kind::UpstreamConnect));
             };
             let time_left = request.deadline.since(Time::now());
@@ -664,8 +675,22 @@
             let upstream_request = self.upstream_request(request, grant, time_left, resume_after);
             let used = connection.used;
             let sent_at = Time::now();
-            let response = match timeout(time_left.into(), connection.send(upstream_request)).await
-            {
+            let path = connection.path;
+            let lost = self.path_lost(path, retryable);
+            let sending = tokio::select! {
+                biased;
+                response = timeout(time_left.into(), connection.send(upstream_request)) => response,
+                () = lost => {
+                    log::info!(
+                        "request {} gets no answer from {} on a path that is lost",
+                        request.log_id(),
+                        grant.instance
+                    );
+                    guard.end(Ending::Unused);
+                    return Err(attempt_history::Failure::sent(Kind::UpstreamCut));
+                }
+            };
+            let response = match sending {
                 Ok(Ok(response)) => response,
                 Ok(Err(outbound_connection::SendError::Unsent)) if used => continue,
                 Ok(Err(outbound_connection::SendError::Unsolicited)) => {
@@ -714,6 +739,14 @@
         }
     }
 
+    /// Waits until the path of a connection is lost and the request can be sent again. Never returns if it may run only once.
+    async fn path_lost(&self, path: Path, retryable: bool) {
+        self.shared.connections.dialer().path_lost(path).await;
+        if !retryable {
+            std::future::pending().await
+        }
+    }
+
     /// Whether the process behind a connection is known to be the one that the list of upstreams describes.
     fn is_listed(&self, grant: &Grant, connection: &outbound_connection::Connection) -> bool {
         let verification = *self.shared.upstreams_verified.borrow();
@@ -733,6 +766,7 @@
         connection: outbound_connection::Connection,
         guard: AttemptGuard,
     ) -> Result<upstream_response::Response, attempt_history::Failure> {
+        self.shared.connections.dialer().record_response(connection.path);
         let (head, body) = response.into_parts();
         let verdict = self.shared.dialect.verdict(&request.id, &head);
         let echo = self.shared.dialect.echo(&request.id, &head);
@@ -893,7 +927,8 @@
                 resume,
                 reservation,
             );
-            let relay = relay.receive_first().await?;
+            let may_resume = request.route.retry_policy == RetryPolicy::Resume;
+            let relay = relay.resumable(may_resume).receive_first().await?;
             if let Some(after) = request.resumed_after() {
                 log::info!(
                     "stream {} is taken up after event {after} at {instance} of version {}; {} began it",
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -23,6 +23,7 @@
         buffer_memory, caller_connection, connection_cache,
         counted_store::{self, Cause},
         dialect::Dialect,
+        dialer::{Detour, Dialer},
         dispatcher::Dispatcher,
         duties::Duties,
         evacuation::Zones,
@@ -41,6 +42,7 @@
         settings::Settings,
         stream_records,
         table::Table,
+        tunnel,
         usage::{self, Meter, Usage},
     },
     store::Store,
@@ -120,6 +122,7 @@
     listener: Listener,
     readiness: page::Page,
     metrics: Option<page::Page>,
+    tunnels: Option<tunnel::Server>,
     draining: watch::Sender<bool>,
     /// Time from which requests are rejected.
     reject_from: Rc<Cell<Time>>,
@@ -195,7 +198,17 @@
             evacuated: fleet.evacuated.clone(),
         };
         task::spawn_local(pass_cold_rates(fleet.table.clone(), dispatcher.clone()));
-        let links = connection_cache::Cache::default();
+        let dialer = Rc::new(Dialer::new(Some(Detour {
+            tunnels: tunnel::Client::new(
+                &settings.host,
+                &settings.zone,
+                fleet.roster.clone(),
+                metrics.clone(),
+            ),
+            upstreams: capacity.upstreams.clone(),
+            metrics: metrics.clone(),
+        })));
+        let links = connection_cache::Cache::new(dialer.clone());
         task::spawn_local(sweep(links.clone()));
         let dialect = Rc::new(ports.dialect);
         let budget = retry_budget::Budget::new(settings.retries);
@@ -211,6 +224,22 @@
         };
         stream_records::spawn(options, lookups);
         let (draining, draining_seen) = watch::channel(false);
+        let tunnels = match settings.tunnels {
+            Some(address) => {
+                let options = tunnel::Options {
+                    upstreams: capacity.upstreams.clone(),
+                    leaving: capacity.leaving.clone(),
+                    dialer,
+                    memory_bytes: settings.memory_bytes,
+                    sockets: settings.descriptors.saturating_sub(FILE_DESCRIPTORS),
+                    draining: draining_seen.clone(),
+                    metrics: metrics.clone(),
+                };
+                let server = tunnel::Server::bind(address, options).await;
+                Some(server.wrap_err_with(|| format!("cannot listen for tunnels on {address}"))?)
+            }
+            None => None,
+        };
         let exchange = Exchange::new(exchange::Parts {
             dialect: dialect.clone(),
             dispatcher,
@@ -254,6 +283,7 @@
             zone: settings.zone.clone(),
             cpu_per_mille: settings.cpu_per_mille,
             selects_pool_by_id: true,
+            tunnels: settings.tunnels,
         };
         registration::spawn(store.clone(), record, draining_seen);
         let mut host = Host {
@@ -261,6 +291,7 @@
             listener,
             readiness,
             metrics,
+            tunnels,
             draining,
             reject_from,
             grace: settings.grace,
@@ -333,9 +364,10 @@
         log::info!("host has stopped; {aborted} connections were aborted");
     }
 
-    /// Waits until no caller's connection is open, at most until `end`.
+    /// Waits until no caller's connection and no tunnel is open, at most until `end`.
     async fn wait_for_connections(&self, end: Time) {
-        while Time::now() < end && !self.listener.connections.is_empty() {
+        let has_tunnels = || self.tunnels.as_ref().is_some_and(|it| !it.is_empty());
+        while Time::now() < end && (!self.listener.connections.is_empty() || has_tunnels()) {
             sleep(DRAIN_INTERVAL).await;
         }
     }
--- a/src/serving/outbound_connection.rs
+++ b/src/serving/outbound_connection.rs
@@ -133,6 +133,15 @@
     }
 }
 
+/// Way by which a connection goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Path {
+    /// From this host to the server.
+    Direct,
+    /// Through another host.
+    Tunnel,
+}
+
 /// Client connection. Dropping it closes the socket at once and aborts a request that is in flight.
 #[derive(Debug)]
 pub struct Connection {
@@ -145,6 +154,8 @@
     pub idle_since: Time,
     /// Whether a request has been sent on the connection.
     pub used: bool,
+    /// Way by which the connection goes.
+    pub path: Path,
 }
 
 impl Drop for Connection {
@@ -181,7 +192,8 @@
         });
         let opened_at = Time::now();
         let idle_since = opened_at;
-        Ok(Connection { sender, driver, progress, opened_at, idle_since, used: false })
+        let path = Path::Direct;
+        Ok(Connection { sender, driver, progress, opened_at, idle_since, used: false, path })
     }
 
     /// Sends a request and waits for the head of its response.
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -167,6 +167,8 @@
     pub attempt: AttemptKey,
     /// The selected upstream.
     pub upstream: UpstreamKey,
+    /// Id of the upstream's incarnation, the same on all hosts.
+    pub incarnation: u64,
     /// Instance that must run the request; another instance at the address refuses it.
     pub instance: Arc<str>,
     /// Address for the request.
@@ -1206,6 +1208,7 @@
         Grant {
             attempt,
             upstream: best.key,
+            incarnation: upstream.incarnation,
             instance: upstream.entry.id.clone(),
             address: upstream.entry.address,
             version: upstream.entry.version.clone(),
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -48,6 +48,8 @@
     /// Events received before the caller's response was started.
     first_events: Option<Bytes>,
     deadline: Time,
+    /// Whether the stream may go on at another upstream, so that it need not wait on a path that is lost.
+    may_resume: bool,
     /// Memory for the incomplete event at the end of the received bytes.
     reservation: buffer_memory::Reservation,
 }
@@ -79,10 +81,18 @@
             resume,
             first_events: None,
             deadline,
+            may_resume: false,
             reservation,
         }
     }
 
+    /// Sets whether the stream may go on at another upstream.
+    #[must_use]
+    pub fn resumable(mut self, may_resume: bool) -> Relay {
+        self.may_resume = may_resume;
+        self
+    }
+
     /// Waits for the first events, which `next` then returns.
     ///
     /// # Errors
@@ -142,8 +152,25 @@
                 Err(error) => return Err(self.reject(error)),
             }
             let Some(response) = &mut self.response else { return Ok(None) };
-            match response.receive(self.deadline).await {
-                Ok(Some(bytes)) => self.events.push(&bytes),
+            let dialer = self.connections.dialer();
+            let path = response.connection.path;
+            let lost = async {
+                dialer.path_lost(path).await;
+                if !self.may_resume {
+                    std::future::pending().await
+                }
+            };
+            let received = tokio::select! {
+                biased;
+                received = response.receive(self.deadline) => received,
+                // Says nothing about the upstream.
+                () = lost => Err((Kind::UpstreamCut, Ending::Unused)),
+            };
+            match received {
+                Ok(Some(bytes)) => {
+                    dialer.record_response(path);
+                    self.events.push(&bytes);
+                }
                 Ok(None) if response.ends_with_connection && !self.ends_after_event() => {
                     return Err(self.fail(Kind::UpstreamCut, Ending::Failed));
                 }
--- a/src/serving/roster.rs
+++ b/src/serving/roster.rs
@@ -27,6 +27,9 @@
     /// Whether the host selects the pool of a stream by the request's id. Earlier builds draw one at random.
     #[serde(default)]
     pub selects_pool_by_id: bool,
+    /// Address on which the host opens tunnels to upstreams for others, `None` if it opens none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tunnels: Option<SocketAddr>,
 }
 
 /// The registered hosts.
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -25,6 +25,8 @@
     pub metrics: Option<SocketAddr>,
     /// Address of the listener for other hosts.
     pub peers: SocketAddr,
+    /// Address of the listener for tunnels of other hosts to upstreams; `None` if this host opens none.
+    pub tunnels: Option<SocketAddr>,
     /// Peer addresses of some other hosts. They may be out of date.
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
@@ -106,6 +108,7 @@
         let readiness = self.required("readiness", ADDRESS);
         let metrics = self.optional("metrics", ADDRESS);
         let peers = self.required("peers", ADDRESS);
+        let tunnels = self.optional("tunnels", ADDRESS);
         let seeds = self.addresses("seeds");
         let store = self.required("store", ADDRESS);
         let duties = self.optional("duties", ADDRESS);
@@ -136,6 +139,7 @@
             readiness: readiness?,
             metrics,
             peers: peers?,
+            tunnels,
             seeds,
             store: store?,
             duties,
--- a/tests/serving/cold.rs
+++ b/tests/serving/cold.rs
@@ -38,6 +38,7 @@
             zone: ["a", "b", "c"][index % 3].into(),
             cpu_per_mille: 100,
             selects_pool_by_id: true,
+            tunnels: None,
         });
     }
     roster
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -242,6 +242,7 @@
                 zone: zone.into(),
                 cpu_per_mille: 100,
                 selects_pool_by_id: true,
+                tunnels: None,
             };
             let record = serde_json::to_vec(&host).expect("records can be written");
             store.put(&format!("{}{id}", roster::PREFIX), &record);
@@ -501,6 +502,7 @@
             zone: "a".to_owned(),
             cpu_per_mille: 100,
             selects_pool_by_id: true,
+            tunnels: None,
         };
         fleet.open(30, listener, host, seeds);
         assert!(fleet.hosts[30].evacuated.borrow().is_none());
