--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -7,6 +7,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    fmt,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -21,6 +22,7 @@
 };
 
 use crate::{
+    metrics::Metrics,
     serving::{
         configuration_era,
         counted_store::{self, Cause},
@@ -62,6 +64,10 @@
 /// other hosts select another hub.
 const CURRENT_AGE: Span = Span::from_ms(2_000);
 
+/// Time without any response of another host after which this host follows the store itself. In an
+/// outage of the store others still respond, so that the hosts of a fleet do not call it at once.
+const ISOLATION_TIME: Span = Span::from_ms(1_000);
+
 /// Time since the store's last answer after which a host reports that it does not follow the store.
 /// Longer than the wait of a watch.
 const STORE_ANSWER_MAX_AGE: Span = Span::from_ms(1_000);
@@ -84,6 +90,9 @@
 /// Index of the prefix in a response that holds evacuations.
 const EVACUATIONS_INDEX: usize = REPORTS_INDEX + 1;
 
+/// Interval between samples of the age of the copies.
+const AGE_SAMPLE_INTERVAL: Span = Span::from_ms(1_000);
+
 /// Capacity of the task's mailbox.
 const MAILBOX_CAPACITY: usize = 1_024;
 
@@ -152,6 +161,42 @@
             Topic::Fleet => Cause::Fleet,
         }
     }
+
+    /// Value of the `keys` label of metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Topic::Configuration => "configuration",
+            Topic::Upstreams => "upstreams",
+            Topic::Fleet => "fleet",
+        }
+    }
+}
+
+/// Where an update comes from.
+#[derive(Debug, Clone, Copy)]
+enum Source<'a> {
+    Store,
+    /// Another host, by id.
+    Host(&'a str),
+}
+
+impl Source<'_> {
+    /// Value of the `source` label of metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Source::Store => "store",
+            Source::Host(_) => "host",
+        }
+    }
+}
+
+impl fmt::Display for Source<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Source::Store => f.write_str("the store"),
+            Source::Host(id) => write!(f, "host {id}"),
+        }
+    }
 }
 
 /// Decoders of the store's values, and the keys under which they are stored.
@@ -241,6 +286,8 @@
     pub reports: mpsc::Receiver<messages::Prefix>,
     /// Usage counts of this host, and of its group if it is a hub.
     pub meter: Meter,
+    /// Metrics of the host.
+    pub metrics: Metrics,
 }
 
 #[derive(Debug)]
@@ -367,6 +414,8 @@
         decoding: options.decoding,
         host: options.host,
         meter: options.meter,
+        metrics: options.metrics,
+        sampled_at: Time(0),
         dispatcher,
         outputs,
         mirrors: Default::default(),
@@ -375,6 +424,8 @@
         verified: [None; 3],
         restored_at: None,
         peer_verified_at: None,
+        peer_responded_at: Time::now(),
+        is_isolated: false,
         upstream_list: upstream_list::List::default(),
         outage_seen_at: Time(0),
         loads: Loads::default(),
@@ -415,6 +466,9 @@
     decoding: Decoding,
     host: String,
     meter: Meter,
+    metrics: Metrics,
+    /// When the age of the copies was last sampled.
+    sampled_at: Time,
     dispatcher: Dispatcher,
     outputs: Outputs,
     mirrors: [Mirror; 3],
@@ -428,6 +482,10 @@
     restored_at: Option<Time>,
     /// The same for the configuration, as other hosts reported it.
     peer_verified_at: Option<Time>,
+    /// When another host last responded.
+    peer_responded_at: Time,
+    /// Whether no other host has responded for `ISOLATION_TIME`.
+    is_isolated: bool,
     upstream_list: upstream_list::List,
     /// When an outage of the store, or the time after one in which upstreams write their entries again, was last seen.
     outage_seen_at: Time,
@@ -486,7 +544,7 @@
                 }
                 let update = self.without_heartbeats(topic, update);
                 let update = self.without_evacuations(topic, update, sent_at);
-                self.apply_update(topic, Some(update), Some(sent_at));
+                self.apply_update((topic, Source::Store), Some(update), Some(sent_at));
                 if topic == Topic::Upstreams {
                     let grace_left = self.upstream_list.grace_left(self.store_answered_at);
                     self.publish_verification(Some(sent_at), grace_left);
@@ -577,6 +635,7 @@
         group: Option<String>,
     ) {
         let now = Time::now();
+        self.peer_responded_at = now;
         self.upstream_list.outage_reported(now, Span(response.outage_grace_us));
         if let Some(limits) = response.prefixes.get(Topic::ALL.len()) {
             self.dispatcher.merge_limits(limits.limits(sent_at));
@@ -608,7 +667,8 @@
                 };
                 self.peer_verified_at = self.peer_verified_at.max(served_at);
             }
-            self.apply_update(topic, state.update.map(decode_update), verified_at);
+            let source = Source::Host(&response.host);
+            self.apply_update((topic, source), state.update.map(decode_update), verified_at);
             if topic == Topic::Upstreams {
                 self.publish_verification(verified_at, Span(response.outage_grace_us));
             }
@@ -677,7 +737,12 @@
         }
     }
 
-    fn apply_update(&mut self, topic: Topic, update: Option<Update>, verified_at: Option<Time>) {
+    fn apply_update(
+        &mut self,
+        (topic, source): (Topic, Source<'_>),
+        update: Option<Update>,
+        verified_at: Option<Time>,
+    ) {
         let index = topic as usize;
         let known = self.mirrors[index].revision();
         let update = update.map(|it| self.without_outdated(topic, it));
@@ -688,6 +753,11 @@
             self.store_restored(topic, update);
         }
         let changes = update.map(|it| self.mirrors[index].apply(it)).unwrap_or_default();
+        let verified_before = self.verified[index];
+        if let Some(at) = verified_before.filter(|_| !changes.is_empty()) {
+            let age = Time::now().since(at);
+            self.metrics.change_applied(topic.label(), source.label(), age);
+        }
         if self.mirrors[index].revision() > 0 {
             self.verified[index] = self.verified[index].max(verified_at);
         }
@@ -699,12 +769,14 @@
                 } else if !is_restored && changes.iter().any(|it| matches!(it, Change::Put(_))) {
                     self.restored_at = None;
                 }
-                changes.iter().for_each(|it| self.apply_configuration(it));
+                let known_at = (source, verified_before);
+                changes.iter().for_each(|it| self.apply_configuration(it, known_at));
                 self.publish_configuration_verified();
             }
             Topic::Upstreams => {
                 if !changes.is_empty() {
-                    changes.iter().for_each(|it| self.apply_upstream(it, is_restored));
+                    let known_at = verified_before.filter(|_| !is_restored);
+                    changes.iter().for_each(|it| self.apply_upstream(it, is_restored, known_at));
                     self.publish_upstreams();
                 }
                 if self.mirrors[index].revision() > 0 {
@@ -741,7 +813,12 @@
         }
     }
 
-    fn apply_configuration(&mut self, change: &Change) {
+    /// Applies a change of the configuration from `source`, which was last verified at `verified_before`.
+    fn apply_configuration(
+        &mut self,
+        change: &Change,
+        (source, verified_before): (Source<'_>, Option<Time>),
+    ) {
         let item = match change {
             Change::Put(item) if item.key == self.decoding.configuration_key => item,
             Change::Put(_) => return,
@@ -752,10 +829,13 @@
         };
         match (self.decoding.table)(&item.value) {
             Ok(table) => {
+                let age = verified_before
+                    .map(|it| format!(", at most {} ms old", Time::now().since(it).as_ms()));
                 log::info!(
-                    "configuration {} is in force, revision {}",
+                    "configuration {} is in force, revision {}, from {source}{}",
                     table.version,
-                    store::display(item.revision)
+                    store::display(item.revision),
+                    age.unwrap_or_default()
                 );
                 let engines = table
                     .pools()
@@ -773,8 +853,14 @@
         }
     }
 
-    /// Applies a change. `is_restored` tells whether it comes from an older copy of the store.
-    fn apply_upstream(&mut self, change: &Change, is_restored: bool) {
+    /// Applies a change. `is_restored` tells whether it comes from an older copy of the store; otherwise the list was
+    /// last verified at `verified_before`.
+    fn apply_upstream(
+        &mut self,
+        change: &Change,
+        is_restored: bool,
+        verified_before: Option<Time>,
+    ) {
         match change {
             Change::Put(item) => {
                 let entry = (self.decoding.entry)(&item.key, &item.value);
@@ -783,7 +869,10 @@
                     false => self.upstream_list.put(&item.key, entry),
                 }
             }
-            Change::Deleted(key, _) => self.upstream_list.delete(Time::now(), key),
+            Change::Deleted(key, _) => match verified_before {
+                Some(at) => self.upstream_list.delete_since(Time::now(), key, at),
+                None => self.upstream_list.delete(Time::now(), key),
+            },
         }
     }
 
@@ -906,10 +995,28 @@
         }
     }
 
+    /// Samples the age of the copies that requests depend on.
+    fn sample_ages(&mut self, now: Time) {
+        if now.since(self.sampled_at) < AGE_SAMPLE_INTERVAL {
+            return;
+        }
+        self.sampled_at = now;
+        for topic in [Topic::Configuration, Topic::Upstreams] {
+            if let Some(at) = self.verified[topic as usize] {
+                self.metrics.copy_aged(topic.label(), now.since(at));
+            }
+        }
+    }
+
     fn tick(&mut self) {
         let now = Time::now();
+        self.sample_ages(now);
         let role = *self.role.borrow();
-        let served = self.peer_verified_at.is_some_and(|it| now.since(it) < role.max_age());
+        let is_isolated = self.lacks_peers(now);
+        let was_isolated = std::mem::replace(&mut self.is_isolated, is_isolated);
+        let verified_recently =
+            self.peer_verified_at.is_some_and(|it| now.since(it) < role.max_age());
+        let served = verified_recently && !self.is_isolated;
         let known = self.verified[Topic::Configuration as usize].is_some();
         let modes = if known || now >= self.startup_ends {
             follow_modes(role, served)
@@ -921,6 +1028,14 @@
         if was_served && modes != *self.outputs.modes.borrow() {
             self.store_reachable.send_replace(false);
         }
+        if self.is_isolated && !was_isolated {
+            log::info!(
+                "no other host has responded for {} ms; following the store",
+                ISOLATION_TIME.as_ms()
+            );
+            // The store is called at once, as nothing tells that it is away.
+            self.store_reachable.send_replace(true);
+        }
         set_if_changed(&self.outputs.modes, modes);
         // Without a hub a host writes its own counts, unless it cannot reach the store either.
         let standalone = !(role.is_hub() || served) && *self.store_reachable.borrow();
@@ -928,6 +1043,12 @@
         set_if_changed(&self.outputs.writes_usage, writes);
     }
 
+    /// Whether there are other hosts of which none has responded for `ISOLATION_TIME`.
+    fn lacks_peers(&self, now: Time) -> bool {
+        let has_others = self.outputs.roster.borrow().len() > 1;
+        has_others && now.since(self.peer_responded_at) >= ISOLATION_TIME
+    }
+
     /// Whether the configuration was verified to be the newest within `CURRENT_AGE`.
     fn is_current(&self, now: Time) -> bool {
         let verified_at = self.verified[Topic::Configuration as usize];
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -7,6 +7,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -19,7 +20,7 @@
         peers,
         registry::{DecodeError, Entry, State},
         roster::{self, Roster},
-        table::Table,
+        table::{Parts, Table},
         usage::Meter,
     },
     store::{Change, Commit, Committed, Failure, Item, LeaseId, Page, Store, Watch},
@@ -69,6 +70,12 @@
 /// and two rounds of sync requests. Less than the time-out of a request.
 const HANG_BOUND: Duration = Duration::from_millis(1_100);
 
+/// Time within which every host serves by a configuration, at the strictest of the users' sites.
+const CONFIGURATION_BOUND: Duration = Duration::from_millis(2_000);
+
+/// Time after which a test no longer waits for a change.
+const PATIENCE: Duration = Duration::from_millis(12_000);
+
 /// Age of a verification up to which keys may be used, less the margin for clock drift, at the
 /// strictest of the users' sites.
 const KEY_BOUND: Span = Span::from_ms(4_800);
@@ -86,18 +93,18 @@
 
 /// In-memory store, as the client of one host. Clones share its content.
 #[derive(Debug, Clone)]
-struct MemoryStore {
+pub(crate) struct MemoryStore {
     content: Rc<RefCell<Content>>,
     changed: watch::Sender<u64>,
     host: usize,
 }
 
 impl MemoryStore {
-    fn new() -> MemoryStore {
+    pub(crate) fn new() -> MemoryStore {
         MemoryStore { content: Rc::default(), changed: watch::channel(0).0, host: usize::MAX }
     }
 
-    fn put(&self, key: &str, value: &[u8]) {
+    pub(crate) fn put(&self, key: &str, value: &[u8]) {
         let mut content = self.content.borrow_mut();
         content.revision += 1;
         let revision = content.revision;
@@ -158,6 +165,10 @@
         };
         // Returns no changes after the wait.
         let _ = timeout(Duration::from_millis(wait_ms), wait_for_change).await;
+        // A waiting call ends with its connection.
+        if self.content.borrow().refused.contains(&self.host) {
+            return Err(Failure::Unknown("the connection was cut".to_owned()));
+        }
         let revision = self.content.borrow().revision;
         Ok(Watch::Changes(self.changes(prefix, after), revision))
     }
@@ -190,8 +201,11 @@
     Ok(Entry { state, sequence, ..engine(index as usize) })
 }
 
-fn decode_table(_: &[u8]) -> Result<Table, DecodeError> {
-    Err(DecodeError("these tests have no routes".to_owned()))
+/// Decodes a configuration, which is its version.
+fn decode_table(value: &[u8]) -> Result<Table, DecodeError> {
+    let version = std::str::from_utf8(value).ok().and_then(|it| it.parse().ok());
+    let version = version.ok_or_else(|| DecodeError("the version is missing".to_owned()))?;
+    Ok(Table::build(Parts { version, ..Parts::default() }))
 }
 
 /// A fleet with its store.
@@ -203,6 +217,8 @@
     upstreams: Vec<watch::Receiver<Rc<Vec<Entry>>>>,
     /// Gate of each host, which holds back the sync requests to it while it is false.
     gates: Vec<watch::Sender<bool>>,
+    /// Ids of hosts whose sync requests get no response from any host.
+    unanswered: Arc<Mutex<Vec<String>>>,
     leaving: Rc<Cell<bool>>,
 }
 
@@ -210,7 +226,7 @@
     /// Starts hosts in three availability zones and waits until they have found their hubs.
     async fn spawn(count: usize) -> Fleet {
         let store = MemoryStore::new();
-        store.put(CONFIGURATION, b"");
+        store.put(CONFIGURATION, b"1");
         let leaving = Rc::new(Cell::new(false));
         tokio::task::spawn_local(write_heartbeats(store.clone(), leaving.clone()));
         let mut listeners = Vec::new();
@@ -226,6 +242,7 @@
                 zone: zone.into(),
                 cpu_per_mille: 100,
                 selects_pool_by_id: true,
+                tunnels: None,
             };
             let record = serde_json::to_vec(&host).expect("records can be written");
             store.put(&format!("{}{id}", roster::PREFIX), &record);
@@ -242,6 +259,7 @@
             followers,
             upstreams: Vec::new(),
             gates: Vec::new(),
+            unanswered: Arc::default(),
             leaving,
         };
         for (index, (listener, host)) in listeners.into_iter().enumerate() {
@@ -272,8 +290,16 @@
         let (passed, calls) = mpsc::channel(256);
         let (gate, mut is_open) = watch::channel(true);
         self.gates.push(gate);
+        let unanswered = self.unanswered.clone();
         tokio::spawn(async move {
+            let mut held: Vec<peers::Call> = Vec::new();
             while let Some(request) = requests.recv().await {
+                let hosts =
+                    unanswered.lock().expect("no test panics while it holds the lock").clone();
+                if hosts.contains(&request.0.host) {
+                    held.push(request);
+                    continue;
+                }
                 // Both channels are open until the end of the test.
                 let _ = is_open.wait_for(|it| *it).await;
                 let _ = passed.send(request).await;
@@ -289,6 +315,7 @@
         let store = MemoryStore { host: index, ..self.store.clone() };
         let metrics = Metrics::open().expect("the names of metrics are unique");
         let options = fleet_state::Options {
+            metrics: metrics.clone(),
             store: counted_store::Counted::new(store, metrics, Cause::Fleet),
             decoding: Decoding {
                 configuration_key: CONFIGURATION,
@@ -315,6 +342,46 @@
         self.gates[host].send_replace(false);
     }
 
+    /// Leaves the sync requests of a host to all others without responses.
+    fn cut_off(&self, host: usize) {
+        let id = format!("host-{host:03}");
+        self.unanswered.lock().expect("no test panics while it holds the lock").push(id);
+    }
+
+    /// Writes a configuration and returns how long it takes until all hosts serve by it.
+    async fn configuration_time(&self, version: u64) -> Duration {
+        self.store.put(CONFIGURATION, version.to_string().as_bytes());
+        let start = Instant::now();
+        let is_in_force = |it: &fleet_state::Handle| {
+            it.table.borrow().as_ref().is_some_and(|it| it.version == version)
+        };
+        while !self.hosts.iter().all(is_in_force) && start.elapsed() < PATIENCE {
+            sleep(Duration::from_millis(5)).await;
+        }
+        start.elapsed()
+    }
+
+    /// Adds an upstream, waits until all hosts use it, and removes it after `pause`. Returns how long hosts use it after
+    /// that.
+    async fn removal_time(&self, index: usize, pause: Duration) -> Duration {
+        let key = format!("{UPSTREAMS}engine-{index}");
+        self.store.put(&key, format!("{index} 0 1").as_bytes());
+        let id = engine(index).id;
+        let uses = |it: &watch::Receiver<Rc<Vec<Entry>>>| {
+            it.borrow().iter().any(|it| it.id == id && it.state == State::Ready)
+        };
+        while !self.upstreams.iter().all(uses) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        sleep(pause).await;
+        self.store.remove(&key);
+        let start = Instant::now();
+        while self.upstreams.iter().any(uses) && start.elapsed() < PATIENCE {
+            sleep(Duration::from_millis(5)).await;
+        }
+        start.elapsed()
+    }
+
     /// Counts the calls by prefix within a time, and the hosts that made any.
     async fn calls(&self, time: Duration) -> (BTreeMap<String, usize>, usize) {
         self.store.content.borrow_mut().calls.clear();
@@ -435,6 +502,7 @@
             zone: "a".to_owned(),
             cpu_per_mille: 100,
             selects_pool_by_id: true,
+            tunnels: None,
         };
         fleet.open(30, listener, host, seeds);
         assert!(fleet.hosts[30].evacuated.borrow().is_none());
@@ -601,3 +669,73 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+#[tokio::test]
+async fn an_upstream_that_is_removed_gets_no_late_request_while_the_store_turns_one_host_away() {
+    let run = async {
+        for count in [6, 30] {
+            let fleet = Fleet::spawn(count).await;
+            fleet.store.content.borrow_mut().refused = vec![fleet.followers[1]];
+            let mut times = Vec::new();
+            for round in 0..4 {
+                let pause = Duration::from_millis(1_000 + 170 * round as u64);
+                times.push(fleet.removal_time(UPSTREAM_COUNT + round, pause).await);
+            }
+            let limit = DRAIN_BOUND - ARRIVAL_TIME;
+
+            assert!(times.iter().all(|it| *it <= limit), "{count} hosts use it for {times:?}");
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+#[tokio::test]
+async fn a_hub_that_hangs_does_not_delay_what_other_hubs_answer() {
+    let run = async {
+        let mut fleet = Fleet::spawn(30).await;
+        // The hubs of the second zone hear of upstreams from those of the other zones only.
+        fleet.store.content.borrow_mut().refused = (0..30).filter(|it| it % 3 == 1).collect();
+        let zone_of = |host: usize| host % 3;
+        let primary = fleet.followers[0];
+        let hanging =
+            fleet.followers.iter().find(|it| ![zone_of(primary), 1].contains(&zone_of(**it)));
+        let hanging = *hanging.expect("the followers are of different zones");
+        let entry = |state: u64| format!("{UPSTREAM_COUNT} {state} {}", state + 1);
+        let key = format!("{UPSTREAMS}engine-{UPSTREAM_COUNT}");
+        fleet.store.put(&key, entry(0).as_bytes());
+        sleep(Duration::from_millis(3_000)).await;
+        fleet.stop_responses(hanging);
+        sleep(Duration::from_millis(250)).await;
+        fleet.store.put(&key, entry(1).as_bytes());
+        let start = Instant::now();
+        let knows =
+            |it: &usize| fleet.upstreams[*it].borrow().iter().any(|it| it.state == State::Draining);
+        while (0..30).filter(|it| zone_of(*it) == 1).any(|it| !knows(&it)) {
+            assert!(start.elapsed() < PATIENCE, "the second zone never receives it");
+            sleep(Duration::from_millis(5)).await;
+        }
+        let waited = start.elapsed();
+        assert!(waited < HANG_BOUND, "the second zone has received it after {waited:?}");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+#[tokio::test]
+async fn a_host_without_answers_of_others_serves_by_a_new_configuration_in_time() {
+    let run = async {
+        let fleet = Fleet::spawn(60).await;
+        let mut version = 1;
+        let mut times = Vec::new();
+        // The first hosts of the roster are seeds; the followers are not affected.
+        let members = (3..60).filter(|it| !fleet.followers.contains(it));
+        for (host, delay) in members.zip([100, 400, 700, 1_000, 1_300]) {
+            fleet.cut_off(host);
+            sleep(Duration::from_millis(delay)).await;
+            version += 1;
+            times.push(fleet.configuration_time(version).await);
+        }
+        let is_late = |it: &Duration| *it > CONFIGURATION_BOUND - ARRIVAL_TIME;
+        assert!(!times.iter().any(is_late), "hosts cut off from others: {times:?}");
+    };
+    LocalSet::new().run_until(run).await;
+}
