Carry one request a tunnel, and pass on back-offs to the host that forwards

Cause: an upstream that refuses a request with Retry-After means the host from which the request came. Change: the host that reads the refusal tells the one that forwarded it. That one opens no tunnels to the upstream and sends it nothing itself until the time has passed. As a tunnel carries one request only, the next one asks anew; a host that stops is rid of its tunnels, and connections are direct at once after a cut. Measured: a test of the pass-on; the tests of tunnels, cut-off hosts and exchanges pass.

--- a/src/serving/connection_cache.rs
+++ b/src/serving/connection_cache.rs
@@ -22,10 +22,6 @@
 /// where the answer to another one was due.
 const REUSE_PAUSE: Span = Span::from_ms(10_000);
 
-/// Age up to which a connection through another host is used again, so that connections are soon direct after a cut, and
-/// that a host which stops is rid of them.
-const MAX_TUNNEL_AGE: Span = Span::from_ms(2_000);
-
 /// Most idle connections that are cached for one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
@@ -48,7 +44,7 @@
     }
 
     /// Opens the connections.
-    pub fn dialer(&self) -> &Dialer {
+    pub fn dialer(&self) -> &Rc<Dialer> {
         &self.dialer
     }
 
@@ -96,9 +92,10 @@
     }
 
     /// Puts a connection back after its response has ended. Closes it if the upstream has enough idle connections, or if
-    /// its connections are not used again.
+    /// its connections are not used again. One through another host carries one request only: that host is rid of it when
+    /// it stops, and can refuse the next one.
     pub fn put(&self, upstream: UpstreamKey, mut connection: outbound_connection::Connection) {
-        if self.is_paused(upstream) {
+        if self.is_paused(upstream) || connection.path != Path::Direct {
             return;
         }
         connection.idle_since = Time::now();
@@ -137,19 +134,16 @@
         let connections = &mut idle[found].1;
         while let Some(connection) = connections.pop() {
             let is_recent = now.since(connection.idle_since) < max_idle_time;
-            if is_recent && connection.is_idle() && self.may_reuse(now, &connection) {
+            if is_recent && connection.is_idle() && self.may_reuse(&connection) {
                 return Some(connection);
             }
         }
         None
     }
 
-    /// Whether nothing speaks against the path of a connection. During a cut, direct connections may be dead unless a
-    /// response has arrived since it began.
-    fn may_reuse(&self, now: Time, connection: &outbound_connection::Connection) -> bool {
-        match connection.path {
-            Path::Direct => self.dialer.cut_since().is_none_or(|it| connection.idle_since > it),
-            Path::Tunnel => now.since(connection.opened_at) < MAX_TUNNEL_AGE,
-        }
+    /// Whether nothing speaks against the path of a connection. During a cut it may be dead unless a response has arrived
+    /// since the cut began.
+    fn may_reuse(&self, connection: &outbound_connection::Connection) -> bool {
+        self.dialer.cut_since().is_none_or(|it| connection.idle_since > it)
     }
 }
--- a/src/serving/dialer.rs
+++ b/src/serving/dialer.rs
@@ -11,6 +11,7 @@
 use tokio::{
     net::TcpStream,
     sync::watch,
+    task,
     time::{sleep, timeout},
 };
 
@@ -82,6 +83,8 @@
     cut_since: watch::Sender<Option<Time>>,
     /// When bytes of a response last arrived on a direct connection.
     heard_at: Cell<Time>,
+    /// Incarnations of upstreams that want no requests of this host before a time.
+    held: RefCell<Vec<(u64, Time)>>,
 }
 
 impl Default for Dialer {
@@ -98,6 +101,7 @@
             reach: RefCell::default(),
             cut_since: watch::channel(None).0,
             heard_at: Cell::new(Time(0)),
+            held: RefCell::default(),
         }
     }
 
@@ -118,6 +122,37 @@
         }
     }
 
+    /// Records that an upstream wants no requests of this host for a time.
+    pub fn hold(&self, incarnation: u64, time: Span) {
+        let now = Time::now();
+        let until = now + time;
+        let mut held = self.held.borrow_mut();
+        let later = held.iter().filter(|it| it.0 == incarnation).map(|it| it.1).max();
+        held.retain(|it| it.0 != incarnation && now < it.1);
+        held.push((incarnation, later.map_or(until, |it| it.max(until))));
+    }
+
+    /// Returns the end of the time in which an upstream wants no requests of this host, if it has not passed.
+    pub fn held_until(&self, incarnation: u64) -> Option<Time> {
+        let held = self.held.borrow();
+        held.iter().find(|it| it.0 == incarnation).map(|it| it.1).filter(|it| Time::now() < *it)
+    }
+
+    /// Passes on that an upstream wants no requests of the host from which a request reached it. Must be called on the
+    /// thread of the host.
+    pub fn pass_on_hold(self: &Rc<Dialer>, path: Path, incarnation: u64, time: Span) {
+        let Path::Tunnel(host) = path else {
+            self.hold(incarnation, time);
+            return;
+        };
+        let dialer = self.clone();
+        task::spawn_local(async move {
+            if let Some(detour) = &dialer.detour {
+                detour.tunnels.hold(host, incarnation, time).await;
+            }
+        });
+    }
+
     /// Opens a connection to an upstream.
     ///
     /// # Errors
@@ -171,9 +206,9 @@
             std::future::pending().await
         };
         let tunnel = async {
-            let stream = detour.tunnels.open(target.incarnation).await?;
+            let (host, stream) = detour.tunnels.open(target.incarnation).await?;
             let mut connection = Connection::handshake(stream).await?;
-            connection.path = Path::Tunnel;
+            connection.path = Path::Tunnel(host);
             Ok(connection)
         };
         tokio::select! {
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -656,6 +656,10 @@
                 guard.end(Ending::Unused);
                 return Err(attempt_history::Failure::unsent(Kind::NoUpstream));
             }
+            // A request that this host forwarded for another one may have been refused meanwhile.
+            if let Some(until) = self.shared.connections.dialer().held_until(grant.incarnation) {
+                grant.gate.close(Time::now(), until);
+            }
             let lacks_permit = grant.send_by.is_none() && Time::now() < grant.cold_until.get();
             if guard.is_held() || lacks_permit {
                 guard.end(Ending::Unused);
@@ -785,7 +789,7 @@
         if verdict.speaks_for_upstream() {
             self.record_limit(grant, (&head, sent_at), &guard);
             self.record_departure(grant, &head, &guard);
-            self.record_backoff(grant, &head, &guard);
+            self.record_backoff(grant, &head, &guard, connection.path);
             if let Some(report) = self.shared.dialect.reported_load(&head) {
                 guard.record_report(report);
             }
@@ -876,11 +880,19 @@
     }
 
     /// Backs off from an upstream whose response to this request asks for it.
-    fn record_backoff(&self, grant: &Grant, head: &http::response::Parts, guard: &AttemptGuard) {
+    fn record_backoff(
+        &self,
+        grant: &Grant,
+        head: &http::response::Parts,
+        guard: &AttemptGuard,
+        path: Path,
+    ) {
         match self.shared.dialect.named_backoff(head) {
             backoff::Named::Nothing | backoff::Named::For(Span(0)) => {}
             backoff::Named::For(time) => {
                 self.shared.metrics.backoff_named("valid");
+                let dialer = self.shared.connections.dialer();
+                dialer.pass_on_hold(path, grant.incarnation, time);
                 if guard.record_backoff(time) {
                     log::info!(
                         "upstream {} takes no requests of this host for {} ms; it gets none, then one at first",
--- a/src/serving/outbound_connection.rs
+++ b/src/serving/outbound_connection.rs
@@ -138,8 +138,8 @@
 pub enum Path {
     /// From this host to the server.
     Direct,
-    /// Through another host.
-    Tunnel,
+    /// Through another host, which opens tunnels on this address.
+    Tunnel(SocketAddr),
 }
 
 /// Client connection. Dropping it closes the socket at once and aborts a request that is in flight.
--- a/src/serving/tunnel.rs
+++ b/src/serving/tunnel.rs
@@ -5,7 +5,11 @@
 //! request thus stays with the host that took it from its caller: placement, retries, limits and usage are decided there, as
 //! for its own connections.
 //!
-//! Request: the incarnation, 8 bytes in network order. Response: one byte, a [`Reply`].
+//! An upstream that refuses a request with a time in which it wants no more of them means the host from which the request
+//! reached it. The host that sent the request passes this on to the one that forwarded it.
+//!
+//! Request: the incarnation and the milliseconds of such a time, zero to open a tunnel, 8 and 4 bytes in network order.
+//! Response: one byte, a [`Reply`].
 
 use std::{
     cell::{Cell, RefCell},
@@ -72,7 +76,7 @@
     Opened,
     /// The upstream is not listed, or gets no new requests.
     Unknown,
-    /// The upstream refused the connection.
+    /// The upstream refused the connection, or wants no requests of the host for now.
     Refused,
     /// The host reaches no upstream either.
     CutOff,
@@ -140,9 +144,10 @@
     ///
     /// # Errors
     /// If no host opens one. `ConnectionRefused` if the upstream refused a host that reached it.
-    pub async fn open(&self, incarnation: u64) -> io::Result<TcpStream> {
+    pub async fn open(&self, incarnation: u64) -> io::Result<(SocketAddr, TcpStream)> {
+        let request = Request { incarnation, hold: Span(0) };
         for address in self.candidates() {
-            let reply = timeout(OPEN_TIMEOUT, ask(address, incarnation)).await;
+            let reply = timeout(OPEN_TIMEOUT, ask(address, request)).await;
             let outcome = match &reply {
                 Ok(Ok((reply, _))) => reply.as_str(),
                 Ok(Err(_)) => "failed",
@@ -150,7 +155,7 @@
             };
             self.metrics.tunnel_asked(outcome);
             match reply {
-                Ok(Ok((Reply::Opened, stream))) => return Ok(stream),
+                Ok(Ok((Reply::Opened, stream))) => return Ok((address, stream)),
                 Ok(Ok((Reply::Refused | Reply::Unknown, _))) => {
                     return Err(io::ErrorKind::ConnectionRefused.into());
                 }
@@ -162,6 +167,14 @@
         Err(io::Error::new(io::ErrorKind::HostUnreachable, "no other host opens a tunnel"))
     }
 
+    /// Tells a host that forwarded a request that the upstream wants no requests of it for a time.
+    pub async fn hold(&self, address: SocketAddr, incarnation: u64, hold: Span) {
+        let told = timeout(OPEN_TIMEOUT, ask(address, Request { incarnation, hold })).await;
+        if !matches!(told, Ok(Ok(_))) {
+            log::info!("the host at {address} cannot be told of a back-off");
+        }
+    }
+
     /// Returns the hosts to ask, in order. Hosts that are cut off together spread their tunnels, as each ranks the others
     /// differently and takes them in turns.
     fn candidates(&self) -> Vec<SocketAddr> {
@@ -190,10 +203,36 @@
     }
 }
 
-async fn ask(address: SocketAddr, incarnation: u64) -> io::Result<(Reply, TcpStream)> {
+/// A message to a host that opens tunnels.
+#[derive(Debug, Clone, Copy)]
+struct Request {
+    incarnation: u64,
+    /// Time in which the upstream wants no requests of that host; zero to open a tunnel.
+    hold: Span,
+}
+
+impl Request {
+    const LEN: usize = 12;
+
+    fn to_bytes(self) -> [u8; Request::LEN] {
+        let hold_ms = u32::try_from(self.hold.as_ms()).unwrap_or(u32::MAX);
+        let mut bytes = [0; Request::LEN];
+        bytes[..8].copy_from_slice(&self.incarnation.to_be_bytes());
+        bytes[8..].copy_from_slice(&hold_ms.to_be_bytes());
+        bytes
+    }
+
+    async fn read(stream: &mut TcpStream) -> io::Result<Request> {
+        let incarnation = stream.read_u64().await?;
+        let hold = Span::from_ms(u64::from(stream.read_u32().await?));
+        Ok(Request { incarnation, hold })
+    }
+}
+
+async fn ask(address: SocketAddr, request: Request) -> io::Result<(Reply, TcpStream)> {
     let mut stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    stream.write_all(&incarnation.to_be_bytes()).await?;
+    stream.write_all(&request.to_bytes()).await?;
     let reply = Reply::from_byte(stream.read_u8().await?);
     reply.map(|it| (it, stream)).ok_or_else(|| io::ErrorKind::InvalidData.into())
 }
@@ -298,12 +337,18 @@
         let _ = stream.write_u8(Reply::Busy.to_byte()).await;
         return;
     };
-    let request = timeout(REQUEST_TIMEOUT, stream.read_u64()).await;
-    let Ok(Ok(incarnation)) = request else {
+    let request = timeout(REQUEST_TIMEOUT, Request::read(&mut stream)).await;
+    let Ok(Ok(request)) = request else {
         shared.options.metrics.tunnel_served("no_request");
         return;
     };
-    let result = shared.connect(incarnation).await;
+    if request.hold > Span(0) {
+        shared.options.dialer.hold(request.incarnation, request.hold);
+        // The other host may have gone.
+        let _ = stream.write_u8(Reply::Opened.to_byte()).await;
+        return;
+    }
+    let result = shared.connect(request.incarnation).await;
     let reply = result.as_ref().err().copied().unwrap_or(Reply::Opened);
     shared.options.metrics.tunnel_served(reply.as_str());
     let replied = stream.write_u8(reply.to_byte()).await;
@@ -327,6 +372,9 @@
         if options.dialer.is_cut_off() {
             return Err(Reply::CutOff);
         }
+        if options.dialer.held_until(incarnation).is_some() {
+            return Err(Reply::Refused);
+        }
         let address = {
             let upstreams = options.upstreams.borrow();
             let listed = upstreams.iter().find(|it| incarnation_id(it) == incarnation);
--- a/tests/serving/tunnel.rs
+++ b/tests/serving/tunnel.rs
@@ -12,6 +12,7 @@
         tunnel::{self, Client, Server},
         upstream_state::incarnation_id,
     },
+    time::Span,
 };
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -81,8 +82,8 @@
         Fixture { client, server, dialer, draining, leaving, metrics }
     }
 
-    async fn open_kind(&self, entry: &Entry) -> Result<TcpStream, io::ErrorKind> {
-        self.client.open(incarnation_id(entry)).await.map_err(|it| it.kind())
+    async fn open_tunnel(&self, entry: &Entry) -> Result<TcpStream, io::ErrorKind> {
+        self.client.open(incarnation_id(entry)).await.map(|it| it.1).map_err(|it| it.kind())
     }
 
     fn counted(&self, side: &str, outcome: &str) -> bool {
@@ -102,7 +103,7 @@
     let run = async {
         let (listener, entry) = upstream().await;
         let fixture = Fixture::open(vec![entry.clone()], 4_000).await;
-        let mut near = fixture.open_kind(&entry).await.expect("the tunnel opens");
+        let mut near = fixture.open_tunnel(&entry).await.expect("the tunnel opens");
         let (mut far, _) = listener.accept().await.expect("the upstream listens");
         near.write_all(b"ping").await.expect("the tunnel is open");
         let mut bytes = [0; 4];
@@ -114,7 +115,7 @@
         near.read_to_end(&mut received).await.expect("the connection ends in order");
         assert_eq!((&bytes, received.len()), (b"ping", 300_000));
         // A caller that leaves ends the work at the upstream.
-        let near = fixture.open_kind(&entry).await.expect("the tunnel opens");
+        let near = fixture.open_tunnel(&entry).await.expect("the tunnel opens");
         let (mut far, _) = listener.accept().await.expect("the upstream listens");
         drop(near);
         let ended = timeout(SOON, far.read(&mut bytes)).await.expect("the connection ends");
@@ -131,7 +132,7 @@
     let run = async {
         let (listener, entry) = upstream().await;
         let fixture = Fixture::open(vec![entry.clone()], 4_000).await;
-        let mut near = fixture.open_kind(&entry).await.expect("the tunnel opens");
+        let mut near = fixture.open_tunnel(&entry).await.expect("the tunnel opens");
         let (mut far, _) = listener.accept().await.expect("the upstream listens");
         far.write_all(b"half").await.expect("the tunnel is open");
         let mut bytes = [0; 4];
@@ -153,15 +154,15 @@
         let listed = vec![entry.clone(), draining.clone(), down.clone()];
         let fixture = Fixture::open(listed, 4_000).await;
         for refused in [&draining, &down, &engine(3)] {
-            let opened = fixture.open_kind(refused).await.map(drop);
+            let opened = fixture.open_tunnel(refused).await.map(drop);
             assert_eq!(opened, Err(io::ErrorKind::ConnectionRefused), "{refused:?}");
         }
         fixture.leaving.send_replace(Rc::new(vec![incarnation_id(&entry)]));
-        let opened = fixture.open_kind(&entry).await.map(drop);
+        let opened = fixture.open_tunnel(&entry).await.map(drop);
         assert_eq!(opened, Err(io::ErrorKind::ConnectionRefused), "it says that it leaves");
         fixture.leaving.send_replace(Rc::default());
         fixture.draining.send_replace(true);
-        let opened = fixture.open_kind(&entry).await.map(drop);
+        let opened = fixture.open_tunnel(&entry).await.map(drop);
         assert_eq!(opened, Err(io::ErrorKind::HostUnreachable), "the other host stops");
     };
     LocalSet::new().run_until(run).await;
@@ -182,7 +183,7 @@
             assert!(fixture.dialer.connect(target).await.is_err());
         }
         assert!(fixture.dialer.is_cut_off());
-        let opened = fixture.open_kind(&down[0]).await.map(drop);
+        let opened = fixture.open_tunnel(&down[0]).await.map(drop);
         assert_eq!(opened, Err(io::ErrorKind::HostUnreachable));
         assert!(fixture.counted("served", "cut_off"));
     };
@@ -204,12 +205,30 @@
                 count.set(open.len());
             }
         });
-        let _first = fixture.open_kind(&entry).await.expect("there is room");
-        let _second = fixture.open_kind(&entry).await.expect("there is room");
-        let third = fixture.open_kind(&entry).await.map(drop);
+        let _first = fixture.open_tunnel(&entry).await.expect("there is room");
+        let _second = fixture.open_tunnel(&entry).await.expect("there is room");
+        let third = fixture.open_tunnel(&entry).await.map(drop);
         assert_eq!(third, Err(io::ErrorKind::HostUnreachable));
         assert_eq!((fixture.server.len(), accepted.get()), (2, 2));
         assert!(fixture.counted("served", "busy"));
     };
     LocalSet::new().run_until(run).await;
 }
+
+#[tokio::test]
+async fn a_host_that_an_upstream_refuses_for_a_time_forwards_nothing_to_it() {
+    let run = async {
+        let (_listener, entry) = upstream().await;
+        let fixture = Fixture::open(vec![entry.clone()], 4_000).await;
+        let incarnation = incarnation_id(&entry);
+        let (host, _stream) = fixture.client.open(incarnation).await.expect("the tunnel opens");
+        // The refusal came to a request that this host forwarded.
+        fixture.client.hold(host, incarnation, Span::from_ms(300)).await;
+        assert!(fixture.dialer.held_until(incarnation).is_some());
+        let opened = fixture.open_tunnel(&entry).await.map(drop);
+        assert_eq!(opened, Err(io::ErrorKind::ConnectionRefused));
+        sleep(Duration::from_millis(320)).await;
+        assert!(fixture.open_tunnel(&entry).await.is_ok());
+    };
+    LocalSet::new().run_until(run).await;
+}
