Test whole zones, the store and streams of hosts that are cut off

Change: tests through running hosts: all four hosts of a zone go through the only one of another zone, a host that the store turns away too, and a stream under way whose path falls silent or is reset, with no other request to notice it. The stand-in dialect states after which event a stream goes on.

--- a/tests/serving/cut_off.rs
+++ b/tests/serving/cut_off.rs
@@ -1,7 +1,7 @@
 //! Hosts that are cut off from all upstreams while callers and other hosts still reach them.
 //!
 //! Each host has a store of its own, with the same revisions, that names the addresses at which it reaches the upstreams.
-//! For the first host these are links of the test, which can be cut.
+//! For the first hosts these are links of the test, which can be cut.
 
 use std::{
     cell::{Cell, RefCell},
@@ -29,7 +29,7 @@
 };
 
 use crate::{
-    exchange::{TestDialect, routed_request},
+    exchange::{RESUME_AFTER, TestDialect, routed_request},
     fixture::{POOL, engine},
     followers::MemoryStore,
 };
@@ -44,6 +44,15 @@
 /// Path of requests that may be repeated.
 const REPEATABLE: &str = "/repeatable/";
 
+/// Path of streams that may go on at another upstream.
+const STREAM: &str = "/stream/";
+
+/// Events of a stream.
+const EVENTS: usize = 40;
+
+/// Time between them.
+const EVENT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Time that upstreams take for a request.
 const WORK: Duration = Duration::from_millis(5);
 
@@ -53,6 +62,9 @@
 /// Time that a caller waits.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Time within which a stream ends that takes two seconds without a cut.
+const STREAM_TIMEOUT: Duration = Duration::from_millis(5_000);
+
 /// Requests in one phase of a test.
 const REQUESTS: usize = 60;
 
@@ -88,11 +100,16 @@
         max_attempts: 3,
         ..(*routed_request(false, retry_policy).route).clone()
     };
+    let stream = Route { stream: true, timeout_ms: 10_000, ..route(STREAM, RetryPolicy::Resume) };
     let pool =
         Pool { name: POOL.into(), connections: 100, engine: None, scaling: None, cold_rate: None };
     Ok(Table::build(Parts {
         version: 1,
-        routes: vec![route(ONCE, RetryPolicy::Never), route(REPEATABLE, RetryPolicy::Always)],
+        routes: vec![
+            route(ONCE, RetryPolicy::Never),
+            route(REPEATABLE, RetryPolicy::Always),
+            stream,
+        ],
         pools: vec![pool],
         ..Parts::default()
     }))
@@ -132,6 +149,11 @@
         bytes.drain(..end + 4);
         let id = head.lines().find_map(|it| it.strip_prefix("x-id: ")).unwrap_or_default();
         *runs.borrow_mut().entry(id.to_owned()).or_default() += 1;
+        if head.starts_with(&format!("GET {STREAM}")) {
+            let prefix = format!("{RESUME_AFTER}: ");
+            let after = head.lines().find_map(|it| it.strip_prefix(&prefix)?.parse().ok());
+            return write_events(stream, after.unwrap_or(0)).await;
+        }
         sleep(WORK).await;
         if stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.is_err() {
             return;
@@ -139,7 +161,22 @@
     }
 }
 
-/// Runs the first host's link to an upstream.
+/// Writes the events of a stream after the given one. The connection ends with the stream.
+async fn write_events(mut stream: TcpStream, after: usize) {
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                transfer-encoding: chunked\r\nconnection: close\r\n\r\n";
+    let mut written = stream.write_all(head.as_bytes()).await;
+    for number in after + 1..=EVENTS {
+        let event = format!("id: {number}\ndata: {number}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        written = written.and(stream.write_all(chunk.as_bytes()).await);
+        sleep(EVENT_PAUSE).await;
+    }
+    // The host may have left.
+    let _ = written.and(stream.write_all(b"0\r\n\r\n").await);
+}
+
+/// Runs the link of the first hosts to an upstream.
 async fn run_link(
     port: SocketAddr,
     upstream: SocketAddr,
@@ -203,9 +240,10 @@
     let _ = stream.set_zero_linger();
 }
 
-/// Two hosts, of which the first one reaches the upstreams over links that can be cut.
+/// Hosts of which the first ones reach the upstreams over links that can be cut, and the last one directly.
 struct Fleet {
     hosts: Vec<Host>,
+    stores: Vec<MemoryStore>,
     link: watch::Sender<Link>,
     runs: Runs,
     sent: Cell<usize>,
@@ -216,8 +254,15 @@
     listener.local_addr().expect("the socket is bound")
 }
 
+/// Availability zone of a host. Several hosts that can be cut off fill a zone.
+fn zone_of(host: usize, linked_count: usize) -> &'static str {
+    if linked_count > 1 && host == linked_count { "b" } else { "a" }
+}
+
 impl Fleet {
-    async fn spawn() -> Fleet {
+    /// Starts so many hosts whose links can be cut, and one other.
+    async fn spawn(linked_count: usize) -> Fleet {
+        let count = linked_count + 1;
         let runs = Runs::default();
         let (link, links) = watch::channel(Link::Whole);
         let ready = Rc::new(Cell::new(0));
@@ -233,29 +278,35 @@
         while ready.get() < UPSTREAM_COUNT {
             sleep(Duration::from_millis(1)).await;
         }
-        let peers: Vec<_> = (0..2).map(|_| (free_address(), free_address())).collect();
-        let mut hosts = Vec::new();
-        for index in 0..2 {
+        let peers: Vec<_> = (0..count).map(|_| (free_address(), free_address())).collect();
+        let (mut hosts, mut stores) = (Vec::new(), Vec::new());
+        for index in 0..count {
             let store = MemoryStore::new();
             store.put(CONFIGURATION, b"");
             for (upstream, (linked, own)) in addresses.iter().enumerate() {
-                let address = if index == 0 { linked } else { own };
+                let address = if index < linked_count { linked } else { own };
                 let value = format!("{upstream} {address}");
                 store.put(&format!("{UPSTREAMS}engine-{upstream}"), value.as_bytes());
             }
             for (host, (peer, tunnels)) in peers.iter().enumerate() {
+                let zone = zone_of(host, linked_count);
                 let record = format!(
-                    r#"{{"address":"{peer}","zone":"a","cpu_per_mille":250,"selects_pool_by_id":true,"tunnels":"{tunnels}"}}"#
+                    r#"{{"address":"{peer}","zone":"{zone}","cpu_per_mille":250,"selects_pool_by_id":true,"tunnels":"{tunnels}"}}"#
                 );
                 store.put(&format!("{}host-{host}", roster::PREFIX), record.as_bytes());
             }
             let text = format!(
-                "host-id = host-{index}\nzone = a\nzones = a\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\n\
+                "host-id = host-{index}\nzone = {}\nzones = a,b\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\n\
                  peers = {}\ntunnels = {}\nseeds = {},{}\nstore = 127.0.0.1:1\ngrace-s = 8\nretry-window-s = 10\n\
                  retry-ratio = 0.2\nretry-allowance = 50\nkeys-need-proof = false\n",
-                peers[index].0, peers[index].1, peers[0].0, peers[1].0
+                zone_of(index, linked_count),
+                peers[index].0,
+                peers[index].1,
+                peers[0].0,
+                peers[1].0
             );
             let settings = Settings::parse(&text).expect("the settings are valid");
+            stores.push(store.clone());
             let ports = Ports {
                 store,
                 dialect: TestDialect,
@@ -270,9 +321,9 @@
             };
             hosts.push(Host::spawn(&settings, ports).await.expect("the host starts"));
         }
-        // Both hosts know the upstreams and each other.
+        // All hosts know the upstreams and each other.
         sleep(Duration::from_millis(500)).await;
-        Fleet { hosts, link, runs, sent: Cell::new(0) }
+        Fleet { hosts, stores, link, runs, sent: Cell::new(0) }
     }
 
     /// Sends a request to a host. Returns the status of the answer, zero without one.
@@ -310,19 +361,27 @@
     }
 }
 
-async fn serves_while_cut_off(cut: Link) {
-    let fleet = Fleet::spawn().await;
+/// Cuts the first hosts off and checks how they serve then, and after the cut. With `store_is_dark` the store turns them away
+/// too.
+async fn serves_while_cut_off(cut: Link, linked_count: usize, store_is_dark: bool) {
+    let fleet = Fleet::spawn(linked_count).await;
     assert_eq!(fleet.served(0).await, REQUESTS, "before the cut");
     fleet.link.send_replace(cut);
+    for store in fleet.stores.iter().take(linked_count).filter(|_| store_is_dark) {
+        store.refuse();
+    }
     let start = Instant::now();
     while start.elapsed() < CONTACT_BOUND {
         fleet.send(0, REPEATABLE).await;
     }
-    let (cut_off, other) = (fleet.served(0).await, fleet.served(1).await);
-    assert!(
-        cut_off * 3 >= other * 2,
-        "{cut:?}: the host that is cut off served {cut_off} of {REQUESTS}, the other {other}"
-    );
+    let other = fleet.served(linked_count).await;
+    for host in 0..linked_count {
+        let served = fleet.served(host).await;
+        assert!(
+            served * 3 >= other * 2,
+            "{cut:?}: host {host}, which is cut off, served {served} of {REQUESTS}, the other {other}"
+        );
+    }
     fleet.link.send_replace(Link::Whole);
     sleep(CONTACT_BOUND).await;
     assert_eq!(fleet.served(0).await, REQUESTS, "after the cut");
@@ -330,15 +389,49 @@
 
 #[tokio::test]
 async fn a_host_whose_connections_to_upstreams_are_refused_serves_through_others() {
-    LocalSet::new().run_until(serves_while_cut_off(Link::Reset)).await;
+    LocalSet::new().run_until(serves_while_cut_off(Link::Reset, 1, false)).await;
 }
 
 #[tokio::test]
 async fn a_host_whose_new_connections_are_refused_while_open_ones_live_on_serves_through_others() {
-    LocalSet::new().run_until(serves_while_cut_off(Link::Refused)).await;
+    LocalSet::new().run_until(serves_while_cut_off(Link::Refused, 1, false)).await;
 }
 
 #[tokio::test]
 async fn a_host_whose_connections_to_upstreams_fall_silent_serves_through_others() {
-    LocalSet::new().run_until(serves_while_cut_off(Link::Silent)).await;
+    LocalSet::new().run_until(serves_while_cut_off(Link::Silent, 1, false)).await;
+}
+
+#[tokio::test]
+async fn all_hosts_of_a_zone_serve_through_the_only_one_of_another_zone() {
+    LocalSet::new().run_until(serves_while_cut_off(Link::Silent, 4, false)).await;
+}
+
+#[tokio::test]
+async fn a_host_that_reaches_neither_upstreams_nor_the_store_serves_through_others() {
+    LocalSet::new().run_until(serves_while_cut_off(Link::Silent, 1, true)).await;
+}
+
+#[tokio::test]
+async fn a_stream_on_a_path_that_falls_silent_goes_on_through_another_host() {
+    let run = async {
+        for cut in [Link::Silent, Link::Reset] {
+            let fleet = Fleet::spawn(1).await;
+            let mut stream = TcpStream::connect(fleet.hosts[0].callers).await.expect("it listens");
+            let head = format!(
+                "GET {STREAM} HTTP/1.1\r\nhost: example\r\nx-id: s\r\nconnection: close\r\n\r\n"
+            );
+            stream.write_all(head.as_bytes()).await.expect("the host listens");
+            sleep(Duration::from_millis(500)).await;
+            fleet.link.send_replace(cut);
+            let mut answer = String::new();
+            let read = timeout(STREAM_TIMEOUT, stream.read_to_string(&mut answer)).await;
+            read.expect("the stream ends in time").expect("the connection ends in order");
+            let ids = answer.lines().filter_map(|it| it.strip_prefix("id: ")?.parse().ok());
+            let ids: Vec<usize> = ids.collect();
+            assert_eq!(ids, (1..=EVENTS).collect::<Vec<_>>(), "{cut:?}");
+            assert!(answer.ends_with("0\r\n\r\n"), "{cut:?}: the stream is complete");
+        }
+    };
+    LocalSet::new().run_until(run).await;
 }
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -40,6 +40,9 @@
 /// Header with the id of a request.
 pub(crate) const ID: HeaderName = HeaderName::from_static("x-id");
 
+/// Header with the last event that the caller has, if a stream goes on.
+pub(crate) const RESUME_AFTER: HeaderName = HeaderName::from_static("x-resume-after");
+
 /// A dialect in which every response is valid, and status 503 means that the upstream did not run the request.
 pub(crate) struct TestDialect;
 
@@ -60,7 +63,11 @@
         false
     }
 
-    fn add_router_headers(&self, _: &mut HeaderMap, _: &RouterHeaders<'_>) {}
+    fn add_router_headers(&self, headers: &mut HeaderMap, router: &RouterHeaders<'_>) {
+        if let Some(after) = router.resume_after.and_then(|it| it.parse().ok()) {
+            headers.insert(RESUME_AFTER, after);
+        }
+    }
 
     fn verdict(&self, _: &HeaderValue, head: &response::Parts) -> Verdict {
         match head.status {
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -114,6 +114,11 @@
         self.changed.send_replace(revision);
     }
 
+    /// Refuses all further calls of this client's host.
+    pub(crate) fn refuse(&self) {
+        self.content.borrow_mut().refused.push(self.host);
+    }
+
     fn remove(&self, key: &str) {
         let mut content = self.content.borrow_mut();
         content.revision += 1;
