Bound tunnels to an eighth of the sockets, and take back-offs without a free one

Cause: two sockets for each of an eighth of the descriptors, beside callers' three eighths and as many to upstreams, left none for the store and other hosts; and a host whose tunnels were all taken answered a back-off like a request for one more (both by reading). Change: half as many tunnels; the request is read before a place is taken.

--- a/src/serving/tunnel.rs
+++ b/src/serving/tunnel.rs
@@ -277,8 +277,8 @@
     /// If the address cannot be bound.
     pub async fn bind(address: SocketAddr, options: Options) -> io::Result<Server> {
         let listener = TcpListener::bind(address).await?;
-        // Each tunnel has two sockets; half of them stay free for the host's own requests.
-        let by_sockets = options.sockets / 8;
+        // Each tunnel has two sockets, so that all of them take an eighth.
+        let by_sockets = options.sockets / 16;
         let by_memory = options.memory_bytes / MEMORY_DIVISOR / (2 * CHUNK_BYTES);
         let capacity = by_sockets.min(by_memory);
         let shared = Rc::new(Shared { options, capacity, open: Cell::new(0) });
@@ -331,12 +331,6 @@
 }
 
 async fn serve(mut stream: TcpStream, shared: Rc<Shared>) {
-    let Some(_slot) = Slot::take(&shared) else {
-        shared.options.metrics.tunnel_served(Reply::Busy.as_str());
-        // The other host may have gone.
-        let _ = stream.write_u8(Reply::Busy.to_byte()).await;
-        return;
-    };
     let request = timeout(REQUEST_TIMEOUT, Request::read(&mut stream)).await;
     let Ok(Ok(request)) = request else {
         shared.options.metrics.tunnel_served("no_request");
@@ -348,7 +342,11 @@
         let _ = stream.write_u8(Reply::Opened.to_byte()).await;
         return;
     }
-    let result = shared.connect(request.incarnation).await;
+    let slot = Slot::take(&shared);
+    let result = match slot {
+        Some(_) => shared.connect(request.incarnation).await,
+        None => Err(Reply::Busy),
+    };
     let reply = result.as_ref().err().copied().unwrap_or(Reply::Opened);
     shared.options.metrics.tunnel_served(reply.as_str());
     let replied = stream.write_u8(reply.to_byte()).await;
