Test the path once more before requests leave it

Cause: two upstreams in a row that are down make a host count as cut off until a direct connection opens. On a host with few requests that may take longer than the 0.5 s after which a request that waits for an engine left its connection, though it was alive (by reading). Change: one more upstream is tried first; if it accepts, the cut ends and the request waits on. Measured: the tests of tunnels and cut-off hosts pass.

--- a/src/serving/dialer.rs
+++ b/src/serving/dialer.rs
@@ -248,12 +248,17 @@
                 continue;
             };
             sleep((since + DEAD_AFTER).since(Time::now()).into()).await;
-            if self.cut_since() == Some(since) {
-                if self.heard_at.get() < since {
-                    return;
-                }
+            if self.cut_since() != Some(since) {
+                continue;
+            }
+            if self.heard_at.get() >= since {
                 // Open connections live on.
                 sleep(SILENCE.into()).await;
+                continue;
+            }
+            // Both upstreams that failed may be down, on a host whose other requests take their time.
+            if self.probe_other(detour, &[]).await.is_none_or(|it| !it.is_open) {
+                return;
             }
         }
     }
