Keep the addresses of the tests of cut-off hosts free

Cause: a port of 127.0.0.1 that a test gives up for some seconds can be taken by a connection of another test, which would fail a test by chance (by reading; not seen). Change: they lie on other loopback addresses, from which no connection goes out.

--- a/tests/serving/cut_off.rs
+++ b/tests/serving/cut_off.rs
@@ -6,7 +6,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
@@ -249,8 +249,11 @@
     sent: Cell<usize>,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+/// Returns an address that stays free. Connections of other tests take ports of 127.0.0.1 only.
+pub(crate) fn free_address() -> SocketAddr {
+    let ip =
+        [127, rand::random_range(1..255), rand::random_range(0..255), rand::random_range(1..255)];
+    let listener = std::net::TcpListener::bind((Ipv4Addr::from(ip), 0)).expect("a port is free");
     listener.local_addr().expect("the socket is bound")
 }
 
--- a/tests/serving/tunnel.rs
+++ b/tests/serving/tunnel.rs
@@ -1,6 +1,6 @@
 //! Connections to upstreams through another host.
 
-use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, io, rc::Rc, time::Duration};
 
 use almondrack::{
     metrics::Metrics,
@@ -22,16 +22,14 @@
     time::{sleep, timeout},
 };
 
-use crate::fixture::{engine, engines};
+use crate::{
+    cut_off::free_address,
+    fixture::{engine, engines},
+};
 
 /// Time within which something on this machine certainly happens.
 const SOON: Duration = Duration::from_millis(2_000);
 
-fn closed_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the socket is bound")
-}
-
 /// Another host that opens tunnels, with a client of this one.
 struct Fixture {
     client: Client,
@@ -45,9 +43,9 @@
 impl Fixture {
     async fn open(upstreams: Vec<Entry>, sockets: usize) -> Fixture {
         let metrics = Metrics::open().expect("the names of metrics are unique");
-        let address = closed_address();
+        let address = free_address();
         let mut roster = Roster::default();
-        for (id, tunnels) in [("host-0", closed_address()), ("host-1", address)] {
+        for (id, tunnels) in [("host-0", free_address()), ("host-1", address)] {
             let zone = "a".to_owned();
             roster.insert(Host {
                 id: id.to_owned(),
@@ -150,7 +148,7 @@
     let run = async {
         let (_listener, entry) = upstream().await;
         let draining = Entry { state: State::Draining, ..engine(1) };
-        let down = Entry { address: closed_address(), ..engine(2) };
+        let down = Entry { address: free_address(), ..engine(2) };
         let listed = vec![entry.clone(), draining.clone(), down.clone()];
         let fixture = Fixture::open(listed, 4_000).await;
         for refused in [&draining, &down, &engine(3)] {
@@ -172,7 +170,7 @@
 async fn a_host_that_is_cut_off_itself_opens_no_tunnel_through_a_third_one() {
     let run = async {
         let down: Vec<_> =
-            engines(2).into_iter().map(|it| Entry { address: closed_address(), ..it }).collect();
+            engines(2).into_iter().map(|it| Entry { address: free_address(), ..it }).collect();
         let fixture = Fixture::open(down.clone(), 4_000).await;
         for (index, entry) in down.iter().enumerate() {
             let target = Target {
