Follow the store until another host is registered

Cause: the host took the configuration from another one before any host was registered. Seeds count on each other the same way. Change: verifications of others count only while another host is registered; a host that knows none asks the seeds at each interval. Hosts that are no seeds still wait for their start-up time first.

--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -1016,9 +1016,11 @@
         let was_isolated = std::mem::replace(&mut self.is_isolated, is_isolated);
         let verified_recently =
             self.peer_verified_at.is_some_and(|it| now.since(it) < role.max_age());
-        let served = verified_recently && !self.is_isolated;
+        // Hosts that know of no other one may all count on each other.
+        let has_others = self.has_others();
+        let served = verified_recently && has_others && !self.is_isolated;
         let known = self.verified[Topic::Configuration as usize].is_some();
-        let modes = if known || now >= self.startup_ends {
+        let modes = if (known && has_others) || now >= self.startup_ends {
             follow_modes(role, served)
         } else {
             [follower::Mode::Off; 3]
@@ -1045,8 +1047,12 @@
 
     /// Whether there are other hosts of which none has responded for `ISOLATION_TIME`.
     fn lacks_peers(&self, now: Time) -> bool {
-        let has_others = self.outputs.roster.borrow().len() > 1;
-        has_others && now.since(self.peer_responded_at) >= ISOLATION_TIME
+        self.has_others() && now.since(self.peer_responded_at) >= ISOLATION_TIME
+    }
+
+    /// Whether another host is registered.
+    fn has_others(&self) -> bool {
+        self.outputs.roster.borrow().iter().any(|it| it.id != self.host)
     }
 
     /// Whether the configuration was verified to be the newest within `CURRENT_AGE`.
--- a/src/serving/sync_client.rs
+++ b/src/serving/sync_client.rs
@@ -187,7 +187,10 @@
             let next = others.iter().cycle().skip(turn % others.len().max(1)).take(others.len());
             let free = next.copied().find(|it| !client.tracker.borrow().in_flight.contains(it));
             let other = match free {
-                None if others.is_empty() && client.is_behind() => client.any_host(&roster),
+                // A host that starts first may know others as seeds only.
+                None if others.is_empty() && (client.is_behind() || roster.is_empty()) => {
+                    client.any_host(&roster)
+                }
                 hub => hub,
             };
             if let Some(other) = other {
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -744,3 +744,55 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+#[tokio::test]
+async fn a_host_that_starts_before_any_host_is_registered_goes_on_asking_others() {
+    let run = async {
+        let store = MemoryStore::new();
+        store.put(CONFIGURATION, b"1");
+        let mut fleet = Fleet {
+            store: store.clone(),
+            hosts: Vec::new(),
+            followers: Vec::new(),
+            upstreams: Vec::new(),
+            gates: Vec::new(),
+            unanswered: Arc::default(),
+            leaving: Rc::default(),
+        };
+        let mut listeners = Vec::new();
+        for index in 0..4 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+            let host = roster::Host {
+                id: format!("host-{index:03}"),
+                address: listener.local_addr().expect("the socket is bound"),
+                zone: "a".to_owned(),
+                cpu_per_mille: 100,
+                selects_pool_by_id: true,
+                tunnels: None,
+            };
+            listeners.push((listener, host));
+        }
+        let hosts: Vec<_> = listeners.iter().map(|it| it.1.clone()).collect();
+        // The first three follow the store at once, and the last one hears from them.
+        let seeds: Vec<_> = hosts.iter().take(3).map(|it| it.address).collect();
+        for (index, (listener, host)) in listeners.into_iter().enumerate() {
+            fleet.open(index, listener, host, seeds.clone());
+        }
+        while fleet.hosts[3].table.borrow().is_none() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        sleep(Duration::from_millis(20)).await;
+        for host in &hosts {
+            let record = serde_json::to_vec(host).expect("records can be written");
+            store.put(&format!("{}{}", roster::PREFIX, host.id), &record);
+        }
+        store.put(&format!("{UPSTREAMS}engine-0"), b"0 0 1");
+        let start = Instant::now();
+        while fleet.upstreams.iter().any(|it| it.borrow().is_empty()) {
+            let waited = start.elapsed();
+            assert!(waited < HANG_BOUND, "a host knows no upstream after {waited:?}");
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
