--- a/review/harness/src/host.rs
+++ b/review/harness/src/host.rs
@@ -69,8 +69,7 @@
             .collect::<io::Result<_>>()?;
         let seeds: Vec<_> = addresses.iter().take(3).map(|it| it[3].to_string()).collect();
         let mut hosts = Vec::new();
-        for (index, [frontend, readiness, metrics, peers, tunnels]) in addresses.iter().enumerate()
-        {
+        for (index, [frontend, readiness, metrics, peers]) in addresses.iter().enumerate() {
             let zone = zones[index % zones.len()];
             let name = format!("edge-{zone}-{}", index / zones.len() + 1);
             let mut text = template.replace(ZONES_SECTION, &zones.join(","));
@@ -82,7 +81,6 @@
                 ("Listen.ControlPlane", peers.to_string()),
                 ("Ip", metrics.ip().to_string()),
                 ("InternalPorts.0", metrics.port().to_string()),
-                ("InternalPorts.1", tunnels.port().to_string()),
                 ("SeedNodes", seeds.join(",")),
                 ("Platform.Address", platform.0.to_string()),
                 ("CloudApi.Address", platform.1.to_string()),
@@ -149,11 +147,11 @@
     }
 }
 
-/// Returns five addresses with ports that are free now.
-fn free_addresses(ip: IpAddr) -> io::Result<[SocketAddr; 5]> {
+/// Returns four addresses with ports that are free now.
+fn free_addresses(ip: IpAddr) -> io::Result<[SocketAddr; 4]> {
     let listeners =
-        [(); 5].map(|()| TcpListener::bind((ip, 0)).and_then(|it| Ok((it.local_addr()?, it))));
-    let mut out = [SocketAddr::new(ip, 0); 5];
+        [(); 4].map(|()| TcpListener::bind((ip, 0)).and_then(|it| Ok((it.local_addr()?, it))));
+    let mut out = [SocketAddr::new(ip, 0); 4];
     let mut open = Vec::new();
     for (at, listener) in listeners.into_iter().enumerate() {
         let (address, listener) = listener?;
