Log how streams end that end with their connection or without an event

The four hypotheses about streams that end early differ in how the upstream framed its answer and in what its last attempt had sent; nothing was logged about a stream that ended in order. A line now names the request, the upstream, the last event, the events of the attempt and the framing. Lines of invalid events name the request as well.

--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -940,7 +940,8 @@
                 reservation,
             );
             let may_resume = request.route.retry_policy == RetryPolicy::Resume;
-            let relay = relay.resumable(may_resume).receive_first().await?;
+            let relay = relay.with_id(request.log_id()).resumable(may_resume);
+            let relay = relay.receive_first().await?;
             if let Some(after) = request.resumed_after() {
                 log::info!(
                     "stream {} is taken up after event {after} at {instance} of version {}; {} began it",
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -34,6 +34,8 @@
 
 /// An event stream that is being forwarded to its caller.
 pub struct Relay {
+    /// Id of the request, for log lines.
+    id: String,
     /// Response that is being received; `None` after the end of the stream.
     response: Option<upstream_response::Response>,
     /// Id of the upstream that sends or sent the response.
@@ -72,6 +74,7 @@
     ) -> Relay {
         let events = stream::Buffer::resuming_after(after);
         Relay {
+            id: "?".to_owned(),
             instance: response.instance.clone(),
             version: response.version.clone(),
             received: 0,
@@ -86,6 +89,13 @@
         }
     }
 
+    /// Sets the id of the request, for log lines.
+    #[must_use]
+    pub fn with_id(mut self, id: &str) -> Relay {
+        id.clone_into(&mut self.id);
+        self
+    }
+
     /// Sets whether the stream may go on at another upstream.
     #[must_use]
     pub fn resumable(mut self, may_resume: bool) -> Relay {
@@ -189,6 +199,16 @@
     fn finish(&mut self) -> Result<Option<Bytes>, Kind> {
         let rest = self.events.finish().map_err(|error| self.reject(error))?;
         if let Some(response) = self.response.take() {
+            let events = response.guard.events();
+            if response.ends_with_connection || events == 0 {
+                log::info!(
+                    "stream {} ends at {} after event {}, {events} events of this attempt: {}",
+                    self.id,
+                    self.instance,
+                    self.events.last_id().map_or("none".to_owned(), |it| it.to_string()),
+                    if response.ends_with_connection { "with its connection" } else { "as framed" },
+                );
+            }
             response.finish(&self.connections);
         }
         Ok((!rest.is_empty()).then_some(rest))
@@ -197,7 +217,8 @@
     /// Ends the attempt because of an invalid event.
     fn reject(&mut self, error: stream::InvalidEvent) -> Kind {
         log::info!(
-            "a stream from {} is broken off after event {:?}: {error}",
+            "stream {} from {} is broken off after event {:?}: {error}",
+            self.id,
             self.instance,
             self.events.last_id(),
         );
