Test how streams end by their framing at upstreams and callers

These tests settle which ends of a frame count as an end of the stream, apart from answers that end with their connection.

A stream that goes on at another upstream with a framed end and no event is whole, as its last event may have come before the cut; with an unframed end, or with events that the caller has, it is broken off. A stream that its upstream cuts, whose host closes, or whose caller reads nothing never ends with the last chunk, for callers of HTTP/1.1 and 1.0, with and without keep-alive.

--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -13,6 +13,7 @@
 mod exchange;
 mod fixture;
 mod followers;
+mod framing;
 mod hedge;
 mod hostile;
 mod intake;
