Show that an answer through a host that dies counts as complete

Callers of a host that is cut off from upstreams get answers through another host. If that host dies, the kernel closes its connections in order. An answer with neither a length nor chunks then looks complete, though its upstream lives on and has more to send: the caller gets "half" with a length of four.

Cause: the end of the connection of a tunnel says how the forwarding host ended, not how the upstream did. Whether the upstream's process lives does not tell either.

--- a/tests/serving/cut_off.rs
+++ b/tests/serving/cut_off.rs
@@ -44,6 +44,9 @@
 /// Path of requests that may be repeated.
 const REPEATABLE: &str = "/repeatable/";
 
+/// Path of answers with neither a length nor chunks, which end with their connections.
+const UNFRAMED: &str = "/once/unframed";
+
 /// Path of streams that may go on at another upstream.
 const STREAM: &str = "/stream/";
 
@@ -154,6 +157,9 @@
             let after = head.lines().find_map(|it| it.strip_prefix(&prefix)?.parse().ok());
             return write_events(stream, after.unwrap_or(0)).await;
         }
+        if head.starts_with(&format!("GET {UNFRAMED}")) {
+            return write_unframed(stream).await;
+        }
         sleep(WORK).await;
         if stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.is_err() {
             return;
@@ -176,6 +182,16 @@
     let _ = written.and(stream.write_all(b"0\r\n\r\n").await);
 }
 
+/// Time between the halves of an answer that ends with its connection.
+const HALVES_PAUSE: Duration = Duration::from_millis(1_500);
+
+async fn write_unframed(mut stream: TcpStream) {
+    let begun = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").await;
+    sleep(HALVES_PAUSE).await;
+    // The host may have left.
+    let _ = begun.and(stream.write_all(b" and the rest").await);
+}
+
 /// Runs the link of the first hosts to an upstream.
 async fn run_link(
     port: SocketAddr,
@@ -245,6 +261,8 @@
     hosts: Vec<Host>,
     stores: Vec<MemoryStore>,
     link: watch::Sender<Link>,
+    /// Addresses on which the hosts open tunnels.
+    tunnels: Vec<SocketAddr>,
     runs: Runs,
     sent: Cell<usize>,
 }
@@ -326,7 +344,8 @@
         }
         // All hosts know the upstreams and each other.
         sleep(Duration::from_millis(500)).await;
-        Fleet { hosts, stores, link, runs, sent: Cell::new(0) }
+        let tunnels = peers.iter().map(|it| it.1).collect();
+        Fleet { hosts, stores, link, tunnels, runs, sent: Cell::new(0) }
     }
 
     /// Sends a request to a host. Returns the status of the answer, zero without one.
@@ -438,3 +457,60 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+/// Forwards the tunnels of another host until that host dies, which closes its connections in order.
+async fn forward_tunnels(listener: TcpListener, host: SocketAddr, mut dies: watch::Receiver<bool>) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = dies.wait_for(|it| *it) => return,
+        };
+        let Ok((mut stream, _)) = accepted else { return };
+        let mut dies = dies.clone();
+        tokio::task::spawn_local(async move {
+            let Ok(mut to) = TcpStream::connect(host).await else { return };
+            tokio::select! {
+                _ = copy_bidirectional(&mut stream, &mut to) => {}
+                _ = dies.wait_for(|it| *it) => {}
+            }
+        });
+    }
+}
+
+#[tokio::test]
+// The end of the forwarding host was taken for the end of the answer, as its upstream lived on.
+async fn an_answer_through_a_host_that_dies_is_not_complete() {
+    let run = async {
+        let fleet = Fleet::spawn(1).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let tunnels = listener.local_addr().expect("the socket is bound");
+        let (death, dies) = watch::channel(false);
+        tokio::task::spawn_local(forward_tunnels(listener, fleet.tunnels[1], dies));
+        let record = format!(
+            r#"{{"address":"{}","zone":"a","cpu_per_mille":250,"selects_pool_by_id":true,"tunnels":"{tunnels}"}}"#,
+            fleet.tunnels[1]
+        );
+        fleet.stores[0].put(&format!("{}host-1", roster::PREFIX), record.as_bytes());
+        fleet.link.send_replace(Link::Reset);
+        let start = Instant::now();
+        while start.elapsed() < CONTACT_BOUND {
+            fleet.send(0, REPEATABLE).await;
+        }
+        let mut caller = TcpStream::connect(fleet.hosts[0].callers).await.expect("it listens");
+        let head = format!(
+            "GET {UNFRAMED} HTTP/1.1\r\nhost: example\r\nx-id: u\r\nconnection: close\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).await.expect("the host listens");
+        sleep(Duration::from_millis(400)).await;
+        assert_eq!(fleet.runs.borrow().get("u"), Some(&1), "the request is under way");
+        // The host reaches the upstreams by itself again.
+        fleet.link.send_replace(Link::Whole);
+        sleep(Duration::from_millis(100)).await;
+        death.send_replace(true);
+        let mut answer = String::new();
+        let read = timeout(CALLER_TIMEOUT, caller.read_to_string(&mut answer)).await;
+        read.expect("the answer ends in time").expect("the connection ends in order");
+        assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+    };
+    LocalSet::new().run_until(run).await;
+}
