Charge crashes of upstreams that start again under their ids

Callers saw a request go on crashing upstreams long after the third crash, when these came back under their ids and addresses and wrote their new entries a second or two later.

Cause: an answer to a request that was sent after a crash withdrew the crash on all hosts, whichever process gave it. Until the new entry is known, the new process answers for the incarnation that crashed. The log says `an upstream that request with hash ... was charged with crashing is alive`.

An answer now speaks only for the time from which its process is known to be the listed one: since its connection was opened, or always if the list was verified so long afterwards that it shows the process. A crash outside of that time stands. The same goes for upstreams that go on sending on other connections after they closed one.

The test of engines that go on sending asks in addition that bytes of another process prove nothing; the test of answers that withdraw a crash states since when the process lived. Both ask all that they asked before.

--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -138,7 +138,7 @@
         if let Some(crash) = self.crashes.get_mut(&upstream) {
             crash.attributed = true;
         }
-        self.suspects.withdraw(key, now);
+        self.suspects.withdraw(key, (Time(0), now));
     }
 
     fn evict(&mut self, now: Time) {
--- a/src/serving/contact.rs
+++ b/src/serving/contact.rs
@@ -65,14 +65,17 @@
         opened_at: Time,
         verification: Verification,
     ) -> bool {
-        let is_shown =
-            |since: Time| verification.at.is_some_and(|it| it >= since + REGISTRATION_TIME);
-        if is_shown(opened_at) {
+        if Log::is_shown(opened_at, verification) {
             return true;
         }
         let is_recent = verification.current().is_some_and(|it| opened_at.since(it) < NOTICE);
         let known = self.find(upstream).map(|at| self.contacts[at].restored_at);
-        is_recent && known.map_or(true, |it| it.is_some_and(is_shown))
+        is_recent && known.map_or(true, |it| it.is_some_and(|it| Log::is_shown(it, verification)))
+    }
+
+    /// Whether the list was verified so long after a connection was opened that it shows the process that accepted it.
+    pub fn is_shown(opened_at: Time, verification: Verification) -> bool {
+        verification.at.is_some_and(|it| it >= opened_at + REGISTRATION_TIME)
     }
 
     fn find(&self, upstream: UpstreamKey) -> Result<usize, usize> {
--- a/src/serving/crash_evidence.rs
+++ b/src/serving/crash_evidence.rs
@@ -271,18 +271,18 @@
         }
     }
 
-    /// Records that an upstream was alive at a time: it answered a request that was sent then. If that was after its
-    /// supposed crash, only its connections were cut.
-    pub fn record_alive(&mut self, now: Time, incarnation: u64, at: Time) {
+    /// Records that the process of an upstream lived from one time to another: it answered a request that was sent at the
+    /// later one. If its supposed crash lies in between, only its connections were cut. An earlier process may have crashed.
+    pub fn record_alive(&mut self, now: Time, incarnation: u64, (since, until): (Time, Time)) {
         if !self.suspects.is_empty() {
-            self.withdraw(now, CrashKey(incarnation), at);
+            self.withdraw(now, CrashKey(incarnation), (since, until));
         }
     }
 
     /// Merges what another host knows. `sent_at` is a time at which it had not sent this yet.
     pub fn merge(&mut self, now: Time, sent_at: Time, news: &messages::Evidence) {
         for (incarnation, age_us) in &news.survivors {
-            self.withdraw(now, CrashKey(*incarnation), sent_at - Span(*age_us));
+            self.withdraw(now, CrashKey(*incarnation), (Time(0), sent_at - Span(*age_us)));
         }
         let cleared = |it: &messages::Suspicion| {
             let (age, number) = messages::unpack_age(it.cleared_age_us?);
@@ -568,15 +568,15 @@
         }
     }
 
-    /// Withdraws all charges with the crash of an upstream that answered a request sent at `sent_at`.
-    fn withdraw(&mut self, now: Time, crash: CrashKey, sent_at: Time) {
-        let affected = self.suspects.withdraw(crash, sent_at);
+    /// Withdraws all charges with the crash of an upstream whose process lived from one time to another.
+    fn withdraw(&mut self, now: Time, crash: CrashKey, (since, until): (Time, Time)) {
+        let affected = self.suspects.withdraw(crash, (since, until));
         if affected.is_empty() {
             return;
         }
         match self.survivors.binary_search_by_key(&crash, |it| it.0) {
-            Ok(at) => self.survivors[at] = (crash, sent_at, now),
-            Err(at) => self.survivors.insert(at, (crash, sent_at, now)),
+            Ok(at) => self.survivors[at] = (crash, until, now),
+            Err(at) => self.survivors.insert(at, (crash, until, now)),
         }
         for content in affected {
             let is_enough = self.is_enough(now, self.suspects.charges(content));
--- a/src/serving/dispatcher.rs
+++ b/src/serving/dispatcher.rs
@@ -37,7 +37,8 @@
 #[derive(Debug)]
 enum Message {
     Submit(Box<Ticket>, oneshot::Sender<Decision>),
-    Answered(AttemptKey),
+    /// An attempt is answered by a process that has been the upstream's at least since this time.
+    Answered(AttemptKey, Time),
     /// The copy of the attempt's request was answered first.
     Overtaken(AttemptKey),
     /// A response to an attempt, which was sent at this time, and the limit that it names.
@@ -116,6 +117,10 @@
     ending: Ending,
     /// Time of the last bytes from the upstream, shared by all its connections.
     last_activity: Rc<Cell<Time>>,
+    cut_at: Rc<Cell<Option<Time>>>,
+    alive_at: Rc<Cell<Time>>,
+    /// Time since which the process that runs the request is known to be the upstream's.
+    since: Cell<Time>,
     answered: Cell<bool>,
     /// Closed while this host backs off from the upstream.
     gate: Gate,
@@ -252,6 +257,9 @@
             attempt: grant.attempt,
             ending: Ending::Cancelled,
             last_activity: grant.last_activity.clone(),
+            cut_at: grant.cut_at.clone(),
+            alive_at: grant.alive_at.clone(),
+            since: Cell::new(Time(u64::MAX)),
             answered: Cell::new(false),
             gate: grant.gate.clone(),
             began: Cell::new(false),
@@ -259,11 +267,21 @@
         }
     }
 
+    /// Records since when the process that gets the request is known to be the upstream's.
+    pub fn record_process(&self, since: Time) {
+        self.since.set(since);
+    }
+
     /// Records that the upstream has sent bytes; the first call marks the attempt as answered.
     pub fn record_activity(&self) {
-        self.last_activity.set(Time::now());
+        let now = Time::now();
+        self.last_activity.set(now);
+        let since = self.since.get();
+        if self.cut_at.get().is_some_and(|it| since < it) {
+            self.alive_at.set(now);
+        }
         if !self.answered.replace(true) {
-            self.dispatcher.send(Message::Answered(self.attempt));
+            self.dispatcher.send(Message::Answered(self.attempt, since));
         }
     }
 
@@ -392,7 +410,8 @@
                 self.placement.submit(now, &ticket, &mut self.actions);
             }
             Message::Overtaken(attempt) => self.placement.attempt_overtaken(now, attempt),
-            Message::Answered(attempt) => {
+            Message::Answered(attempt, since) => {
+                self.placement.attempt_alive(now, attempt, since);
                 if let Some(it) = self.placement.attempt_answered(now, attempt) {
                     self.metrics.predicted(it.expected, it.took, it.is_reported);
                 }
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -666,6 +666,7 @@
                 return Err(attempt_history::Failure::unsent(Kind::Shed));
             }
             let is_listed = self.is_listed(grant, &connection);
+            guard.record_process(self.listed_since(&connection));
             if needs_version && !is_listed {
                 log::info!(
                     "request {} is not sent to {}: another process may have taken its place, so that its version is not known",
@@ -757,6 +758,14 @@
         self.shared.contacts.borrow().confirms(grant.upstream, connection.opened_at, verification)
     }
 
+    /// Returns the time since which the process behind a connection is known to be the listed one. An upstream that crashed
+    /// may have started again under its id before the connection was opened.
+    fn listed_since(&self, connection: &outbound_connection::Connection) -> Time {
+        let verification = *self.shared.upstreams_verified.borrow();
+        let is_shown = contact::Log::is_shown(connection.opened_at, verification);
+        if is_shown { Time(0) } else { connection.opened_at }
+    }
+
     /// Records that the upstream refused a connection.
     fn record_refusal(&self, grant: &Grant) {
         self.shared.contacts.borrow_mut().record_refusal(Time::now(), grant.upstream);
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -181,6 +181,11 @@
     pub expected_end: Option<Span>,
     /// Time of the last bytes from the upstream, shared by all its connections.
     pub last_activity: Rc<Cell<Time>>,
+    /// Time of the first connection that the upstream closed during an answer, until its other connections show whether it
+    /// lives.
+    pub cut_at: Rc<Cell<Option<Time>>>,
+    /// Time of the last bytes since then from the process that closed it.
+    pub alive_at: Rc<Cell<Time>>,
     /// Whether the upstream leaves, so that the request must not be sent any more.
     pub leaves: Rc<Cell<bool>>,
     /// Whether the upstream's availability zone is evacuated, so that the request must not be sent any more.
@@ -808,12 +813,18 @@
         }
     }
 
+    /// Records that an attempt is answered by a process that has been the upstream's at least since a time.
+    pub fn attempt_alive(&mut self, now: Time, attempt: AttemptKey, since: Time) {
+        if let Some(running) = self.running.get(&attempt) {
+            self.evidence.record_alive(now, running.incarnation, (since, running.started));
+        }
+    }
+
     /// Records that the first byte or event of an attempt has arrived. Returns how well it was predicted, `None` for later
     /// bytes.
     pub fn attempt_answered(&mut self, now: Time, attempt: AttemptKey) -> Option<Prediction> {
         let running = self.running.get_mut(&attempt)?;
         let (key, tier) = (running.upstream, running.tier);
-        self.evidence.record_alive(now, running.incarnation, running.started);
         let pending = std::mem::take(&mut running.pending_tokens);
         let (expected, took) = (running.expected_first_byte, now.since(running.started));
         let first = !std::mem::replace(&mut running.answered, true);
@@ -881,13 +892,13 @@
     /// Withdraws crashes of upstreams that closed one connection and went on sending on others.
     fn acquit_live_upstreams(&mut self, now: Time) {
         for (_, upstream) in &mut self.upstreams {
-            let Some(cut_at) = upstream.cut_at else { continue };
-            let last_activity = upstream.last_activity.get();
-            if last_activity >= cut_at + MAX_READ_DELAY {
-                upstream.cut_at = None;
-                self.evidence.record_alive(now, upstream.incarnation, last_activity);
+            let Some(cut_at) = upstream.cut_at.get() else { continue };
+            let alive_at = upstream.alive_at.get();
+            if alive_at >= cut_at + MAX_READ_DELAY {
+                upstream.cut_at.set(None);
+                self.evidence.record_alive(now, upstream.incarnation, (Time(0), alive_at));
             } else if now.since(cut_at) >= CUT_MEMORY {
-                upstream.cut_at = None;
+                upstream.cut_at.set(None);
             }
         }
     }
@@ -1034,7 +1045,7 @@
         upstream.held_tokens -= running.held_tokens;
         upstream.heard.record_change(now, -1);
         if ending == Ending::Failed {
-            upstream.cut_at.get_or_insert(now);
+            upstream.cut_at.set(upstream.cut_at.get().or(Some(now)));
         }
         upstream.pending_tokens[running.tier] -= running.pending_tokens;
         upstream.running -= 1;
@@ -1215,6 +1226,8 @@
             expected_first_byte: best.expected_first_byte,
             expected_end: best.expected_end,
             last_activity: upstream.last_activity.clone(),
+            cut_at: upstream.cut_at.clone(),
+            alive_at: upstream.alive_at.clone(),
             leaves: upstream.leaves.clone(),
             evacuated: upstream.evacuated.clone(),
             cold_until: upstream.cold.until(),
--- a/src/serving/upstream_state.rs
+++ b/src/serving/upstream_state.rs
@@ -83,7 +83,9 @@
     /// Time of the last bytes on any of its connections.
     pub last_activity: Rc<Cell<Time>>,
     /// Time of the first connection that it closed during an answer, until its other connections show whether it lives.
-    pub cut_at: Option<Time>,
+    pub cut_at: Rc<Cell<Option<Time>>>,
+    /// Time of the last bytes since then from the process that closed it.
+    pub alive_at: Rc<Cell<Time>>,
     /// Ejection after failures.
     pub health: Health,
     /// How much slower it is than expected.
@@ -132,7 +134,8 @@
             running: 0,
             answering: 0,
             last_activity: Rc::new(Cell::new(Time(0))),
-            cut_at: None,
+            cut_at: Rc::new(Cell::new(None)),
+            alive_at: Rc::new(Cell::new(Time(0))),
             health: Health::default(),
             slowdown: Slowdown::default(),
             heard: reported_load::Heard::default(),
--- a/src/suspicion.rs
+++ b/src/suspicion.rs
@@ -168,12 +168,12 @@
         is_changed
     }
 
-    /// Drops the charges with a crash up to a time against all suspects, and returns these.
-    pub fn withdraw(&mut self, crash: CrashKey, until: Time) -> Vec<K> {
+    /// Drops the charges with a crash after `since` and up to `until` against all suspects, and returns these.
+    pub fn withdraw(&mut self, crash: CrashKey, (since, until): (Time, Time)) -> Vec<K> {
         let mut affected = Vec::new();
         self.entries.retain_mut(|(suspect, charges)| {
             let count = charges.len();
-            charges.retain(|it| it.crash != crash || it.at > until);
+            charges.retain(|it| it.crash != crash || it.at <= since || it.at > until);
             if charges.len() < count {
                 affected.push(*suspect);
             }
--- a/tests/serving/crash_evidence.rs
+++ b/tests/serving/crash_evidence.rs
@@ -424,7 +424,8 @@
         fleet.pass(200);
         let now = fleet.now();
         // Only its connections were cut, which another host notices.
-        fleet.hosts[1].record_alive(now, upstream, now - Span::from_ms(50));
+        let lived = (now - Span::from_ms(300), now - Span::from_ms(50));
+        fleet.hosts[1].record_alive(now, upstream, lived);
         fleet.answer_others(&[COMMON]);
         fleet.pass(600);
     }
@@ -432,6 +433,22 @@
     assert_eq!(fleet.judge(0, RARE), Verdict::Clear);
 }
 
+// An upstream that starts again under its id is another process.
+#[test]
+fn a_process_that_began_after_a_crash_does_not_take_it_back() {
+    let mut fleet = Fleet::new(2);
+    for upstream in 1..=3 {
+        fleet.crash(&[(0, &[RARE])]);
+        fleet.pass(200);
+        let now = fleet.now();
+        let lived = (now - Span::from_ms(100), now - Span::from_ms(50));
+        fleet.hosts[1].record_alive(now, upstream, lived);
+        fleet.answer_others(&[COMMON]);
+        fleet.pass(600);
+    }
+    assert_eq!(fleet.senders(RARE), [0; 0]);
+}
+
 #[test]
 fn a_flood_of_suspects_keeps_memory_bounded_and_the_guilty_one() {
     let mut fleet = Fleet::new(1);
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -588,7 +588,7 @@
 #[test]
 fn engines_that_go_on_sending_after_a_cut_are_no_evidence_against_content() {
     let part = Content::Part(0xa);
-    for went_on in [false, true] {
+    for (went_on, is_same_process) in [(false, true), (true, false), (true, true)] {
         let mut host = host("host", &engines(6));
         for round in 0..3_u64 {
             let now = at(round * 210);
@@ -600,6 +600,9 @@
             if went_on {
                 cut.last_activity.set(now + Span::from_ms(260));
             }
+            if went_on && is_same_process {
+                cut.alive_at.set(now + Span::from_ms(260));
+            }
             host.evidence_news(now + Span::from_ms(270));
         }
         host.evidence_news(at(1_000));
@@ -607,6 +610,6 @@
         let late = Ticket { contents: vec![part], ..ticket(100, prompt(&[0xa], 10, 10)) };
         host.submit(at(1_000), &late, &mut actions);
         let is_granted = matches!(actions.as_slice(), [Action::Grant(..)]);
-        assert_eq!(is_granted, went_on, "{actions:?}");
+        assert_eq!(is_granted, went_on && is_same_process, "{actions:?}");
     }
 }
