Pass on an upstream's reset that the upload of a tunnel meets first

A caller whose host reached the upstream through another host could get part of an answer without a length as the whole one, if the upstream reset the connection while the upload was still being written.

A socket reports its reset once. If the write to the upstream took the error, the read in the other direction returned 0, and the tunnel closed the connection to the host in order. The error of the write now counts as well: a reset without an orderly end before it is ECONNRESET, one that follows the upstream's orderly end is EPIPE, which stays an end.

--- a/src/serving/tunnel.rs
+++ b/src/serving/tunnel.rs
@@ -393,8 +393,8 @@
     Closed,
     /// The sender's connection was reset.
     Reset,
-    /// The receiver's connection has ended.
-    Undeliverable,
+    /// The receiver's connection has ended, with this error.
+    Undeliverable(io::ErrorKind),
 }
 
 /// Forwards bytes both ways until either end closes its connection. What the upstream sent before is passed on. A
@@ -403,8 +403,12 @@
 async fn forward(host: TcpStream, upstream: TcpStream) {
     let (from_host, to_host) = host.into_split();
     let (from_upstream, to_upstream) = upstream.into_split();
+    // A socket reports its reset once. The next read returns 0, as after an orderly end.
+    let was_reset = Cell::new(false);
     let host_closes = async {
-        if let End::Undeliverable = pump(from_host, &to_upstream).await {
+        if let End::Undeliverable(error) = pump(from_host, &to_upstream).await {
+            // A reset that follows the upstream's orderly end is reported as a broken pipe.
+            was_reset.set(error != io::ErrorKind::BrokenPipe);
             // The upstream's response may still arrive.
             std::future::pending().await
         }
@@ -414,7 +418,7 @@
         // The caller may have left, which ends the work at the upstream.
         () = host_closes => End::Closed,
     };
-    if let End::Reset = end {
+    if matches!(end, End::Reset) || was_reset.get() {
         // Fails only if the connection has ended already.
         let _ = to_host.as_ref().set_zero_linger();
         // Dropping it would first end the connection in order.
@@ -436,13 +440,13 @@
         };
         let mut rest = &chunk[..length];
         while !rest.is_empty() {
-            if to.writable().await.is_err() {
-                return End::Undeliverable;
+            if let Err(error) = to.writable().await {
+                return End::Undeliverable(error.kind());
             }
             match to.try_write(rest) {
                 Ok(written) => rest = &rest[written..],
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return End::Undeliverable,
+                Err(error) => return End::Undeliverable(error.kind()),
             }
         }
     }
--- a/tests/serving/tunnel.rs
+++ b/tests/serving/tunnel.rs
@@ -7,6 +7,7 @@
     serving::{
         dialer::{Detour, Dialer, Target},
         key::UpstreamKey,
+        outbound_connection::Connection,
         registry::{Entry, State},
         roster::{Host, Roster},
         tunnel::{self, Client, Server},
@@ -14,6 +15,9 @@
     },
     time::Span,
 };
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt as _, Full};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
@@ -143,6 +147,89 @@
     LocalSet::new().run_until(run).await;
 }
 
+/// Sends bytes until the receiver and the buffers on the way take no more.
+async fn fill(near: &TcpStream) {
+    while let Ok(Ok(())) = timeout(Duration::from_millis(10), near.writable()).await {
+        match near.try_write(&[7; 8_192]) {
+            Err(error) if error.kind() != io::ErrorKind::WouldBlock => panic!("{error}"),
+            _ => {}
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_is_reset_during_an_upload_does_not_end_in_order() {
+    const ROUNDS: u32 = 20;
+    let run = async {
+        let (listener, entry) = upstream().await;
+        let fixture = Fixture::open(vec![entry.clone()], 4_000).await;
+        let mut in_order = 0;
+        for _ in 0..ROUNDS {
+            let mut near = fixture.open_tunnel(&entry).await.expect("the tunnel opens");
+            let (mut far, _) = listener.accept().await.expect("the upstream listens");
+            fill(&near).await;
+            far.write_all(b"half").await.expect("the tunnel is open");
+            far.set_zero_linger().expect("the socket is open");
+            drop(far);
+            let mut bytes = [0; 4];
+            near.read_exact(&mut bytes).await.expect("the bytes before the reset arrive");
+            assert_eq!(&bytes, b"half");
+            let end = timeout(SOON, near.read(&mut bytes)).await.expect("the connection ends");
+            in_order += u32::from(end.is_ok());
+        }
+        assert_eq!(in_order, 0, "of {ROUNDS} connections that were reset");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Answers the first bytes of a request with part of a body that ends with its connection, and resets that.
+async fn cut_answer(listener: &TcpListener, delay: Duration) {
+    let (mut far, _) = listener.accept().await.expect("the upstream listens");
+    let mut bytes = [0; 1_024];
+    far.read(&mut bytes).await.expect("the request arrives");
+    far.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").await.expect("the connection is open");
+    sleep(delay).await;
+    far.set_zero_linger().expect("the socket is open");
+}
+
+#[tokio::test]
+async fn part_of_an_answer_that_is_reset_during_an_upload_is_no_answer() {
+    const ROUNDS: u64 = 5;
+    let run = async {
+        let (listener, entry) = upstream().await;
+        let fixture = Fixture::open(vec![entry.clone()], 4_000).await;
+        let mut whole = Vec::new();
+        for size in [0, 50_000, 3_000_000, 8_000_000] {
+            let upload = Bytes::from(vec![7; size]);
+            for round in 0..ROUNDS {
+                for tunnel in [false, true] {
+                    let delay = Duration::from_millis(round * 5);
+                    let send = async {
+                        let stream = match tunnel {
+                            true => fixture.open_tunnel(&entry).await.expect("the tunnel opens"),
+                            false => TcpStream::connect(entry.address).await.expect("it listens"),
+                        };
+                        let mut connection =
+                            Connection::handshake(stream).await.expect("it is open");
+                        let request = Request::post("/").body(Full::new(upload.clone()));
+                        let sent = connection.send(request.expect("it is valid")).await;
+                        match sent {
+                            Ok(response) => response.into_body().collect().await.is_ok(),
+                            Err(_) => false,
+                        }
+                    };
+                    let (is_whole, ()) = tokio::join!(send, cut_answer(&listener, delay));
+                    if is_whole {
+                        whole.push((size, delay, tunnel));
+                    }
+                }
+            }
+        }
+        assert!(whole.is_empty(), "{} taken as whole: {whole:?}", whole.len());
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 #[tokio::test]
 async fn only_listed_upstreams_that_take_requests_are_connected_to() {
     let run = async {
