Read the rest of an upload after the answer of a tunnel has ended

A host that reached an upstream through another host could lose the end of a whole answer, if the upstream ended it in order while the upload went on: the forwarding host closed its connection with bytes of the upload unread, which resets it and discards what has not been received.

The forwarding host now ends its direction and reads on until the other host closes, for a second at most, as the connections of callers do.

The test failed before: 20 of 20 answers of 300 kB were cut; those of 300 bytes whose upstream resets the connection behind the end were whole.

--- a/src/serving/tunnel.rs
+++ b/src/serving/tunnel.rs
@@ -60,6 +60,9 @@
 /// Time-out of a connection to the upstream for another host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time for which a host that has its whole response may go on with its upload. The bytes are discarded.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Bytes that are read at once in each direction; a tunnel holds no more.
 const CHUNK_BYTES: usize = 8 << 10;
 
@@ -406,7 +409,7 @@
     // A socket reports its reset once. The next read returns 0, as after an orderly end.
     let was_reset = Cell::new(false);
     let host_closes = async {
-        if let End::Undeliverable(error) = pump(from_host, &to_upstream).await {
+        if let End::Undeliverable(error) = pump(&from_host, &to_upstream).await {
             // A reset that follows the upstream's orderly end is reported as a broken pipe.
             was_reset.set(error != io::ErrorKind::BrokenPipe);
             // The upstream's response may still arrive.
@@ -414,19 +417,37 @@
         }
     };
     let end = tokio::select! {
-        end = pump(from_upstream, &to_host) => end,
+        end = pump(&from_upstream, &to_host) => Some(end),
         // The caller may have left, which ends the work at the upstream.
-        () = host_closes => End::Closed,
+        () = host_closes => None,
     };
-    if matches!(end, End::Reset) || was_reset.get() {
+    drop((from_upstream, to_upstream));
+    if matches!(end, Some(End::Reset)) || was_reset.get() {
         // Fails only if the connection has ended already.
         let _ = to_host.as_ref().set_zero_linger();
         // Dropping it would first end the connection in order.
         to_host.forget();
+    } else if matches!(end, Some(End::Closed)) {
+        // Shuts down the connection in this direction.
+        drop(to_host);
+        // Unread bytes would reset the connection before the host has received the whole response.
+        let _ = timeout(CLOSE_TIMEOUT, discard(&from_host)).await;
+    }
+}
+
+/// Reads until the sender's connection ends.
+async fn discard(from: &OwnedReadHalf) {
+    let mut chunk = [0; CHUNK_BYTES];
+    while from.readable().await.is_ok() {
+        match from.try_read(&mut chunk) {
+            Ok(0) => return,
+            Err(error) if error.kind() != io::ErrorKind::WouldBlock => return,
+            _ => {}
+        }
     }
 }
 
-async fn pump(from: OwnedReadHalf, to: &OwnedWriteHalf) -> End {
+async fn pump(from: &OwnedReadHalf, to: &OwnedWriteHalf) -> End {
     let mut chunk = [0; CHUNK_BYTES];
     loop {
         if from.readable().await.is_err() {
--- a/tests/serving/tunnel.rs
+++ b/tests/serving/tunnel.rs
@@ -182,6 +182,48 @@
     LocalSet::new().run_until(run).await;
 }
 
+// A reset after the orderly end is no cut, and closing a connection with an unread upload resets it.
+#[tokio::test]
+async fn an_answer_that_ends_in_order_during_an_upload_stays_whole() {
+    const ROUNDS: u32 = 20;
+    let run = async {
+        let (listener, entry) = upstream().await;
+        let fixture = Fixture::open(vec![entry.clone()], 4_000).await;
+        let mut cut = Vec::new();
+        for (length, reads_upload) in [(300, false), (300_000, true)] {
+            for round in 0..ROUNDS {
+                let mut near = fixture.open_tunnel(&entry).await.expect("the tunnel opens");
+                let (mut far, _) = listener.accept().await.expect("the upstream listens");
+                fill(&near).await;
+                let answer = async {
+                    far.write_all(&vec![7; length]).await.expect("the tunnel is open");
+                    far.shutdown().await.expect("the tunnel is open");
+                    let mut rest = Vec::new();
+                    if reads_upload {
+                        // The tunnel may close the connection before all of it has arrived.
+                        let _ = far.read_to_end(&mut rest).await;
+                    }
+                    sleep(Duration::from_millis(2)).await;
+                    drop(far);
+                };
+                let read = async {
+                    sleep(Duration::from_millis(5)).await;
+                    let mut received = Vec::new();
+                    near.read_to_end(&mut received).await.map_err(|it| it.kind())
+                };
+                let ((), read) = timeout(SOON, async { tokio::join!(answer, read) })
+                    .await
+                    .expect("the connection ends");
+                if read != Ok(length) {
+                    cut.push((length, round, read));
+                }
+            }
+        }
+        assert!(cut.is_empty(), "{} cut: {cut:?}", cut.len());
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// Answers the first bytes of a request with part of a body that ends with its connection, and resets that.
 async fn cut_answer(listener: &TcpListener, delay: Duration) {
     let (mut far, _) = listener.accept().await.expect("the upstream listens");
