Take no answer whose status cannot end an exchange

An upstream's answer with status 101, 600 or 999 was passed on to the caller as an answer, on the platform's and on the own interface; the store's client and that of the duties took it as a refusal, as if the call had no effect. The HTTP library accepts any status from 100 to 999 and skips interim ones; 000 and 099 it does not parse, so that they were no answer before.

A status outside 200 to 599 now counts as bytes that are no answer: the request may have run, and its connection is closed or, in the pool of the own interface, not used again.

The tests failed before: "taken as answers: [101, 600, 999]" on direct connections, the same three on the own interface with the connection reused, and "101: Err(Refused(101))" from the store's client. Interim answers, 10,000 before an answer or without end, were skipped and bounded by the deadline before, and are.

The new test of cut answers on the own interface passes before and after.

--- a/src/serving/outbound_connection.rs
+++ b/src/serving/outbound_connection.rs
@@ -28,7 +28,7 @@
     time::timeout,
 };
 
-use crate::time::Time;
+use crate::{time::Time, upstream::is_final};
 
 /// Largest response head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
@@ -42,7 +42,8 @@
     Unsolicited,
     /// The connection failed after bytes may have been written.
     Sent(String),
-    /// Bytes came in place of the response that are not valid HTTP. The request may have been run.
+    /// Bytes came in place of the response that are not valid HTTP, or a status that ends no exchange. The request may have
+    /// been run.
     Garbled(String),
 }
 
@@ -221,7 +222,7 @@
         self.used = true;
         self.progress.is_written.store(false, Ordering::Relaxed);
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut error| {
+        let response = sent.map_err(|mut error| {
             if self.progress.is_unsolicited.load(Ordering::Relaxed) {
                 return SendError::Unsolicited;
             }
@@ -233,7 +234,11 @@
                     error => SendError::Sent(error.to_string()),
                 },
             }
-        })
+        })?;
+        match response.status() {
+            status if is_final(status) => Ok(response),
+            status => Err(SendError::Garbled(format!("status {}", status.as_u16()))),
+        }
     }
 
     /// Whether the connection can take a request now: the last response was read to its end, and the server has neither
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -3,11 +3,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::{
-    client::legacy::{Client as Http, connect::HttpConnector},
+    client::legacy::{
+        Client as Http,
+        connect::{HttpConnector, capture_connection},
+    },
     rt::{TokioExecutor, TokioTimer},
 };
 
@@ -22,7 +25,7 @@
 pub enum Failure {
     /// No connection could be established, so nothing was sent.
     Unsent,
-    /// The connection failed after part of the request may have been sent.
+    /// The connection failed after part of the request may have been sent, or what came is no response.
     MaybeSent,
 }
 
@@ -35,6 +38,11 @@
     Never,
 }
 
+/// Whether a status can end an exchange. Interim responses are skipped before, and no upgrade is ever asked for.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Client for requests to upstreams. Clones share their connections.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -66,15 +74,23 @@
     /// Returns `Unsent` only if no connection could be established, and `MaybeSent` for every other failure.
     pub async fn send(
         &self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         reuse: Reuse,
     ) -> Result<Response<Incoming>, Failure> {
+        let connection = capture_connection(&mut request);
         let http = match reuse {
             Reuse::Allowed => &self.pooled,
             Reuse::Never => &self.unpooled,
         };
-        http.request(request)
-            .await
-            .map_err(|error| if error.is_connect() { Failure::Unsent } else { Failure::MaybeSent })
+        let response = http.request(request).await.map_err(|error| {
+            if error.is_connect() { Failure::Unsent } else { Failure::MaybeSent }
+        })?;
+        if !is_final(response.status()) {
+            if let Some(connection) = connection.connection_metadata().as_ref() {
+                connection.poison();
+            }
+            return Err(Failure::MaybeSent);
+        }
+        Ok(response)
     }
 }
--- a/tests/serving/exchange.rs
+++ b/tests/serving/exchange.rs
@@ -397,6 +397,42 @@
     assert_eq!(LocalSet::new().run_until(run).await, 2);
 }
 
+#[tokio::test]
+async fn a_status_that_ends_no_exchange_may_have_run_and_is_no_answer() {
+    for answer in [
+        "HTTP/1.1 000 \r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 101 \r\nconnection: upgrade\r\nupgrade: other\r\n\r\n",
+        "HTTP/1.1 600 \r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 100 \r\n\r\nHTTP/1.1 999 \r\ncontent-length: 0\r\n\r\n",
+    ] {
+        let run = run_script(
+            routed_request(false, RetryPolicy::Never),
+            Script { first: answer, then: Continuation::Stall },
+            buffer_memory::Memory::new(1 << 20),
+        );
+        let observed = LocalSet::new().run_until(run).await;
+        let error = observed.response.expect_err(answer);
+        assert_eq!((error.kind, error.run), (Kind::UpstreamCut, Run::Unknown), "{answer}");
+        assert_eq!(observed.sent.get(), 1, "{answer}");
+    }
+}
+
+#[tokio::test]
+async fn interim_answers_without_end_last_no_longer_than_the_request() {
+    const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n";
+    let run = run_script(
+        routed_request(false, RetryPolicy::Never),
+        Script { first: INTERIM, then: Continuation::Repeat(INTERIM) },
+        buffer_memory::Memory::new(1 << 20),
+    );
+    let began = Time::now();
+    let observed = LocalSet::new().run_until(run).await;
+    let error = observed.response.expect_err("no answer comes");
+    assert_eq!((error.kind, error.run), (Kind::UpstreamTimeout, Run::Unknown));
+    let took = Time::now().since(began);
+    assert!((1_900..2_500).contains(&took.as_ms()), "{took:?}");
+}
+
 const LEAVING_FAILURE: &str = "HTTP/1.1 500 Failed\r\nleaves: 1\r\ncontent-length: 0\r\n\r\n";
 const LEAVING_REFUSAL: &str = "HTTP/1.1 503 Full\r\nleaves: 1\r\ncontent-length: 0\r\n\r\n";
 const LEAVING_EVENTS: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 18\r\n\
--- a/tests/serving/outbound_connection.rs
+++ b/tests/serving/outbound_connection.rs
@@ -13,7 +13,7 @@
     upstream_response,
 };
 use bytes::Bytes;
-use http::Request;
+use http::{HeaderValue, Request};
 use http_body_util::{BodyExt as _, Full};
 
 /// Time for the server's bytes to reach the socket.
@@ -131,6 +131,41 @@
     assert!(matches!(cut, Err(SendError::Sent(_))), "{cut:?}");
 }
 
+#[tokio::test]
+async fn an_answer_with_a_status_that_ends_no_exchange_is_none() {
+    let answers: [&[u8]; 6] = [
+        b"HTTP/1.1 000 \r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 099 \r\ncontent-length: 0\r\n\r\n",
+        // No upgrade was asked for.
+        b"HTTP/1.1 101 \r\nconnection: upgrade\r\nupgrade: other\r\n\r\n",
+        b"HTTP/1.1 199 \r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 600 \r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 103 \r\n\r\nHTTP/1.1 999 \r\ncontent-length: 0\r\n\r\n",
+    ];
+    let mut taken = Vec::new();
+    for answer in answers {
+        match send_to(answer).await {
+            Ok(response) => taken.push(response.status().as_u16()),
+            Err(SendError::Sent(_) | SendError::Garbled(_)) => {}
+            Err(error) => panic!("the request may have been run: {error:?}"),
+        }
+    }
+    assert!(taken.is_empty(), "taken as answers: {taken:?}");
+}
+
+#[tokio::test]
+async fn interim_answers_are_skipped() {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n";
+    let answer = interim.repeat(5_000) + SECOND;
+    let response = send_to(answer.leak().as_bytes()).await.expect("the server answers");
+    assert_eq!(
+        (response.status().as_u16(), &response.headers()["id"]),
+        (200, &HeaderValue::from_static("2"))
+    );
+    let body = response.into_body().collect().await.expect("the answer is complete").to_bytes();
+    assert_eq!(body, "second");
+}
+
 #[tokio::test]
 async fn a_body_with_another_transfer_encoding_than_chunked_ends_with_its_connection() {
     let ends = async |answer| {
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -36,6 +36,10 @@
     ResetAtOnce,
     CloseAfterFirstBytes,
     ResetAfterFirstBytes,
+    /// Sends these bytes and leaves the connection open.
+    Send(&'static str),
+    /// Sends part of an answer without a length, and resets the connection after this many milliseconds.
+    Cut(u64),
 }
 
 async fn spawn(conduct: Conduct) -> (SocketAddr, Arc<AtomicUsize>) {
@@ -59,7 +63,7 @@
         // Each request without a body fits into one read.
         while let Ok(length) = client.read(&mut buffer).await {
             let copies = match conduct {
-                Conduct::Answer => 1,
+                Conduct::Answer | Conduct::Send(_) | Conduct::Cut(_) => 1,
                 Conduct::AnswerTwice => 2,
                 _ => 0,
             };
@@ -67,6 +71,16 @@
                 resets = conduct == Conduct::ResetAfterFirstBytes;
                 break;
             }
+            if let Conduct::Send(bytes) = conduct {
+                let _ = client.write_all(bytes.as_bytes()).await;
+                continue;
+            }
+            if let Conduct::Cut(delay_ms) = conduct {
+                let _ = client.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").await;
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                resets = true;
+                break;
+            }
             let text = String::from_utf8_lossy(&buffer[..length]).into_owned();
             let path = text.split(' ').nth(1).unwrap_or_default();
             let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{path}", path.len());
@@ -127,6 +141,20 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn part_of_an_answer_that_is_reset_during_an_upload_is_no_answer() {
+    let client = Client::open(CONNECT_TIMEOUT);
+    for body in [0, 50_000, 3_000_000, LARGE] {
+        for delay_ms in [0, 1, 5, 20] {
+            for reuse in [Reuse::Never, Reuse::Allowed] {
+                let (address, _) = spawn(Conduct::Cut(delay_ms)).await;
+                let sent = send(&client, address, ("/", body), reuse).await;
+                assert_eq!(sent, Err(Failure::MaybeSent), "body {body}, {delay_ms} ms, {reuse:?}");
+            }
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_may_not_be_repeated_gets_a_connection_of_its_own() {
     for conduct in [Conduct::Answer, Conduct::AnswerTwice] {
@@ -141,6 +169,36 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_with_a_status_that_ends_no_exchange_is_none_and_its_connection_is_not_reused() {
+    let mut taken = Vec::new();
+    for bytes in [
+        "HTTP/1.1 000 \r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 099 \r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 101 \r\nconnection: upgrade\r\nupgrade: other\r\n\r\n",
+        "HTTP/1.1 600 \r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 103 \r\n\r\nHTTP/1.1 999 \r\ncontent-length: 0\r\n\r\n",
+    ] {
+        for reuse in [Reuse::Never, Reuse::Allowed] {
+            let client = Client::open(CONNECT_TIMEOUT);
+            let (address, connections) = spawn(Conduct::Send(bytes)).await;
+            for _ in 0..2 {
+                let sent = send(&client, address, ("/", 0), reuse).await;
+                if sent != Err(Failure::MaybeSent) {
+                    taken.push((bytes, reuse, sent));
+                }
+                // An answer without a body makes the connection idle at once.
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            let connections = connections.load(Ordering::Relaxed);
+            if connections != 2 {
+                taken.push((bytes, reuse, Ok(format!("{connections} connections"))));
+            }
+        }
+    }
+    assert!(taken.is_empty(), "{taken:#?}");
+}
+
 #[test]
 fn a_status_that_says_not_run_is_given_only_if_no_upstream_may_have_run_the_request() {
     let mut said = 0;
