Take a status that ends no exchange for no refusal

A call of the own interface to the platform, or an order to an engine, that was answered with status 101 or above 599 counted as refused, so as if it had no effect. It now counts as unknown, like a 5xx: it may have taken effect, and is sent again under its id.

The tests failed before: "101, call 0: the platform refused (101)" and "600: Err(Refused(600, "the engine refused the order"))".

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -140,7 +140,7 @@
     match status.as_u16() {
         200..=299 => Ok(()),
         status @ (429 | 503) => Err(Failure::Busy(status)),
-        status @ 500..=599 => Err(Failure::Unknown(format!("status {status}"))),
+        status @ (..200 | 500..) => Err(Failure::Unknown(format!("status {status}"))),
         status => Err(Failure::Refused(status, "the engine refused the order".to_owned())),
     }
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -705,7 +705,7 @@
 fn refusal(status: StatusCode, body: &[u8]) -> Failure {
     match status.as_u16() {
         status @ (429 | 503) => Failure::Busy(status),
-        status @ 500..=599 => Failure::Unknown(format!("status {status}")),
+        status @ (..200 | 500..) => Failure::Unknown(format!("status {status}")),
         status => Failure::Refused(status, String::from_utf8_lossy(body).into_owned()),
     }
 }
--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -30,6 +30,7 @@
     server::Server,
 };
 use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpListener,
     sync::{mpsc, oneshot, watch},
     time::{sleep, timeout},
@@ -719,3 +720,32 @@
     expect!["first Ok(()), second refused true, 1 seen"]
         .assert_eq(&format!("first {first:?}, second refused {}, {seen} seen", second.is_err()));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_answered_with_a_status_that_ends_no_exchange_may_have_taken_effect() {
+    let platform = stand_ins::platform::spawn(Options::new(loopback())).expect("platform");
+    let (lease, _standing) = candidate(&platform, "a");
+    until("a holder", async || lease.permit().is_some()).await;
+    let permit = lease.permit().expect("certain");
+    let listener = TcpListener::bind(loopback()).await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket is bound");
+    for status in ["000", "101", "600", "999"] {
+        let order = platform::Fenced {
+            id: status.to_owned(),
+            lease: "zone-z".to_owned(),
+            number: permit.number,
+            deadline_ms: u64::MAX,
+            order: almondrack::engine::Order::Load { model: "m".to_owned() },
+        };
+        let answer = async {
+            let (mut engine, _) = listener.accept().await.expect("the order comes");
+            engine.read(&mut [0; 4_096]).await.expect("the order comes");
+            let head = format!("HTTP/1.1 {status} \r\ncontent-length: 0\r\n\r\n");
+            engine.write_all(head.as_bytes()).await.expect("the connection is open");
+            engine
+        };
+        let sent = almondrack::engine::send(address, &lease, &order, Duration::from_secs(1));
+        let (sent, _engine) = tokio::join!(sent, answer);
+        assert!(matches!(sent, Err(platform::Failure::Unknown(_))), "{status}: {sent:?}");
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -309,6 +309,19 @@
     address
 }
 
+#[tokio::test]
+async fn a_call_answered_with_a_status_that_ends_no_exchange_may_have_taken_effect() {
+    for status in [0, 99, 101, 199, 600, 999] {
+        let answer = format!("HTTP/1.1 {status:03} \r\ncontent-length: 2\r\n\r\n{{}}");
+        let address = answer_with(answer.into_bytes()).await;
+        for call in 0..11 {
+            let client = Client::open(address, "h1");
+            let failure = any(&client, call).await.unwrap_err();
+            assert!(matches!(failure, Failure::Unknown(_)), "{status}, call {call}: {failure}");
+        }
+    }
+}
+
 #[test]
 fn arbitrary_answers_are_failures_or_answers() {
     fn holds(Raw(bytes): Raw, call: usize) -> bool {
