--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -739,7 +739,8 @@
         };
         let answer = async {
             let (mut engine, _) = listener.accept().await.expect("the order comes");
-            engine.read(&mut [0; 4_096]).await.expect("the order comes");
+            let length = engine.read(&mut [0; 4_096]).await.expect("the order comes");
+            assert!(length > 0, "{status}");
             let head = format!("HTTP/1.1 {status} \r\ncontent-length: 0\r\n\r\n");
             engine.write_all(head.as_bytes()).await.expect("the connection is open");
             engine
--- a/tests/serving/tunnel.rs
+++ b/tests/serving/tunnel.rs
@@ -228,7 +228,8 @@
 async fn cut_answer(listener: &TcpListener, delay: Duration) {
     let (mut far, _) = listener.accept().await.expect("the upstream listens");
     let mut bytes = [0; 1_024];
-    far.read(&mut bytes).await.expect("the request arrives");
+    let length = far.read(&mut bytes).await.expect("the request arrives");
+    assert!(length > 0);
     far.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").await.expect("the connection is open");
     sleep(delay).await;
     far.set_zero_linger().expect("the socket is open");
