Confirm quarantines of plain requests without begun answers

Callers saw a plain request crash upstreams again and again after it had been quarantined: it was tried again 8 and 11 s later, each time at the cost of an upstream.

Cause: a quarantine is confirmed by six separate crashes, or by fewer if answers had begun. That bound keeps shared parts from being held for lost answers. A plain request crashes its upstreams before the head of the answer, and in a pool of three all at once, so that six separate crashes never came. The evidence for a quarantine already asks begun answers of parts alone; its confirmation now does as well.

The unit test fails before and passes after. The tests through processes were not run again with this change.

--- a/src/serving/crash_evidence.rs
+++ b/src/serving/crash_evidence.rs
@@ -497,13 +497,14 @@
     }
 
     /// Whether the charges are more than bad luck or lost answers: upstreams had begun to answer requests with the content,
-    /// or crashed many times.
+    /// or crashed many times. A whole request is on few upstreams, and may crash them before they answer.
     fn has_proof(&self, now: Time, content: Content) -> bool {
         let crashes = self.suspects.crashes(now, content);
         let is_enough = self.is_enough(now, self.suspects.charges(content));
         let began =
             self.suspects.charges(content).iter().filter(|it| it.progress.is_some()).count();
-        crashes >= PROOF_CRASHES || (is_enough && began >= PROOF_BEGUN)
+        let is_telling = matches!(content, Content::Request(_)) || began >= PROOF_BEGUN;
+        crashes >= PROOF_CRASHES || (is_enough && is_telling)
     }
 
     /// Whether this host got answers to requests of the pool without the content between the first and the last charge.
--- a/tests/serving/crash_evidence.rs
+++ b/tests/serving/crash_evidence.rs
@@ -511,6 +511,27 @@
     fleet.hosts[host].record_progress(now, contents, passed.expect("two events or more"));
 }
 
+// The whole of a small pool crashes at once and again, without the head of an answer.
+#[test]
+fn a_plain_request_that_crashes_a_whole_pool_twice_is_not_tried_again_and_again() {
+    let mut fleet = Fleet::new(6);
+    for _ in 0..2 {
+        for host in 0..3 {
+            fleet.crashes += 1;
+            let (now, crash) = (fleet.now(), (fleet.crashes, None));
+            fleet.hosts[host].record_crash(now, POOL, crash, &[REPEATED]);
+            fleet.pass(50);
+        }
+        fleet.pass(4_000);
+        fleet.answer_others(&[COMMON]);
+    }
+    for _ in 0..10 {
+        assert_eq!(fleet.senders(REPEATED), [0; 0]);
+        fleet.answer_others(&[COMMON]);
+        fleet.pass(1_000);
+    }
+}
+
 // Each answer to the request had got past its first events before its upstream ended.
 #[test]
 fn a_request_that_crashes_upstreams_late_is_held_whatever_its_answers_had_reached() {
