Watch the process of an upstream while an answer without framing arrives

Cause: a connection that is opened after the end of an answer reaches the next process, and says nothing about the one before. The class: the state of a process was asked of its address.

Change: when the head of such an answer arrives, the host opens a second connection to the upstream. If it is open when the first one ends and for the time in which a process closes its sockets, the answer is complete; if it closes at the same time, the answer was cut. If it closed earlier, as idle, or could not be opened, a new connection decides as before. An upstream at its limit of connections, or one that leaves and listens no more, is no longer taken for one that ended.

--- a/src/serving/dialer.rs
+++ b/src/serving/dialer.rs
@@ -45,9 +45,6 @@
 /// Time that a response on a direct connection may take from the beginning of a cut before the connection counts as dead.
 const DEAD_AFTER: Span = Span::from_ms(500);
 
-/// Time in which a process that ends closes all its sockets. One with 4,000 connections took up to 29 ms.
-const EXIT_TIME: Duration = Duration::from_millis(50);
-
 /// Time in which a proxy closes a connection that it accepted for an upstream which it does not reach.
 const REJECT_TIME: Duration = Duration::from_millis(10);
 
@@ -200,13 +197,11 @@
         self.connect_through_others(detour, target).await
     }
 
-    /// Opens a direct connection to an upstream that has just closed one, once the upstream's process would have closed all
-    /// its sockets if it had ended.
+    /// Opens a direct connection to an upstream that has closed one.
     ///
     /// # Errors
     /// If the upstream accepts no connection in time, or closes it at once.
     pub async fn reconnect(target: Target) -> io::Result<Connection> {
-        sleep(EXIT_TIME).await;
         let opened_at = Time::now();
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await??;
         if timeout(REJECT_TIME, stream.peek(&mut [0])).await.is_ok() {
--- a/src/serving/upstream_response.rs
+++ b/src/serving/upstream_response.rs
@@ -6,7 +6,7 @@
 use http::header;
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     error::Kind,
@@ -15,11 +15,15 @@
         dialer::Target,
         dispatcher::AttemptGuard,
         outbound_connection::{self, Path},
+        witness::{self, Witness},
     },
     time::{Span, Time},
     wire::Ending,
 };
 
+/// Time in which a process that ends closes all its sockets. One with 4,000 connections took up to 29 ms.
+const EXIT_TIME: Span = Span::from_ms(50);
+
 /// A response of which the head has been read. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct Response {
@@ -38,6 +42,8 @@
     /// Whether the body has neither a length nor chunks, so that only the end of the connection ends it. An upstream whose
     /// process ends closes its connections in order as well.
     pub ends_with_connection: bool,
+    /// Shows whether the process of the upstream outlives the connection, if that ends the body.
+    pub witness: Option<Witness>,
 }
 
 /// Whether the body of a response has neither a length nor chunks.
@@ -76,8 +82,8 @@
         }
     }
 
-    /// Confirms that the body is complete after its last byte. The end of a connection completes it only if the upstream
-    /// still takes connections, as a process that ends closes its connections in the same way.
+    /// Confirms that the body is complete after its last byte. The end of a connection completes it only if another one to
+    /// the upstream stays open, as a process that ends closes its connections in the same way.
     ///
     /// # Errors
     /// `UpstreamCut` if the body may not be complete, `UpstreamTimeout` at the deadline.
@@ -93,8 +99,22 @@
             // The host in between may have ended, whether or not the upstream did.
             return Err((Kind::UpstreamCut, Ending::Unused));
         }
-        let time_left = deadline.since(Time::now());
-        let error = match timeout(time_left.into(), connections.reconnect(self.target)).await {
+        let ended_at = Time::now();
+        let time_left = deadline.since(ended_at);
+        let confirm = async {
+            sleep(EXIT_TIME.into()).await;
+            match self.witness.as_ref().map(Witness::state) {
+                Some(witness::State::Open) => Ok(()),
+                Some(witness::State::Closed(at)) if ended_at.since(at) < EXIT_TIME => {
+                    Err(ErrorKind::ConnectionAborted.into())
+                }
+                // The upstream may have closed an idle connection.
+                Some(witness::State::Closed(_) | witness::State::Absent) | None => {
+                    connections.reconnect(self.target).await
+                }
+            }
+        };
+        let error = match timeout(time_left.into(), confirm).await {
             Ok(Ok(())) => return Ok(()),
             Ok(Err(error)) => error,
             Err(_) => return Err((Kind::UpstreamTimeout, Ending::Unused)),
