Confirm the end of unframed answers on the own interface

Callers of the own interface got half an answer as the whole one: status 200 (or 404), `almondrack-run: yes`, kept under the idempotency key.

Cause: `exchange::collect` took any end of a body for its end. An answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a process that ends in order.

Change: both interfaces use one `Witness`, which moves out of `serving`, runs on any runtime and holds the whole confirmation: the second connection is still open after the time in which a process exits, or a new one is accepted. What is not confirmed is cut, so that a request that may not be repeated gets 502 `upstream_cut` and "unknown".

The stand-in service can leave out the framing and stop half way.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -36,6 +36,7 @@
     time::{Span, Time, wall_ms},
     upstream::{self, Failure, Reuse},
     wire::{Decision, Ending, Grant, Progress, Running, Ticket, TicketId},
+    witness::{self, Witness},
 };
 
 /// Attempts of one request.
@@ -462,13 +463,22 @@
         account: &mut Account,
     ) -> Result<Reply, Loss> {
         let Registered { guard, mut stop } = registered;
+        let address = attempt.grant().address.clone();
+        let is_watched = upstream::ends_with_connection(&answer);
+        let witness = is_watched.then(|| Witness::spawn(address.clone()));
         let (head, body) = answer.into_parts();
-        let collected = tokio::select! {
+        let read = async {
+            let bytes = collect(body, self.idle_timeout, job.deadline).await?;
+            if let Some(witness) = &witness {
+                confirm_end(witness, &address, job.deadline).await?;
+            }
+            check_whole(job, head.status, bytes)
+        };
+        let checked = tokio::select! {
             biased;
             stop = &mut stop => Err(stop_kind(stop)),
-            bytes = collect(body, self.idle_timeout, job.deadline) => bytes,
+            bytes = read => bytes,
         };
-        let checked = collected.and_then(|bytes| check_whole(job, head.status, bytes));
         let bytes = match checked {
             Ok(bytes) => bytes,
             Err(kind) => {
@@ -565,6 +575,18 @@
     }
 }
 
+/// Confirms the end of a body that ended with its connection.
+async fn confirm_end(witness: &Witness, address: &str, deadline: Instant) -> Result<(), Kind> {
+    let reconnect = async { witness::reconnect(address).await.map(drop) };
+    let confirmed = timeout_at(deadline, witness.confirm_end(reconnect)).await;
+    confirmed.map_err(|_| Kind::UpstreamTimeout)?.map_err(|error| {
+        log::info!(
+            "an answer of {address} ends with its connection and may not be complete: {error}"
+        );
+        Kind::UpstreamCut
+    })
+}
+
 /// Checks that a whole completion is one; half an answer with a proper end is not.
 fn check_whole(job: &Job, status: StatusCode, bytes: Bytes) -> Result<Bytes, Kind> {
     let valid = match job.protocol {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -88,4 +88,5 @@
 pub mod watcher;
 pub mod window;
 pub mod wire;
+pub mod witness;
 pub mod writer;
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -62,4 +62,3 @@
 pub mod upstream_state;
 pub mod usage;
 pub mod waiting;
-pub mod witness;
--- a/src/serving/dialer.rs
+++ b/src/serving/dialer.rs
@@ -27,6 +27,7 @@
         upstream_state::incarnation_id,
     },
     time::{Span, Time},
+    witness,
 };
 
 /// Timeout for a connection to an upstream. TCP retransmits a lost SYN only after a second; another upstream is tried
@@ -45,9 +46,6 @@
 /// Time that a response on a direct connection may take from the beginning of a cut before the connection counts as dead.
 const DEAD_AFTER: Span = Span::from_ms(500);
 
-/// Time in which a proxy closes a connection that it accepted for an upstream which it does not reach.
-const REJECT_TIME: Duration = Duration::from_millis(10);
-
 /// An incarnation of an upstream to connect to.
 #[derive(Debug, Clone, Copy)]
 pub struct Target {
@@ -203,10 +201,7 @@
     /// If the upstream accepts no connection in time, or closes it at once.
     pub async fn reconnect(target: Target) -> io::Result<Connection> {
         let opened_at = Time::now();
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await??;
-        if timeout(REJECT_TIME, stream.peek(&mut [0])).await.is_ok() {
-            return Err(io::ErrorKind::ConnectionAborted.into());
-        }
+        let stream = witness::reconnect(target.address).await?;
         stream.set_nodelay(true)?;
         let mut connection = Connection::handshake(stream).await?;
         connection.opened_at = opened_at;
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -43,10 +43,11 @@
         table::{self, Customer, RetryPolicy, Route},
         upstream_response,
         usage::Meter,
-        witness::Witness,
     },
     time::{Span, Time},
+    upstream,
     wire::Ending,
+    witness::Witness,
 };
 
 /// Hop-by-hop and framing headers of a response, which are not forwarded to callers.
@@ -807,11 +808,11 @@
                 let mut contacts = self.shared.contacts.borrow_mut();
                 contacts.record_answer(grant.upstream, connection.opened_at, sent_at);
                 let response = Response::from_parts(head, body);
-                let ends_with_connection = upstream_response::ends_with_connection(&response);
+                let ends_with_connection = upstream::ends_with_connection(&response);
                 let is_watched = ends_with_connection && connection.path == Path::Direct;
                 Ok(upstream_response::Response {
                     ends_with_connection,
-                    witness: is_watched.then(|| Witness::spawn(grant.into())),
+                    witness: is_watched.then(|| Witness::spawn(grant.address)),
                     http: response,
                     connection,
                     guard,
--- a/src/serving/upstream_response.rs
+++ b/src/serving/upstream_response.rs
@@ -3,27 +3,18 @@
 use std::{io::ErrorKind, sync::Arc};
 
 use bytes::Bytes;
-use http::header;
 use http_body_util::BodyExt as _;
-use hyper::body::{Body as _, Incoming};
-use tokio::time::{sleep, timeout};
+use hyper::body::Incoming;
+use tokio::time::timeout;
 
 use crate::{
     error::Kind,
-    serving::{
-        connection_cache,
-        dialer::Target,
-        dispatcher::AttemptGuard,
-        outbound_connection::{self, Path},
-        witness::{self, Witness},
-    },
+    serving::{connection_cache, dialer::Target, dispatcher::AttemptGuard, outbound_connection},
     time::{Span, Time},
     wire::Ending,
+    witness::Witness,
 };
 
-/// Time in which a process that ends closes all its sockets. One with 4,000 connections took up to 29 ms.
-const EXIT_TIME: Span = Span::from_ms(50);
-
 /// A response of which the head has been read. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct Response {
@@ -42,18 +33,11 @@
     /// Whether the body has neither a length nor chunks, so that only the end of the connection ends it. An upstream whose
     /// process ends closes its connections in order as well.
     pub ends_with_connection: bool,
-    /// Shows whether the process of the upstream outlives the connection, if that ends the body.
+    /// Shows whether the process of the upstream outlives the connection, if that ends the body. `None` through a tunnel, as
+    /// the host in between may end without the upstream.
     pub witness: Option<Witness>,
 }
 
-/// Whether the body of a response has neither a length nor chunks.
-pub fn ends_with_connection(response: &http::Response<Incoming>) -> bool {
-    let mut encodings = response.headers().get_all(header::TRANSFER_ENCODING).iter();
-    let last = encodings.next_back().and_then(|it| it.to_str().ok()?.rsplit(',').next());
-    let is_chunked = last.is_some_and(|it| it.trim().eq_ignore_ascii_case("chunked"));
-    !is_chunked && response.body().size_hint().exact().is_none()
-}
-
 impl Response {
     /// Returns the next bytes of the body, or `None` at its end.
     ///
@@ -95,26 +79,12 @@
         if !self.ends_with_connection {
             return Ok(());
         }
-        if let Path::Tunnel(_) = self.connection.path {
-            // The host in between may have ended, whether or not the upstream did.
+        let Some(witness) = &self.witness else {
             return Err((Kind::UpstreamCut, Ending::Unused));
-        }
-        let ended_at = Time::now();
-        let time_left = deadline.since(ended_at);
-        let confirm = async {
-            sleep(EXIT_TIME.into()).await;
-            match self.witness.as_ref().map(Witness::state) {
-                Some(witness::State::Open) => Ok(()),
-                Some(witness::State::Closed(at)) if ended_at.since(at) < EXIT_TIME => {
-                    Err(ErrorKind::ConnectionAborted.into())
-                }
-                // The upstream may have closed an idle connection.
-                Some(witness::State::Closed(_) | witness::State::Absent) | None => {
-                    connections.reconnect(self.target).await
-                }
-            }
         };
-        let error = match timeout(time_left.into(), confirm).await {
+        let time_left = deadline.since(Time::now());
+        let confirmation = witness.confirm_end(connections.reconnect(self.target));
+        let error = match timeout(time_left.into(), confirmation).await {
             Ok(Ok(())) => return Ok(()),
             Ok(Err(error)) => error,
             Err(_) => return Err((Kind::UpstreamTimeout, Ending::Unused)),
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper_util::{
     client::legacy::{
         Client as Http,
@@ -43,6 +43,14 @@
     (200..600).contains(&status.as_u16())
 }
 
+/// Whether the body of a response has neither a length nor chunks, so that only the end of the connection ends it.
+pub fn ends_with_connection(response: &Response<Incoming>) -> bool {
+    let mut encodings = response.headers().get_all(header::TRANSFER_ENCODING).iter();
+    let last = encodings.next_back().and_then(|it| it.to_str().ok()?.rsplit(',').next());
+    let is_chunked = last.is_some_and(|it| it.trim().eq_ignore_ascii_case("chunked"));
+    !is_chunked && response.body().size_hint().exact().is_none()
+}
+
 /// Client for requests to upstreams. Clones share their connections.
 #[derive(Debug, Clone)]
 pub struct Client {
--- /dev/null
+++ b/src/witness.rs
@@ -0,0 +1,100 @@
+//! A second connection to an upstream whose response ends with its connection. If the process of the upstream ends, both
+//! connections do.
+
+use std::{
+    io::{self, ErrorKind},
+    time::Duration,
+};
+
+use tokio::{
+    net::{TcpStream, ToSocketAddrs},
+    sync::watch,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+use crate::time::{Span, Time};
+
+/// Timeout for a connection to the upstream.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time in which a process that ends closes all its sockets. One with 4,000 connections took up to 29 ms.
+const EXIT_TIME: Span = Span::from_ms(50);
+
+/// Time in which a proxy closes a connection that it accepted for an upstream which it does not reach.
+const REJECT_TIME: Duration = Duration::from_millis(10);
+
+/// State of the second connection.
+#[derive(Debug, Clone, Copy)]
+enum State {
+    /// It is not open yet, or cannot be opened.
+    Absent,
+    /// It is open.
+    Open,
+    /// The upstream closed it at this time.
+    Closed(Time),
+}
+
+/// Handle to the second connection. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct Witness {
+    state: watch::Receiver<State>,
+    task: JoinHandle<()>,
+}
+
+impl Witness {
+    /// Opens the connection in the background.
+    pub fn spawn(address: impl ToSocketAddrs + Send + 'static) -> Witness {
+        let (sender, state) = watch::channel(State::Absent);
+        Witness { state, task: tokio::spawn(observe(address, sender)) }
+    }
+
+    /// Confirms that the upstream has outlived a response that ended with its connection just now. If the second connection
+    /// does not tell, a new one does, which `reconnect` opens.
+    ///
+    /// # Errors
+    /// `ConnectionAborted` if both connections ended together, or the error of `reconnect`.
+    pub async fn confirm_end(
+        &self,
+        reconnect: impl Future<Output = io::Result<()>>,
+    ) -> io::Result<()> {
+        let ended_at = Time::now();
+        sleep(EXIT_TIME.into()).await;
+        let state = *self.state.borrow();
+        match state {
+            State::Open => Ok(()),
+            State::Closed(at) if ended_at.since(at) < EXIT_TIME => {
+                Err(ErrorKind::ConnectionAborted.into())
+            }
+            // The upstream may have closed an idle connection.
+            State::Closed(_) | State::Absent => reconnect.await,
+        }
+    }
+}
+
+impl Drop for Witness {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn observe(address: impl ToSocketAddrs, state: watch::Sender<State>) {
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let Ok(Ok(stream)) = connected else { return };
+    state.send_replace(State::Open);
+    // Nothing is sent on the connection, so that bytes from the upstream end it as well.
+    let _ = stream.peek(&mut [0]).await;
+    state.send_replace(State::Closed(Time::now()));
+}
+
+/// Opens a new connection to an upstream that has closed one.
+///
+/// # Errors
+/// If the upstream accepts no connection in time, or closes it at once.
+pub async fn reconnect(address: impl ToSocketAddrs) -> io::Result<TcpStream> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    if timeout(REJECT_TIME, stream.peek(&mut [0])).await.is_ok() {
+        return Err(ErrorKind::ConnectionAborted.into());
+    }
+    Ok(stream)
+}
--- a/stand-ins/src/server.rs
+++ b/stand-ins/src/server.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, fmt, future::Future, io, net::SocketAddr};
 
 use bytes::Bytes;
-use futures::{StreamExt as _, stream};
-use http::{Request, Response, StatusCode};
+use futures::{StreamExt as _, TryStreamExt as _, stream};
+use http::{Request, Response, StatusCode, Version};
 use http_body::Frame;
 use http_body_util::{BodyExt as _, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -254,6 +254,23 @@
     answer
 }
 
+/// An answer that stops half way and does not end.
+pub fn stalled(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let whole = body.into();
+    let first = Ok(Frame::data(whole.slice(..whole.len() / 2)));
+    let frames = stream::iter([first]).chain(stream::pending());
+    let mut answer = Response::new(StreamBody::new(frames).boxed_unsync());
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Removes the length and the chunks of an answer, which then ends with its connection.
+pub fn remove_framing(answer: &mut Response<Body>) {
+    *answer.version_mut() = Version::HTTP_10;
+    let body = std::mem::take(answer.body_mut()).into_data_stream();
+    *answer.body_mut() = StreamBody::new(body.map_ok(Frame::data)).boxed_unsync();
+}
+
 /// Ends a body after what was written before is sent.
 pub async fn cut<T>() -> Result<T, Cut> {
     // A body that has nothing for a moment is flushed.
--- a/stand-ins/src/service.rs
+++ b/stand-ins/src/service.rs
@@ -25,6 +25,10 @@
     pub no_answer: bool,
     /// Closes the connection in the middle of the answer.
     pub half_answer: bool,
+    /// Sends neither a length nor chunks, so that answers end with their connections.
+    pub unframed: bool,
+    /// Sends half of the answer and nothing more.
+    pub stalls: bool,
     /// Answers bytes that are not JSON.
     pub garbage: bool,
     /// Status of the answers, zero for 200.
@@ -112,7 +116,14 @@
     if faults.half_answer {
         return Ok(server::half(body.to_string()));
     }
-    Ok(server::json(status, &body))
+    let mut answer = match faults.stalls {
+        true => server::stalled(status, body.to_string()),
+        false => server::json(status, &body),
+    };
+    if faults.unframed {
+        server::remove_framing(&mut answer);
+    }
+    Ok(answer)
 }
 
 impl Service {
--- a/tests/processes/stops.rs
+++ b/tests/processes/stops.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use serde_json::json;
 use stand_ins::cluster::{Answer, Cluster, Options, expected_text, streamed_text};
 
 /// Streams in play.
@@ -82,6 +83,28 @@
     assert_whole(&next, "next", 3);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn half_an_unframed_answer_of_a_killed_service_is_not_complete() {
+    for status in [200, 404] {
+        let cluster = Cluster::spawn(slow_engines()).await;
+        let service = &cluster.services[0];
+        let unframed = json!({ "unframed": true, "status": status });
+        cluster.control(service.address, "/test/faults", &unframed).await;
+        let whole = cluster.plain(0, "bolt", "two aprons").await.expect("an answer");
+        assert_eq!((whole.status.as_u16(), &whole.json()["body"]), (status, &json!("two aprons")));
+
+        cluster.control(service.address, "/test/faults", &json!({ "stalls": true })).await;
+        let kill = async {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            service.signal("KILL");
+        };
+        let (half, ()) = tokio::join!(cluster.plain(0, "bolt", "ten aprons"), kill);
+        let half = half.expect("an answer");
+        assert_eq!((half.status.as_u16(), half.kind().as_str()), (502, "upstream_cut"));
+        assert_eq!(half.header("almondrack-run"), "unknown");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cut_stream_is_resumed_at_its_offset() {
     // Each connection is cut after ten events; the engine goes on meanwhile.
--- a/tests/serving/outbound_connection.rs
+++ b/tests/serving/outbound_connection.rs
@@ -8,9 +8,9 @@
     time::Duration,
 };
 
-use almondrack::serving::{
-    outbound_connection::{Connection, SendError},
-    upstream_response,
+use almondrack::{
+    serving::outbound_connection::{Connection, SendError},
+    upstream,
 };
 use bytes::Bytes;
 use http::{HeaderValue, Request};
@@ -170,7 +170,7 @@
 async fn a_body_with_another_transfer_encoding_than_chunked_ends_with_its_connection() {
     let ends = async |answer| {
         let response = send_to(answer).await.expect("the server answers");
-        upstream_response::ends_with_connection(&response)
+        upstream::ends_with_connection(&response)
     };
     assert!(ends(b"HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\npart").await);
     assert!(!ends(b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, Chunked\r\n\r\n0\r\n\r\n").await);
