Log ends of unframed answers through other hosts

An end through a tunnel completes no answer, but no line told so; the counter of cut attempts alone rose.

--- a/src/serving/upstream_response.rs
+++ b/src/serving/upstream_response.rs
@@ -80,6 +80,10 @@
             return Ok(());
         }
         let Some(witness) = &self.witness else {
+            log::info!(
+                "an answer of {} through another host ends with its connection and may not be complete",
+                self.instance
+            );
             return Err((Kind::UpstreamCut, Ending::Unused));
         };
         let time_left = deadline.since(Time::now());
