Compare the witness with the time at which its answer was last open

Callers that read slowly got half a large unframed answer as the whole one, if the upstream's process ended and another one listened at its address before the host read the end.

Cause: a host reads no more of an answer than its caller takes, so that the end of the connection can be read long after it happened. The witness, closed with the answer, looked like one that had been closed as idle before, and the new process confirmed the end.

Change: a connection keeps the time at which a read last found it open and empty; the witness is compared with that time. The own interface reads answers as they arrive. What speaks against the upstream and what against the host alone is decided in one place.

Evidence: half_a_large_answer_is_not_confirmed_by_the_process_that_starts_before_its_end_is_read fails with the time of reading in place of the kept one, passes with it, one run each. Price: an idle witness that an upstream closes between the last bytes of an answer and its end makes this answer count as cut.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -578,7 +578,7 @@
 /// Confirms the end of a body that ended with its connection.
 async fn confirm_end(witness: &Witness, address: &str, deadline: Instant) -> Result<(), Kind> {
     let reconnect = async { witness::reconnect(address).await.map(drop) };
-    let confirmed = timeout_at(deadline, witness.confirm_end(reconnect)).await;
+    let confirmed = timeout_at(deadline, witness.confirm_end(Time::now(), reconnect)).await;
     confirmed.map_err(|_| Kind::UpstreamTimeout)?.map_err(|error| {
         log::info!(
             "an answer of {address} ends with its connection and may not be complete: {error}"
--- a/src/serving/outbound_connection.rs
+++ b/src/serving/outbound_connection.rs
@@ -6,7 +6,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll},
     time::Duration,
@@ -54,6 +54,8 @@
     is_written: AtomicBool,
     /// Whether the server had sent bytes before the request was written.
     is_unsolicited: AtomicBool,
+    /// Microseconds of the boot-time clock at which a read last found the connection open and empty.
+    last_open: AtomicU64,
 }
 
 /// Socket of a connection that carries one request at a time.
@@ -100,7 +102,11 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if read.is_pending() {
+            self.progress.last_open.store(Time::now().0, Ordering::Relaxed);
+        }
+        read
     }
 }
 
@@ -241,6 +247,12 @@
         }
     }
 
+    /// Time at which the connection was last seen open with no bytes to read. Its end may be read much later, as no more of a
+    /// response is read than its caller takes.
+    pub fn last_open(&self) -> Time {
+        Time(self.progress.last_open.load(Ordering::Relaxed))
+    }
+
     /// Whether the connection can take a request now: the last response was read to its end, and the server has neither
     /// closed the connection nor sent unexpected bytes.
     pub fn is_idle(&self) -> bool {
--- a/src/serving/upstream_response.rs
+++ b/src/serving/upstream_response.rs
@@ -1,6 +1,6 @@
 //! Response of an upstream of which the body is still being received.
 
-use std::{io::ErrorKind, sync::Arc};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -12,7 +12,7 @@
     serving::{connection_cache, dialer::Target, dispatcher::AttemptGuard, outbound_connection},
     time::{Span, Time},
     wire::Ending,
-    witness::Witness,
+    witness::{self, Witness},
 };
 
 /// A response of which the head has been read. Dropping it closes the connection.
@@ -87,7 +87,8 @@
             return Err((Kind::UpstreamCut, Ending::Unused));
         };
         let time_left = deadline.since(Time::now());
-        let confirmation = witness.confirm_end(connections.reconnect(self.target));
+        let confirmation =
+            witness.confirm_end(self.connection.last_open(), connections.reconnect(self.target));
         let error = match timeout(time_left.into(), confirmation).await {
             Ok(Ok(())) => return Ok(()),
             Ok(Err(error)) => error,
@@ -97,13 +98,8 @@
             "an answer of {} ends with its connection and may not be complete: {error}",
             self.instance
         );
-        let ending = match error.kind() {
-            ErrorKind::ConnectionRefused
-            | ErrorKind::ConnectionReset
-            | ErrorKind::ConnectionAborted => Ending::Failed,
-            _ => Ending::Unused,
-        };
-        Err((Kind::UpstreamCut, ending))
+        let is_fault = witness::is_upstream_fault(&error);
+        Err((Kind::UpstreamCut, if is_fault { Ending::Failed } else { Ending::Unused }))
     }
 
     /// Ends the attempt after the body, whose end is confirmed, and returns the connection to the cache, unless it has ended
--- a/src/witness.rs
+++ b/src/witness.rs
@@ -18,7 +18,7 @@
 /// Timeout for a connection to the upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time in which a process that ends closes all its sockets. One with 4,000 connections took up to 29 ms.
+/// Time in which a process that ends closes all its sockets.
 const EXIT_TIME: Span = Span::from_ms(50);
 
 /// Time in which a proxy closes a connection that it accepted for an upstream which it does not reach.
@@ -31,7 +31,7 @@
     Absent,
     /// It is open.
     Open,
-    /// The upstream closed it at this time.
+    /// The upstream closed it, or sent bytes, at this time.
     Closed(Time),
 }
 
@@ -43,31 +43,32 @@
 }
 
 impl Witness {
-    /// Opens the connection in the background.
+    /// Opens the connection in the background. Must be called in a runtime.
     pub fn spawn(address: impl ToSocketAddrs + Send + 'static) -> Witness {
         let (sender, state) = watch::channel(State::Absent);
         Witness { state, task: tokio::spawn(observe(address, sender)) }
     }
 
-    /// Confirms that the upstream has outlived a response that ended with its connection just now. If the second connection
-    /// does not tell, a new one does, which `reconnect` opens.
+    /// Confirms that the upstream has outlived a response that ended with its connection, which was last seen open at a time.
+    /// If the second connection does not tell, a new one does, which `reconnect` opens.
     ///
     /// # Errors
     /// `ConnectionAborted` if both connections ended together, or the error of `reconnect`.
     pub async fn confirm_end(
         &self,
+        last_open: Time,
         reconnect: impl Future<Output = io::Result<()>>,
     ) -> io::Result<()> {
-        let ended_at = Time::now();
         sleep(EXIT_TIME.into()).await;
         let state = *self.state.borrow();
         match state {
             State::Open => Ok(()),
-            State::Closed(at) if ended_at.since(at) < EXIT_TIME => {
-                Err(ErrorKind::ConnectionAborted.into())
+            State::Closed(at) if last_open.since(at) >= EXIT_TIME => {
+                // The upstream closed an idle connection.
+                reconnect.await
             }
-            // The upstream may have closed an idle connection.
-            State::Closed(_) | State::Absent => reconnect.await,
+            State::Absent => reconnect.await,
+            State::Closed(_) => Err(ErrorKind::ConnectionAborted.into()),
         }
     }
 }
@@ -87,6 +88,14 @@
     state.send_replace(State::Closed(Time::now()));
 }
 
+/// Whether a failed confirmation speaks for the end of the upstream's process, and not for trouble of this host.
+pub fn is_upstream_fault(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted
+    )
+}
+
 /// Opens a new connection to an upstream that has closed one.
 ///
 /// # Errors
--- a/tests/serving/unframed.rs
+++ b/tests/serving/unframed.rs
@@ -1,5 +1,7 @@
 //! Answers of upstreams with neither a length nor chunks, which end with their connection.
 
+use std::time::Duration;
+
 use almondrack::{
     error::{Error, Kind},
     serving::{
@@ -14,8 +16,9 @@
 use http::Method;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::TcpListener,
+    net::{TcpListener, TcpSocket, TcpStream},
     task::LocalSet,
+    time::sleep,
 };
 
 use crate::{
@@ -203,3 +206,55 @@
     };
     LocalSet::new().run_until(play).await;
 }
+
+/// Accepts a connection and begins an answer on it, then accepts the connection that watches it.
+async fn begin(listener: &TcpListener, body: &[u8]) -> (TcpStream, TcpStream) {
+    let (mut router, _) = listener.accept().await.expect("the router connects");
+    let _ = router.read(&mut [0; 4_096]).await.expect("the router sends a request");
+    router.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await.expect("the router reads the head");
+    let (second, _) = listener.accept().await.expect("the router connects again");
+    router.write_all(body).await.expect("the router reads the answer");
+    (router, second)
+}
+
+async fn response(entry: Entry) -> Result<CallerResponse, Error> {
+    let meter = Meter::new(Span::from_ms(60_000), "host-1");
+    let exchange = open_with(vec![entry], buffer_memory::Memory::new(8 << 20), meter);
+    exchange.run(routed_request(false, RetryPolicy::Never)).await
+}
+
+#[tokio::test]
+async fn half_a_large_answer_is_not_confirmed_by_the_process_that_starts_before_its_end_is_read() {
+    const HALF: usize = 1_300_000;
+    let play = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("the socket is bound");
+        tokio::task::spawn_local(async move {
+            drop(begin(&listener, &vec![b'x'; HALF]).await);
+            drop(listener);
+            let socket = TcpSocket::new_v4().expect("a socket is free");
+            socket.set_reuseaddr(true).expect("the socket is new");
+            socket.bind(address).expect("the address is free again");
+            let next = socket.listen(16).expect("the socket is bound");
+            let mut open = Vec::new();
+            while let Ok(connection) = next.accept().await {
+                open.push(connection);
+            }
+        });
+        let body = response(Entry { address, ..engine(0) }).await.expect("the answer begins").body;
+        let Body::Large(mut large) = body else { panic!("the answer is large: {body:?}") };
+        let mut length = 0;
+        loop {
+            match large.next().await {
+                Ok(Some(bytes)) => length += bytes.len(),
+                Ok(None) => return (length, None),
+                Err(kind) => return (length, Some(kind)),
+            }
+            if length < 1 << 20 {
+                sleep(Duration::from_millis(10)).await;
+            }
+        }
+    };
+    let got = LocalSet::new().run_until(play).await;
+    assert_eq!(got, (HALF, Some(Kind::UpstreamCut)));
+}
