Ask again where an upstream resets the witness at once

Short unframed answers of an upstream that had as many connections as it allows were cut, and charged to their requests as crashes.

Cause: an upstream accepts `MaxConnections` and resets those beyond. The witness was reset so, within the time in which connections of a process that ends close together.

Change: a witness that is reset within that time after it was opened tells nothing, so that a new connection decides.

Evidence: a_short_answer_of_an_upstream_that_resets_further_connections_is_complete fails without the rule, passes with it, one run each.

--- a/src/witness.rs
+++ b/src/witness.rs
@@ -27,7 +27,7 @@
 /// State of the second connection.
 #[derive(Debug, Clone, Copy)]
 enum State {
-    /// It is not open yet, or cannot be opened.
+    /// It is not open yet, cannot be opened, or was reset at once, as by an upstream with too many connections.
     Absent,
     /// It is open.
     Open,
@@ -82,10 +82,14 @@
 async fn observe(address: impl ToSocketAddrs, state: watch::Sender<State>) {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let Ok(Ok(stream)) = connected else { return };
+    let opened_at = Time::now();
     state.send_replace(State::Open);
     // Nothing is sent on the connection, so that bytes from the upstream end it as well.
-    let _ = stream.peek(&mut [0]).await;
-    state.send_replace(State::Closed(Time::now()));
+    let peeked = stream.peek(&mut [0]).await;
+    let now = Time::now();
+    let is_reset = peeked.is_err_and(|it| it.kind() == ErrorKind::ConnectionReset);
+    let is_rejected = is_reset && now.since(opened_at) < EXIT_TIME;
+    state.send_replace(if is_rejected { State::Absent } else { State::Closed(now) });
 }
 
 /// Whether a failed confirmation speaks for the end of the upstream's process, and not for trouble of this host.
--- a/tests/serving/unframed.rs
+++ b/tests/serving/unframed.rs
@@ -258,3 +258,23 @@
     let got = LocalSet::new().run_until(play).await;
     assert_eq!(got, (HALF, Some(Kind::UpstreamCut)));
 }
+
+#[tokio::test]
+async fn a_short_answer_of_an_upstream_that_resets_further_connections_is_complete() {
+    let play = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("the socket is bound");
+        tokio::task::spawn_local(async move {
+            let (router, second) = begin(&listener, b"all of it").await;
+            sleep(Duration::from_millis(2)).await;
+            second.set_zero_linger().expect("the socket is open");
+            drop(second);
+            sleep(Duration::from_millis(10)).await;
+            drop(router);
+            let _third = listener.accept().await.expect("the router connects again");
+            sleep(Duration::from_secs(1)).await;
+        });
+        read(response(Entry { address, ..engine(0) }).await).await
+    };
+    assert_eq!(LocalSet::new().run_until(play).await, Got::Whole("all of it".to_owned()));
+}
