Look at the witness itself when an unframed answer has ended

A host whose thread was busy for longer than a process takes to exit confirmed the end of answers of processes that had ended.

Cause: runs the witness as a task of the runtime, which a thread polls after its local tasks.

Change: after the wait the socket is asked, whatever the task has seen.

Evidence: an_upstream_that_ends_while_the_thread_is_busy_has_not_outlived_its_answer fails without the look at the socket, passes with it, one run each; the other tests of `unframed` pass.

--- a/src/witness.rs
+++ b/src/witness.rs
@@ -3,9 +3,11 @@
 
 use std::{
     io::{self, ErrorKind},
+    sync::Arc,
     time::Duration,
 };
 
+use rustix::net::RecvFlags;
 use tokio::{
     net::{TcpStream, ToSocketAddrs},
     sync::watch,
@@ -25,12 +27,12 @@
 const REJECT_TIME: Duration = Duration::from_millis(10);
 
 /// State of the second connection.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 enum State {
     /// It is not open yet, cannot be opened, or was reset at once, as by an upstream with too many connections.
     Absent,
-    /// It is open.
-    Open,
+    /// It was open when the task last ran.
+    Open(Arc<TcpStream>),
     /// The upstream closed it, or sent bytes, at this time.
     Closed(Time),
 }
@@ -60,15 +62,15 @@
         reconnect: impl Future<Output = io::Result<()>>,
     ) -> io::Result<()> {
         sleep(EXIT_TIME.into()).await;
-        let state = *self.state.borrow();
+        let state = self.state.borrow().clone();
         match state {
-            State::Open => Ok(()),
+            State::Open(stream) if is_open(&stream) => Ok(()),
             State::Closed(at) if last_open.since(at) >= EXIT_TIME => {
                 // The upstream closed an idle connection.
                 reconnect.await
             }
             State::Absent => reconnect.await,
-            State::Closed(_) => Err(ErrorKind::ConnectionAborted.into()),
+            State::Open(_) | State::Closed(_) => Err(ErrorKind::ConnectionAborted.into()),
         }
     }
 }
@@ -82,8 +84,8 @@
 async fn observe(address: impl ToSocketAddrs, state: watch::Sender<State>) {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let Ok(Ok(stream)) = connected else { return };
-    let opened_at = Time::now();
-    state.send_replace(State::Open);
+    let (stream, opened_at) = (Arc::new(stream), Time::now());
+    state.send_replace(State::Open(stream.clone()));
     // Nothing is sent on the connection, so that bytes from the upstream end it as well.
     let peeked = stream.peek(&mut [0]).await;
     let now = Time::now();
@@ -92,6 +94,12 @@
     state.send_replace(if is_rejected { State::Absent } else { State::Closed(now) });
 }
 
+/// Whether a connection on which nothing arrives is open. The runtime may not have noticed its end yet.
+fn is_open(stream: &TcpStream) -> bool {
+    let peeked = rustix::net::recv(stream, &mut [0], RecvFlags::PEEK | RecvFlags::DONTWAIT);
+    matches!(peeked, Err(rustix::io::Errno::AGAIN | rustix::io::Errno::INTR))
+}
+
 /// Whether a failed confirmation speaks for the end of the upstream's process, and not for trouble of this host.
 pub fn is_upstream_fault(error: &io::Error) -> bool {
     matches!(
--- a/tests/serving/unframed.rs
+++ b/tests/serving/unframed.rs
@@ -11,7 +11,8 @@
         table::RetryPolicy,
         usage::Meter,
     },
-    time::Span,
+    time::{Span, Time},
+    witness::{self, Witness},
 };
 use http::Method;
 use tokio::{
@@ -278,3 +279,24 @@
     };
     assert_eq!(LocalSet::new().run_until(play).await, Got::Whole("all of it".to_owned()));
 }
+
+#[tokio::test]
+async fn an_upstream_that_ends_while_the_thread_is_busy_has_not_outlived_its_answer() {
+    let play = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("the socket is bound");
+        let witness = Witness::spawn(address);
+        let (second, _) = listener.accept().await.expect("the witness connects");
+        sleep(Duration::from_millis(10)).await;
+        let confirmation = tokio::task::spawn_local(async move {
+            let reconnect = async { witness::reconnect(address).await.map(drop) };
+            witness.confirm_end(Time::now(), reconnect).await
+        });
+        tokio::task::yield_now().await;
+        drop((second, listener));
+        std::thread::sleep(Duration::from_millis(120));
+        confirmation.await.expect("the task ends")
+    };
+    let confirmed = LocalSet::new().run_until(play).await;
+    assert!(confirmed.is_err(), "the upstream counts as alive");
+}
