Charge upstreams of the own interface with their own failures only

If the own interface could not confirm the end of an unframed answer for a reason of its own (no free socket, the deadline), the attempt counted as failed or timed out, and so as a crash of the upstream. The platform's interface has told the two apart since.

Change: the witness decides for both interfaces what an end that is not confirmed means, and writes the line about it.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -121,7 +121,8 @@
     }
 }
 
-fn ending(kind: Kind) -> Ending {
+/// How an attempt ends that is lost.
+pub(crate) fn ending(kind: Kind) -> Ending {
     match kind {
         Kind::UpstreamTimeout => Ending::TimedOut,
         Kind::UpstreamInvalid => Ending::Invalid,
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     account::Account,
-    attempt::{Answering, Attempt, Granted, Loss, Sent},
+    attempt::{self, Answering, Attempt, Granted, Loss, Sent},
     attempts::{Attempts, Guard, Start, Stop},
     claim::{self, Claim},
     credential::Digest,
@@ -465,26 +465,28 @@
         let Registered { guard, mut stop } = registered;
         let address = attempt.grant().address.clone();
         let is_watched = upstream::ends_with_connection(&answer);
-        let witness = is_watched.then(|| Witness::spawn(address.clone()));
+        let witness = is_watched.then(|| Witness::spawn(address.as_str().into(), address.clone()));
         let (head, body) = answer.into_parts();
+        let lost = |kind| (kind, attempt::ending(kind));
         let read = async {
-            let bytes = collect(body, self.idle_timeout, job.deadline).await?;
+            let bytes = collect(body, self.idle_timeout, job.deadline).await.map_err(lost)?;
             if let Some(witness) = &witness {
-                confirm_end(witness, &address, job.deadline).await?;
+                let time_left = job.deadline.saturating_duration_since(Instant::now());
+                let reconnect = async { witness::reconnect(&address).await.map(drop) };
+                witness.confirm_end(Time::now(), time_left, reconnect).await?;
             }
-            check_whole(job, head.status, bytes)
+            check_whole(job, head.status, bytes).map_err(lost)
         };
         let checked = tokio::select! {
             biased;
-            stop = &mut stop => Err(stop_kind(stop)),
+            stop = &mut stop => Err(lost(stop_kind(stop))),
             bytes = read => bytes,
         };
         let bytes = match checked {
             Ok(bytes) => bytes,
-            Err(kind) => {
-                let loss = attempt.lost(kind);
-                guard.end(loss.ending, 0);
-                return Err(loss);
+            Err((kind, ending)) => {
+                guard.end(ending, 0);
+                return Err(Loss { ending, ..attempt.lost(kind) });
             }
         };
         let usage = crate::sse::whole_usage(&bytes);
@@ -575,18 +577,6 @@
     }
 }
 
-/// Confirms the end of a body that ended with its connection.
-async fn confirm_end(witness: &Witness, address: &str, deadline: Instant) -> Result<(), Kind> {
-    let reconnect = async { witness::reconnect(address).await.map(drop) };
-    let confirmed = timeout_at(deadline, witness.confirm_end(Time::now(), reconnect)).await;
-    confirmed.map_err(|_| Kind::UpstreamTimeout)?.map_err(|error| {
-        log::info!(
-            "an answer of {address} ends with its connection and may not be complete: {error}"
-        );
-        Kind::UpstreamCut
-    })
-}
-
 /// Checks that a whole completion is one; half an answer with a proper end is not.
 fn check_whole(job: &Job, status: StatusCode, bytes: Bytes) -> Result<Bytes, Kind> {
     let valid = match job.protocol {
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -812,7 +812,8 @@
                 let is_watched = ends_with_connection && connection.path == Path::Direct;
                 Ok(upstream_response::Response {
                     ends_with_connection,
-                    witness: is_watched.then(|| Witness::spawn(grant.address)),
+                    witness: is_watched
+                        .then(|| Witness::spawn(grant.instance.clone(), grant.address)),
                     http: response,
                     connection,
                     guard,
--- a/src/serving/upstream_response.rs
+++ b/src/serving/upstream_response.rs
@@ -12,7 +12,7 @@
     serving::{connection_cache, dialer::Target, dispatcher::AttemptGuard, outbound_connection},
     time::{Span, Time},
     wire::Ending,
-    witness::{self, Witness},
+    witness::Witness,
 };
 
 /// A response of which the head has been read. Dropping it closes the connection.
@@ -86,20 +86,9 @@
             );
             return Err((Kind::UpstreamCut, Ending::Unused));
         };
-        let time_left = deadline.since(Time::now());
-        let confirmation =
-            witness.confirm_end(self.connection.last_open(), connections.reconnect(self.target));
-        let error = match timeout(time_left.into(), confirmation).await {
-            Ok(Ok(())) => return Ok(()),
-            Ok(Err(error)) => error,
-            Err(_) => return Err((Kind::UpstreamTimeout, Ending::Unused)),
-        };
-        log::info!(
-            "an answer of {} ends with its connection and may not be complete: {error}",
-            self.instance
-        );
-        let is_fault = witness::is_upstream_fault(&error);
-        Err((Kind::UpstreamCut, if is_fault { Ending::Failed } else { Ending::Unused }))
+        let time_left = deadline.since(Time::now()).into();
+        let reconnect = connections.reconnect(self.target);
+        witness.confirm_end(self.connection.last_open(), time_left, reconnect).await
     }
 
     /// Ends the attempt after the body, whose end is confirmed, and returns the connection to the cache, unless it has ended
--- a/src/witness.rs
+++ b/src/witness.rs
@@ -15,7 +15,11 @@
     time::{sleep, timeout},
 };
 
-use crate::time::{Span, Time};
+use crate::{
+    error::Kind,
+    time::{Span, Time},
+    wire::Ending,
+};
 
 /// Timeout for a connection to the upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -40,23 +44,50 @@
 /// Handle to the second connection. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct Witness {
+    /// Id or address of the upstream, for log lines.
+    upstream: Arc<str>,
     state: watch::Receiver<State>,
     task: JoinHandle<()>,
 }
 
 impl Witness {
     /// Opens the connection in the background. Must be called in a runtime.
-    pub fn spawn(address: impl ToSocketAddrs + Send + 'static) -> Witness {
+    pub fn spawn(upstream: Arc<str>, address: impl ToSocketAddrs + Send + 'static) -> Witness {
         let (sender, state) = watch::channel(State::Absent);
-        Witness { state, task: tokio::spawn(observe(address, sender)) }
+        Witness { upstream, state, task: tokio::spawn(observe(address, sender)) }
     }
 
-    /// Confirms that the upstream has outlived a response that ended with its connection, which was last seen open at a time.
-    /// If the second connection does not tell, a new one does, which `reconnect` opens.
+    /// Confirms that a response is complete that ended with its connection, which was last seen open at a time. The upstream
+    /// must have outlived it. If the second connection does not tell, a new one does, which `reconnect` opens.
     ///
     /// # Errors
-    /// `ConnectionAborted` if both connections ended together, or the error of `reconnect`.
+    /// `UpstreamCut` if the response may not be complete, `UpstreamTimeout` after `limit`. The ending is `Failed` only if the
+    /// process of the upstream seems to have ended.
     pub async fn confirm_end(
+        &self,
+        last_open: Time,
+        limit: Duration,
+        reconnect: impl Future<Output = io::Result<()>>,
+    ) -> Result<(), (Kind, Ending)> {
+        let error = match timeout(limit, self.check_outlives(last_open, reconnect)).await {
+            Ok(Ok(())) => return Ok(()),
+            Ok(Err(error)) => error,
+            Err(_) => return Err((Kind::UpstreamTimeout, Ending::Unused)),
+        };
+        log::info!(
+            "an answer of {} ends with its connection and may not be complete: {error}",
+            self.upstream
+        );
+        let ending = match error.kind() {
+            ErrorKind::ConnectionRefused
+            | ErrorKind::ConnectionReset
+            | ErrorKind::ConnectionAborted => Ending::Failed,
+            _ => Ending::Unused,
+        };
+        Err((Kind::UpstreamCut, ending))
+    }
+
+    async fn check_outlives(
         &self,
         last_open: Time,
         reconnect: impl Future<Output = io::Result<()>>,
@@ -100,14 +131,6 @@
     matches!(peeked, Err(rustix::io::Errno::AGAIN | rustix::io::Errno::INTR))
 }
 
-/// Whether a failed confirmation speaks for the end of the upstream's process, and not for trouble of this host.
-pub fn is_upstream_fault(error: &io::Error) -> bool {
-    matches!(
-        error.kind(),
-        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted
-    )
-}
-
 /// Opens a new connection to an upstream that has closed one.
 ///
 /// # Errors
--- a/tests/serving/unframed.rs
+++ b/tests/serving/unframed.rs
@@ -285,12 +285,12 @@
     let play = async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let address = listener.local_addr().expect("the socket is bound");
-        let witness = Witness::spawn(address);
+        let witness = Witness::spawn("i-1".into(), address);
         let (second, _) = listener.accept().await.expect("the witness connects");
         sleep(Duration::from_millis(10)).await;
         let confirmation = tokio::task::spawn_local(async move {
             let reconnect = async { witness::reconnect(address).await.map(drop) };
-            witness.confirm_end(Time::now(), reconnect).await
+            witness.confirm_end(Time::now(), Duration::from_secs(1), reconnect).await
         });
         tokio::task::yield_now().await;
         drop((second, listener));
