Take no value of the store without framing

The own interface's client took half a value of the platform's store as the whole one if the platform's process ended while it answered with neither a length nor chunks. By reading, a claim, a usage record or an intent that was written could then be taken for another host's.

Other answers of the platform are JSON objects, which half a body is not; values are raw.

Change: such a value is an unknown outcome, as after a cut.

Evidence: half_a_value_that_ends_with_its_connection_is_no_value fails without the change and passes with it, one run each; the 17 tests of `platform` pass.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -17,6 +17,7 @@
     body,
     circuit::{Health, Outcome},
     gate::{Counts, Gate},
+    upstream,
 };
 
 /// Largest value in the store, in bytes.
@@ -325,6 +326,8 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    /// Whether the body has a length or chunks, so that it is known to be complete.
+    is_framed: bool,
 }
 
 impl Client {
@@ -557,6 +560,9 @@
         check(key)?;
         let call = Call::new(cause, Method::GET, format!("/v1/kv/{key}"));
         match self.send(call).await?.ok() {
+            Ok(answer) if !answer.is_framed => {
+                Err(Failure::Unknown("the value has neither a length nor chunks".to_owned()))
+            }
             Ok(answer) => {
                 let version = version(&answer.headers)?;
                 Ok(Some(Value { version, bytes: answer.body }))
@@ -645,12 +651,13 @@
     ) -> Result<Answer, Failure> {
         let answer =
             self.http.request(request).await.map_err(|error| Failure::Unknown(chain(&error)))?;
+        let is_framed = !upstream::ends_with_connection(&answer);
         let (head, body) = answer.into_parts();
         let body = body::read(body, max_bytes).await.map_err(|error| match error {
             body::Failure::TooLong(_) => Failure::Invalid(error.to_string()),
             body::Failure::Cut(error) => Failure::Unknown(error.to_string()),
         })?;
-        Ok(Answer { status: head.status, headers: head.headers, body })
+        Ok(Answer { status: head.status, headers: head.headers, body, is_framed })
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -322,6 +322,14 @@
     }
 }
 
+#[tokio::test]
+async fn half_a_value_that_ends_with_its_connection_is_no_value() {
+    let answer = "HTTP/1.1 200 OK\r\nx-version: 7\r\n\r\n{\"half\":";
+    let client = Client::open(answer_with(answer.into()).await, "h1");
+    let value = client.get(Cause::Config, "a").await;
+    assert!(matches!(value, Err(Failure::Unknown(_))), "{value:?}");
+}
+
 #[test]
 fn arbitrary_answers_are_failures_or_answers() {
     fn holds(Raw(bytes): Raw, call: usize) -> bool {
