Keep the failure of an answer that broke off

Polled again after their error, `Relay::next` and `LargeResponse::next` returned `None`, the mark of a complete end. No caller does so today, by reading; one that did would end a broken-off stream in order.

Change: both return the same error again, and a stream whose next attempt is being opened when it is dropped does not end in order either.

--- a/src/serving/buffered.rs
+++ b/src/serving/buffered.rs
@@ -136,6 +136,8 @@
 pub struct LargeResponse {
     /// Response that is being received; `None` after its end.
     response: Option<upstream_response::Response>,
+    /// Why the response broke off, if it did.
+    failed: Option<Kind>,
     /// Bytes that were read and not yet forwarded.
     buffer: Buffer,
     /// Frame after `buffer` that did not fit into it.
@@ -154,6 +156,7 @@
     ) -> LargeResponse {
         LargeResponse {
             response: Some(response),
+            failed: None,
             buffer: Buffer { bytes: BytesMut::new(), reservation },
             overflow: None,
             connections,
@@ -188,7 +191,7 @@
     }
 
     async fn receive(&mut self) -> Result<Option<Bytes>, Kind> {
-        let Some(response) = &mut self.response else { return Ok(None) };
+        let Some(response) = &mut self.response else { return self.failed.map_or(Ok(None), Err) };
         let end = match response.receive(self.deadline).await {
             Ok(Some(bytes)) => return Ok(Some(bytes)),
             Ok(None) => response.confirm_end(&self.connections, self.deadline).await,
@@ -202,6 +205,7 @@
             }
             Err((kind, ending)) => {
                 response.guard.end(ending);
+                self.failed = Some(kind);
                 Err(kind)
             }
         }
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -38,6 +38,8 @@
     id: String,
     /// Response that is being received; `None` after the end of the stream.
     response: Option<upstream_response::Response>,
+    /// Why the last response broke off, unless the stream goes on.
+    failed: Option<Kind>,
     /// Id of the upstream that sends or sent the response.
     instance: Arc<str>,
     /// Version of its software, if it is known.
@@ -79,6 +81,7 @@
             version: response.version.clone(),
             received: 0,
             response: Some(response),
+            failed: None,
             events,
             connections,
             resume,
@@ -121,6 +124,9 @@
         if let Some(events) = self.first_events.take() {
             return Ok(Some(events));
         }
+        if let Some(kind) = self.failed {
+            return Err(kind);
+        }
         loop {
             let kind = match self.receive().await {
                 Ok(events) => return Ok(events),
@@ -136,6 +142,7 @@
             };
             self.response = (self.resume)(cut).await;
             if let Some(response) = &self.response {
+                self.failed = None;
                 self.instance = response.instance.clone();
                 self.version = response.version.clone();
             }
@@ -238,6 +245,7 @@
             self.received = response.guard.events();
             response.guard.end(ending);
         }
+        self.failed = Some(kind);
         kind
     }
 }
--- a/tests/serving/unframed.rs
+++ b/tests/serving/unframed.rs
@@ -60,7 +60,14 @@
         match relay.next().await {
             Ok(Some(bytes)) => all += &text(&bytes),
             Ok(None) => return Got::Whole(all),
-            Err(kind) => return Got::Cut(all, kind),
+            Err(kind) => {
+                assert_eq!(
+                    relay.next().await.err(),
+                    Some(kind),
+                    "the stream ends in order after all"
+                );
+                return Got::Cut(all, kind);
+            }
         }
     }
 }
@@ -249,7 +256,10 @@
             match large.next().await {
                 Ok(Some(bytes)) => length += bytes.len(),
                 Ok(None) => return (length, None),
-                Err(kind) => return (length, Some(kind)),
+                Err(kind) => {
+                    assert_eq!(large.next().await.err(), Some(kind), "the answer ends after all");
+                    return (length, Some(kind));
+                }
             }
             if length < 1 << 20 {
                 sleep(Duration::from_millis(10)).await;
