Read at most 8 kB at once from upstreams

Cause: hyper doubles its read buffer each time a read fills it, up to MAX_HEAD_BYTES (32 kB). A frame keeps the buffer that it was cut from, and a host has up to three for an answer: the one that it reads into, the frame that waits in hyper, and the one that did not fit into the buffered answer. Nothing counts them until a write to the caller has been blocked for 200 ms. With 150 connections that is up to 14.7 MB, and their size depends on how much had arrived at each read.

Change: a read from an upstream takes under 8 kB, so that the buffer keeps its 8 kB. Heads may still have 32 kB.

--- a/src/serving/outbound_connection.rs
+++ b/src/serving/outbound_connection.rs
@@ -22,7 +22,7 @@
 use hyper_util::rt::TokioIo;
 use rustix::net::RecvFlags;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncReadExt as _, AsyncWrite, ReadBuf},
     net::TcpStream,
     task::JoinHandle,
     time::timeout,
@@ -33,6 +33,10 @@
 /// Largest response head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
+/// Most bytes of one read. The HTTP client's read buffer of 8 kB doubles each time a read fills it, up to the largest head,
+/// and frames that wait keep the buffers that they were cut from.
+const MAX_READ_BYTES: u64 = (8 << 10) - 1;
+
 /// Why a request has no response, and whether it may have reached the server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SendError {
@@ -100,7 +104,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        Pin::new(&mut (&mut self.stream).take(MAX_READ_BYTES)).poll_read(cx, buf)
     }
 }
 
--- a/tests/serving/outbound_connection.rs
+++ b/tests/serving/outbound_connection.rs
@@ -108,10 +108,8 @@
     assert!(received > 0);
 }
 
-/// Sends a request to a server that answers with these bytes and closes the connection.
-async fn send_to(
-    answer: &'static [u8],
-) -> Result<http::Response<hyper::body::Incoming>, SendError> {
+/// Connects to a server that answers a request with these bytes and closes the connection.
+async fn connect_to(answer: &'static [u8]) -> Connection {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("the socket is bound");
     thread::spawn(move || {
@@ -120,7 +118,14 @@
         client.write_all(answer).expect("the client reads");
     });
     let connected = Connection::connect(address, Duration::from_secs(1)).await;
-    connected.expect("the server accepts").send(request()).await
+    connected.expect("the server accepts")
+}
+
+/// Sends a request to a server that answers with these bytes and closes the connection.
+async fn send_to(
+    answer: &'static [u8],
+) -> Result<http::Response<hyper::body::Incoming>, SendError> {
+    connect_to(answer).await.send(request()).await
 }
 
 #[tokio::test]
@@ -166,6 +171,26 @@
     assert_eq!(body, "second");
 }
 
+#[tokio::test]
+async fn a_large_answer_is_read_in_small_pieces() {
+    let (value, body) = ("x".repeat(20_000), "x".repeat(1 << 20));
+    let length = body.len();
+    let answer =
+        format!("HTTP/1.1 200 OK\r\nlong: {value}\r\ncontent-length: {length}\r\n\r\n{body}");
+    let mut connection = connect_to(answer.leak().as_bytes()).await;
+    let mut response = connection.send(request()).await.expect("the server answers");
+    assert_eq!(response.headers()["long"].len(), value.len());
+    let mut pieces = Vec::new();
+    while let Some(frame) = response.frame().await {
+        // Lets bytes arrive, so that a read could take many.
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        pieces.push(frame.expect("the answer is complete").into_data().map_or(0, |it| it.len()));
+    }
+    assert_eq!(pieces.iter().sum::<usize>(), length);
+    let largest = pieces.iter().max();
+    assert!(largest.is_some_and(|it| *it < 8 << 10), "a piece of {largest:?} bytes");
+}
+
 #[tokio::test]
 async fn a_body_with_another_transfer_encoding_than_chunked_ends_with_its_connection() {
     let ends = async |answer| {
