Write to callers from 4 kB on

Cause: the server writes from 16 kB on, and its buffer doubles as it grows beyond that.

Change: it writes from 4 kB on, and buffered bodies are forwarded in pieces of 8 kB, so that an answer of 5 kB still goes out in one write. The buffer has 16 kB at most, unless an event is larger. The speed of large answers was not measured.

--- a/src/serving/buffered.rs
+++ b/src/serving/buffered.rs
@@ -41,7 +41,7 @@
 
 /// Most bytes of a buffered body that are forwarded at once. The HTTP server copies them into the buffer of the caller's
 /// connection, which keeps its size.
-const PIECE_BYTES: usize = 16 << 10;
+const PIECE_BYTES: usize = 8 << 10;
 
 /// Result of buffering a response.
 #[derive(Debug)]
--- a/src/serving/listener.rs
+++ b/src/serving/listener.rs
@@ -28,7 +28,7 @@
 
 /// Bytes of a response from which the HTTP server writes to the socket before it takes more of the body. Each connection
 /// keeps a buffer of this size or larger.
-const WRITE_BUFFER_BYTES: usize = 16 << 10;
+const WRITE_BUFFER_BYTES: usize = 4 << 10;
 
 /// Why a connection ends for which there is no room.
 const NO_ROOM: &str = "there is no room for it";
