Release read buffers of answers that are forwarded

An answer that is forwarded kept two further read buffers of its upstream's connection: its headers, which were cloned, are cut from the first one and stayed as long as the body, and the frame that did not fit into the buffer kept the one that it was cut from.

Change: the headers are moved to the caller's answer, and that frame is copied.

--- a/src/serving/buffered.rs
+++ b/src/serving/buffered.rs
@@ -138,7 +138,7 @@
     response: Option<upstream_response::Response>,
     /// Bytes that were read and not yet forwarded.
     buffer: Buffer,
-    /// Frame after `buffer` that did not fit into it.
+    /// Copy of the frame after `buffer` that did not fit into it.
     overflow: Option<Bytes>,
     connections: connection_cache::Cache,
     deadline: Time,
@@ -168,7 +168,7 @@
     pub async fn buffer(mut self) -> Result<Buffered, attempt_history::Failure> {
         while let Some(frame) = self.receive().await.map_err(attempt_history::Failure::sent)? {
             if !self.buffer.push(&frame) {
-                self.overflow = Some(frame);
+                self.overflow = Some(Bytes::copy_from_slice(&frame));
                 return Ok(Buffered::Large(Box::new(self)));
             }
         }
--- a/src/serving/exchange.rs
+++ b/src/serving/exchange.rs
@@ -930,10 +930,11 @@
         request: &Rc<RoutedRequest>,
         pool: &Arc<str>,
         history: &mut attempt_history::History,
-        response: upstream_response::Response,
+        mut response: upstream_response::Response,
     ) -> Result<CallerResponse, attempt_history::Failure> {
         let status = response.http.status();
-        let headers = response_headers(response.http.headers());
+        // Headers that stay would keep the read buffer that they were cut from.
+        let headers = response_headers(std::mem::take(response.http.headers_mut()));
         if request.route.stream && status.is_success() {
             let (instance, version) = (response.instance.clone(), response.version.clone());
             let resume = self.clone().resume_fn(request.clone(), pool.clone(), history.clone());
@@ -1194,12 +1195,11 @@
 /// `Retry-After` of a request that did not run, in milliseconds.
 const NOT_RUN_RETRY_AFTER_MS: u64 = 100;
 
-fn response_headers(headers: &HeaderMap) -> HeaderMap {
-    let mut out = headers.clone();
+fn response_headers(mut headers: HeaderMap) -> HeaderMap {
     for name in &HOP_BY_HOP {
-        out.remove(name);
+        headers.remove(name);
     }
-    out
+    headers
 }
 
 fn error_message(kind: Kind) -> &'static str {
