--- a/src/serving/buffered.rs
+++ b/src/serving/buffered.rs
@@ -41,7 +41,7 @@
 
 /// Most bytes of a buffered body that are forwarded at once. The HTTP server copies them into the buffer of the caller's
 /// connection, which keeps its size.
-const PIECE_BYTES: usize = 16 << 10;
+const PIECE_BYTES: usize = 8 << 10;
 
 /// Result of buffering a response.
 #[derive(Debug)]
@@ -140,7 +140,7 @@
     failed: Option<Kind>,
     /// Bytes that were read and not yet forwarded.
     buffer: Buffer,
-    /// Frame after `buffer` that did not fit into it.
+    /// Copy of the frame after `buffer` that did not fit into it.
     overflow: Option<Bytes>,
     connections: connection_cache::Cache,
     deadline: Time,
@@ -171,7 +171,7 @@
     pub async fn buffer(mut self) -> Result<Buffered, attempt_history::Failure> {
         while let Some(frame) = self.receive().await.map_err(attempt_history::Failure::sent)? {
             if !self.buffer.push(&frame) {
-                self.overflow = Some(frame);
+                self.overflow = Some(Bytes::copy_from_slice(&frame));
                 return Ok(Buffered::Large(Box::new(self)));
             }
         }
