Read the witness connection itself when an end is confirmed

Question: can a host that stands still while an upstream exits take the end of an unframed answer for its completion? The state of the second connection is written by a task of its own. Since that task runs on the runtime and not in the host's LocalSet, which is polled first: after a pause of more than EXIT_TIME the confirmation woke before the task and read "open". The process that had exited had closed both connections by then.

Change: the confirmation looks at the socket (recv with PEEK and DONTWAIT) and does not rely on the task having run.

No early end was seen by real processes that is traced to it: the tests of `early_end` pause hosts before upstreams exit, not in the 29 ms after.

--- a/src/witness.rs
+++ b/src/witness.rs
@@ -3,9 +3,11 @@
 
 use std::{
     io::{self, ErrorKind},
+    sync::Arc,
     time::Duration,
 };
 
+use rustix::{io::Errno, net::RecvFlags};
 use tokio::{
     net::{TcpStream, ToSocketAddrs},
     sync::watch,
@@ -25,12 +27,12 @@
 const REJECT_TIME: Duration = Duration::from_millis(10);
 
 /// State of the second connection.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 enum State {
     /// It is not open yet, or cannot be opened.
     Absent,
-    /// It is open.
-    Open,
+    /// It was open when its task ran last.
+    Open(Arc<TcpStream>),
     /// The upstream closed it at this time.
     Closed(Time),
 }
@@ -60,9 +62,11 @@
     ) -> io::Result<()> {
         let ended_at = Time::now();
         sleep(EXIT_TIME.into()).await;
-        let state = *self.state.borrow();
+        let state = self.state.borrow().clone();
         match state {
-            State::Open => Ok(()),
+            // The task may not have run since the connection was closed.
+            State::Open(stream) if !is_open(&stream) => Err(ErrorKind::ConnectionAborted.into()),
+            State::Open(_) => Ok(()),
             State::Closed(at) if ended_at.since(at) < EXIT_TIME => {
                 Err(ErrorKind::ConnectionAborted.into())
             }
@@ -81,12 +85,19 @@
 async fn observe(address: impl ToSocketAddrs, state: watch::Sender<State>) {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let Ok(Ok(stream)) = connected else { return };
-    state.send_replace(State::Open);
+    let stream = Arc::new(stream);
+    state.send_replace(State::Open(stream.clone()));
     // Nothing is sent on the connection, so that bytes from the upstream end it as well.
     let _ = stream.peek(&mut [0]).await;
     state.send_replace(State::Closed(Time::now()));
 }
 
+/// Whether neither bytes nor the end have arrived on a connection.
+fn is_open(stream: &TcpStream) -> bool {
+    let received = rustix::net::recv(stream, &mut [0_u8; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT);
+    matches!(received, Err(Errno::AGAIN | Errno::INTR))
+}
+
 /// Opens a new connection to an upstream that has closed one.
 ///
 /// # Errors
--- a/tests/serving/unframed.rs
+++ b/tests/serving/unframed.rs
@@ -1,5 +1,7 @@
 //! Answers of upstreams with neither a length nor chunks, which end with their connection.
 
+use std::{io::ErrorKind, time::Duration};
+
 use almondrack::{
     error::{Error, Kind},
     serving::{
@@ -10,12 +12,14 @@
         usage::Meter,
     },
     time::Span,
+    witness::Witness,
 };
 use http::Method;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpListener,
-    task::LocalSet,
+    task::{LocalSet, spawn_local, yield_now},
+    time::sleep,
 };
 
 use crate::{
@@ -123,6 +127,27 @@
     }
 }
 
+/// Confirms the end of an answer whose upstream exits on a host that stands still then. Another process listens at the
+/// address afterwards.
+async fn confirm_end() -> Result<(), ErrorKind> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let witness = Witness::spawn(listener.local_addr().expect("the socket is bound"));
+    let (upstream, _) = listener.accept().await.expect("the host connects");
+    sleep(Duration::from_millis(20)).await;
+    let confirmed =
+        spawn_local(async move { witness.confirm_end(std::future::ready(Ok(()))).await });
+    yield_now().await;
+    drop(upstream);
+    std::thread::sleep(Duration::from_millis(100));
+    confirmed.await.expect("the task ends").map_err(|it| it.kind())
+}
+
+#[tokio::test]
+async fn an_upstream_that_exits_while_the_host_stands_still_confirms_no_end() {
+    let confirmed = LocalSet::new().run_until(confirm_end()).await;
+    assert_eq!(confirmed, Err(ErrorKind::ConnectionAborted));
+}
+
 #[tokio::test]
 async fn a_stream_that_ends_inside_an_event_is_broken_off() {
     let first = "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: one\n\nid: 2\ndata: t";
