--- a/tests/serving/unframed.rs
+++ b/tests/serving/unframed.rs
@@ -148,6 +148,37 @@
     assert_eq!(confirmed, Err(ErrorKind::ConnectionAborted));
 }
 
+/// Confirms an end that the host reads late, after the upstream has exited and another process listens at its address, or has
+/// only closed an idle connection.
+async fn confirm_late_end(exits: bool) -> Result<(), ErrorKind> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket is bound");
+    let witness = Witness::spawn(address);
+    let (upstream, _) = listener.accept().await.expect("the host connects");
+    sleep(Duration::from_millis(600)).await;
+    let mut listener = Some(listener);
+    if exits {
+        listener.take();
+    }
+    drop(upstream);
+    sleep(Duration::from_millis(200)).await;
+    let next = TcpListener::bind(address).await;
+    assert_eq!(next.is_ok(), exits);
+    let confirmed = witness.confirm_end(std::future::ready(Ok(()))).await;
+    confirmed.map_err(|it| it.kind())
+}
+
+#[tokio::test]
+// A caller that reads slowly delays the end. The upstream's process had ended, and the next one confirmed it.
+async fn an_end_that_is_read_after_the_next_process_listens_is_not_confirmed() {
+    assert_eq!(confirm_late_end(true).await, Err(ErrorKind::ConnectionRefused));
+}
+
+#[tokio::test]
+async fn an_upstream_that_closes_an_idle_connection_confirms_an_end() {
+    assert_eq!(confirm_late_end(false).await, Ok(()));
+}
+
 #[tokio::test]
 async fn a_stream_that_ends_inside_an_event_is_broken_off() {
     let first = "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: one\n\nid: 2\ndata: t";
