Test the wait for a process that closes its connections one by one

Question: does a test fail without EXIT_TIME, the wait before an end is confirmed?

Change: a test whose upstream closes the second connection 40 ms after the first one.

--- a/tests/serving/unframed.rs
+++ b/tests/serving/unframed.rs
@@ -148,6 +148,21 @@
     assert_eq!(confirmed, Err(ErrorKind::ConnectionAborted));
 }
 
+#[tokio::test]
+// A process with 4,000 connections took 29 ms to close them.
+async fn an_upstream_that_closes_its_connections_within_40_ms_confirms_no_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let witness = Witness::spawn(listener.local_addr().expect("the socket is bound"));
+    let (upstream, _) = listener.accept().await.expect("the host connects");
+    sleep(Duration::from_millis(20)).await;
+    let exit = async {
+        sleep(Duration::from_millis(40)).await;
+        drop(upstream);
+    };
+    let (confirmed, ()) = tokio::join!(witness.confirm_end(std::future::ready(Ok(()))), exit);
+    assert_eq!(confirmed.map_err(|it| it.kind()), Err(ErrorKind::ConnectionAborted));
+}
+
 /// Confirms an end that the host reads late, after the upstream has exited and another process listens at its address, or has
 /// only closed an idle connection.
 async fn confirm_late_end(exits: bool) -> Result<(), ErrorKind> {
