--- a/src/witness.rs
+++ b/src/witness.rs
@@ -30,15 +30,21 @@
 /// Time in which a proxy closes a connection that it accepted for an upstream which it does not reach.
 const REJECT_TIME: Duration = Duration::from_millis(10);
 
+/// Time after which an upstream may close an idle connection. One that was open for so long is opened again, which shows that
+/// the process lives on.
+const MIN_IDLE_TIME: Span = Span::from_ms(500);
+
 /// State of the second connection.
 #[derive(Debug, Clone)]
 enum State {
     /// It is not open yet, cannot be opened, or was reset at once, as by an upstream with too many connections.
     Absent,
-    /// It was open when the task last ran.
-    Open(Arc<TcpStream>),
+    /// It was open when the task last ran. The one before, if any, was closed at this time.
+    Open(Arc<TcpStream>, Option<Time>),
     /// The upstream closed it, or sent bytes, at this time.
     Closed(Time),
+    /// The upstream closed it, and no other one could be opened. Another process may listen at the address later.
+    Lost(ErrorKind),
 }
 
 /// Handle to the second connection. Dropping it closes the connection.
@@ -52,7 +58,10 @@
 
 impl Witness {
     /// Opens the connection in the background. Must be called in a runtime.
-    pub fn spawn(upstream: Arc<str>, address: impl ToSocketAddrs + Send + 'static) -> Witness {
+    pub fn spawn(
+        upstream: Arc<str>,
+        address: impl ToSocketAddrs + Send + Sync + 'static,
+    ) -> Witness {
         let (sender, state) = watch::channel(State::Absent);
         Witness { upstream, state, task: tokio::spawn(observe(address, sender)) }
     }
@@ -94,14 +103,16 @@
     ) -> io::Result<()> {
         sleep(EXIT_TIME.into()).await;
         let state = self.state.borrow().clone();
+        let closed_together = |at: Time| last_open.since(at) < EXIT_TIME;
         match state {
-            State::Open(stream) if is_open(&stream) => Ok(()),
-            State::Closed(at) if last_open.since(at) >= EXIT_TIME => {
-                // The upstream closed an idle connection.
-                reconnect.await
+            State::Open(_, Some(at)) | State::Closed(at) if closed_together(at) => {
+                Err(ErrorKind::ConnectionAborted.into())
             }
-            State::Absent => reconnect.await,
-            State::Open(_) | State::Closed(_) => Err(ErrorKind::ConnectionAborted.into()),
+            State::Open(stream, _) if is_open(&stream) => Ok(()),
+            State::Open(..) => Err(ErrorKind::ConnectionAborted.into()),
+            State::Lost(kind) => Err(kind.into()),
+            // The upstream may have closed an idle connection.
+            State::Closed(_) | State::Absent => reconnect.await,
         }
     }
 }
@@ -113,16 +124,34 @@
 }
 
 async fn observe(address: impl ToSocketAddrs, state: watch::Sender<State>) {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let Ok(Ok(stream)) = connected else { return };
-    let (stream, opened_at) = (Arc::new(stream), Time::now());
-    state.send_replace(State::Open(stream.clone()));
-    // Nothing is sent on the connection, so that bytes from the upstream end it as well.
-    let peeked = stream.peek(&mut [0]).await;
-    let now = Time::now();
-    let is_reset = peeked.is_err_and(|it| it.kind() == ErrorKind::ConnectionReset);
-    let is_rejected = is_reset && now.since(opened_at) < EXIT_TIME;
-    state.send_replace(if is_rejected { State::Absent } else { State::Closed(now) });
+    let mut closed_at = None;
+    loop {
+        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(&address)).await;
+        let stream = match connected.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())) {
+            Ok(stream) => Arc::new(stream),
+            Err(error) if closed_at.is_some() => {
+                state.send_replace(State::Lost(error.kind()));
+                return;
+            }
+            Err(_) => return,
+        };
+        let opened_at = Time::now();
+        state.send_replace(State::Open(stream.clone(), closed_at));
+        // Nothing is sent on the connection, so that bytes from the upstream end it as well.
+        let peeked = stream.peek(&mut [0]).await;
+        let now = Time::now();
+        let is_reset = peeked.is_err_and(|it| it.kind() == ErrorKind::ConnectionReset);
+        if is_reset && closed_at.is_none() && now.since(opened_at) < EXIT_TIME {
+            state.send_replace(State::Absent);
+            return;
+        }
+        closed_at = Some(now);
+        state.send_replace(State::Closed(now));
+        if now.since(opened_at) < MIN_IDLE_TIME {
+            return;
+        }
+        sleep(EXIT_TIME.into()).await;
+    }
 }
 
 /// Whether a connection on which nothing arrives is open. The runtime may not have noticed its end yet.
--- a/tests/serving/unframed.rs
+++ b/tests/serving/unframed.rs
@@ -1,6 +1,6 @@
 //! Answers of upstreams with neither a length nor chunks, which end with their connection.
 
-use std::time::Duration;
+use std::{future::ready, time::Duration};
 
 use almondrack::{
     error::{Error, Kind},
@@ -12,13 +12,14 @@
         usage::Meter,
     },
     time::{Span, Time},
-    witness::{self, Witness},
+    wire::Ending,
+    witness::Witness,
 };
 use http::Method;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpSocket, TcpStream},
-    task::LocalSet,
+    task::{LocalSet, spawn_local, yield_now},
     time::sleep,
 };
 
@@ -37,6 +38,12 @@
     Nothing(Kind),
 }
 
+/// What the end of an answer means whose upstream has exited.
+const EXITED: Result<(), (Kind, Ending)> = Err((Kind::UpstreamCut, Ending::Failed));
+
+/// Time for a confirmation.
+const LIMIT: Duration = Duration::from_secs(1);
+
 const EVENTS: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
 
 /// Runs a request before four upstreams that all answer alike. Returns what the caller got, and the requests that were
@@ -134,6 +141,73 @@
     }
 }
 
+/// Confirms the end of an answer whose upstream exits on a host that stands still then. Another process listens at the
+/// address afterwards.
+async fn confirm_end() -> Result<(), (Kind, Ending)> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let witness = Witness::spawn("i-1".into(), listener.local_addr().expect("the socket is bound"));
+    let (upstream, _) = listener.accept().await.expect("the host connects");
+    sleep(Duration::from_millis(20)).await;
+    let confirmed =
+        spawn_local(async move { witness.confirm_end(Time::now(), LIMIT, ready(Ok(()))).await });
+    yield_now().await;
+    drop(upstream);
+    std::thread::sleep(Duration::from_millis(100));
+    confirmed.await.expect("the task ends")
+}
+
+#[tokio::test]
+async fn an_upstream_that_exits_while_the_host_stands_still_confirms_no_end() {
+    let confirmed = LocalSet::new().run_until(confirm_end()).await;
+    assert_eq!(confirmed, EXITED);
+}
+
+#[tokio::test]
+// A process with 4,000 connections took 29 ms to close them.
+async fn an_upstream_that_closes_its_connections_within_40_ms_confirms_no_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let witness = Witness::spawn("i-1".into(), listener.local_addr().expect("the socket is bound"));
+    let (upstream, _) = listener.accept().await.expect("the host connects");
+    sleep(Duration::from_millis(20)).await;
+    let exit = async {
+        sleep(Duration::from_millis(40)).await;
+        drop(upstream);
+    };
+    let (confirmed, ()) =
+        tokio::join!(witness.confirm_end(Time::now(), LIMIT, ready(Ok(()))), exit);
+    assert_eq!(confirmed, EXITED);
+}
+
+/// Confirms an end that the host reads late, after the upstream has exited and another process listens at its address, or has
+/// only closed an idle connection.
+async fn confirm_late_end(exits: bool) -> Result<(), (Kind, Ending)> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket is bound");
+    let witness = Witness::spawn("i-1".into(), address);
+    let (upstream, _) = listener.accept().await.expect("the host connects");
+    sleep(Duration::from_millis(600)).await;
+    let mut listener = Some(listener);
+    if exits {
+        listener.take();
+    }
+    drop(upstream);
+    sleep(Duration::from_millis(200)).await;
+    let next = TcpListener::bind(address).await;
+    assert_eq!(next.is_ok(), exits);
+    witness.confirm_end(Time::now(), LIMIT, ready(Ok(()))).await
+}
+
+#[tokio::test]
+// A caller that reads slowly delays the end. The upstream's process had ended, and the next one confirmed it.
+async fn an_end_that_is_read_after_the_next_process_listens_is_not_confirmed() {
+    assert_eq!(confirm_late_end(true).await, EXITED);
+}
+
+#[tokio::test]
+async fn an_upstream_that_closes_an_idle_connection_confirms_an_end() {
+    assert_eq!(confirm_late_end(false).await, Ok(()));
+}
+
 #[tokio::test]
 async fn a_stream_that_ends_inside_an_event_is_broken_off() {
     let first = "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: one\n\nid: 2\ndata: t";
@@ -289,24 +363,3 @@
     };
     assert_eq!(LocalSet::new().run_until(play).await, Got::Whole("all of it".to_owned()));
 }
-
-#[tokio::test]
-async fn an_upstream_that_ends_while_the_thread_is_busy_has_not_outlived_its_answer() {
-    let play = async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-        let address = listener.local_addr().expect("the socket is bound");
-        let witness = Witness::spawn("i-1".into(), address);
-        let (second, _) = listener.accept().await.expect("the witness connects");
-        sleep(Duration::from_millis(10)).await;
-        let confirmation = tokio::task::spawn_local(async move {
-            let reconnect = async { witness::reconnect(address).await.map(drop) };
-            witness.confirm_end(Time::now(), Duration::from_secs(1), reconnect).await
-        });
-        tokio::task::yield_now().await;
-        drop((second, listener));
-        std::thread::sleep(Duration::from_millis(120));
-        confirmation.await.expect("the task ends")
-    };
-    let confirmed = LocalSet::new().run_until(play).await;
-    assert!(confirmed.is_err(), "the upstream counts as alive");
-}
