--- a/src/serving/crash_evidence.rs
+++ b/src/serving/crash_evidence.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     rendezvous,
-    serving::{messages, rate_limit},
+    serving::messages,
     suspicion::{Charge, CrashKey, Merge, Progress, Rules, Suspects},
     time::{Span, Time},
 };
@@ -31,13 +31,6 @@
 /// Crashes, whether separate or not, after which two separate ones are enough.
 const BURST_CRASHES: usize = 5;
 
-/// The same for a whole request: a copy ended several upstreams at once, and the one that was tried after that ended another.
-const REQUEST_BURST_CRASHES: usize = 4;
-
-/// Crashes, whether separate or not, from which a whole request is sent again by one host at a time. They may have a common
-/// cause, and hosts would send it at once as its upstreams return.
-const HELD_CRASHES: usize = 3;
-
 /// Separate crashes from which content is sent again only by new requests, and away from other requests.
 const SUSPECT_CRASHES: usize = 2;
 
@@ -72,10 +65,6 @@
 /// The same for content whose quarantine is not confirmed, as the delay is short beside the time that news takes.
 const UNCONFIRMED_TRIAL_SPREAD: u64 = 8;
 
-/// Requests per second with held content that all hosts together send. The news of a crash takes less than the time between
-/// two.
-const HELD_RATE: f64 = 0.6;
-
 /// Age from which a charge counts. By then other hosts have reported answers to the content, and requests that are more
 /// likely the cause of the crash.
 const SETTLE_TIME: Span = Span::from_ms(400);
@@ -123,20 +112,10 @@
     Clear,
     /// It may be sent, best away from other requests.
     Suspect,
-    /// It may be sent with a permit, or once another host has got an answer.
-    Held(Reason),
     /// It must not be sent.
     Quarantined(Reason),
 }
 
-/// Returns the request for a permit to send held content. Its permits are granted like those for a cold upstream.
-pub fn ask(now: Time, content: Content, tier: usize) -> rate_limit::Ask {
-    let (Content::Request(id) | Content::Part(id)) = content;
-    let upstream = rendezvous::hash(&[b"held", &id.to_be_bytes()]);
-    let limit = rate_limit::Limit::new(rate_limit::Rate::new(HELD_RATE), now);
-    rate_limit::Ask { upstream, limit, tier, is_cold: true }
-}
-
 /// Why a request is not sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Reason {
@@ -159,8 +138,6 @@
     is_quarantined: bool,
     /// Whether other requests were answered between the first and the last crash.
     is_confirmed: bool,
-    /// Whether it is sent by one host at a time until it is answered or crashes upstreams again.
-    is_held: bool,
     /// When this host last sent the content to try it again.
     tried_at: Option<Time>,
     /// Time of the first answer to another request of the pool after the last crash, at this host or as other hosts
@@ -215,7 +192,7 @@
 
     /// Decides about a request. `is_repeat` tells whether it was sent before.
     ///
-    /// Quarantined content is tried again from time to time, with one request. Held content needs a permit.
+    /// Quarantined content is tried again from time to time, with one request.
     pub fn judge(&self, now: Time, contents: &[Content], is_repeat: bool) -> Verdict {
         if self.suspects.is_empty() {
             return Verdict::Clear;
@@ -229,9 +206,6 @@
         if let Some(reason) = reasons.max_by_key(|it| (it.crashes, it.retry_after)) {
             return Verdict::Quarantined(reason);
         }
-        if let Some(reason) = contents.iter().find_map(|it| self.hold(now, *it)) {
-            return Verdict::Held(reason);
-        }
         let is_suspect = |it: &Content| self.is_suspect(now, *it);
         if contents.iter().any(is_suspect) { Verdict::Suspect } else { Verdict::Clear }
     }
@@ -242,9 +216,6 @@
             return;
         }
         for content in contents {
-            if self.is_held(*content) {
-                log::info!("{content} is held and tried again");
-            }
             if let Some(state) = self.state_mut(*content)
                 && state.is_quarantined
             {
@@ -330,9 +301,7 @@
                 self.charge(now, (suspicion.pool, content), charge);
             }
             // Answers that this host knows of may have cleared some of the charges.
-            if suspicion.is_quarantined
-                && self.is_enough(now, content, self.suspects.charges(content))
-            {
+            if suspicion.is_quarantined && self.is_enough(now, self.suspects.charges(content)) {
                 self.quarantine(now, content, "as another host reports");
                 if let Some(state) = self.state_mut(content) {
                     state.is_confirmed |= suspicion.is_confirmed;
@@ -352,17 +321,12 @@
         if !self.states.is_empty() {
             self.remove_expired(now);
             self.check_quarantine(now);
-            self.check_held(now);
         }
     }
 
     /// Returns what other hosts may not know yet, and all quarantined content.
     pub fn news(&self, now: Time) -> messages::Evidence {
-        let is_news = |it: &&State| {
-            it.is_quarantined
-                || self.is_held(it.content)
-                || now.since(it.changed_at) < NEWS_LIFETIME
-        };
+        let is_news = |it: &&State| it.is_quarantined || now.since(it.changed_at) < NEWS_LIFETIME;
         let mut states: Vec<_> = self.states.iter().filter(is_news).collect();
         states.sort_by_key(|it| {
             let count = self.suspects.charges(it.content).len();
@@ -439,17 +403,6 @@
         (!is_trial).then_some(Reason { content, crashes, age: now.since(last), retry_after })
     }
 
-    /// Returns why a whole request needs a permit, if it is held.
-    fn hold(&self, now: Time, content: Content) -> Option<Reason> {
-        let last = self.suspects.charges(content).last()?.at;
-        self.is_held(content).then(|| Reason {
-            content,
-            crashes: self.suspects.crashes(now, content),
-            age: now.since(last),
-            retry_after: Span((1e6 / HELD_RATE) as u64),
-        })
-    }
-
     /// Starts the turns at trying quarantined content of a pool with an answer of the pool, unless an earlier one did.
     fn start_turns(&mut self, pool: u64, answered_at: Time) {
         let suspects = &self.suspects;
@@ -501,40 +454,12 @@
         }
     }
 
-    /// Holds each whole request with several crashes that no other content explains.
-    fn check_held(&mut self, now: Time) {
-        let suspects = self.suspects.iter().filter(|it| it.1.len() >= HELD_CRASHES);
-        let requests = suspects.map(|it| it.0).filter(|it| matches!(it, Content::Request(_)));
-        let is_new = |it: &Content| self.state(*it).is_some_and(|it| !it.is_held);
-        let held: Vec<_> = requests
-            .filter(is_new)
-            .filter(|it| self.unexplained(now, *it).len() >= HELD_CRASHES)
-            .collect();
-        for content in held {
-            let crashes = self.suspects.charges(content).len();
-            let Some(state) = self.state_mut(content) else { continue };
-            state.is_held = true;
-            if !state.is_quarantined {
-                log::warn!(
-                    "{content} was running on {crashes} upstreams that crashed; it is sent by one host at a time until it \
-                     is answered"
-                );
-            }
-        }
-    }
-
-    /// Whether a whole request is held, and not quarantined.
-    fn is_held(&self, content: Content) -> bool {
-        let is_held = self.state(content).is_some_and(|it| it.is_held && !it.is_quarantined);
-        is_held && self.suspects.charges(content).len() >= HELD_CRASHES
-    }
-
-    /// Returns the charges against content that no other content explains.
+    /// Whether content is charged with enough crashes that no other content explains.
     ///
     /// The cause of crashes is charged with all of them, and so with more than content that was only sometimes there. An
     /// upstream crashes after it began an answer, mostly at once, so that a request whose answer had not begun is not the
     /// likely cause beside one that just had.
-    fn unexplained(&self, now: Time, content: Content) -> Vec<Charge> {
+    fn has_evidence(&self, now: Time, content: Content) -> bool {
         let charges = self.suspects.charges(content);
         let explains = |(other, its): &(Content, &[Charge]), charge: &Charge| {
             let Some(its_charge) = its.iter().find(|it| it.crash == charge.crash) else {
@@ -547,28 +472,20 @@
         };
         let is_explained = |it: &Charge| self.suspects.iter().any(|other| explains(&other, it));
         let is_settled = |it: &Charge| now.since(it.at) >= SETTLE_TIME;
-        charges.iter().filter(|it| is_settled(it) && !is_explained(it)).copied().collect()
-    }
-
-    /// Whether content is charged with enough crashes that no other content explains.
-    fn has_evidence(&self, now: Time, content: Content) -> bool {
-        let rest = self.unexplained(now, content);
+        let rest: Vec<_> =
+            charges.iter().filter(|it| is_settled(it) && !is_explained(it)).copied().collect();
         // Upstreams also lose answers and live on, so that a part needs more crashes if no answer had begun.
         let begun = rest.iter().filter(|it| it.progress.is_some()).count();
         let is_telling = matches!(content, Content::Request(_))
             || begun >= PROOF_BEGUN
             || rest.len() >= BURST_CRASHES;
-        self.is_enough(now, content, &rest) && is_telling
+        self.is_enough(now, &rest) && is_telling
     }
 
     /// Whether charges are enough for a quarantine.
-    fn is_enough(&self, now: Time, content: Content, charges: &[Charge]) -> bool {
+    fn is_enough(&self, now: Time, charges: &[Charge]) -> bool {
         let separate = self.suspects.separate(now, charges);
-        let burst = match content {
-            Content::Part(_) => BURST_CRASHES,
-            Content::Request(_) => REQUEST_BURST_CRASHES,
-        };
-        separate >= QUARANTINE_CRASHES || (separate > 1 && charges.len() >= burst)
+        separate >= QUARANTINE_CRASHES || (separate > 1 && charges.len() >= BURST_CRASHES)
     }
 
     /// Whether content may be the cause of several crashes. Upstreams also lose answers and live on, so that a part is a
@@ -583,7 +500,7 @@
     /// or crashed many times. A whole request is on few upstreams, and may crash them before they answer.
     fn has_proof(&self, now: Time, content: Content) -> bool {
         let crashes = self.suspects.crashes(now, content);
-        let is_enough = self.is_enough(now, content, self.suspects.charges(content));
+        let is_enough = self.is_enough(now, self.suspects.charges(content));
         let began =
             self.suspects.charges(content).iter().filter(|it| it.progress.is_some()).count();
         let is_telling = matches!(content, Content::Request(_)) || began >= PROOF_BEGUN;
@@ -638,7 +555,7 @@
             return;
         }
         let is_clear = self.suspects.charges(content).is_empty();
-        let is_enough = self.is_enough(now, content, self.suspects.charges(content));
+        let is_enough = self.is_enough(now, self.suspects.charges(content));
         let Some(state) = self.state_mut(content) else { return };
         let is_news = |it: (Time, Progress)| passed >= it.1 || now.since(it.0) >= NEWS_LIFETIME;
         if state.cleared.is_none_or(is_news) {
@@ -646,7 +563,6 @@
         }
         state.changed_at = now;
         state.is_confirmed &= !is_clear;
-        state.is_held &= !is_clear;
         if !is_enough && std::mem::take(&mut state.is_quarantined) {
             state.is_confirmed = false;
             log::info!("{content} was answered; requests with it are sent again");
@@ -664,7 +580,7 @@
             Err(at) => self.survivors.insert(at, (crash, until, now)),
         }
         for content in affected {
-            let is_enough = self.is_enough(now, content, self.suspects.charges(content));
+            let is_enough = self.is_enough(now, self.suspects.charges(content));
             if let Some(state) = self.state_mut(content)
                 && !is_enough
                 && std::mem::take(&mut state.is_quarantined)
@@ -724,7 +640,6 @@
                     pool,
                     is_quarantined: false,
                     is_confirmed: false,
-                    is_held: false,
                     tried_at: None,
                     answered_since: None,
                     cleared: None,
--- a/src/serving/placement.rs
+++ b/src/serving/placement.rs
@@ -13,7 +13,7 @@
     serving::{
         admission,
         backoff::{Backoff, Gate},
-        crash_evidence::{self, Content, Evidence, Reason, Verdict},
+        crash_evidence::{Content, Evidence, Reason, Verdict},
         demand,
         dialect::Prompt,
         evacuation::Zones,
@@ -110,12 +110,6 @@
 /// Incarnations that are not listed of which is kept that they leave.
 const MAX_UNLISTED_LEAVING: usize = 1_024;
 
-/// Requests that wait for another host's trial of their content at most. Their bodies are kept meanwhile.
-const MAX_SUSPENDED: usize = 256;
-
-/// Time before its deadline at which a request no longer waits for that.
-const MIN_TIME_LEFT: Span = Span::from_ms(100);
-
 /// Requests of a pool that find no room in one round, after which the less urgent ones are not looked at.
 const MAX_MISSES: usize = 4;
 
@@ -297,15 +291,6 @@
     is_asking: bool,
 }
 
-/// A ticket that waits for a permit to send its content, or for the answer to another one with it.
-#[derive(Debug)]
-struct Suspended {
-    /// As it would wait for room.
-    waiting: WaitingTicket,
-    /// Time before which no permit is granted.
-    ask_at: Time,
-}
-
 /// Where a ticket goes.
 #[derive(Debug, Clone, Copy)]
 enum Choice {
@@ -367,8 +352,6 @@
     placed: Vec<messages::Placement>,
     /// Sorted by tier, then in the order of arrival.
     waiting: Vec<WaitingTicket>,
-    /// Requests with held content, in the order of arrival.
-    suspended: Vec<Suspended>,
     /// Limits of incarnations that are not listed now, as an entry can lapse while its upstream goes on.
     unlisted_limits: Vec<(u64, rate_limit::Limit)>,
     /// Incarnations that leave and are not listed now, oldest knowledge first.
@@ -405,7 +388,6 @@
             reports: Vec::new(),
             placed: Vec::new(),
             waiting: Vec::new(),
-            suspended: Vec::new(),
             unlisted_limits: Vec::new(),
             unlisted_leaving: Vec::new(),
             unlisted_backoffs: Vec::new(),
@@ -600,80 +582,7 @@
             actions.push(Action::Quarantine(ticket.key, reason));
             return;
         }
-        if let Verdict::Held(reason) = verdict
-            && self.untried(ticket).next().is_some()
-        {
-            let waiting =
-                WaitingTicket { ticket: ticket.clone(), start_by, held, is_asking: false };
-            self.suspend(now, Suspended { waiting, ask_at: now }, reason, actions);
-            return;
-        }
-        self.place_allowed(now, ticket, (start_by, held), verdict != Verdict::Clear, actions);
-    }
-
-    /// Makes a request with held content ask for a permit, if it is time for that, and wait. Refuses it if it cannot wait.
-    fn suspend(&mut self, now: Time, mut it: Suspended, reason: Reason, actions: &mut Vec<Action>) {
-        let ticket = &it.waiting.ticket;
-        let is_late = now + MIN_TIME_LEFT >= ticket.deadline;
-        if is_late || self.suspended.len() >= MAX_SUSPENDED {
-            actions.push(Action::Quarantine(ticket.key, reason));
-            return;
-        }
-        let upstream = self.untried(ticket).next().map(|it| it.0);
-        if let Some(upstream) = upstream.filter(|_| now >= it.ask_at) {
-            let ask = crash_evidence::ask(now, reason.content, tier_index(ticket));
-            actions.push(Action::Ask(ticket.key, upstream, ask));
-            it.waiting.is_asking = true;
-        }
-        self.suspended.push(it);
-    }
-
-    /// Places the tickets with held content, or goes on waiting.
-    fn place_suspended(&mut self, now: Time, actions: &mut Vec<Action>) {
-        for it in std::mem::take(&mut self.suspended) {
-            if it.waiting.is_asking {
-                self.suspended.push(it);
-                continue;
-            }
-            let WaitingTicket { ticket, start_by, held, .. } = &it.waiting;
-            match self.evidence.judge(now, &ticket.contents, !ticket.tried.is_empty()) {
-                Verdict::Held(reason) => self.suspend(now, it, reason, actions),
-                _ => self.place(now, ticket, (*start_by, *held), actions),
-            }
-        }
-    }
-
-    /// Records the answer to a request for a permit to send held content.
-    fn trial_answered(
-        &mut self,
-        now: Time,
-        at: usize,
-        decision: rate_limit::Decision,
-        actions: &mut Vec<Action>,
-    ) {
-        if let rate_limit::Decision::Denied(delay) = decision {
-            let it = &mut self.suspended[at];
-            it.waiting.is_asking = false;
-            it.ask_at = now + delay;
-            return;
-        }
-        let WaitingTicket { ticket, start_by, held, .. } = self.suspended.remove(at).waiting;
-        match self.evidence.judge(now, &ticket.contents, !ticket.tried.is_empty()) {
-            Verdict::Held(_) => self.place_allowed(now, &ticket, (start_by, held), true, actions),
-            _ => self.place(now, &ticket, (start_by, held), actions),
-        }
-    }
-
-    /// Places a ticket whose content may be sent, makes it wait or refuses it.
-    fn place_allowed(
-        &mut self,
-        now: Time,
-        ticket: &Ticket,
-        (start_by, held): (Option<Time>, Option<Time>),
-        is_suspect: bool,
-        actions: &mut Vec<Action>,
-    ) {
-        match self.choose(now, ticket, is_suspect, held) {
+        match self.choose(now, ticket, verdict == Verdict::Suspect, held) {
             Choice::Upstream(best) => {
                 let Some(upstream) = self.upstream_mut(best.key) else {
                     unreachable!("a selected candidate is one of the listed upstreams")
@@ -804,14 +713,7 @@
         (decision, limit): (rate_limit::Decision, rate_limit::Limit),
         actions: &mut Vec<Action>,
     ) {
-        let is_suspended = |it: &Suspended| it.waiting.ticket.key == ticket;
         let is_in_time = now < asked_at + rate_limit::PERMIT_LIFETIME;
-        if let Some(at) = self.suspended.iter().position(is_suspended) {
-            let decision =
-                if is_in_time { decision } else { rate_limit::Decision::Denied(Span(0)) };
-            self.trial_answered(now, at, decision, actions);
-            return;
-        }
         let mut is_granted = decision == rate_limit::Decision::Granted && is_in_time;
         match self.upstream_mut(upstream) {
             Some(state) => {
@@ -849,7 +751,6 @@
 
     /// Places the tickets that wait for room, most urgent first.
     pub fn place_waiting(&mut self, now: Time, actions: &mut Vec<Action>) {
-        self.place_suspended(now, actions);
         self.place_limited(now, actions);
         self.place_held(now, actions);
     }
@@ -867,7 +768,6 @@
     /// Forgets a ticket whose caller has left.
     pub fn withdraw(&mut self, ticket: TicketKey) {
         self.waiting.retain(|it| it.ticket.key != ticket);
-        self.suspended.retain(|it| it.waiting.ticket.key != ticket);
         self.held.remove(ticket);
     }
 
--- a/tests/serving/crash_evidence.rs
+++ b/tests/serving/crash_evidence.rs
@@ -2,10 +2,9 @@
 
 use almondrack::{
     serving::{
-        crash_evidence::{self, Content, Evidence, Verdict},
+        crash_evidence::{Content, Evidence, Verdict},
         exchange::contents,
         messages,
-        rate_limit::{Decision, Limiter},
     },
     suspicion::Progress,
     time::{Span, Time},
@@ -38,14 +37,12 @@
     /// Hosts that exchange no news.
     cut_off: Vec<usize>,
     crashes: u64,
-    /// Grants permits to send held content.
-    limiter: Limiter,
 }
 
 impl Fleet {
     fn new(hosts: u64) -> Fleet {
         let hosts = (0..hosts).map(Evidence::new).collect();
-        Fleet { hosts, now_ms: 0, cut_off: Vec::new(), crashes: 0, limiter: Limiter::default() }
+        Fleet { hosts, now_ms: 0, cut_off: Vec::new(), crashes: 0 }
     }
 
     fn now(&self) -> Time {
@@ -103,14 +100,8 @@
 
     fn send(&mut self, host: usize, contents: &[Content]) -> Verdict {
         let now = self.now();
-        let mut verdict = self.hosts[host].judge(now, contents, false);
-        if let Verdict::Held(reason) = verdict {
-            let ask = crash_evidence::ask(now, reason.content, 0);
-            if self.limiter.ask(now, Some(0), ask) == Decision::Granted {
-                verdict = Verdict::Suspect;
-            }
-        }
-        if matches!(verdict, Verdict::Clear | Verdict::Suspect) {
+        let verdict = self.hosts[host].judge(now, contents, false);
+        if !matches!(verdict, Verdict::Quarantined(_)) {
             self.hosts[host].record_send(now, contents);
         }
         verdict
@@ -119,8 +110,7 @@
     /// Hosts that send requests with the content.
     fn senders(&mut self, content: Content) -> Vec<usize> {
         let hosts = 0..self.hosts.len();
-        let may_send = |it: Verdict| matches!(it, Verdict::Clear | Verdict::Suspect);
-        hosts.filter(|it| may_send(self.judge(*it, content))).collect()
+        hosts.filter(|it| !matches!(self.judge(*it, content), Verdict::Quarantined(_))).collect()
     }
 }
 
@@ -667,87 +657,3 @@
     fleet.pass(600);
     assert_eq!(fleet.senders(DEADLY), [0; 0]);
 }
-
-/// A request that runs on one upstream alone.
-const SINGLE: Content = Content::Request(0xb);
-
-/// A pool of three ends within 0.2 s under copies of a request at three hosts, with another one beside it, and is back 3.3 s
-/// later.
-fn ended_at_once(hosts: u64) -> Fleet {
-    let mut fleet = Fleet::new(hosts);
-    for upstream in 0..3 {
-        fleet.crashes += 1;
-        let (now, crash) = (fleet.now(), (fleet.crashes, None));
-        let host = &mut fleet.hosts[upstream % hosts as usize];
-        host.record_crash(now, POOL, crash, &[REPEATED]);
-        if upstream == 0 {
-            host.record_crash(now, POOL, crash, &[SINGLE]);
-        }
-        fleet.now_ms += 50;
-    }
-    fleet.pass(3_300);
-    fleet
-}
-
-/// All hosts send the request whenever they may, for 12 s. Each send ends its upstream or is answered 60 ms later, as other
-/// hosts know after an interval of news. Returns the time of each send.
-fn send_everywhere(fleet: &mut Fleet, is_deadly: bool) -> Vec<u64> {
-    let mut sends: Vec<(usize, u64)> = Vec::new();
-    let mut news = Vec::new();
-    for step in 0..600 {
-        let (now, now_ms) = (fleet.now(), fleet.now_ms);
-        for (host, _) in sends.iter().filter(|it| it.1 + 60 == now_ms) {
-            fleet.crashes += 1;
-            match is_deadly {
-                true => {
-                    fleet.hosts[*host].record_crash(now, POOL, (fleet.crashes, None), &[REPEATED])
-                }
-                false => fleet.hosts[*host].record_progress(now, &[REPEATED], Progress::WHOLE),
-            }
-        }
-        if step % 10 == 0 {
-            for (to, host) in fleet.hosts.iter_mut().enumerate() {
-                let others = news.iter().enumerate().filter(|it| it.0 != to);
-                others.for_each(|it: (_, &messages::Evidence)| host.merge(now, now, it.1));
-            }
-            fleet.answer_others(&[COMMON]);
-            fleet.hosts.iter_mut().for_each(|it| it.review(now));
-            let span = Span::from_ms(NEWS_INTERVAL_MS);
-            news = fleet.hosts.iter().map(|it| it.news(now).aged(span)).collect();
-        }
-        sends.extend(fleet.senders(REPEATED).into_iter().map(|it| (it, now_ms)));
-        fleet.now_ms += 20;
-    }
-    sends.into_iter().map(|it| it.1).collect()
-}
-
-// Three crashes within 0.2 s are one separate crash, as those of a power failure would be.
-#[test]
-fn a_request_that_ends_a_whole_small_pool_at_once_is_sent_again_by_one_host_at_a_time() {
-    for hosts in [1, 3, 4, 6, 8, 12] {
-        let mut fleet = ended_at_once(hosts);
-        let sends = send_everywhere(&mut fleet, true);
-        assert!((1..=3).contains(&sends.len()), "{hosts} hosts sent it at {sends:?}");
-    }
-}
-
-#[test]
-fn sound_requests_are_sent_by_all_hosts_soon_after_a_power_failure_of_their_pool() {
-    let mut delays = Vec::new();
-    for hosts in [1, 3, 4, 6, 8, 12] {
-        let mut fleet = ended_at_once(hosts);
-        assert_eq!(fleet.senders(SINGLE).len(), hosts as usize, "it ran on one upstream");
-        let now = fleet.now();
-        let is_held = |it: &Evidence| matches!(it.judge(now, &[REPEATED], false), Verdict::Held(_));
-        assert!(fleet.hosts.iter().all(is_held), "{hosts} hosts");
-        let back = fleet.now_ms;
-        let sends = send_everywhere(&mut fleet, false);
-        let delay = sends[0] - back;
-        delays.push((hosts, delay));
-        // Its answer takes 60 ms, and its news up to 400 ms.
-        let later = sends.iter().filter(|it| **it >= sends[0] + 500).count() as u64;
-        let steps = (11_980 - delay - 500) / 20 + 1;
-        assert_eq!(later, steps * hosts, "{hosts} hosts, first sent after {delay} ms");
-    }
-    assert!(delays.iter().all(|it| it.1 == 0), "hosts and ms until the first send: {delays:?}");
-}
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -10,7 +10,7 @@
         loads::Loads,
         messages::{Change, Evidence, Load, Prefix, Suspicion},
         placement::{Action, Grant, Placement, Ticket},
-        rate_limit::{Decision, Limit, Limiter, Named, Rate},
+        rate_limit::{Decision, Limit, Named, Rate},
         registry::State,
         scaling::Capacity,
         tier::{self, TIERS},
@@ -613,62 +613,3 @@
         assert_eq!(is_granted, went_on && is_same_process, "{actions:?}");
     }
 }
-
-// All engines end at once under copies of one request, as in a power failure, and are back 3.3 s later.
-#[test]
-fn a_request_that_ran_on_a_whole_pool_waits_for_a_trial_and_goes_on_with_its_answer() {
-    for is_deadly in [false, true] {
-        let mut engines = engines(3);
-        let mut host = host("host", &engines);
-        let request = |number, deadline_ms| {
-            let contents = vec![Content::Request(0xfeed)];
-            Ticket { contents, deadline: at(deadline_ms), ..ticket(number, prompt(&[], 0, 10)) }
-        };
-        let mut tried = Vec::new();
-        let mut attempts = Vec::new();
-        for number in 0..3 {
-            let ticket = Ticket { tried: tried.clone(), ..request(number, 60_000) };
-            let grant = grant(&mut host, at(0), &ticket);
-            tried.push(grant.upstream);
-            attempts.push(grant.attempt);
-        }
-        attempts.into_iter().for_each(|it| _ = host.attempt_ended(at(50), it, Ending::Failed));
-        host.evidence_news(at(600));
-        engines.iter_mut().for_each(|it| it.started_ms += 1);
-        host.set_upstreams(&engines);
-        // One of them comes so late that it cannot wait.
-        let mut actions = Vec::new();
-        host.submit(at(3_300), &request(9, 3_390), &mut actions);
-        (10..14).for_each(|it| host.submit(at(3_300), &request(it, 60_000), &mut actions));
-        let mut limiter = Limiter::default();
-        let mut sent = Vec::new();
-        let mut refused = Vec::new();
-        for ms in (3_300..20_000).step_by(20) {
-            host.place_waiting(at(ms), &mut actions);
-            while let Some(action) = actions.pop() {
-                match action {
-                    Action::Ask(key, upstream, ask) => {
-                        let answer = (limiter.ask(at(ms), Some(0), ask), Limit::default());
-                        host.permit_answered(at(ms), (key, upstream), at(ms), answer, &mut actions);
-                    }
-                    Action::Grant(key, grant) => sent.push((key.0, ms, grant.attempt)),
-                    Action::Quarantine(key, _) => refused.push(key.0),
-                    other => panic!("{other:?}"),
-                }
-            }
-            if let Some((_, first_ms, attempt)) = sent.first()
-                && *first_ms + 60 == ms
-            {
-                let ending = if is_deadly { Ending::Failed } else { Ending::Done };
-                host.attempt_ended(at(ms), *attempt, ending);
-            }
-            host.evidence_news(at(ms));
-        }
-        // The others go on with the answer.
-        let times: Vec<_> = sent.iter().map(|it| it.1).collect();
-        match is_deadly {
-            false => assert_eq!((times, refused), (vec![3_300, 3_380, 3_380, 3_380], vec![9])),
-            true => assert_eq!((times, refused.len()), (vec![3_300], 4)),
-        }
-    }
-}
