Count the bytes that hosts tell each other, and log roles

The logs could not tell what fills a hub's link: the requests of callers, the copies of the store's keys, or loads and placed parts. Nor did they say which host is a hub at which time.

Each response to a sync request is now counted by content and side (almondrack_sync_bytes_total), each request by its time and outcome (almondrack_sync_seconds); the sums and each change of role are logged.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -20,6 +20,9 @@
 /// Upper bounds of the buckets of the age of a copy of the store's keys, in seconds.
 const COPY_AGE_BUCKETS: [f64; 10] = [0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0];
 
+/// Upper bounds of the buckets of the time of a sync request, in seconds.
+const SYNC_BUCKETS: [f64; 9] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.8, 1.2];
+
 /// How a request ended for its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -58,6 +61,8 @@
     copy_age: HistogramVec,
     change_age: HistogramVec,
     store_calls: IntCounterVec,
+    sync_bytes: IntCounterVec,
+    sync_time: HistogramVec,
     limited_sends: IntCounterVec,
     permits: IntCounterVec,
     cold_permits: IntCounterVec,
@@ -127,6 +132,11 @@
             "Calls to the platform's store, by cause, call and outcome.",
             &["cause", "call", "outcome"],
         )?;
+        let sync_bytes = counter(
+            "almondrack_sync_bytes_total",
+            "Bytes of responses to sync requests, by whether this host served or received them, and by content.",
+            &["side", "content"],
+        )?;
         let limited_sends = counter(
             "almondrack_limited_sends_total",
             "Requests sent to upstreams that name a rate limit, by attempt.",
@@ -241,6 +251,13 @@
             "Longest time since which a change may have been in the store when this host applies it, by the source of the change.",
             &["keys", "source"],
         )?;
+        let opts = HistogramOpts::new(
+            "almondrack_sync_seconds",
+            "Time until another host responded to a sync request of this host, or until the request failed.",
+        );
+        let opts = opts.buckets(SYNC_BUCKETS.to_vec());
+        let sync_time = HistogramVec::new(opts, &["outcome"])?;
+        registry.register(Box::new(sync_time.clone()))?;
         let waiting = gauge("almondrack_waiting_requests", "Requests that wait for a place.")?;
         let waiting_age_ms = gauge(
             "almondrack_waiting_age_ms",
@@ -272,6 +289,8 @@
             copy_age,
             change_age,
             store_calls,
+            sync_bytes,
+            sync_time,
             limited_sends,
             permits,
             cold_permits,
@@ -341,6 +360,17 @@
         self.store_calls.with_label_values(&[cause, call, outcome]).inc();
     }
 
+    /// Counts bytes of a response to a sync request that this host `served` or `received`.
+    pub fn synced(&self, side: &str, content: &str, bytes: u64) {
+        self.sync_bytes.with_label_values(&[side, content]).inc_by(bytes);
+    }
+
+    /// Observes the time until a sync request of this host was `answered` or `failed`.
+    pub fn sync_ended(&self, outcome: &str, time: Span) {
+        let histogram = self.sync_time.with_label_values(&[outcome]);
+        histogram.observe(Duration::from(time).as_secs_f64());
+    }
+
     /// Counts a request that is sent to an upstream that names a rate limit: `first`, `retry` or `resume`.
     pub fn limited_send(&self, attempt: &str) {
         self.limited_sends.with_label_values(&[attempt]).inc();
@@ -436,7 +466,17 @@
 
     /// Number of calls to the platform's store so far, by cause, call and outcome, for a log line.
     pub fn store_calls(&self) -> String {
-        let families = self.store_calls.collect();
+        Metrics::list(&self.store_calls)
+    }
+
+    /// Bytes of responses to sync requests so far, by side and content, for a log line.
+    pub fn sync_bytes(&self) -> String {
+        Metrics::list(&self.sync_bytes)
+    }
+
+    /// Lists the values of a counter by their labels.
+    fn list(counter: &IntCounterVec) -> String {
+        let families = counter.collect();
         let counters = families.iter().flat_map(|it| it.get_metric());
         let texts = counters.map(|it| {
             let labels: Vec<_> = it.get_label().iter().map(|it| it.value()).collect();
--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -128,6 +128,21 @@
     }
 }
 
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self.group {
+            GroupRole::PrimaryHub => "the primary hub of its group",
+            GroupRole::Hub => "a hub of its group",
+            GroupRole::Member => "a member of its group",
+        })?;
+        f.write_str(match self.follower {
+            follower::Rank::Primary => " and the primary follower of the store",
+            follower::Rank::Secondary => " and a follower of the store",
+            follower::Rank::None => "",
+        })
+    }
+}
+
 /// Selects the mode in which each prefix is followed.
 ///
 /// A few hosts verify for all others that their copies are current. Hubs watch the configuration
@@ -390,6 +405,7 @@
         messages: messages.clone(),
         role: role.clone(),
         tracker: tracker.clone(),
+        metrics: options.metrics.clone(),
     };
     task::spawn_local(client().run(dispatcher.clone()));
     task::spawn_local(client().run_as_hub());
@@ -973,8 +989,7 @@
             }
         };
         self.meter.merge(request.counts);
-        // The requesting host may have timed out.
-        let _ = reply.send(messages::Response {
+        let response = messages::Response {
             host: self.host.clone(),
             is_current: self.is_current(now),
             follows_store: now.since(self.store_answered_at) < STORE_ANSWER_MAX_AGE,
@@ -983,7 +998,12 @@
             loads,
             placed,
             placed_next,
-        });
+        };
+        for (content, bytes) in response.sizes() {
+            self.metrics.synced("served", content, bytes);
+        }
+        // The requesting host may have timed out.
+        let _ = reply.send(response);
     }
 
     fn apply_due(&mut self) {
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -70,8 +70,8 @@
 /// Interval between sweeps of idle connections to upstreams.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Interval between log lines with the counts of calls to the store.
-const STORE_CALLS_INTERVAL: Duration = Duration::from_millis(15_000);
+/// Interval between log lines with the calls to the store and the bytes of sync responses.
+const TRAFFIC_INTERVAL: Duration = Duration::from_millis(15_000);
 
 /// Time for the load balancer to notice that the host is not ready. It probes once a second and
 /// removes a host after two failed probes.
@@ -271,7 +271,7 @@
             .await
             .wrap_err_with(|| format!("cannot listen for callers on {}", settings.callers))?;
         let readiness = bind(settings.readiness, readiness_content(&fleet, &draining_seen)).await?;
-        task::spawn_local(log_store_calls(metrics.clone()));
+        task::spawn_local(log_traffic(metrics.clone()));
         let metrics = match settings.metrics {
             Some(address) => Some(bind(address, metrics_content(metrics, &fleet)).await?),
             None => None,
@@ -468,11 +468,13 @@
     receiver
 }
 
-/// Logs the counts of calls to the store at intervals, as each call is charged.
-async fn log_store_calls(metrics: Metrics) {
+/// Logs the counts of calls to the store and the bytes of sync responses at intervals. Each call is charged, and the bytes
+/// take a part of a link that requests need.
+async fn log_traffic(metrics: Metrics) {
     loop {
-        sleep(STORE_CALLS_INTERVAL).await;
+        sleep(TRAFFIC_INTERVAL).await;
         log::info!("calls to the store so far: {}", metrics.store_calls());
+        log::info!("bytes of sync responses so far: {}", metrics.sync_bytes());
     }
 }
 
--- a/src/serving/messages.rs
+++ b/src/serving/messages.rs
@@ -3,6 +3,7 @@
 //! Encoded by bincode, so that the order and types of fields are part of the protocol.
 //! [`Counts`] is also stored as JSON.
 
+use bincode::Options as _;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -293,6 +294,25 @@
     pub placed_next: u64,
 }
 
+/// Names of the prefixes of a response, by index.
+const PREFIX_NAMES: [&str; 7] =
+    ["configuration", "upstreams", "fleet", "limits", "evidence", "reports", "evacuations"];
+
+impl Response {
+    /// Returns the encoded size of each content in bytes.
+    pub fn sizes(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        let prefixes = PREFIX_NAMES.into_iter().zip(self.prefixes.iter().map(encoded_size));
+        prefixes
+            .chain([("loads", encoded_size(&self.loads)), ("placed", encoded_size(&self.placed))])
+    }
+}
+
+/// Size of a value in a message, in bytes.
+fn encoded_size<T: Serialize>(value: &T) -> u64 {
+    // Fails only for sequences of unknown length, which messages do not contain.
+    bincode::options().serialized_size(value).unwrap_or(0)
+}
+
 /// Request for a permit to send one request to an upstream that names a rate limit.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct PermitRequest {
--- a/src/serving/sync_client.rs
+++ b/src/serving/sync_client.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    metrics::Metrics,
     serving::{
         dispatcher::{Dispatcher, LocalLoad},
         fleet_state::{GroupRole, Message, Role, SYNC_INTERVAL, Topic},
@@ -83,6 +84,7 @@
     pub(super) role: Rc<watch::Sender<Role>>,
     /// Shared by the sync clients of a host.
     pub(super) tracker: Rc<RefCell<Tracker>>,
+    pub(super) metrics: Metrics,
 }
 
 /// State about the hosts to which requests were sent.
@@ -181,7 +183,10 @@
             }
             let hubs = client.hubs(&roster, &group);
             let role = client.role_among(&roster, &hubs);
-            client.role.send_if_modified(|it| std::mem::replace(it, role) != role);
+            let is_new = |it: &mut Role| std::mem::replace(it, role) != role;
+            if client.role.send_if_modified(is_new) {
+                log::info!("this host is now {role}");
+            }
             let others: Vec<_> = hubs.into_iter().filter(|it| *it != client.address).collect();
             let turn = tick / LARGE_FLEET_STRIDE;
             let next = others.iter().cycle().skip(turn % others.len().max(1)).take(others.len());
@@ -340,6 +345,11 @@
     ) {
         let sent_at = Time::now();
         let response = self.peers.sync(address, request).await;
+        let outcome = if response.is_some() { "answered" } else { "failed" };
+        self.metrics.sync_ended(outcome, Time::now().since(sent_at));
+        for (content, bytes) in response.iter().flat_map(messages::Response::sizes) {
+            self.metrics.synced("received", content, bytes);
+        }
         self.tracker.borrow_mut().in_flight.retain(|it| *it != address);
         self.handle_response(address, sent_at, response, group).await;
     }
