Show that placed parts circulate between hubs

Two tests with 18 hosts in three zones and real connections: ten parts are reported once, then nothing happens.

--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -214,9 +214,9 @@
 }
 
 /// A fleet with its store.
-struct Fleet {
+pub(crate) struct Fleet {
     store: MemoryStore,
-    hosts: Vec<fleet_state::Handle>,
+    pub(crate) hosts: Vec<fleet_state::Handle>,
     /// Indices of the hosts that follow the store.
     followers: Vec<usize>,
     upstreams: Vec<watch::Receiver<Rc<Vec<Entry>>>>,
@@ -229,7 +229,7 @@
 
 impl Fleet {
     /// Starts hosts in three availability zones and waits until they have found their hubs.
-    async fn spawn(count: usize) -> Fleet {
+    pub(crate) async fn spawn(count: usize) -> Fleet {
         let store = MemoryStore::new();
         store.put(CONFIGURATION, b"1");
         let leaving = Rc::new(Cell::new(false));
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -30,6 +30,7 @@
 mod stream;
 mod stream_origin;
 mod stream_records;
+mod sync_traffic;
 mod tunnel;
 mod unframed;
 mod usage;
