Keep what a hub tells others within half of its link

And all members asked it for the same configuration of 1,000 routes (0.58 MB) at once, which takes 10 s over that link; each transfer ran into its time-out of 1.2 s and began again in full. The hub's own connects (250 ms) and calls to the store waited behind all that.

Evidence: edge-ub-north-19 is hub from 3.3 s, serves 1.5 MB of parts, reaches no upstream at 4.9 s, serves 4.5 MB of configuration, and is cut off for 3.7 s.

Change: hubs of other zones are told of parts of the last second only. sync_budget is a token bucket of half the link (new setting link-mbps, from the platform's settings), with at most 200 ms saved up, less than a connect may take. Proofs, limits, evidence and loads go in any case; a large update goes if there is room, with a later response if it takes up to 100 ms, else it is withheld, and the member reads it from the store once its other hub had time to send it. A member that the store turns away gets it after a second, one after the other. Reports and the oldest parts are left out first. Hosts of earlier builds ignore the mark of a withheld update, as it lies before what they ask for.

Each test fails with its mechanism taken out: a_new_hub_gets_no_old_parts_from_other_zones: hears of 10 parts a_hub_on_a_slow_link_sends_no_more_than_that_carries: 8,160,386 bytes in a second (1,250,000 allowed) without a budget a_large_configuration_is_in_force_in_time_where_hubs_have_slow_links: 4.96 s (2 s allowed) if the store is not read

--- a/src/serving.rs
+++ b/src/serving.rs
@@ -53,6 +53,7 @@
 pub mod stream;
 pub mod stream_origin;
 pub mod stream_records;
+pub mod sync_budget;
 mod sync_client;
 pub mod table;
 pub mod tier;
--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -38,6 +38,7 @@
         registry::{DecodeError, Entry},
         reported_load,
         roster::{self, Roster},
+        sync_budget::{Budget, Transmission},
         sync_client,
         table::Table,
         upstream_list,
@@ -90,6 +91,16 @@
 /// Index of the prefix in a response that holds evacuations.
 const EVACUATIONS_INDEX: usize = REPORTS_INDEX + 1;
 
+/// Size of an update from which a host withholds it if its link has no room, in bytes. The requesting host then reads it from
+/// the store, which costs a call.
+const LARGE_UPDATE_BYTES: u64 = 16 << 10;
+
+/// Time in which a host asks its other hub for an update that one has withheld.
+const OTHER_HUB_TIME: Span = Span::from_ms(150);
+
+/// Time for which a host follows the store itself after a hub has withheld an update; enough for a large one over a slow link.
+const WITHHELD_TIME: Span = Span::from_ms(2_000);
+
 /// Interval between samples of the age of the copies.
 const AGE_SAMPLE_INTERVAL: Span = Span::from_ms(1_000);
 
@@ -299,6 +310,8 @@
     pub calls: mpsc::Receiver<Call>,
     /// Reports of upstreams that other hosts heard.
     pub reports: mpsc::Receiver<messages::Prefix>,
+    /// Rate of the host's link in Mbit/s, `None` if it is not known.
+    pub link_mbps: Option<f64>,
     /// Usage counts of this host, and of its group if it is a hub.
     pub meter: Meter,
     /// Metrics of the host.
@@ -450,6 +463,10 @@
         evidence_at: Time(0),
         news: reported_load::News::default(),
         placed: placed_log::Log::default(),
+        budget: Budget::new(options.link_mbps),
+        withheld_at: [None; 3],
+        withheld_until: [Time(0); 3],
+        base_modes: [follower::Mode::Off; 3],
         role: role.subscribe(),
         store_reachable,
         store_answered_at: Time(0),
@@ -514,6 +531,14 @@
     /// What upstreams report of their load, to pass it on.
     news: reported_load::News,
     placed: placed_log::Log,
+    /// Bytes that this host may send in responses.
+    budget: Budget,
+    /// When a hub first withheld an update of each topic that has not come since.
+    withheld_at: [Option<Time>; 3],
+    /// Time until which each topic is followed in the store for that reason.
+    withheld_until: [Time; 3],
+    /// Mode in which each topic is followed apart from that.
+    base_modes: [follower::Mode; 3],
     role: watch::Receiver<Role>,
     /// Whether the store answered the last call since this host began to follow it.
     store_reachable: Rc<watch::Sender<bool>>,
@@ -580,7 +605,7 @@
                 self.news.add(&load.reports, reported_load::Source::Group);
                 self.evidence = load.evidence;
                 self.evidence_at = Time::now();
-                self.placed.add_own(load.placed);
+                self.placed.add_own(Time::now(), load.placed);
                 let loads = self.loads.remote(Time::now(), self.role.borrow().is_hub());
                 self.dispatcher.set_remote_loads(loads);
             }
@@ -684,14 +709,19 @@
                 self.peer_verified_at = self.peer_verified_at.max(served_at);
             }
             let source = Source::Host(&response.host);
-            self.apply_update((topic, source), state.update.map(decode_update), verified_at);
+            let is_withheld = state.update.as_ref().is_some_and(messages::Update::is_withheld);
+            if is_withheld {
+                self.update_withheld(topic, &response.host);
+            }
+            let update = state.update.filter(|_| !is_withheld).map(decode_update);
+            self.apply_update((topic, source), update, verified_at);
             if topic == Topic::Upstreams {
                 self.publish_verification(verified_at, Span(response.outage_grace_us));
             }
         }
         match group {
             Some(group) => {
-                self.placed.add_group(response.placed.clone());
+                self.placed.add_group(now, response.placed.clone());
                 self.loads.set_group(now, &group, response.loads);
             }
             None => self.loads.set_others(now, response.loads),
@@ -766,6 +796,9 @@
             self.store_restored(topic, update);
         }
         let changes = update.map(|it| self.mirrors[index].apply(it)).unwrap_or_default();
+        if !changes.is_empty() {
+            (self.withheld_at[index], self.withheld_until[index]) = (None, Time(0));
+        }
         let verified_before = self.verified[index];
         if let Some(at) = verified_before.filter(|_| !changes.is_empty()) {
             let age = Time::now().since(at);
@@ -942,16 +975,35 @@
 
     fn respond(&mut self, request: messages::Request, reply: oneshot::Sender<messages::Response>) {
         let now = Time::now();
+        let mut charged = 0;
         let mut prefixes = Vec::with_capacity(Topic::ALL.len());
         for topic in Topic::ALL {
             let index = topic as usize;
             let after = request.revisions.get(index).copied().unwrap_or(0);
+            let update = self.mirrors[index].since(after);
+            let size = update.as_ref().map_or(0, Update::size);
+            let transmission = match size < LARGE_UPDATE_BYTES {
+                true => Transmission::Now,
+                false => self.budget.decide(now, (&request.host, index), size),
+            };
+            if transmission != Transmission::Now {
+                let is_withheld = transmission == Transmission::Withheld;
+                let update = is_withheld.then(|| messages::Update::withheld(after));
+                // Without an age, as it says nothing about the copy that the requesting host has.
+                prefixes.push(messages::Prefix { age_us: None, update });
+                continue;
+            }
+            self.budget.charge(size);
+            charged += size;
             prefixes.push(messages::Prefix {
                 age_us: self.verified[index].map(|it| now.since(it).0),
-                update: self.mirrors[index].since(after).map(encode_update),
+                update: update.map(encode_update),
             });
         }
-        let reports = self.news.recent(now, request.is_hub);
+        let reports = match self.budget.available(now) {
+            0 => Vec::new(),
+            _ => self.news.recent(now, request.is_hub),
+        };
         if !(self.limits.is_empty() && self.evidence.is_empty() && reports.is_empty()) {
             prefixes.push(messages::Prefix::from_limits(now, &self.limits));
         }
@@ -972,20 +1024,24 @@
             });
         }
         let after = request.placed_after;
-        let (loads, (placed, placed_next)) = match request.is_hub {
+        let (loads, (mut placed, placed_next)) = match request.is_hub {
             // Hubs send each other no loads in requests, since each requests those of the others.
-            true => (self.loads.own_group(now), self.placed.for_group(after)),
+            true => (self.loads.own_group(now), self.placed.for_group(now, after)),
             false => {
                 let leaving = messages::Load::leaving(&request.loads);
                 self.dispatcher.merge_departures(&request.host, leaving);
                 self.loads.set_member(now, &request.host, request.loads);
-                self.placed.add_member(&request.host, request.placed.clone());
+                self.placed.add_member(now, &request.host, request.placed.clone());
                 self.dispatcher.record_placed(request.placed);
                 let loads = self.loads.all_but(now, &request.host);
                 (loads, self.placed.for_member(&request.host, after))
             }
         };
         self.meter.merge(request.counts);
+        // The newest parts are worth most.
+        let room = self.budget.available(now) / messages::Placement::MAX_BYTES;
+        let room = room.try_into().unwrap_or(usize::MAX);
+        placed.drain(..placed.len().saturating_sub(room));
         let response = messages::Response {
             host: self.host.clone(),
             is_current: self.is_current(now),
@@ -996,13 +1052,33 @@
             placed,
             placed_next,
         };
+        let mut sent: u64 = 0;
         for (content, bytes) in response.sizes() {
             self.metrics.synced("served", content, bytes);
+            sent += bytes;
         }
+        self.budget.charge(sent.saturating_sub(charged));
         // The requesting host may have timed out.
         let _ = reply.send(response);
     }
 
+    /// Records that another host withholds an update of a topic. Follows it in the store for some time if no other hub has
+    /// sent it meanwhile.
+    fn update_withheld(&mut self, topic: Topic, host: &str) {
+        let now = Time::now();
+        let since = *self.withheld_at[topic as usize].get_or_insert(now);
+        if now.since(since) < OTHER_HUB_TIME {
+            return;
+        }
+        if now >= self.withheld_until[topic as usize] {
+            let label = topic.label();
+            log::info!("host {host} has no room to send the newest {label}; reading the store");
+            // The store is called at once, as nothing tells that it is away.
+            self.store_reachable.send_replace(true);
+        }
+        self.withheld_until[topic as usize] = now + WITHHELD_TIME;
+    }
+
     fn apply_due(&mut self) {
         self.upstream_list.apply_due(Time::now());
         self.publish_upstreams();
@@ -1042,11 +1118,11 @@
         } else {
             [follower::Mode::Off; 3]
         };
-        let was_served =
-            self.outputs.modes.borrow()[Topic::Upstreams as usize] == follower::Mode::Off;
-        if was_served && modes != *self.outputs.modes.borrow() {
+        let was_served = self.base_modes[Topic::Upstreams as usize] == follower::Mode::Off;
+        if was_served && modes != self.base_modes {
             self.store_reachable.send_replace(false);
         }
+        self.base_modes = modes;
         if self.is_isolated && !was_isolated {
             log::info!(
                 "no other host has responded for {} ms; following the store",
@@ -1055,6 +1131,10 @@
             // The store is called at once, as nothing tells that it is away.
             self.store_reachable.send_replace(true);
         }
+        let modes = Topic::ALL.map(|topic| match now < self.withheld_until[topic as usize] {
+            true => follower::Mode::Verify,
+            false => modes[topic as usize],
+        });
         set_if_changed(&self.outputs.modes, modes);
         // Without a hub a host writes its own counts, unless it cannot reach the store either.
         let standalone = !(role.is_hub() || served) && *self.store_reachable.borrow();
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -179,6 +179,7 @@
             upstreams: upstreams_sender,
             calls,
             reports,
+            link_mbps: settings.link_mbps,
             meter: meter.clone(),
             metrics: metrics.clone(),
         };
--- a/src/serving/messages.rs
+++ b/src/serving/messages.rs
@@ -38,6 +38,23 @@
     pub revision: u64,
 }
 
+/// Key of the change that stands for an update which the responding host does not send.
+const WITHHELD_KEY: &str = "withheld";
+
+impl Update {
+    /// Stands for an update that is too large for the link of the responding host. Hosts of earlier versions ignore it, as it
+    /// changes nothing after the requested revision.
+    pub fn withheld(after: u64) -> Update {
+        let change = Change { key: WITHHELD_KEY.to_owned(), revision: after, value: None };
+        Update { is_listing: false, changes: vec![change], revision: after }
+    }
+
+    /// Whether it stands for an update that is to be read from the store.
+    pub fn is_withheld(&self) -> bool {
+        matches!(self.changes.as_slice(), [it] if it.key == WITHHELD_KEY && !self.is_listing)
+    }
+}
+
 /// State of a host's copy of one prefix.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Prefix {
@@ -307,8 +324,13 @@
     }
 }
 
+impl Placement {
+    /// Largest encoded size in bytes.
+    pub const MAX_BYTES: u64 = 18;
+}
+
 /// Size of a value in a message, in bytes.
-fn encoded_size<T: Serialize>(value: &T) -> u64 {
+pub fn encoded_size<T: Serialize>(value: &T) -> u64 {
     // Fails only for sequences of unknown length, which messages do not contain.
     bincode::options().serialized_size(value).unwrap_or(0)
 }
--- a/src/serving/mirror.rs
+++ b/src/serving/mirror.rs
@@ -35,6 +35,22 @@
         matches!(self, Update::Listing(..))
     }
 
+    /// Size of its keys and values, in bytes.
+    pub fn size(&self) -> u64 {
+        let item = |it: &Item| it.key.len() + it.value.len();
+        let size: usize = match self {
+            Update::Listing(items, _) => items.iter().map(item).sum(),
+            Update::Changes(changes, _) => changes
+                .iter()
+                .map(|it| match it {
+                    Change::Put(written) => item(written),
+                    Change::Deleted(key, _) => key.len(),
+                })
+                .sum(),
+        };
+        size as u64
+    }
+
     /// Applies a function to each item that was written.
     #[must_use]
     pub fn map_items(mut self, mut change: impl FnMut(&mut Item)) -> Update {
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -36,6 +36,8 @@
     pub duties: Option<SocketAddr>,
     /// CPU share of the host, in thousandths of a processor.
     pub cpu_per_mille: u32,
+    /// Rate of the host's link in Mbit/s, `None` if it is not known.
+    pub link_mbps: Option<f64>,
     /// Memory of the host, in bytes.
     pub memory_bytes: usize,
     /// Descriptors that the process may have open, with those that the platform keeps for files.
@@ -113,6 +115,7 @@
         let store = self.required("store", ADDRESS);
         let duties = self.optional("duties", ADDRESS);
         let cpu_share: Option<f64> = self.optional("cpu-share", "a share, as in 0.25");
+        let link_mbps = self.link_mbps();
         let memory_mb: Option<f64> = self.optional("memory-mb", "megabytes, as in 110");
         let descriptors: Option<usize> = self.optional("descriptors", "a number, as in 4100");
         let grace_s: Option<f64> = self.required("grace-s", "seconds, as in 8");
@@ -144,6 +147,7 @@
             store: store?,
             duties,
             cpu_per_mille: (cpu_share.unwrap_or(1.0).clamp(0.0, 1_000.0) * 1_000.0) as u32,
+            link_mbps,
             memory_bytes: (memory_mb.unwrap_or(DEFAULT_MEMORY_MB).max(0.0) * 1e6) as usize,
             descriptors: descriptors.unwrap_or(DEFAULT_DESCRIPTORS),
             grace: seconds(grace_s?).into(),
@@ -168,6 +172,17 @@
         Some(retry_budget::Limits { window, ratio: ratio?, allowance: allowance? })
     }
 
+    fn link_mbps(&mut self) -> Option<f64> {
+        const NAME: &str = "link-mbps";
+        const EXPECTED: &str = "Mbit/s above zero, as in 1000";
+        let mbps: f64 = self.optional(NAME, EXPECTED)?;
+        let is_valid = mbps > 0.0 && mbps.is_finite();
+        if !is_valid {
+            self.fault(NAME, format!("'{mbps}' is not valid; expected {EXPECTED}"));
+        }
+        is_valid.then_some(mbps)
+    }
+
     fn hedge_share(&mut self) -> Option<f64> {
         const NAME: &str = "hedge-share";
         if self.find(NAME).is_none() {
--- /dev/null
+++ b/src/serving/sync_budget.rs
@@ -0,0 +1,113 @@
+//! Bytes that a host may send over its link in responses to sync requests.
+//!
+//! Load pattern: a host with a slow link becomes the hub of a zone at a moment when dozens of hosts need the same large
+//! configuration and ask for what they missed. Without a limit all transfers take longer than their time-out, are lost and
+//! start again, and the host's requests, connects and calls to the store wait behind them.
+
+use crate::time::{Span, Time};
+
+/// Share of the link that responses may take; the rest is for callers, upstreams and the store.
+const LINK_SHARE: f64 = 0.5;
+
+/// Time for which the share of an idle link can be saved up. What is sent at once delays a connect by this share of it, and
+/// hosts give an upstream 250 ms for that.
+const BURST: Span = Span::from_ms(200);
+
+/// Time for which large content that found no room is left to the store. A host that still asks for it then does not get it
+/// from there.
+const STORE_TIME: Span = Span::from_ms(1_000);
+
+/// Time for which withheld content is remembered.
+const WITHHELD_LIFETIME: Span = Span::from_ms(5_000);
+
+/// Time that the transfer of an update takes at most if hosts wait for it. They ask again within some hundred milliseconds.
+const MAX_WAIT: Span = Span::from_ms(100);
+
+/// When a large update is sent to a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Transmission {
+    /// At once.
+    Now,
+    /// With a later response, as others are sent before it.
+    Later,
+    /// Not before the host had time to read it from the store, as it is large for the link. One that a host does not get
+    /// there goes as soon as nothing else is under way.
+    Withheld,
+}
+
+/// Large content that was withheld from a host.
+#[derive(Debug)]
+struct Withheld {
+    /// Id of the host and index of the prefix.
+    content: (String, usize),
+    since: Time,
+}
+
+/// Token bucket of bytes.
+#[derive(Debug)]
+pub struct Budget {
+    /// Bytes per second, `None` without a limit.
+    rate: Option<f64>,
+    /// Bytes that may be sent at `updated_at`. Negative after content that is sent in any case.
+    available: f64,
+    updated_at: Time,
+    /// Sorted by content.
+    withheld: Vec<Withheld>,
+}
+
+impl Budget {
+    /// Creates the budget of a host whose link carries `mbps` Mbit/s; it has no limit if that is not known.
+    pub fn new(mbps: Option<f64>) -> Budget {
+        let rate = mbps.map(|it| it * 1e6 / 8.0 * LINK_SHARE);
+        Budget {
+            rate,
+            available: rate.map_or(0.0, burst),
+            updated_at: Time(0),
+            withheld: Vec::new(),
+        }
+    }
+
+    /// Returns how many bytes may be sent now.
+    pub fn available(&mut self, now: Time) -> u64 {
+        let Some(rate) = self.rate else { return u64::MAX };
+        let earned = rate * now.since(self.updated_at).0 as f64 / 1e6;
+        self.available = (self.available + earned).min(burst(rate));
+        self.updated_at = now;
+        self.available.max(0.0) as u64
+    }
+
+    /// Decides about the large update of a prefix for a host.
+    pub fn decide(&mut self, now: Time, (host, prefix): (&str, usize), bytes: u64) -> Transmission {
+        let available = self.available(now);
+        let Some(rate) = self.rate.filter(|_| bytes > available) else { return Transmission::Now };
+        if bytes as f64 <= rate * MAX_WAIT.0 as f64 / 1e6 {
+            return Transmission::Later;
+        }
+        self.withheld.retain(|it| now.since(it.since) < WITHHELD_LIFETIME);
+        let find = |it: &Withheld| (it.content.0.as_str(), it.content.1).cmp(&(host, prefix));
+        match self.withheld.binary_search_by(find) {
+            Ok(at) if now.since(self.withheld[at].since) >= STORE_TIME => {
+                if available < burst(rate) as u64 {
+                    return Transmission::Withheld;
+                }
+                self.withheld.remove(at);
+                Transmission::Now
+            }
+            Ok(_) => Transmission::Withheld,
+            Err(at) => {
+                let content = (host.to_owned(), prefix);
+                self.withheld.insert(at, Withheld { content, since: now });
+                Transmission::Withheld
+            }
+        }
+    }
+
+    /// Counts bytes that are sent.
+    pub fn charge(&mut self, bytes: u64) {
+        self.available -= bytes as f64;
+    }
+}
+
+fn burst(rate: f64) -> f64 {
+    rate * BURST.0 as f64 / 1e6
+}
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -71,7 +71,7 @@
 const HANG_BOUND: Duration = Duration::from_millis(1_100);
 
 /// Time within which every host serves by a configuration, at the strictest of the users' sites.
-const CONFIGURATION_BOUND: Duration = Duration::from_millis(2_000);
+pub(crate) const CONFIGURATION_BOUND: Duration = Duration::from_millis(2_000);
 
 /// Time after which a test no longer waits for a change.
 const PATIENCE: Duration = Duration::from_millis(12_000);
@@ -206,9 +206,10 @@
     Ok(Entry { state, sequence, ..engine(index as usize) })
 }
 
-/// Decodes a configuration, which is its version.
+/// Decodes a configuration, which is its version and padding behind a space.
 fn decode_table(value: &[u8]) -> Result<Table, DecodeError> {
-    let version = std::str::from_utf8(value).ok().and_then(|it| it.parse().ok());
+    let text = std::str::from_utf8(value).ok();
+    let version = text.and_then(|it| it.split(' ').next()?.parse().ok());
     let version = version.ok_or_else(|| DecodeError("the version is missing".to_owned()))?;
     Ok(Table::build(Parts { version, ..Parts::default() }))
 }
@@ -225,11 +226,17 @@
     /// Ids of hosts whose sync requests get no response from any host.
     unanswered: Arc<Mutex<Vec<String>>>,
     leaving: Rc<Cell<bool>>,
+    link_mbps: Option<f64>,
 }
 
 impl Fleet {
     /// Starts hosts in three availability zones and waits until they have found their hubs.
     pub(crate) async fn spawn(count: usize) -> Fleet {
+        Fleet::spawn_on_links(count, None).await
+    }
+
+    /// As [`Fleet::spawn`], with links of this rate.
+    pub(crate) async fn spawn_on_links(count: usize, link_mbps: Option<f64>) -> Fleet {
         let store = MemoryStore::new();
         store.put(CONFIGURATION, b"1");
         let leaving = Rc::new(Cell::new(false));
@@ -266,6 +273,7 @@
             gates: Vec::new(),
             unanswered: Arc::default(),
             leaving,
+            link_mbps,
         };
         for (index, (listener, host)) in listeners.into_iter().enumerate() {
             fleet.open(index, listener, host, seeds.clone());
@@ -336,6 +344,7 @@
             upstreams: sender,
             calls,
             reports: mpsc::channel(1).1,
+            link_mbps: self.link_mbps,
             meter: Meter::new(Span::from_ms(60_000), &host.id),
         };
         self.hosts.push(fleet_state::spawn(options, dispatcher));
@@ -355,7 +364,18 @@
 
     /// Writes a configuration and returns how long it takes until all hosts serve by it.
     async fn configuration_time(&self, version: u64) -> Duration {
-        self.store.put(CONFIGURATION, version.to_string().as_bytes());
+        self.large_configuration_time(version, 0).await
+    }
+
+    /// Writes a configuration with bytes of padding.
+    pub(crate) fn put_configuration(&self, version: u64, padding: usize) {
+        let value = format!("{version} {}", "x".repeat(padding));
+        self.store.put(CONFIGURATION, value.as_bytes());
+    }
+
+    /// Writes a configuration with bytes of padding and returns how long it takes until all hosts serve by it.
+    pub(crate) async fn large_configuration_time(&self, version: u64, padding: usize) -> Duration {
+        self.put_configuration(version, padding);
         let start = Instant::now();
         let is_in_force = |it: &fleet_state::Handle| {
             it.table.borrow().as_ref().is_some_and(|it| it.version == version)
@@ -758,6 +778,7 @@
             gates: Vec::new(),
             unanswered: Arc::default(),
             leaving: Rc::default(),
+            link_mbps: None,
         };
         let mut listeners = Vec::new();
         for index in 0..4 {
