Do not deny what a newer configuration may allow

What callers saw: a host that had lost contact answered routes of a confirmed configuration with 404 for up to ten seconds, which callers do not repeat.

Cause: a host knows when its copy was last proved to be the newest, and used that for keys only. It denied paths and keys however old its copy was.

Change: the setting configuration-ms states the bound (the platform's ConfigApplyMs). A host whose proof is older refuses unknown paths and keys as not run, with 503 and Retry-After, so that the caller returns, to another host as a rule. Known paths are served as before.

a_host_whose_configuration_may_be_out_of_date_does_not_deny_unknown_paths fails without the check: 404 in place of 503, 2.1 s after the store refuses.

--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -57,6 +57,10 @@
 /// Longest time that a request waits for the first configuration of a host that has just started.
 const FIRST_CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Retry delay for a request that only a newer configuration may allow, in milliseconds. Other hosts may know one, and this
+/// host asks several times a second.
+const OUT_OF_DATE_RETRY_AFTER_MS: u64 = 300;
+
 /// State shared by all connections of a host.
 pub struct Handler<D> {
     /// Reads and writes the headers of callers and upstreams.
@@ -65,6 +69,8 @@
     pub table: watch::Receiver<Option<Arc<Table>>>,
     /// Time until which keys are accepted; moves forward each time the configuration is verified to be the newest.
     pub keys_valid_until: watch::Receiver<Time>,
+    /// Time until which the configuration is known to be the one in force; moves forward with each verification.
+    pub current_until: watch::Receiver<Time>,
     /// Sends requests to upstreams.
     pub exchange: Exchange<D>,
     /// Open connections of callers.
@@ -180,7 +186,10 @@
     let table = table.ok_or_else(no_configuration)?;
     let host = host(request.headers(), request.uri())?;
     let path = request.uri().path_and_query().map_or("/", |it| it.as_str());
-    let unknown_route = || Error::new(Kind::UnknownPath, "no route takes the host and path");
+    let unknown_route = || {
+        out_of_date(handler, accepted_at)
+            .unwrap_or_else(|| Error::new(Kind::UnknownPath, "no route takes the host and path"))
+    };
     let route = table.route(&host, request.uri().path()).ok_or_else(unknown_route)?.clone();
     check_head_size(request.headers(), path, table.limits.max_head_bytes)?;
     let caller_headers = handler.dialect.read_headers(request.headers())?;
@@ -381,11 +390,24 @@
     }
     match (&caller_headers.api_key, known) {
         (None, _) => Err(Error::new(Kind::MissingKey, "the route needs a key")),
-        (Some(_), None) => Err(Error::new(Kind::InvalidKey, "the key is unknown or withdrawn")),
+        (Some(_), None) => Err(out_of_date(handler, now)
+            .unwrap_or_else(|| Error::new(Kind::InvalidKey, "the key is unknown or withdrawn"))),
         (Some(_), Some(customer)) => Ok(Some(customer.clone())),
     }
 }
 
+/// Returns the refusal of a request that only a newer configuration may allow, if there may be one that should be in force.
+fn out_of_date<D>(handler: &Handler<D>, now: Time) -> Option<Error> {
+    if now < *handler.current_until.borrow() {
+        return None;
+    }
+    let version = handler.table.borrow().as_ref().map_or(0, |it| it.version);
+    let message = format!("configuration {version} may be out of date");
+    log::info!("a request that it does not allow is refused for now: {message}");
+    let error = Error::new(Kind::StoreUnavailable, message);
+    Some(error.with_retry_after_ms(OUT_OF_DATE_RETRY_AFTER_MS))
+}
+
 /// Rejects a request whose id, which upstreams see, contains the caller's key.
 fn check_id(caller_headers: &CallerHeaders) -> Result<(), Error> {
     let key = caller_headers.api_key.as_deref().unwrap_or_default().as_bytes();
--- a/src/serving/host.rs
+++ b/src/serving/host.rs
@@ -258,7 +258,11 @@
         let handler = Handler {
             dialect,
             table: fleet.table.clone(),
-            keys_valid_until: key_expiry(fleet.verified_at.clone(), settings.key_validity),
+            keys_valid_until: expiry(
+                fleet.verified_at.clone(),
+                settings.key_validity.map(|it| Span(it.0.saturating_sub(VERIFY_MARGIN.0))),
+            ),
+            current_until: expiry(fleet.verified_at.clone(), settings.configuration),
             exchange,
             connections: caller_connection::Connections::new(
                 room_for_callers(settings),
@@ -448,9 +452,8 @@
     }
 }
 
-/// Publishes the time until which keys may be used: `term` after the configuration was last
-/// verified, or without limit if there is no term.
-fn key_expiry(
+/// Publishes the time that is `term` after the configuration was last verified, or no limit if there is no term.
+fn expiry(
     mut verified_at: watch::Receiver<Option<Time>>,
     term: Option<Span>,
 ) -> watch::Receiver<Time> {
@@ -459,7 +462,7 @@
     task::spawn_local(async move {
         loop {
             if let Some(at) = *verified_at.borrow_and_update() {
-                sender.send_replace(at + term - VERIFY_MARGIN);
+                sender.send_replace(at + term);
             }
             if verified_at.changed().await.is_err() {
                 return;
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -47,6 +47,8 @@
     /// Time for which keys are accepted after the configuration was last verified to be the newest; `None` if there is
     /// no limit.
     pub key_validity: Option<Span>,
+    /// Time within which a configuration must be in force at every host; `None` if it is not bounded.
+    pub configuration: Option<Span>,
     /// Retry budget that all hosts share.
     pub retries: retry_budget::Limits,
     /// Copies of slow requests that may be sent to a second upstream, as a share of the requests that may run more than
@@ -121,6 +123,7 @@
         let grace_s: Option<f64> = self.required("grace-s", "seconds, as in 8");
         let keys_need_proof = self.optional("keys-need-proof", "true or false");
         let key_validity_ms: Option<u64> = self.optional("key-withdrawal-ms", MILLISECONDS);
+        let configuration_ms: Option<u64> = self.optional("configuration-ms", MILLISECONDS);
         let retries = self.retries();
         let hedge_share = self.hedge_share();
         let lease_ms: Option<u64> = self.optional("lease-ms", MILLISECONDS);
@@ -157,6 +160,7 @@
             lease: Span::from_ms(lease_ms.unwrap_or(DEFAULT_LEASE_MS)),
             usage_window: window_s.map_or(DEFAULT_WINDOW, seconds),
             usage_delay: delay_s.map_or(DEFAULT_DELAY, seconds),
+            configuration: configuration_ms.map(Span::from_ms),
             evacuation: evacuation_ms.map(Span::from_ms),
             features,
             log_format: LogFormat::Json,
--- a/tests/serving/callers.rs
+++ b/tests/serving/callers.rs
@@ -125,6 +125,7 @@
         dialect: Rc::new(TestDialect),
         table: watch::channel(table).1,
         keys_valid_until: watch::channel(Time(u64::MAX)).1,
+        current_until: watch::channel(Time(u64::MAX)).1,
         exchange: open_with(entries, buffer_memory::Memory::new(1 << 20), meter),
         connections: caller_connection::Connections::new(room, metrics.clone()),
         metrics,
--- a/tests/serving/cut_off.rs
+++ b/tests/serving/cut_off.rs
@@ -41,6 +41,12 @@
 /// Path of requests that may run once only.
 const ONCE: &str = "/once/";
 
+/// Path that no route takes.
+const UNKNOWN: &str = "/unknown/";
+
+/// Time within which a configuration must be in force, as in the hosts' settings.
+const CONFIGURATION_BOUND: Duration = Duration::from_millis(2_000);
+
 /// Path of requests that may be repeated.
 const REPEATABLE: &str = "/repeatable/";
 
@@ -319,7 +325,7 @@
             let text = format!(
                 "host-id = host-{index}\nzone = {}\nzones = a,b\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\n\
                  peers = {}\ntunnels = {}\nseeds = {},{}\nstore = 127.0.0.1:1\ngrace-s = 8\nretry-window-s = 10\n\
-                 retry-ratio = 0.2\nretry-allowance = 50\nkeys-need-proof = false\n",
+                 retry-ratio = 0.2\nretry-allowance = 50\nkeys-need-proof = false\nconfiguration-ms = 2000\n",
                 zone_of(index, linked_count),
                 peers[index].0,
                 peers[index].1,
@@ -434,6 +440,20 @@
     LocalSet::new().run_until(serves_while_cut_off(Link::Silent, 1, true)).await;
 }
 
+#[tokio::test]
+async fn a_host_whose_configuration_may_be_out_of_date_does_not_deny_unknown_paths() {
+    let run = async {
+        let fleet = Fleet::spawn(1).await;
+        sleep(CONFIGURATION_BOUND).await;
+        assert_eq!(fleet.send(0, UNKNOWN).await.1, 404, "the store proves the configuration");
+        fleet.stores.iter().for_each(MemoryStore::refuse);
+        sleep(CONFIGURATION_BOUND + Duration::from_millis(100)).await;
+        assert_eq!(fleet.send(0, UNKNOWN).await.1, 503, "it may have been added since");
+        assert_eq!(fleet.send(0, REPEATABLE).await.1, 200, "known paths are served");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 #[tokio::test]
 async fn a_stream_on_a_path_that_falls_silent_goes_on_through_another_host() {
     let run = async {
--- a/tests/serving/framing.rs
+++ b/tests/serving/framing.rs
@@ -237,6 +237,7 @@
         dialect: Rc::new(TestDialect),
         table: watch::channel(Some(Arc::new(Table::build(parts)))).1,
         keys_valid_until: watch::channel(Time(u64::MAX)).1,
+        current_until: watch::channel(Time(u64::MAX)).1,
         exchange: open_with(vec![entry], buffer_memory::Memory::new(1 << 20), meter),
         connections: caller_connection::Connections::new(room, metrics.clone()),
         metrics,
