--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -232,13 +232,13 @@
         caller_timeout: caller_headers.caller_timeout.unwrap_or(timeout),
     };
     metrics.classify(routed.tier, accepted_at + Span::from_ms(routed.route.target_ms));
-    let id = routed.id.clone();
+    let (id, route, tier) = (routed.id.clone(), routed.route.name.clone(), routed.tier);
     let response = handler.exchange.run(routed).await;
     Ok(response.inspect_err(|error| {
         let id = id.to_str().unwrap_or("?");
         let elapsed_ms = Time::now().since(accepted_at).as_ms();
         log::info!(
-            "request {id} refused after {elapsed_ms} ms: {error}, run {}",
+            "request {id} refused after {elapsed_ms} ms: {error}, run {}, route {route}, tier {tier}",
             error.run.as_str()
         );
     })?)
