Send only the newest change of each key

What callers saw: a host that had been frozen or cut off for some seconds served by an older configuration for more than ten seconds.

Cause: the log of changes holds each version of the configuration, and a host that had missed several got all of them in one response: 0.8 MB for two, which a link of 10 Mbit/s that carries another such response does not transfer before the time-out.

Change: a response leaves out changes that a later one of the same key has replaced. A host that applies them ends in the same state (copies_agree_with_the_store_whoever_they_ask).

a_host_that_is_behind_gets_only_the_newest_of_several_configurations fails without it: versions 2, 3 and 4 in place of 4.

--- a/src/serving/mirror.rs
+++ b/src/serving/mirror.rs
@@ -130,8 +130,8 @@
         if after < self.log_start || after == 0 {
             return Some(Update::Listing(self.items.values().cloned().collect(), self.revision));
         }
-        let changes = self.log.iter().filter(|it| revision_of(it) > after).cloned().collect();
-        Some(Update::Changes(changes, self.revision))
+        let changes = self.log.iter().filter(|it| revision_of(it) > after && self.is_newest(it));
+        Some(Update::Changes(changes.cloned().collect(), self.revision))
     }
 
     /// Applies a listing. One that is older than the copy is ignored.
@@ -178,6 +178,15 @@
         new
     }
 
+    /// Whether no later change of the same key has been applied.
+    fn is_newest(&self, change: &Change) -> bool {
+        match (self.items.get(key_of(change)), change) {
+            (Some(item), Change::Put(written)) => item.revision == written.revision,
+            (None, Change::Deleted(..)) => true,
+            _ => false,
+        }
+    }
+
     /// Compares with the stored item's revision, as later pages of a listing may hold items that
     /// are newer than the listing's revision.
     fn is_newer(&self, key: &str, revision: u64) -> bool {
--- a/tests/serving/knowledge.rs
+++ b/tests/serving/knowledge.rs
@@ -112,6 +112,24 @@
     }
 }
 
+#[test]
+fn a_host_that_is_behind_gets_only_the_newest_of_several_configurations() {
+    let item = |revision: u64| Item {
+        key: "configuration".to_owned(),
+        value: vec![revision as u8].into(),
+        revision,
+    };
+    let mut hub = Mirror::default();
+    hub.apply(Update::Listing(vec![item(1)], 1));
+    for revision in 2..=4 {
+        hub.apply(Update::Changes(vec![Change::Put(item(revision))], revision));
+    }
+    assert_eq!(hub.since(1), Some(Update::Changes(vec![Change::Put(item(4))], 4)));
+    hub.apply(Update::Changes(vec![Change::Deleted("configuration".to_owned(), 5)], 5));
+    let deleted = Change::Deleted("configuration".to_owned(), 5);
+    assert_eq!(hub.since(1), Some(Update::Changes(vec![deleted], 5)));
+}
+
 quickcheck! {
     fn copies_agree_with_a_store_that_comes_back_from_older_copies(steps: Vec<(u8, u8)>) -> bool {
         let mut store = Model::default();
