Go on receiving what is under way at its time-out

Cause: the host was frozen until 17 s and then asked its hubs, the hubs of two other zones and the store for 0.4 to 0.8 MB each, at once, over a link of 10 Mbit/s. All of them shared the link, each was given up at its time-out (1.2 s for hosts, 0.5 and 1.2 s for the store) and asked for again in full. Of what the link carried from 17 to 30 s one response was used.

Change: no time-out moves. A host or a store that is silent is given up when it was before.

--- a/src/body.rs
+++ b/src/body.rs
@@ -1,13 +1,17 @@
 //! Reading of whole bodies.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicUsize, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
+use tokio::time::timeout;
 
 /// Why a body was not read to its end.
 #[derive(Debug)]
@@ -16,6 +20,8 @@
     TooLong(usize),
     /// The connection failed.
     Cut(hyper::Error),
+    /// Nothing arrived for this time.
+    Stalled(Duration),
 }
 
 impl std::fmt::Display for Failure {
@@ -23,6 +29,9 @@
         match self {
             Failure::TooLong(max_bytes) => write!(f, "the answer has more than {max_bytes} bytes"),
             Failure::Cut(error) => error.fmt(f),
+            Failure::Stalled(pause) => {
+                write!(f, "no more of the answer arrived for {} ms", pause.as_millis())
+            }
         }
     }
 }
@@ -32,9 +41,31 @@
 ///
 /// # Errors
 /// `TooLong` as soon as more bytes have arrived, `Cut` if the body ends early.
-pub async fn read(mut body: Incoming, max_bytes: usize) -> Result<Bytes, Failure> {
+pub async fn read(body: Incoming, max_bytes: usize) -> Result<Bytes, Failure> {
+    collect(body, max_bytes, Duration::MAX).await
+}
+
+/// Reads a body as [`read`] does, however long it takes while more of it arrives.
+///
+/// # Errors
+/// As [`read`], and `Stalled` once nothing has arrived for `max_pause`.
+pub async fn read_while_it_arrives(
+    body: Incoming,
+    max_bytes: usize,
+    max_pause: Duration,
+) -> Result<Bytes, Failure> {
+    collect(body, max_bytes, max_pause).await
+}
+
+async fn collect(
+    mut body: Incoming,
+    max_bytes: usize,
+    max_pause: Duration,
+) -> Result<Bytes, Failure> {
     let mut out = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = timeout(max_pause, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| Failure::Stalled(max_pause))? else { break };
         let Ok(data) = frame.map_err(Failure::Cut)?.into_data() else { continue };
         if out.len() + data.len() > max_bytes {
             return Err(Failure::TooLong(max_bytes));
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -655,7 +655,9 @@
         let (head, body) = answer.into_parts();
         let body = body::read(body, max_bytes).await.map_err(|error| match error {
             body::Failure::TooLong(_) => Failure::Invalid(error.to_string()),
-            body::Failure::Cut(error) => Failure::Unknown(error.to_string()),
+            body::Failure::Cut(_) | body::Failure::Stalled(_) => {
+                Failure::Unknown(error.to_string())
+            }
         })?;
         Ok(Answer { status: head.status, headers: head.headers, body, is_framed })
     }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -1,6 +1,18 @@
 //! RPC connections between hosts.
 
-use std::{cell::RefCell, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    io,
+    net::SocketAddr,
+    pin::{Pin, pin},
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use futures::StreamExt as _;
 use tarpc::{
@@ -10,12 +22,16 @@
     tokio_util::codec::length_delimited::{self, LengthDelimitedCodec},
 };
 use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
     sync::{mpsc, oneshot},
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, timeout_at},
 };
 
-use crate::serving::messages::{self, Peer, PeerClient};
+use crate::{
+    serving::messages::{self, Peer, PeerClient},
+    time::Time,
+};
 
 /// Time-out of a sync request, including a connect if there is no connection.
 ///
@@ -24,6 +40,13 @@
 /// nothing else.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Pause in a sync response that is under way after the time-out, after which it is given up. The rest of a large response
+/// is worth more than the same response from the beginning.
+const MAX_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time-out of a sync request whose response is under way.
+const LONGEST_SYNC: Duration = Duration::from_millis(5_000);
+
 /// Time-out of a request for a permit, including a connect. A permit is of no use much later.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -124,17 +147,71 @@
 #[derive(Debug, Clone, Default)]
 pub struct Peers {
     /// Sorted by address.
-    open: Rc<RefCell<Vec<(SocketAddr, PeerClient)>>>,
+    open: Rc<RefCell<Vec<(SocketAddr, Connection)>>>,
+}
+
+#[derive(Debug, Clone)]
+struct Connection {
+    client: PeerClient,
+    /// When bytes last arrived.
+    read_at: Arc<AtomicU64>,
+}
+
+impl Connection {
+    fn read_at(&self) -> Time {
+        Time(self.read_at.load(Ordering::Relaxed))
+    }
+}
+
+/// A stream that notes when bytes arrive.
+struct Observed {
+    stream: TcpStream,
+    read_at: Arc<AtomicU64>,
+}
+
+impl AsyncRead for Observed {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.read_at.store(Time::now().0, Ordering::Relaxed);
+        }
+        result
+    }
+}
+
+impl AsyncWrite for Observed {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
 }
 
 impl Peers {
-    /// Sends a request to a host. `None` if it failed or timed out; its connection is then closed.
+    /// Sends a request to a host. `None` if it failed or timed out; its connection is then closed. A response that is under
+    /// way at the time-out is received as long as more of it arrives.
     pub async fn sync(
         &self,
         address: SocketAddr,
         request: messages::Request,
     ) -> Option<messages::Response> {
-        self.exchange(address, SYNC_TIMEOUT, async move |client, context| {
+        let limits = (SYNC_TIMEOUT, LONGEST_SYNC);
+        self.exchange(address, limits, async move |client, context| {
             client.sync(context, request).await.ok()
         })
         .await
@@ -146,7 +223,7 @@
         address: SocketAddr,
         request: messages::PermitRequest,
     ) -> Option<messages::PermitResponse> {
-        self.exchange(address, PERMIT_TIMEOUT, async move |client, context| {
+        self.exchange(address, (PERMIT_TIMEOUT, PERMIT_TIMEOUT), async move |client, context| {
             client.permit(context, request).await.ok()
         })
         .await
@@ -154,7 +231,7 @@
 
     /// Reports evidence about crashes to a host. `None` if it failed or timed out; its connection is then closed.
     pub async fn report(&self, address: SocketAddr, evidence: messages::Evidence) -> Option<()> {
-        self.exchange(address, REPORT_TIMEOUT, async move |client, context| {
+        self.exchange(address, (REPORT_TIMEOUT, REPORT_TIMEOUT), async move |client, context| {
             client.report(context, evidence).await.ok()
         })
         .await
@@ -163,7 +240,7 @@
     /// Passes on to a host what upstreams reported of their load. `None` if it failed or timed out; its connection is then
     /// closed.
     pub async fn hear(&self, address: SocketAddr, reports: messages::Prefix) -> Option<()> {
-        self.exchange(address, REPORT_TIMEOUT, async move |client, context| {
+        self.exchange(address, (REPORT_TIMEOUT, REPORT_TIMEOUT), async move |client, context| {
             client.hear(context, reports).await.ok()
         })
         .await
@@ -172,42 +249,60 @@
     async fn exchange<T>(
         &self,
         address: SocketAddr,
-        limit: Duration,
+        (limit, longest): (Duration, Duration),
         call: impl AsyncFnOnce(PeerClient, context::Context) -> Option<T>,
     ) -> Option<T> {
         let exchange = async {
-            let client = match self.get(address) {
-                Some(client) => client,
+            let connection = match self.get(address) {
+                Some(connection) => connection,
                 None => self.connect(address).await?,
             };
             let mut context = context::current();
-            context.deadline = Instant::now().into_std() + limit;
-            call(client, context).await
+            context.deadline = Instant::now().into_std() + longest;
+            call(connection.client, context).await
+        };
+        let mut exchange = pin!(exchange);
+        let (start, started_at) = (Instant::now(), Time::now());
+        let mut end = start + limit;
+        let response = loop {
+            if let Ok(response) = timeout_at(end, &mut exchange).await {
+                break response;
+            }
+            let read_at = self.get(address).map(|it| it.read_at()).filter(|it| *it > started_at);
+            let pause = read_at.map(|it| Duration::from(Time::now().since(it)));
+            match pause {
+                Some(pause) if pause < MAX_PAUSE && end < start + longest => {
+                    end = (Instant::now() + (MAX_PAUSE - pause)).min(start + longest);
+                }
+                _ => break None,
+            }
         };
-        let response = timeout(limit, exchange).await.ok().flatten();
         if response.is_none() {
             self.close(address);
         }
         response
     }
 
-    fn get(&self, address: SocketAddr) -> Option<PeerClient> {
+    fn get(&self, address: SocketAddr) -> Option<Connection> {
         let open = self.open.borrow();
         let index = open.binary_search_by_key(&address, |it| it.0).ok()?;
         Some(open[index].1.clone())
     }
 
-    async fn connect(&self, address: SocketAddr) -> Option<PeerClient> {
+    async fn connect(&self, address: SocketAddr) -> Option<Connection> {
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
+        let read_at = Arc::new(AtomicU64::new(0));
+        let stream = Observed { stream, read_at: read_at.clone() };
         let transport = serde_transport::new(framing().new_framed(stream), Bincode::default());
         let client = PeerClient::new(client::Config::default(), transport).spawn();
+        let connection = Connection { client, read_at };
         let mut open = self.open.borrow_mut();
         match open.binary_search_by_key(&address, |it| it.0) {
-            Ok(index) => open[index].1 = client.clone(),
-            Err(index) => open.insert(index, (address, client.clone())),
+            Ok(index) => open[index].1 = connection.clone(),
+            Err(index) => open.insert(index, (address, connection.clone())),
         }
-        Some(client)
+        Some(connection)
     }
 
     fn close(&self, address: SocketAddr) {
--- a/tests/serving/peers.rs
+++ b/tests/serving/peers.rs
@@ -1,13 +1,14 @@
 //! Sync requests between hosts.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use almondrack::serving::{
     messages,
     peers::{self, Peers},
 };
 use tokio::{
-    net::TcpListener,
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
     sync::mpsc,
     task::LocalSet,
     time::{Instant, sleep},
@@ -123,3 +124,70 @@
     };
     LocalSet::new().run_until(play).await;
 }
+
+/// Passes bytes of a host on in pieces, each after a pause, and stops after `stall_after` bytes.
+async fn run_slow_link(
+    listener: TcpListener,
+    host: SocketAddr,
+    (piece, pause): (usize, Duration),
+    stall_after: usize,
+) {
+    let (asking, _) = listener.accept().await.expect("the listener is open");
+    let responding = TcpStream::connect(host).await.expect("the host listens");
+    let (mut requests, mut responses) = asking.into_split();
+    let (mut from_host, mut to_host) = responding.into_split();
+    tokio::spawn(async move { tokio::io::copy(&mut requests, &mut to_host).await });
+    let (mut buffer, mut passed) = (vec![0; piece], 0);
+    while let Ok(count @ 1..) = from_host.read(&mut buffer).await {
+        if passed >= stall_after {
+            std::future::pending::<()>().await;
+        }
+        sleep(pause).await;
+        passed += count;
+        if responses.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Sends a request over a slow link.
+async fn send_over_slow_link(stall_after: usize) -> Option<messages::Response> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let host = listener.local_addr().expect("the socket is bound");
+    let (calls, mut mailbox) = mpsc::channel::<peers::Call>(8);
+    tokio::spawn(peers::serve(
+        listener,
+        peers::Mailboxes {
+            calls,
+            permits: mpsc::channel(1).0,
+            evidence: mpsc::channel(1).0,
+            reports: mpsc::channel(1).0,
+        },
+    ));
+    tokio::spawn(async move {
+        while let Some((_, reply)) = mailbox.recv().await {
+            // The requesting host may have timed out, which the test checks.
+            let _ = reply.send(configuration());
+        }
+    });
+    let link = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = link.local_addr().expect("the socket is bound");
+    // 1 MB takes 2 s, as over a link of 10 Mbit/s that carries another such transfer.
+    let rate = (16 << 10, Duration::from_millis(30));
+    tokio::spawn(run_slow_link(link, host, rate, stall_after));
+    Peers::default().sync(address, request()).await
+}
+
+#[tokio::test]
+async fn a_configuration_that_is_under_way_is_not_asked_for_again() {
+    let response = LocalSet::new().run_until(send_over_slow_link(usize::MAX)).await;
+    assert!(response == Some(configuration()), "no response or a wrong one");
+}
+
+#[tokio::test]
+async fn a_response_that_stalls_halfway_is_given_up_in_time() {
+    let start = Instant::now();
+    let response = LocalSet::new().run_until(send_over_slow_link(100_000)).await;
+    assert_eq!(response, None);
+    assert!(start.elapsed() < Duration::from_millis(1_800), "{:?}", start.elapsed());
+}
