Date the loads of a response by its request

A response that is received after its time-out, as hosts do now, stated loads of up to five seconds before, replaced those that the other hub had stated since, and counted as new for a second.

Loads of others and of other groups now carry the time at which they were asked for; older ones do not replace later ones, and they count for a second from there.

loads_that_were_under_way_for_long_do_not_replace_later_ones fails without it: [] in place of [(1, 100)].

--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -722,9 +722,9 @@
         match group {
             Some(group) => {
                 self.placed.add_group(now, response.placed.clone());
-                self.loads.set_group(now, &group, response.loads);
+                self.loads.set_group(sent_at, &group, response.loads);
             }
-            None => self.loads.set_others(now, response.loads),
+            None => self.loads.set_others(sent_at, response.loads),
         }
         self.dispatcher.record_placed(response.placed);
     }
--- a/src/serving/loads.rs
+++ b/src/serving/loads.rs
@@ -10,7 +10,7 @@
 /// Age after which reported loads are ignored; hosts report several times per second.
 const MAX_AGE: Span = Span::from_ms(1_000);
 
-/// Loads with the time at which they were received.
+/// Loads with the time at which they were received, or at which the request was sent whose response held them.
 type Report = (Time, Vec<Load>);
 
 /// Loads by the host or hub that reported them.
@@ -36,14 +36,19 @@
         self.members.insert(host.to_owned(), (now, loads));
     }
 
-    /// Replaces the loads of all other hosts, as received from this host's hub.
-    pub fn set_others(&mut self, now: Time, loads: Vec<Load>) {
-        self.others = Some((now, loads));
+    /// Replaces the loads of all other hosts by those that this host's hub stated in the response to a request that was sent
+    /// at `sent_at`. Those of a response that was on its way for so long that a later one came before it are ignored.
+    pub fn set_others(&mut self, sent_at: Time, loads: Vec<Load>) {
+        if self.others.as_ref().is_none_or(|it| it.0 <= sent_at) {
+            self.others = Some((sent_at, loads));
+        }
     }
 
-    /// Replaces the loads of another group.
-    pub fn set_group(&mut self, now: Time, group: &str, loads: Vec<Load>) {
-        self.groups.insert(group.to_owned(), (now, loads));
+    /// The same for the loads of another group.
+    pub fn set_group(&mut self, sent_at: Time, group: &str, loads: Vec<Load>) {
+        if self.groups.get(group).is_none_or(|it| it.0 <= sent_at) {
+            self.groups.insert(group.to_owned(), (sent_at, loads));
+        }
     }
 
     /// Returns the loads of all hosts but this one. A hub has them from the hosts that sync with it
--- a/tests/serving/knowledge.rs
+++ b/tests/serving/knowledge.rs
@@ -211,6 +211,22 @@
     assert_eq!(running(hub.remote(at(1_100), true)), [(1, 100)]);
 }
 
+#[test]
+fn loads_that_were_under_way_for_long_do_not_replace_later_ones() {
+    let mut member = Loads::default();
+    // Two hubs are asked in turns; the first one responds later.
+    member.set_others(at(1_200), vec![load(1, 100)]);
+    member.set_others(at(0), vec![load(1, 10)]);
+    assert_eq!(running(member.remote(at(1_300), false)), [(1, 100)]);
+    let mut hub = Loads::default();
+    hub.set_group(at(1_200), "b", vec![load(1, 100)]);
+    hub.set_group(at(0), "b", vec![load(1, 10)]);
+    assert_eq!(running(hub.remote(at(1_300), true)), [(1, 100)]);
+    // A response that took a second states what is no longer so.
+    hub.set_group(at(1_300), "c", vec![load(1, 1)]);
+    assert_eq!(running(hub.remote(at(2_300), true)), []);
+}
+
 #[test]
 fn a_listing_that_was_under_way_for_long_takes_nothing_back() {
     let mut store = Model::default();
