Bound the time for which a full link holds back an update

Content that goes in any case (loads of 240 upstreams to 58 members) can keep a link of 20 Mbit/s at its share, so that updates of the upstreams from 16 kB on waited without end, and those that a host does not get from the store waited for an idle moment.

An update whose transfer takes up to 100 ms now goes within 250 ms in any case; longer ones that were left to the store for a second go one after the other at the pace of the link.

an_update_of_the_upstreams_is_not_held_back_by_a_link_that_stays_full covers it; without the change the update is never sent (by reading: the bucket has no room, and there was no other way for it).

--- a/src/serving/sync_budget.rs
+++ b/src/serving/sync_budget.rs
@@ -17,12 +17,15 @@
 /// from there.
 const STORE_TIME: Span = Span::from_ms(1_000);
 
-/// Time for which withheld content is remembered.
-const WITHHELD_LIFETIME: Span = Span::from_ms(5_000);
-
 /// Time that the transfer of an update takes at most if hosts wait for it. They ask again within some hundred milliseconds.
 const MAX_WAIT: Span = Span::from_ms(100);
 
+/// Time after which such an update is sent in any case.
+const LATER_TIME: Span = Span::from_ms(250);
+
+/// Time for which it is remembered that an update was not sent.
+const DEFERRED_LIFETIME: Span = Span::from_ms(5_000);
+
 /// When a large update is sent to a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Transmission {
@@ -31,13 +34,13 @@
     /// With a later response, as others are sent before it.
     Later,
     /// Not before the host had time to read it from the store, as it is large for the link. One that a host does not get
-    /// there goes as soon as nothing else is under way.
+    /// there goes to one host after the other.
     Withheld,
 }
 
-/// Large content that was withheld from a host.
+/// Large content that was not sent to a host.
 #[derive(Debug)]
-struct Withheld {
+struct Deferred {
     /// Id of the host and index of the prefix.
     content: (String, usize),
     since: Time,
@@ -52,7 +55,9 @@
     available: f64,
     updated_at: Time,
     /// Sorted by content.
-    withheld: Vec<Withheld>,
+    deferred: Vec<Deferred>,
+    /// Time before which no further update is sent that a host did not get from the store.
+    next_long_at: Time,
 }
 
 impl Budget {
@@ -63,7 +68,8 @@
             rate,
             available: rate.map_or(0.0, burst),
             updated_at: Time(0),
-            withheld: Vec::new(),
+            deferred: Vec::new(),
+            next_long_at: Time(0),
         }
     }
 
@@ -80,24 +86,30 @@
     pub fn decide(&mut self, now: Time, (host, prefix): (&str, usize), bytes: u64) -> Transmission {
         let available = self.available(now);
         let Some(rate) = self.rate.filter(|_| bytes > available) else { return Transmission::Now };
-        if bytes as f64 <= rate * MAX_WAIT.0 as f64 / 1e6 {
-            return Transmission::Later;
-        }
-        self.withheld.retain(|it| now.since(it.since) < WITHHELD_LIFETIME);
-        let find = |it: &Withheld| (it.content.0.as_str(), it.content.1).cmp(&(host, prefix));
-        match self.withheld.binary_search_by(find) {
-            Ok(at) if now.since(self.withheld[at].since) >= STORE_TIME => {
-                if available < burst(rate) as u64 {
-                    return Transmission::Withheld;
+        let transfer = Span((bytes as f64 / rate * 1e6) as u64);
+        let is_short = transfer <= MAX_WAIT;
+        let (transmission, patience) = match is_short {
+            true => (Transmission::Later, LATER_TIME),
+            false => (Transmission::Withheld, STORE_TIME),
+        };
+        self.deferred.retain(|it| now.since(it.since) < DEFERRED_LIFETIME);
+        let find = |it: &Deferred| (it.content.0.as_str(), it.content.1).cmp(&(host, prefix));
+        match self.deferred.binary_search_by(find) {
+            Ok(at) if now.since(self.deferred[at].since) >= patience => {
+                if !is_short && now < self.next_long_at {
+                    return transmission;
+                }
+                self.deferred.remove(at);
+                if !is_short {
+                    self.next_long_at = now + transfer;
                 }
-                self.withheld.remove(at);
                 Transmission::Now
             }
-            Ok(_) => Transmission::Withheld,
+            Ok(_) => transmission,
             Err(at) => {
                 let content = (host.to_owned(), prefix);
-                self.withheld.insert(at, Withheld { content, since: now });
-                Transmission::Withheld
+                self.deferred.insert(at, Deferred { content, since: now });
+                transmission
             }
         }
     }
--- a/tests/serving/sync_traffic.rs
+++ b/tests/serving/sync_traffic.rs
@@ -196,6 +196,21 @@
     assert_eq!(sent, [("a", 6_000), ("b", 6_600), ("c", 7_200)]);
 }
 
+#[test]
+fn an_update_of_the_upstreams_is_not_held_back_by_a_link_that_stays_full() {
+    let mut budget = Budget::new(Some(SLOW_LINK_MBPS));
+    let mut sent_at = None;
+    for ms in (5_000..9_000).step_by(50) {
+        // Other content takes the whole share.
+        let room = budget.available(at(ms));
+        budget.charge(room);
+        if budget.decide(at(ms), ("a", 1), 20_000) == Transmission::Now {
+            sent_at.get_or_insert(ms);
+        }
+    }
+    assert_eq!(sent_at, Some(5_250));
+}
+
 #[test]
 fn an_update_that_is_withheld_changes_nothing_at_a_host_that_does_not_know_it() {
     let item = |revision| Item { key: "key".to_owned(), value: vec![1].into(), revision };
