--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -973,8 +973,13 @@
         }
     }
 
-    fn respond(&mut self, request: messages::Request, reply: oneshot::Sender<messages::Response>) {
-        let now = Time::now();
+    /// Returns the state of each followed prefix with the update that the requesting host lacks, if the link has room for it,
+    /// and the bytes of the updates, which are charged.
+    fn topic_prefixes(
+        &mut self,
+        now: Time,
+        request: &messages::Request,
+    ) -> (Vec<messages::Prefix>, u64) {
         let mut charged = 0;
         let mut prefixes = Vec::with_capacity(Topic::ALL.len());
         for topic in Topic::ALL {
@@ -1000,6 +1005,12 @@
                 update: update.map(encode_update),
             });
         }
+        (prefixes, charged)
+    }
+
+    fn respond(&mut self, request: messages::Request, reply: oneshot::Sender<messages::Response>) {
+        let now = Time::now();
+        let (mut prefixes, charged) = self.topic_prefixes(now, &request);
         let reports = match self.budget.available(now) {
             0 => Vec::new(),
             _ => self.news.recent(now, request.is_hub),
--- a/src/serving/messages.rs
+++ b/src/serving/messages.rs
@@ -330,7 +330,7 @@
 }
 
 /// Size of a value in a message, in bytes.
-pub fn encoded_size<T: Serialize>(value: &T) -> u64 {
+fn encoded_size<T: Serialize>(value: &T) -> u64 {
     // Fails only for sequences of unknown length, which messages do not contain.
     bincode::options().serialized_size(value).unwrap_or(0)
 }
--- a/tests/serving/peers.rs
+++ b/tests/serving/peers.rs
@@ -40,8 +40,8 @@
     messages::Response { prefixes: vec![state], ..messages::Response::default() }
 }
 
-/// Sends a request to a host that responds after a time.
-async fn send_request(time: Duration) -> Option<messages::Response> {
+/// Starts a host that responds after a time.
+async fn spawn_host(time: Duration) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = listener.local_addr().expect("the socket is bound");
     let (calls, mut mailbox) = mpsc::channel::<peers::Call>(8);
@@ -61,6 +61,12 @@
             let _ = reply.send(configuration());
         }
     });
+    address
+}
+
+/// Sends a request to a host that responds after a time.
+async fn send_request(time: Duration) -> Option<messages::Response> {
+    let address = spawn_host(time).await;
     Peers::default().sync(address, request()).await
 }
 
@@ -152,24 +158,7 @@
 
 /// Sends a request over a slow link.
 async fn send_over_slow_link(stall_after: usize) -> Option<messages::Response> {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-    let host = listener.local_addr().expect("the socket is bound");
-    let (calls, mut mailbox) = mpsc::channel::<peers::Call>(8);
-    tokio::spawn(peers::serve(
-        listener,
-        peers::Mailboxes {
-            calls,
-            permits: mpsc::channel(1).0,
-            evidence: mpsc::channel(1).0,
-            reports: mpsc::channel(1).0,
-        },
-    ));
-    tokio::spawn(async move {
-        while let Some((_, reply)) = mailbox.recv().await {
-            // The requesting host may have timed out, which the test checks.
-            let _ = reply.send(configuration());
-        }
-    });
+    let host = spawn_host(Duration::ZERO).await;
     let link = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = link.local_addr().expect("the socket is bound");
     // 1 MB takes 2 s, as over a link of 10 Mbit/s that carries another such transfer.
