--- a/review/harness-2/src/lib.rs
+++ b/review/harness-2/src/lib.rs
@@ -192,7 +192,7 @@
                 ("CloudApi.Address", duties.address().to_string()),
                 ("Limits.CpuFraction", "0.25".to_owned()),
                 ("Limits.LinkMbps", "1000.0".to_owned()),
-                ("Limits.MemoryMb", "110".to_owned()),
+                ("Limits.MemoryMb", "88".to_owned()),
                 ("Limits.FileDescriptors", "4100".to_owned()),
                 ("Bounds.GraceS", "8".to_owned()),
                 ("Bounds.RevokeFailClosed", "true".to_owned()),
