Keep no replaced values in the log of a copy

Cause: Mirror::apply_changes kept the last 512 changes with their values, also those that a later change of the same key has replaced. Mirror::since never sends these, so that nothing but the memory showed them.

Change: the log holds the key and revision of the last change of each key; values stand in the items alone. A replaced entry leaves the log without a move of log_start, as the newer one is in it. The log is bounded in bytes (64 KiB of keys) in place of entries. Why this works: for a position from log_start on, the keys whose last change is later are all in the log, and that is all that since() ever sent.

A first form that kept the log through a listing as well lost deletions of keys that were written and deleted before the listing; the random sequences of the module showed it, and it was dropped.

--- a/src/serving/mirror.rs
+++ b/src/serving/mirror.rs
@@ -4,9 +4,9 @@
 
 use crate::store::{self, Change, Item};
 
-/// Number of changes in the log from which other hosts are updated. Hosts that are further behind
-/// receive a listing.
-const MAX_LOG_LEN: usize = 512;
+/// Largest size of the log from which other hosts are updated, in bytes. Hosts that are further
+/// behind receive a listing.
+const MAX_LOG_BYTES: usize = 64 << 10;
 
 /// An update of the keys under a prefix.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -83,6 +83,20 @@
     }
 }
 
+/// The last change of a key. Values are kept in the items alone, so that the log does not grow with
+/// the values that were replaced.
+#[derive(Debug)]
+struct Logged {
+    revision: u64,
+    key: String,
+}
+
+impl Logged {
+    fn size(&self) -> usize {
+        size_of::<Logged>() + self.key.len()
+    }
+}
+
 /// A copy of a prefix with a log of its recent changes.
 #[derive(Debug, Default)]
 pub struct Mirror {
@@ -90,9 +104,12 @@
     /// decreases, as revisions of later eras are greater.
     revision: u64,
     items: BTreeMap<String, Item>,
-    /// The last changes in the order of their revisions.
-    log: VecDeque<Change>,
-    /// Revision after which every change is in the log.
+    /// Keys that changed, each once, with their last revisions. Sorted by revision. A key without
+    /// an item was deleted.
+    log: VecDeque<Logged>,
+    /// Size of the log, at most `MAX_LOG_BYTES`.
+    log_bytes: usize,
+    /// Revision after which the last change of every key is in the log.
     log_start: u64,
 }
 
@@ -120,7 +137,8 @@
         }
     }
 
-    /// Returns the changes after a revision, or a listing if the log does not reach back to it.
+    /// Returns the last change of each key that changed after a revision, or a listing if the log
+    /// does not reach back to it.
     ///
     /// `None` before the first listing, or if there are none.
     pub fn since(&self, after: u64) -> Option<Update> {
@@ -130,8 +148,12 @@
         if after < self.log_start || after == 0 {
             return Some(Update::Listing(self.items.values().cloned().collect(), self.revision));
         }
-        let changes = self.log.iter().filter(|it| revision_of(it) > after && self.is_newest(it));
-        Some(Update::Changes(changes.cloned().collect(), self.revision))
+        let first = self.log.partition_point(|it| it.revision <= after);
+        let change = |it: &Logged| match self.items.get(&it.key) {
+            Some(item) => Change::Put(item.clone()),
+            None => Change::Deleted(it.key.clone(), it.revision),
+        };
+        Some(Update::Changes(self.log.range(first..).map(change).collect(), self.revision))
     }
 
     /// Applies a listing. One that is older than the copy is ignored.
@@ -153,6 +175,7 @@
         changes.iter().for_each(|it| self.apply_change(it));
         // The revisions of the changes in between are unknown, so that the log restarts here.
         self.log.clear();
+        self.log_bytes = 0;
         self.log_start = revision;
         self.revision = revision;
         changes
@@ -166,27 +189,13 @@
                 continue;
             }
             self.apply_change(&change);
-            self.log.push_back(change.clone());
             new.push(change);
         }
-        while self.log.len() > MAX_LOG_LEN {
-            if let Some(dropped) = self.log.pop_front() {
-                self.log_start = self.log_start.max(revision_of(&dropped));
-            }
-        }
+        self.trim_log();
         self.revision = self.revision.max(revision);
         new
     }
 
-    /// Whether no later change of the same key has been applied.
-    fn is_newest(&self, change: &Change) -> bool {
-        match (self.items.get(key_of(change)), change) {
-            (Some(item), Change::Put(written)) => item.revision == written.revision,
-            (None, Change::Deleted(..)) => true,
-            _ => false,
-        }
-    }
-
     /// Compares with the stored item's revision, as later pages of a listing may hold items that
     /// are newer than the listing's revision.
     fn is_newer(&self, key: &str, revision: u64) -> bool {
@@ -194,6 +203,9 @@
     }
 
     fn apply_change(&mut self, change: &Change) {
+        let key = key_of(change);
+        self.unlog(key);
+        self.log_change(key, revision_of(change));
         match change {
             Change::Put(item) => {
                 self.items.insert(item.key.clone(), item.clone());
@@ -203,6 +215,38 @@
             }
         }
     }
+
+    /// Adds the last change of a key to the log.
+    fn log_change(&mut self, key: &str, revision: u64) {
+        let at = self.log.partition_point(|it| it.revision <= revision);
+        let logged = Logged { revision, key: key.to_owned() };
+        self.log_bytes += logged.size();
+        self.log.insert(at, logged);
+    }
+
+    /// Removes the change of a key that a later one replaces. The log stays complete.
+    fn unlog(&mut self, key: &str) {
+        let found = match self.items.get(key) {
+            Some(item) => {
+                let first = self.log.partition_point(|it| it.revision < item.revision);
+                let same = self.log.range(first..).take_while(|it| it.revision == item.revision);
+                same.enumerate().find(|(_, it)| it.key == key).map(|(at, _)| first + at)
+            }
+            None => self.log.iter().position(|it| it.key == key),
+        };
+        if let Some(replaced) = found.and_then(|it| self.log.remove(it)) {
+            self.log_bytes -= replaced.size();
+        }
+    }
+
+    /// Drops the oldest changes of a log that is too large.
+    fn trim_log(&mut self) {
+        while self.log_bytes > MAX_LOG_BYTES {
+            let Some(dropped) = self.log.pop_front() else { return };
+            self.log_bytes -= dropped.size();
+            self.log_start = self.log_start.max(dropped.revision);
+        }
+    }
 }
 
 fn key_of(change: &Change) -> &str {
--- a/tests/serving/knowledge.rs
+++ b/tests/serving/knowledge.rs
@@ -75,6 +75,13 @@
     }
 }
 
+fn key_of(change: &Change) -> &str {
+    match change {
+        Change::Put(item) => &item.key,
+        Change::Deleted(key, _) => key,
+    }
+}
+
 fn contents(mirror: &Mirror) -> Option<Update> {
     // From revision 0 the update is a listing of all keys.
     mirror.since(0)
@@ -257,3 +264,73 @@
     let listing = Update::Listing(Vec::new(), 9);
     assert_eq!(listing.clone().without_repeats(|_| true), listing);
 }
+
+/// A large value that changes all the time, as one version after the other, beside keys of which one is deleted.
+fn hub_with_replaced_values(versions: u64, value: &[u8]) -> Mirror {
+    let written = |key: &str, revision: u64| {
+        let value = value.to_vec().into();
+        Change::Put(Item { key: key.to_owned(), value, revision })
+    };
+    let mut hub = Mirror::default();
+    hub.apply(Update::Listing(Vec::new(), 1));
+    let first = vec![written("kept", 2), written("deleted", 3), written("changing", 4)];
+    hub.apply(Update::Changes(first, 4));
+    hub.apply(Update::Changes(vec![Change::Deleted("deleted".to_owned(), 5)], 5));
+    for revision in 6..6 + versions {
+        hub.apply(Update::Changes(vec![written("changing", revision)], revision));
+    }
+    hub
+}
+
+/// Guards against copies that keep each replaced version of a value, which ends hosts once a large configuration was
+/// written some hundred times.
+#[test]
+fn values_that_were_replaced_are_not_kept() {
+    let mut values = Vec::new();
+    let mut hub = Mirror::default();
+    for revision in 1..=200 {
+        let value = bytes::Bytes::from(vec![0; 1_000]);
+        values.push(value.clone());
+        let item = Item { key: "configuration".to_owned(), value, revision };
+        hub.apply(Update::Changes(vec![Change::Put(item)], revision));
+    }
+    let held = values.into_iter().filter(|it| !it.is_unique()).count();
+    assert_eq!(held, 1, "versions of the value that the copy holds");
+}
+
+/// Guards against listings in place of changes, and against changes that are missed, from every position.
+#[test]
+fn a_log_without_replaced_values_reaches_as_far_back() {
+    let hub = hub_with_replaced_values(2_000, b"value");
+    for after in 1..hub.revision() {
+        let Some(Update::Changes(changes, 2_005)) = hub.since(after) else {
+            panic!("a host at {after} gets no changes");
+        };
+        let last = [("kept", 2), ("deleted", 5), ("changing", 2_005)];
+        let expected: Vec<_> = last.iter().filter(|it| it.1 > after).map(|it| it.0).collect();
+        let keys: Vec<_> = changes.iter().map(key_of).collect();
+        assert_eq!(keys, expected, "after {after}");
+        assert_eq!(changes.contains(&Change::Deleted("deleted".to_owned(), 5)), after < 5);
+    }
+}
+
+/// Guards against a log that grows with the keys that are written, and against one that is cut without notice.
+#[test]
+fn the_log_is_bounded_in_bytes() {
+    let key = |number: u64| format!("{number:0200}");
+    let written = |number: u64| {
+        Change::Put(Item { key: key(number), value: vec![0].into(), revision: number })
+    };
+    let mut hub = Mirror::default();
+    hub.apply(Update::Listing(Vec::new(), 1));
+    for number in 2..=1_000 {
+        hub.apply(Update::Changes(vec![written(number)], number));
+    }
+    // 64 KiB hold some 270 keys of 200 bytes with their revisions.
+    assert!(
+        matches!(hub.since(1_000 - 200), Some(Update::Changes(changes, _)) if changes.len() == 200)
+    );
+    assert!(
+        matches!(hub.since(1_000 - 400), Some(Update::Listing(items, _)) if items.len() == 999)
+    );
+}
