Log the items of later pages of a listing

An item of a later page of a listing is newer than the listing. The watch that follows returns it again, and as it was known it never reached the log: a host that asked from the revision of the listing got the hub's new revision without the item, and kept an older one until its next change.

Change: after a listing the log starts with the items that are newer than it.

Fails before: knowledge::hosts_get_the_items_of_later_pages_of_a_listing.

--- a/src/serving/mirror.rs
+++ b/src/serving/mirror.rs
@@ -173,10 +173,7 @@
         let newer = listed.into_values().filter(|it| self.is_newer(&it.key, it.revision));
         changes.extend(newer.map(Change::Put));
         changes.iter().for_each(|it| self.apply_change(it));
-        // The revisions of the changes in between are unknown, so that the log restarts here.
-        self.log.clear();
-        self.log_bytes = 0;
-        self.log_start = revision;
+        self.restart_log(revision);
         self.revision = revision;
         changes
     }
@@ -216,8 +213,22 @@
         }
     }
 
+    /// Empties the log at the revision of a listing. Changes before it are unknown: a key may have
+    /// been written and deleted. Items of later pages are newer, and the watch that follows returns
+    /// them again as known ones.
+    fn restart_log(&mut self, revision: u64) {
+        self.log.clear();
+        self.log_bytes = 0;
+        self.log_start = revision;
+        let later = self.items.values().filter(|it| it.revision > revision);
+        let later: Vec<_> = later.map(|it| (it.key.clone(), it.revision)).collect();
+        later.iter().for_each(|it| self.log_change(&it.0, it.1));
+        self.trim_log();
+    }
+
     /// Adds the last change of a key to the log.
     fn log_change(&mut self, key: &str, revision: u64) {
+        // Items of later pages of a listing may be newer than the changes that follow.
         let at = self.log.partition_point(|it| it.revision <= revision);
         let logged = Logged { revision, key: key.to_owned() };
         self.log_bytes += logged.size();
--- a/tests/serving/knowledge.rs
+++ b/tests/serving/knowledge.rs
@@ -66,6 +66,17 @@
         Update::Listing(self.items.values().cloned().collect(), self.revision)
     }
 
+    /// A listing of which the second page is read after one more write.
+    fn listing_in_pages(&mut self, key: u8) -> Update {
+        let (revision, first) = (self.revision, self.items.clone());
+        self.write(key);
+        let is_first = |it: &str| it < "key-2";
+        let mut items: Vec<_> =
+            first.into_iter().filter(|it| is_first(&it.0)).map(|it| it.1).collect();
+        items.extend(self.items.iter().filter(|it| !is_first(it.0)).map(|it| it.1.clone()));
+        Update::Listing(items, revision)
+    }
+
     fn since(&self, after: u64) -> Update {
         let newer = |it: &&Change| match it {
             Change::Put(item) => item.revision > after,
@@ -314,6 +325,49 @@
     }
 }
 
+quickcheck! {
+    /// Guards against changes that a host misses or gets twice, whatever its position and the order of watches, listings
+    /// and later pages of listings.
+    fn a_host_gets_the_last_change_of_each_key_once_from_any_position(steps: Vec<(u8, u8)>) -> bool {
+        let mut store = Model::default();
+        store.write(0);
+        let mut hub = Mirror::default();
+        hub.apply(store.listing());
+        // Copies of hosts that stopped asking at some position.
+        let mut members = Vec::new();
+        for (step, key) in steps {
+            match step % 6 {
+                0 | 1 => store.write(key),
+                2 => drop(hub.apply(store.since(hub.revision()))),
+                3 => drop(hub.apply(store.listing_in_pages(key))),
+                4 => {
+                    let mut member = Mirror::default();
+                    member.apply(store.listing_in_pages(key));
+                    members.push(member);
+                }
+                _ => {
+                    let mut member = Mirror::default();
+                    member.apply(hub.since(0).expect("the hub has a listing"));
+                    members.push(member);
+                }
+            }
+        }
+        hub.apply(store.since(hub.revision()));
+        members.into_iter().all(|mut member| {
+            let update = hub.since(member.revision());
+            let mut keys: Vec<_> = match &update {
+                Some(Update::Changes(changes, _)) => changes.iter().map(key_of).collect(),
+                Some(Update::Listing(items, _)) => items.iter().map(|it| it.key.as_str()).collect(),
+                None => Vec::new(),
+            };
+            keys.sort_unstable();
+            let is_each_once = keys.windows(2).all(|it| it[0] != it[1]);
+            update.into_iter().for_each(|it| drop(member.apply(it)));
+            is_each_once && contents(&member) == Some(store.listing())
+        })
+    }
+}
+
 /// Guards against a log that grows with the keys that are written, and against one that is cut without notice.
 #[test]
 fn the_log_is_bounded_in_bytes() {
@@ -334,3 +388,21 @@
         matches!(hub.since(1_000 - 400), Some(Update::Listing(items, _)) if items.len() == 999)
     );
 }
+
+/// Guards against an item of a later page of a listing, which hosts that ask from the revision of the listing never got.
+#[test]
+fn hosts_get_the_items_of_later_pages_of_a_listing() {
+    let item = |key: &str, revision: u64| Item {
+        key: key.to_owned(),
+        value: vec![revision as u8].into(),
+        revision,
+    };
+    let mut hub = Mirror::default();
+    for _ in 0..2 {
+        hub.apply(Update::Listing(vec![item("a", 2), item("b", 9)], 8));
+    }
+    // The watch that follows returns that item again.
+    hub.apply(Update::Changes(vec![Change::Put(item("b", 9))], 10));
+    assert_eq!(hub.since(8), Some(Update::Changes(vec![Change::Put(item("b", 9))], 10)));
+    assert!(hub.since(7).is_some_and(|it| it.is_listing()));
+}
