List the keys after a watch whose answer is too large

Cause: a watch answers all versions since its position, each whole. An answer of more than 8 MB, or one that took longer than 5 s, failed, and the same watch was sent again, whose answer only grew. It ended when the store forgot its history. Evidence: outcomes of the watches by almondrack_store_calls_total, and the same fleet with a store that keeps its history.

Change: such an answer is a failure of its own (Failure::Oversized, outcome "oversized"). The follower then lists its prefix, which has one version of each key, without a back-off, as the store does answer. Buffers are as large as the announced length.

--- a/src/body.rs
+++ b/src/body.rs
@@ -10,7 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use tokio::time::timeout;
 
 /// Why a body was not read to its end.
@@ -40,7 +40,7 @@
 /// they are small.
 ///
 /// # Errors
-/// `TooLong` as soon as more bytes have arrived, `Cut` if the body ends early.
+/// `TooLong` as soon as more bytes are announced or have arrived, `Cut` if the body ends early.
 pub async fn read(body: Incoming, max_bytes: usize) -> Result<Bytes, Failure> {
     collect(body, max_bytes, Duration::MAX).await
 }
@@ -62,7 +62,11 @@
     max_bytes: usize,
     max_pause: Duration,
 ) -> Result<Bytes, Failure> {
-    let mut out = BytesMut::new();
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced > max_bytes {
+        return Err(Failure::TooLong(max_bytes));
+    }
+    let mut out = BytesMut::with_capacity(announced);
     loop {
         let frame = timeout(max_pause, body.frame()).await;
         let Some(frame) = frame.map_err(|_| Failure::Stalled(max_pause))? else { break };
--- a/src/serving/counted_store.rs
+++ b/src/serving/counted_store.rs
@@ -59,6 +59,7 @@
             Err(Failure::Refused(_)) => "refused",
             Err(Failure::Unknown(_)) => "no_answer",
             Err(Failure::Invalid(_)) => "invalid",
+            Err(Failure::Oversized(_)) => "oversized",
         };
         self.metrics.store_called(self.cause.as_str(), call, outcome);
         self.metrics.store_era.set(i64::try_from(self.store.era()).unwrap_or(i64::MAX));
--- a/src/serving/follower.rs
+++ b/src/serving/follower.rs
@@ -123,6 +123,12 @@
                     self.store_reachable.send_replace(true);
                     update
                 }
+                // The same watch would fail again, and ever more changes would come to it.
+                Err(failure @ Failure::Oversized(_)) if listed => {
+                    log::info!("watch of {} failed, listing its keys: {failure}", self.prefix);
+                    listed = false;
+                    continue;
+                }
                 Err(failure) => {
                     log::info!("watch of {} failed: {failure}", self.prefix);
                     if self.messages.send(Message::Failed(self.topic)).await.is_err() {
--- a/src/serving/leadership.rs
+++ b/src/serving/leadership.rs
@@ -233,7 +233,7 @@
             Ok(Committed::Done(revision)) => Ok(Some(revision)),
             Ok(Committed::Conflict | Committed::LeaseEnded) => Ok(None),
             Err(Failure::Refused(status)) => Err(Failure::Refused(status)),
-            Err(Failure::Unknown(_) | Failure::Invalid(_)) => {
+            Err(Failure::Unknown(_) | Failure::Invalid(_) | Failure::Oversized(_)) => {
                 let leader = self.options.store.get(LEADER_KEY).await?;
                 let own = leader.filter(|it| *it.value == *claim.as_bytes());
                 Ok(own.map(|it| it.revision))
--- a/src/store.rs
+++ b/src/store.rs
@@ -125,6 +125,9 @@
     Unknown(String),
     /// The answer is invalid, for this reason. A write may have taken effect.
     Invalid(String),
+    /// The answer was given up, as it is too large or its transfer too long. The same call fails again as long as there is
+    /// as much to answer. A write may have taken effect.
+    Oversized(String),
 }
 
 impl fmt::Display for Failure {
@@ -133,6 +136,7 @@
             Failure::Refused(status) => write!(f, "the store refused the call (status {status})"),
             Failure::Unknown(why) => write!(f, "no answer from the store: {why}"),
             Failure::Invalid(why) => write!(f, "invalid answer from the store: {why}"),
+            Failure::Oversized(why) => write!(f, "answer of the store given up: {why}"),
         }
     }
 }
@@ -152,7 +156,8 @@
     /// Reads a page of the items under a prefix whose keys follow `after`.
     async fn list(&self, prefix: &str, after: &str) -> Result<Page, Failure>;
 
-    /// Waits at most `wait_ms` milliseconds for changes under a prefix after a revision.
+    /// Waits at most `wait_ms` milliseconds for changes under a prefix after a revision. Fails with `Oversized` if there are
+    /// so many that a listing is the smaller answer.
     async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<Watch, Failure>;
 
     /// Writes and deletes keys if the conditions of the commit hold.
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -89,6 +89,8 @@
     calls: BTreeMap<(usize, String), usize>,
     /// Hosts whose calls are refused.
     refused: Vec<usize>,
+    /// Most changes in an answer that hosts read, `None` without a limit.
+    max_changes: Option<usize>,
 }
 
 /// In-memory store, as the client of one host. Clones share its content.
@@ -174,8 +176,14 @@
         if self.content.borrow().refused.contains(&self.host) {
             return Err(Failure::Unknown("the connection was cut".to_owned()));
         }
-        let revision = self.content.borrow().revision;
-        Ok(Watch::Changes(self.changes(prefix, after), revision))
+        let content = self.content.borrow();
+        let (revision, max_changes) = (content.revision, content.max_changes);
+        drop(content);
+        let changes = self.changes(prefix, after);
+        if max_changes.is_some_and(|it| changes.len() > it) {
+            return Err(Failure::Oversized(format!("{} changes", changes.len())));
+        }
+        Ok(Watch::Changes(changes, revision))
     }
 
     async fn commit(&self, _: &Commit) -> Result<Committed, Failure> {
@@ -485,6 +493,23 @@
     LocalSet::new().run_until(run).await;
 }
 
+/// Guards against hosts that ask for the same changes for ever because the answer is larger than they read.
+#[tokio::test]
+async fn a_watch_whose_answer_is_too_large_is_followed_by_a_listing() {
+    let run = async {
+        let fleet = Fleet::spawn(3).await;
+        fleet.store.content.borrow_mut().max_changes = Some(3);
+        fleet.store.content.borrow_mut().refused = (0..3).collect();
+        sleep(Duration::from_millis(200)).await;
+        fleet.store.remove(&format!("{UPSTREAMS}engine-1"));
+        (2..=20).for_each(|it| fleet.put_configuration(it, 0));
+        fleet.store.content.borrow_mut().refused.clear();
+        let time = fleet.configuration_time(21).await;
+        assert!(time < CONFIGURATION_BOUND, "the newest configuration came after {time:?}");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// Waits until all hosts know a zone as evacuated or as open, and returns how long that took.
 async fn evacuation_time(fleet: &Fleet, is_evacuated: bool) -> Duration {
     let start = Instant::now();
