Watch again only after the last answer is applied

What was seen: each follower read every configuration twice. For 25 versions and the start, a host counted 53 watches with answers.

Cause: after an answer the follower sent it to the state's mailbox and watched again at once, in the same poll. The position was still the one before, so that the store answered at once with the same versions. Twice the bytes, twice the calls, and two copies in the mailbox.

Change: the message carries a channel that tells when the update is applied, and the follower waits for it. At most one update of each prefix is in the mailbox.

Fail before: followers::a_follower_reads_each_configuration_once: "host 0 called 320 times for 5 versions" (the store of that test answers without a wait).

--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -321,8 +321,8 @@
 #[derive(Debug)]
 pub(super) enum Message {
     /// The store answered a call that was sent at this time. `None` if the keys must be listed
-    /// again.
-    Update(Topic, Time, Option<Update>),
+    /// again. The channel tells when the update is applied.
+    Update(Topic, Time, Option<Update>, oneshot::Sender<()>),
     /// A call to the store failed.
     Failed(Topic),
     /// Response to a sync request that was sent at this time, with the group if its hub was asked.
@@ -577,8 +577,8 @@
     fn handle(&mut self, message: Message) {
         match message {
             // The history is gone, which says nothing about the copy.
-            Message::Update(_, _, None) => {}
-            Message::Update(topic, sent_at, Some(update)) => {
+            Message::Update(_, _, None, _) => {}
+            Message::Update(topic, sent_at, Some(update), applied) => {
                 self.store_answered_at = Time::now();
                 if topic == Topic::Upstreams {
                     self.upstream_list.store_recovered(self.store_answered_at);
@@ -590,6 +590,8 @@
                     let grace_left = self.upstream_list.grace_left(self.store_answered_at);
                     self.publish_verification(Some(sent_at), grace_left);
                 }
+                // The follower may have been ended.
+                let _ = applied.send(());
             }
             Message::Failed(topic) => {
                 self.store_answered_at = Time(0);
--- a/src/serving/follower.rs
+++ b/src/serving/follower.rs
@@ -5,7 +5,7 @@
 use std::{rc::Rc, time::Duration};
 
 use tokio::{
-    sync::{mpsc, watch},
+    sync::{mpsc, oneshot, watch},
     time::sleep,
 };
 
@@ -140,9 +140,13 @@
                 }
             };
             let changed = update.as_ref().is_some_and(|it| !it.is_empty());
-            if self.messages.send(Message::Update(self.topic, sent_at, update)).await.is_err() {
+            let (applied, is_applied) = oneshot::channel();
+            let message = Message::Update(self.topic, sent_at, update, applied);
+            if self.messages.send(message).await.is_err() {
                 return;
             }
+            // Before it is applied, the next watch would ask for the same changes again. An error says that the host stops.
+            let _ = is_applied.await;
             if changed && self.topic != Topic::Configuration {
                 sleep(self.change_pause()).await;
             }
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -493,6 +493,26 @@
     LocalSet::new().run_until(run).await;
 }
 
+/// Guards against a second copy of each configuration: a watch that begins before the last answer is applied asks for the
+/// same changes again.
+#[tokio::test]
+async fn a_follower_reads_each_configuration_once() {
+    let run = async {
+        let fleet = Fleet::spawn(3).await;
+        fleet.store.content.borrow_mut().calls.clear();
+        for version in 2..=6 {
+            fleet.configuration_time(version).await;
+        }
+        let calls = fleet.store.content.borrow().calls.clone();
+        for host in 0..3 {
+            let watches = calls.get(&(host, CONFIGURATION.to_owned())).copied().unwrap_or(0);
+            // One after each version, and one for each wait without a change.
+            assert!(watches <= 7, "host {host} called {watches} times for 5 versions");
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// Guards against hosts that ask for the same changes for ever because the answer is larger than they read.
 #[tokio::test]
 async fn a_watch_whose_answer_is_too_large_is_followed_by_a_listing() {
