Keep no large values but the configuration's

Change: a follower replaces values above 8 KiB by empty ones as it reads them, but for the configuration's key, with a warning. Entries of upstreams and hosts have some hundred bytes; an empty entry names no upstream, as before one that cannot be read; of evacuations only the keys are read.

Fails before: followers::large_values_that_no_host_reads_are_not_kept: "the value of configuration/other is kept".

--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -384,6 +384,7 @@
             store: options.store.for_cause(topic.cause()),
             topic,
             prefix: options.decoding.prefix(topic),
+            configuration_key: options.decoding.configuration_key,
             revisions: followed.clone(),
             messages: messages.clone(),
             role: role.subscribe(),
--- a/src/serving/follower.rs
+++ b/src/serving/follower.rs
@@ -4,6 +4,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::sleep,
@@ -40,6 +41,9 @@
 /// The same pause of the other followers, from which the fleet seldom receives a change first.
 const SECONDARY_CHANGE_PAUSE: Duration = Duration::from_millis(800);
 
+/// Largest value that is kept, in bytes, but for the configuration. The entry of an upstream or a host has some hundred.
+const MAX_VALUE_BYTES: usize = 8 << 10;
+
 /// Initial backoff after a failed call to the store.
 pub(super) const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -84,6 +88,8 @@
     pub(super) store: counted_store::Counted<S>,
     pub(super) topic: Topic,
     pub(super) prefix: &'static str,
+    /// Key whose value may be of any size.
+    pub(super) configuration_key: &'static str,
     pub(super) revisions: watch::Receiver<[u64; 3]>,
     pub(super) messages: mpsc::Sender<Message>,
     pub(super) role: watch::Receiver<Role>,
@@ -193,7 +199,7 @@
     async fn fetch(&self, listed: bool, mode: Mode) -> Result<Option<Update>, Failure> {
         let after = self.revisions.borrow()[self.topic as usize];
         if after == 0 || !listed {
-            let (items, revision) = list(&self.store, self.prefix).await?;
+            let (items, revision) = self.list().await?;
             return Ok(Some(Update::Listing(items, revision)));
         }
         let wait_ms = match (self.topic, mode) {
@@ -202,29 +208,45 @@
             (Topic::Fleet, _) => FLEET_WAIT_MS,
         };
         Ok(match self.store.watch(self.prefix, after, wait_ms).await? {
-            Watch::Changes(changes, revision) => Some(Update::Changes(changes, revision)),
+            Watch::Changes(changes, revision) => {
+                let update = Update::Changes(changes, revision);
+                Some(update.map_items(|it| self.drop_large_value(it)))
+            }
             Watch::Compacted => None,
         })
     }
-}
 
-/// Reads all pages of a listing and returns the revision of the first one. Later pages may be
-/// newer; the watch starts after the first page's revision, so that it returns every change in
-/// between.
-async fn list<S: Store>(store: &S, prefix: &str) -> Result<(Vec<Item>, u64), Failure> {
-    let mut items: Vec<Item> = Vec::new();
-    let mut revision = None;
-    loop {
-        let after = items.last().map_or("", |it| it.key.as_str()).to_owned();
-        let page = store.list(prefix, &after).await?;
-        items.extend(page.items);
-        let first = *revision.get_or_insert(page.revision);
-        if era_of(page.revision) != era_of(first) {
-            let why = "the store came back from an older copy during a listing";
-            return Err(Failure::Unknown(why.to_owned()));
+    /// Reads all pages of a listing and returns the revision of the first one. Later pages may be
+    /// newer; the watch starts after the first page's revision, so that it returns every change in
+    /// between.
+    async fn list(&self) -> Result<(Vec<Item>, u64), Failure> {
+        let mut items: Vec<Item> = Vec::new();
+        let mut revision = None;
+        loop {
+            let after = items.last().map_or("", |it| it.key.as_str()).to_owned();
+            let mut page = self.store.list(self.prefix, &after).await?;
+            page.items.iter_mut().for_each(|it| self.drop_large_value(it));
+            items.extend(page.items);
+            let first = *revision.get_or_insert(page.revision);
+            if era_of(page.revision) != era_of(first) {
+                let why = "the store came back from an older copy during a listing";
+                return Err(Failure::Unknown(why.to_owned()));
+            }
+            if !page.more {
+                return Ok((items, first));
+            }
         }
-        if !page.more {
-            return Ok((items, first));
+    }
+
+    /// Replaces a value that is too large by an empty one, which cannot be decoded.
+    fn drop_large_value(&self, item: &mut Item) {
+        if item.value.len() > MAX_VALUE_BYTES && item.key != self.configuration_key {
+            log::warn!(
+                "value of {} ignored: {} bytes, more than {MAX_VALUE_BYTES}",
+                item.key,
+                item.value.len()
+            );
+            item.value = Bytes::new();
         }
     }
 }
--- a/tests/serving/followers.rs
+++ b/tests/serving/followers.rs
@@ -107,15 +107,27 @@
     }
 
     pub(crate) fn put(&self, key: &str, value: &[u8]) {
+        self.put_shared(key, value.to_vec().into());
+    }
+
+    fn put_shared(&self, key: &str, value: bytes::Bytes) {
         let mut content = self.content.borrow_mut();
         content.revision += 1;
         let revision = content.revision;
-        let item = Item { key: key.to_owned(), value: value.to_vec().into(), revision };
+        let item = Item { key: key.to_owned(), value, revision };
         content.items.insert(key.to_owned(), item.clone());
         content.history.push(Change::Put(item));
         self.changed.send_replace(revision);
     }
 
+    /// Forgets all values and changes. Hosts keep what they know.
+    fn forget_all(&self) {
+        let mut content = self.content.borrow_mut();
+        content.refused = (0..100).collect();
+        content.items.clear();
+        content.history.clear();
+    }
+
     /// Refuses all further calls of this client's host.
     pub(crate) fn refuse(&self) {
         self.content.borrow_mut().refused.push(self.host);
@@ -530,6 +542,35 @@
     LocalSet::new().run_until(run).await;
 }
 
+/// Guards against values without a use that take a host's memory, whoever writes them.
+#[tokio::test]
+async fn large_values_that_no_host_reads_are_not_kept() {
+    let run = async {
+        let fleet = Fleet::spawn(3).await;
+        let mut values = Vec::new();
+        for key in ["configuration/other", "upstreams/large", "almondrack/fleet/large"] {
+            let value = bytes::Bytes::from(vec![b'x'; 100_000]);
+            fleet.store.put_shared(key, value.clone());
+            values.push((key, value));
+        }
+        // The configuration may be as large.
+        fleet.large_configuration_time(2, 100_000).await;
+        sleep(Duration::from_millis(1_500)).await;
+        fleet.store.forget_all();
+        for (key, value) in values {
+            assert!(value.is_unique(), "the value of {key} is kept");
+        }
+        assert!(
+            fleet.hosts.iter().all(|it| it
+                .table
+                .borrow()
+                .as_ref()
+                .is_some_and(|it| it.version == 2))
+        );
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// Waits until all hosts know a zone as evacuated or as open, and returns how long that took.
 async fn evacuation_time(fleet: &Fleet, is_evacuated: bool) -> Duration {
     let start = Instant::now();
