Let waiting requests hold no whole configuration

In a storm of large configurations the versions of all waiting requests stay in memory, some 0.5 to 1 MB each, up to one for each 80 ms of the longest wait.

Change: a request takes its route, its customer and the limits from the table and lets it go. What is checked when stays as it was: times of keys and of the configuration after the body.

Fails before: callers::requests_that_wait_do_not_keep_a_configuration_that_was_replaced: "copies of the configuration that was replaced", left: 2, right: 0.

--- a/src/serving/handler.rs
+++ b/src/serving/handler.rs
@@ -29,7 +29,7 @@
         exchange::{self, Body, CallerResponse, Exchange, RoutedRequest},
         relay::Relay,
         request_metrics,
-        table::{Customer, Route, Table},
+        table::{Customer, Limits, Route, Table},
         tier,
     },
     time::{Span, Time},
@@ -159,6 +159,30 @@
     }
 }
 
+/// What the configuration says about a request. A request that waits holds these in place of the configuration, which may
+/// be large and replaced many times meanwhile.
+struct Rules {
+    version: u64,
+    limits: Limits,
+    route: Option<Arc<Route>>,
+    /// Whether requests on routes that are not public need a key.
+    requires_keys: bool,
+    /// Customer of the request's key, `None` if it has none or an unknown one.
+    customer: Option<Arc<Customer>>,
+}
+
+impl Rules {
+    fn select(table: &Table, (host, path): (&str, &str), api_key: Option<&str>) -> Rules {
+        Rules {
+            version: table.version,
+            limits: table.limits,
+            route: table.route(host, path).cloned(),
+            requires_keys: table.requires_keys(),
+            customer: api_key.and_then(|it| table.customer(&Digest::of(it))).cloned(),
+        }
+    }
+}
+
 async fn serve<D: Dialect>(
     context: &WebContext<'_, State<D>>,
     handler: &Handler<D>,
@@ -173,8 +197,15 @@
     }
     let framing = check_framing(request.headers(), request.version(), request.method());
     framing.map_err(|error| Rejection { error, close: true })?;
-    let table = current_table(handler).await;
-    let limits = table.as_ref().map(|it| it.limits).unwrap_or_default();
+    let host = host(request.headers(), request.uri());
+    let caller_headers = handler.dialect.read_headers(request.headers());
+    let rules = {
+        let name = host.as_deref().unwrap_or_default();
+        let api_key = caller_headers.as_ref().ok().and_then(|it| it.api_key.as_deref());
+        let table = current_table(handler).await;
+        table.map(|it| Rules::select(&it, (name, request.uri().path()), api_key))
+    };
+    let limits = rules.as_ref().map(|it| it.limits).unwrap_or_default();
     let limit = limits.max_body_bytes;
     let body = std::mem::take(&mut *context.body_borrow_mut());
     let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
@@ -183,20 +214,21 @@
     let body = read_body(connection, body, (limit, declared_length), idle_timeout).await;
     let body = body.map_err(|error| Rejection { error, close: true })?;
     let no_configuration = || Error::new(Kind::StoreUnavailable, "no configuration is known yet");
-    let table = table.ok_or_else(no_configuration)?;
-    let host = host(request.headers(), request.uri())?;
+    let rules = rules.ok_or_else(no_configuration)?;
+    host?;
     let path = request.uri().path_and_query().map_or("/", |it| it.as_str());
     let unknown_route = || {
         out_of_date(handler, accepted_at)
             .unwrap_or_else(|| Error::new(Kind::UnknownPath, "no route takes the host and path"))
     };
-    let route = table.route(&host, request.uri().path()).ok_or_else(unknown_route)?.clone();
-    check_head_size(request.headers(), path, table.limits.max_head_bytes)?;
-    let caller_headers = handler.dialect.read_headers(request.headers())?;
-    let customer = authenticate(handler, &table, &route, &caller_headers, accepted_at).inspect_err(|error| {
+    let route = rules.route.clone().ok_or_else(unknown_route)?;
+    check_head_size(request.headers(), path, limits.max_head_bytes)?;
+    let caller_headers = caller_headers?;
+    let authenticated = authenticate(handler, &rules, &route, &caller_headers, accepted_at);
+    let customer = authenticated.inspect_err(|error| {
         let id = caller_headers.id.to_str().unwrap_or("?");
         let left = handler.keys_valid_until.borrow().since(accepted_at).as_ms();
-        let version = table.version;
+        let version = rules.version;
         log::info!(
             "request {id} refused: {error}; configuration version {version}, keys valid for {left} ms"
         );
@@ -372,15 +404,15 @@
 /// key.
 fn authenticate<D>(
     handler: &Handler<D>,
-    table: &Table,
+    rules: &Rules,
     route: &Route,
     caller_headers: &CallerHeaders,
     now: Time,
 ) -> Result<Option<Arc<Customer>>, Error> {
-    if !table.requires_keys() {
+    if !rules.requires_keys {
         return Ok(None);
     }
-    let known = caller_headers.api_key.as_deref().and_then(|it| table.customer(&Digest::of(it)));
+    let known = rules.customer.as_ref();
     if route.public {
         return Ok(known.filter(|_| now < *handler.keys_valid_until.borrow()).cloned());
     }
--- a/tests/serving/callers.rs
+++ b/tests/serving/callers.rs
@@ -92,6 +92,7 @@
 /// A host with one upstream.
 struct Fixture {
     address: SocketAddr,
+    table: watch::Sender<Option<Arc<Table>>>,
     received: Received,
     draining: watch::Sender<bool>,
     reject_from: Rc<Cell<Time>>,
@@ -121,9 +122,10 @@
     let reject_from = Rc::new(Cell::new(Time(u64::MAX)));
     let metrics = Metrics::open().expect("the names of the counters are unique");
     let table = is_configured.then(|| Arc::new(Table::build(parts)));
+    let (table, table_seen) = watch::channel(table);
     let handler = Handler {
         dialect: Rc::new(TestDialect),
-        table: watch::channel(table).1,
+        table: table_seen,
         keys_valid_until: watch::channel(Time(u64::MAX)).1,
         current_until: watch::channel(Time(u64::MAX)).1,
         exchange: open_with(entries, buffer_memory::Memory::new(1 << 20), meter),
@@ -134,7 +136,7 @@
     };
     let address = "127.0.0.1:0".parse().expect("the address is valid");
     let listener = Listener::bind(address, Rc::new(handler)).await.expect("a port is free");
-    Fixture { address: listener.address, received, draining, reject_from, listener }
+    Fixture { address: listener.address, table, received, draining, reject_from, listener }
 }
 
 fn get(path: &str, id: &str) -> String {
@@ -393,3 +395,25 @@
     })
     .await;
 }
+
+/// Guards against requests that keep the configuration they came with, whole, until their answers begin: a storm of large
+/// ones then fills the memory.
+#[tokio::test]
+async fn requests_that_wait_do_not_keep_a_configuration_that_was_replaced() {
+    play(async {
+        let fixture = open().await;
+        let mut waiting = connect(&fixture, &get("/slow", "a")).await;
+        let upload = "POST / HTTP/1.1\r\nhost: example\r\nx-id: b\r\ncontent-length: 2\r\n\r\n{";
+        let mut uploading = connect(&fixture, upload).await;
+        sleep(Duration::from_millis(100)).await;
+        let replaced = fixture.table.borrow().as_ref().map(Arc::downgrade).expect("there is one");
+        fixture.table.send_replace(Some(Arc::default()));
+        assert_eq!(replaced.strong_count(), 0, "copies of the configuration that was replaced");
+        uploading.write_all(b"}").await.expect("the connection is open");
+        for (caller, id) in [(&mut waiting, "a"), (&mut uploading, "b")] {
+            let (text, _) = read_for(caller, SLOW + SOON).await;
+            assert!(text.ends_with(&format!("to {id}.")), "its route holds: {text}");
+        }
+    })
+    .await;
+}
