Remember each of a route's earlier destinations once

Versions that move routes to and fro stored the same destinations again and again.

Change: equal destinations are kept once, with the last time at which they were replaced, and at most eight of a route. Where more were forgotten, the pool in which a stream began is not concluded for as long as one of those could have selected it; the records of other hosts tell, as after any recent change.

Fail before: stream_origin::destinations_that_come_again_are_kept_once: "501 copies of the destinations of 1,000 versions"; nothing_is_concluded_while_forgotten_destinations_may_have_ selected_another_pool: the destinations of 100 versions are kept, 9 now.

--- a/src/serving/stream_origin.rs
+++ b/src/serving/stream_origin.rs
@@ -35,6 +35,9 @@
 /// Part of them that a host forgets at once when they are too many: one in this number.
 const EVICTED_PART: usize = 4;
 
+/// Most earlier destinations of a route that a host remembers.
+const MAX_EARLIER: usize = 8;
+
 /// Most streams in the record of a host.
 const MAX_RECORDED: usize = 4_096;
 
@@ -114,8 +117,24 @@
     route: Arc<str>,
     /// Those in force; empty while there is no such route.
     current: Vec<Destination>,
-    /// Earlier ones, each with the time at which it was replaced.
+    /// Earlier ones, each once with the time at which it was last replaced. Sorted by that time.
     earlier: Vec<(Vec<Destination>, Time)>,
+    /// Time up to which there were more of them; zero if none was forgotten.
+    forgotten_until: Time,
+}
+
+impl Destinations {
+    fn replace(&mut self, now: Time, destinations: &[Destination]) {
+        let replaced = std::mem::replace(&mut self.current, destinations.to_vec());
+        if replaced.is_empty() {
+            return;
+        }
+        self.earlier.retain(|it| it.0 != replaced);
+        self.earlier.push((replaced, now));
+        if self.earlier.len() > MAX_EARLIER {
+            self.forgotten_until = self.earlier.remove(0).1;
+        }
+    }
 }
 
 /// A version of a pool in the list of upstreams.
@@ -179,16 +198,14 @@
     fn set_destinations(&mut self, now: Time, route: &Arc<str>, destinations: &[Destination]) {
         match self.destinations.binary_search_by(|it| it.route.cmp(route)) {
             Ok(at) if self.destinations[at].current == destinations => {}
-            Ok(at) => {
-                let known = &mut self.destinations[at];
-                let earlier = std::mem::replace(&mut known.current, destinations.to_vec());
-                if !earlier.is_empty() {
-                    known.earlier.push((earlier, now));
-                }
-            }
+            Ok(at) => self.destinations[at].replace(now, destinations),
             Err(at) => {
-                let current = destinations.to_vec();
-                let new = Destinations { route: route.clone(), current, earlier: Vec::new() };
+                let new = Destinations {
+                    route: route.clone(),
+                    current: destinations.to_vec(),
+                    earlier: Vec::new(),
+                    forgotten_until: Time(0),
+                };
                 self.destinations.insert(at, new);
             }
         }
@@ -365,6 +382,9 @@
             return None;
         }
         let Some(known) = self.destinations(&route.name) else { return Some(selected) };
+        if known.forgotten_until > Time(0) && now.since(known.forgotten_until) < notice {
+            return None;
+        }
         let recent = known.earlier.iter().filter(|(_, until)| now.since(*until) < notice);
         let mut recent = recent.map(|it| &it.0).chain([&known.current]).filter(|it| !it.is_empty());
         recent.all(|it| select(it).as_ref() == Some(&selected)).then_some(selected)
--- a/tests/serving/stream_origin.rs
+++ b/tests/serving/stream_origin.rs
@@ -1,5 +1,7 @@
 //! Which version began a stream, as far as a host can know.
 
+use std::sync::Arc;
+
 use almondrack::serving::{
     registry::Entry,
     stream_origin::{CHANGE_NOTICE, Origin, Origins, SHARDS, StreamKey, Versions},
@@ -220,6 +222,42 @@
     assert_eq!(find(&other, 20_200), Some(pool_origin("a")), "the route does not lead there");
 }
 
+/// Guards against destinations that are kept for each version of a storm that moves routes to and fro.
+#[test]
+fn destinations_that_come_again_are_kept_once() {
+    let moved = ["a", "b"].map(|pool| route(&[(pool, 1)]));
+    let mut origins = Origins::default();
+    for version in 0..1_000 {
+        origins.record_routes(at(version), [&moved[version as usize % 2]].into_iter());
+    }
+    let held = Arc::strong_count(&moved[0].destinations[0].pool);
+    assert!(held <= 3, "{held} copies of the destinations of 1,000 versions");
+    let find = |ms| origins.selected_pool(at(ms), key("a"), (&moved[1], CHANGE_NOTICE));
+    assert_eq!(find(4_900), None, "the stream may have begun in the other pool until 0.999 s");
+    assert_eq!(find(5_000).as_deref(), Some("b"));
+}
+
+/// Guards against a conclusion from the destinations that are remembered when there were more.
+#[test]
+fn nothing_is_concluded_while_forgotten_destinations_may_have_selected_another_pool() {
+    let versions: Vec<_> = (1..=100).map(|it| route(&[("a", 1), ("b", it)])).collect();
+    let last = versions.last().expect("there are versions");
+    let mut origins = Origins::default();
+    origins.record_hosts(at(0), Some(true));
+    for (version, ms) in versions.iter().zip(1..) {
+        origins.record_routes(at(ms), [version].into_iter());
+    }
+    let is_held = |it: &&Route| Arc::strong_count(&it.destinations[0].pool) > 1;
+    assert_eq!(versions.iter().filter(is_held).count(), 9, "versions whose destinations are kept");
+    for number in 0..100 {
+        let key = key(&format!("stream-{number}"));
+        let find = |ms| origins.selected_pool(at(ms), key, (last, CHANGE_NOTICE));
+        // The last of those that were forgotten was replaced at 92 ms.
+        assert_eq!(find(4_000), None);
+        assert!(find(4_100).is_some());
+    }
+}
+
 #[test]
 fn nothing_is_concluded_for_a_pool_without_upstreams() {
     let split = route(&[("a", 1), ("gone", 1)]);
