Bound the bytes of large updates that are under way

Change: at most 8 MiB of large updates are under way from one host; a host that asks again has received the last one, or has given it up. Values of messages are shared bytes, encoded as before, in place of a copy for each response.

Tests: sync_traffic::large_updates_that_no_host_has_received_are_few (without the bound all 60 are sent, by reading), values_are_encoded_like_vectors_of_bytes for hosts of two builds. The edits of placement, peers and reported_load in tests follow the type of the value.

--- a/src/serving/fleet_state.rs
+++ b/src/serving/fleet_state.rs
@@ -14,7 +14,6 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task,
@@ -1013,6 +1012,7 @@
 
     fn respond(&mut self, request: messages::Request, reply: oneshot::Sender<messages::Response>) {
         let now = Time::now();
+        self.budget.received(&request.host);
         let (mut prefixes, charged) = self.topic_prefixes(now, &request);
         let reports = match self.budget.available(now) {
             0 => Vec::new(),
@@ -1201,7 +1201,7 @@
 fn encode_change(change: Change) -> messages::Change {
     match change {
         Change::Put(Item { key, value, revision }) => {
-            messages::Change { key, revision, value: Some(value.to_vec()) }
+            messages::Change { key, revision, value: Some(messages::Value(value)) }
         }
         Change::Deleted(key, revision) => messages::Change { key, revision, value: None },
     }
@@ -1210,7 +1210,7 @@
 fn decode_update(update: messages::Update) -> Update {
     let changes =
         update.changes.into_iter().map(|messages::Change { key, revision, value }| match value {
-            Some(value) => Change::Put(Item { key, value: Bytes::from(value), revision }),
+            Some(value) => Change::Put(Item { key, value: value.0, revision }),
             None => Change::Deleted(key, revision),
         });
     if !update.is_listing {
--- a/src/serving/messages.rs
+++ b/src/serving/messages.rs
@@ -3,8 +3,11 @@
 //! Encoded by bincode, so that the order and types of fields are part of the protocol.
 //! [`Counts`] is also stored as JSON.
 
+use std::fmt;
+
 use bincode::Options as _;
-use serde::{Deserialize, Serialize};
+use bytes::Bytes;
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
 use crate::{
     serving::{
@@ -16,6 +19,46 @@
     time::{Span, Time},
 };
 
+/// A value of the store. Messages to several hosts share its bytes, which are encoded like a vector of bytes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Value(pub Bytes);
+
+impl From<Vec<u8>> for Value {
+    fn from(bytes: Vec<u8>) -> Value {
+        Value(bytes.into())
+    }
+}
+
+impl Serialize for Value {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Value {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Value, D::Error> {
+        deserializer.deserialize_byte_buf(ValueVisitor)
+    }
+}
+
+struct ValueVisitor;
+
+impl de::Visitor<'_> for ValueVisitor {
+    type Value = Value;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("bytes")
+    }
+
+    fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<Value, E> {
+        Ok(bytes.to_vec().into())
+    }
+
+    fn visit_byte_buf<E: de::Error>(self, bytes: Vec<u8>) -> Result<Value, E> {
+        Ok(bytes.into())
+    }
+}
+
 /// A change of a key in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -24,7 +67,7 @@
     /// Revision of the write or removal.
     pub revision: u64,
     /// `None` if the key was removed.
-    pub value: Option<Vec<u8>>,
+    pub value: Option<Value>,
 }
 
 /// Changes under a prefix after the requested revision.
@@ -72,7 +115,7 @@
         let change = |(upstream, limit): &(u64, Limit)| Change {
             key: upstream.to_string(),
             revision: limit.age(now).0,
-            value: limit.rate().map(|it| it.per_second().to_le_bytes().to_vec()),
+            value: limit.rate().map(|it| it.per_second().to_le_bytes().to_vec().into()),
         };
         let changes = limits.iter().map(change).collect();
         Prefix { age_us: None, update: Some(Update { is_listing: true, changes, revision: 0 }) }
@@ -84,9 +127,7 @@
         let changes = self.update.iter().flat_map(|it| &it.changes);
         let limit = |it: &Change| {
             let rate = match &it.value {
-                Some(bytes) => {
-                    Some(Rate::new(f64::from_le_bytes(bytes.as_slice().try_into().ok()?))?)
-                }
+                Some(bytes) => Some(Rate::new(f64::from_le_bytes(bytes.0[..].try_into().ok()?))?),
                 None => None,
             };
             Some((it.key.parse().ok()?, Limit::new(rate, sent_at - Span(it.revision))))
@@ -163,7 +204,7 @@
     /// Encodes evidence as JSON under a key of its own.
     pub fn from_evidence(evidence: &Evidence) -> Prefix {
         // A struct of numbers can always be encoded.
-        let value = serde_json::to_vec(evidence).ok();
+        let value = serde_json::to_vec(evidence).ok().map(Value::from);
         let change = Change { key: EVIDENCE_KEY.to_owned(), revision: 0, value };
         let update = Update { is_listing: true, changes: vec![change], revision: 0 };
         Prefix { age_us: None, update: Some(update) }
@@ -173,7 +214,7 @@
     pub fn evidence(&self) -> Option<Evidence> {
         let change = self.update.as_ref()?.changes.first()?;
         let value = change.value.as_ref().filter(|_| change.key == EVIDENCE_KEY)?;
-        let decoded = serde_json::from_slice(value);
+        let decoded = serde_json::from_slice(&value.0);
         decoded.inspect_err(|it| log::warn!("evidence of a host cannot be decoded: {it}")).ok()
     }
 }
@@ -197,7 +238,7 @@
             }
             value.extend(age.to_le_bytes());
         }
-        let change = Change { key: REPORTS_KEY.to_owned(), revision: 0, value: Some(value) };
+        let change = Change { key: REPORTS_KEY.to_owned(), revision: 0, value: Some(value.into()) };
         let update = Update { is_listing: true, changes: vec![change], revision: 0 };
         Prefix { age_us: None, update: Some(update) }
     }
@@ -205,7 +246,7 @@
     /// Decodes reports of a message whose ages count from `sent_at`. Leaves out those that cannot be true.
     pub fn reports(&self, sent_at: Time) -> Vec<(u64, Dated)> {
         let change = self.update.as_ref().and_then(|it| it.changes.first());
-        let value = change.filter(|it| it.key == REPORTS_KEY).and_then(|it| it.value.as_deref());
+        let value = change.filter(|it| it.key == REPORTS_KEY).and_then(|it| it.value.as_ref());
         let report = |bytes: &[u8]| {
             let (upstream, rest) = bytes.split_first_chunk::<8>()?;
             let (figures, age) = rest.split_at_checked(8)?;
@@ -216,7 +257,8 @@
             let at = sent_at - Span(u64::from(age));
             Some((u64::from_le_bytes(*upstream), Dated { at, report }))
         };
-        value.unwrap_or_default().chunks_exact(REPORT_BYTES).filter_map(report).collect()
+        let bytes = value.map_or(&[][..], |it| &it.0);
+        bytes.chunks_exact(REPORT_BYTES).filter_map(report).collect()
     }
 }
 
--- a/src/serving/sync_budget.rs
+++ b/src/serving/sync_budget.rs
@@ -3,6 +3,9 @@
 //! Load pattern: a host with a slow link becomes the hub of a zone at a moment when dozens of hosts need the same large
 //! configuration and ask for what they missed. Without a limit all transfers take longer than their time-out, are lost and
 //! start again, and the host's requests, connects and calls to the store wait behind them.
+//!
+//! A response that is not read yet takes memory. A configuration of 1 MB for each of 60 members takes more than a small host
+//! has, so that few large updates are under way at the same time.
 
 use crate::time::{Span, Time};
 
@@ -26,12 +29,18 @@
 /// Time for which it is remembered that an update was not sent.
 const DEFERRED_LIFETIME: Span = Span::from_ms(5_000);
 
+/// Most bytes of large updates that are under way at the same time. Encoded and framed, each takes twice its size.
+const MAX_UNDER_WAY: u64 = 8 << 20;
+
+/// Time after which a host has given up a response that it has not received.
+const RESPONSE_LIFETIME: Span = Span::from_ms(5_000);
+
 /// When a large update is sent to a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Transmission {
     /// At once.
     Now,
-    /// With a later response, as others are sent before it.
+    /// With a later response, as others are sent before it or too many are under way.
     Later,
     /// Not before the host had time to read it from the store, as it is large for the link. One that a host does not get
     /// there goes to one host after the other.
@@ -46,7 +55,15 @@
     since: Time,
 }
 
-/// Token bucket of bytes.
+/// A large update that was sent to a host.
+#[derive(Debug)]
+struct UnderWay {
+    host: String,
+    bytes: u64,
+    sent_at: Time,
+}
+
+/// Token bucket of bytes, and the bytes that are under way.
 #[derive(Debug)]
 pub struct Budget {
     /// Bytes per second, `None` without a limit.
@@ -58,6 +75,8 @@
     deferred: Vec<Deferred>,
     /// Time before which no further update is sent that a host did not get from the store.
     next_long_at: Time,
+    /// Large updates that may not have been received yet, in the order in which they were sent.
+    under_way: Vec<UnderWay>,
 }
 
 impl Budget {
@@ -70,6 +89,7 @@
             updated_at: Time(0),
             deferred: Vec::new(),
             next_long_at: Time(0),
+            under_way: Vec::new(),
         }
     }
 
@@ -82,8 +102,32 @@
         self.available.max(0.0) as u64
     }
 
+    /// Records that a host asks again, which it does once it has received the last response or given it up.
+    pub fn received(&mut self, host: &str) {
+        self.under_way.retain(|it| it.host != host);
+    }
+
     /// Decides about the large update of a prefix for a host.
     pub fn decide(&mut self, now: Time, (host, prefix): (&str, usize), bytes: u64) -> Transmission {
+        self.under_way.retain(|it| now.since(it.sent_at) < RESPONSE_LIFETIME);
+        let under_way: u64 = self.under_way.iter().map(|it| it.bytes).sum();
+        // One that is larger than all may be goes alone.
+        if under_way > 0 && under_way + bytes > MAX_UNDER_WAY {
+            return Transmission::Later;
+        }
+        let transmission = self.decide_for_link(now, (host, prefix), bytes);
+        if transmission == Transmission::Now {
+            self.under_way.push(UnderWay { host: host.to_owned(), bytes, sent_at: now });
+        }
+        transmission
+    }
+
+    fn decide_for_link(
+        &mut self,
+        now: Time,
+        (host, prefix): (&str, usize),
+        bytes: u64,
+    ) -> Transmission {
         let available = self.available(now);
         let Some(rate) = self.rate.filter(|_| bytes > available) else { return Transmission::Now };
         let transfer = Span((bytes as f64 / rate * 1e6) as u64);
--- a/tests/serving/peers.rs
+++ b/tests/serving/peers.rs
@@ -33,7 +33,7 @@
     let line = messages::Change {
         key: "configuration".to_owned(),
         revision: 2,
-        value: Some(vec![7; 1 << 20]),
+        value: Some(vec![7; 1 << 20].into()),
     };
     let update = messages::Update { is_listing: false, changes: vec![line], revision: 2 };
     let state = messages::Prefix { age_us: Some(0), update: Some(update) };
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -8,7 +8,7 @@
         crash_evidence::Content,
         key::{TicketKey, UpstreamKey},
         loads::Loads,
-        messages::{Change, Evidence, Load, Prefix, Suspicion},
+        messages::{Change, Evidence, Load, Prefix, Suspicion, Value},
         placement::{Action, Grant, Placement, Ticket},
         rate_limit::{Decision, Limit, Named, Rate},
         registry::State,
@@ -381,7 +381,11 @@
 fn limits_that_cannot_be_decoded_are_left_out() {
     let mut news = Prefix::from_limits(at(1_000), &[(1, Limit::new(Rate::new(2.0), at(900)))]);
     let changes = &mut news.update.as_mut().expect("there are limits").changes;
-    let bad = |value: Option<Vec<u8>>, key: &str| Change { value, key: key.into(), revision: 1 };
+    let bad = |value: Option<Vec<u8>>, key: &str| Change {
+        value: value.map(Value::from),
+        key: key.into(),
+        revision: 1,
+    };
     changes.push(bad(Some(vec![1, 2, 3]), "2"));
     changes.push(bad(Some(f64::NAN.to_le_bytes().to_vec()), "3"));
     changes.push(bad(None, "no number"));
--- a/tests/serving/reported_load.rs
+++ b/tests/serving/reported_load.rs
@@ -307,12 +307,13 @@
     let message = Prefix::from_reports(at(1_000), &for_hub);
     assert_eq!(message.reports(at(2_000)), [(5_000, dated(1_990, 4, 120))]);
     // A report without a work time, one that is cut short, and another message.
-    let mut bytes = message.update.expect("it holds reports").changes[0].value.clone();
-    let value = bytes.as_mut().expect("it holds reports");
-    value[14] = 0;
-    value.extend([1; 7]);
+    let value = message.update.expect("it holds reports").changes[0].value.clone();
+    let mut bytes = value.expect("it holds reports").0.to_vec();
+    bytes[14] = 0;
+    bytes.extend([1; 7]);
     for key in ["reported-load", "crash-evidence"] {
-        let changes = vec![Change { key: key.to_owned(), revision: 0, value: bytes.clone() }];
+        let value = Some(bytes.clone().into());
+        let changes = vec![Change { key: key.to_owned(), revision: 0, value }];
         let update = Some(Update { is_listing: true, changes, revision: 0 });
         assert!(Prefix { age_us: None, update }.reports(at(0)).is_empty());
     }
--- a/tests/serving/sync_traffic.rs
+++ b/tests/serving/sync_traffic.rs
@@ -4,13 +4,14 @@
 
 use almondrack::{
     serving::{
-        messages::{Placement, Request, Response, Update},
+        messages::{self, Placement, Request, Response, Update},
         mirror::{self, Mirror},
         peers::Peers,
         sync_budget::{Budget, Transmission},
     },
     store::{Change, Item},
 };
+use bincode::Options as _;
 use tokio::{task::LocalSet, time::sleep};
 
 use crate::{
@@ -211,6 +212,41 @@
     assert_eq!(sent_at, Some(5_250));
 }
 
+/// Guards against hubs whose memory a large configuration fills once for each member.
+#[test]
+fn large_updates_that_no_host_has_received_are_few() {
+    const LARGEST: u64 = 1 << 20;
+    for mbps in [None, Some(1_000.0)] {
+        let mut budget = Budget::new(mbps);
+        let hosts: Vec<_> = (0..60).map(|it| format!("host-{it}")).collect();
+        let decide = |budget: &mut Budget, ms| {
+            let is_sent = |it: &&String| {
+                budget.decide(at(ms), (it.as_str(), 0), LARGEST) == Transmission::Now
+            };
+            hosts.iter().filter(is_sent).count()
+        };
+        assert_eq!(decide(&mut budget, 5_000), 8, "sent to 60 hosts at once");
+        assert_eq!(decide(&mut budget, 5_400), 0, "sent while no host has asked again");
+        hosts[..3].iter().for_each(|it| budget.received(it));
+        assert_eq!(decide(&mut budget, 5_500), 3, "sent after three have asked again");
+        // Those that fell silent hold nobody up for longer than a response is waited for.
+        assert_eq!(decide(&mut budget, 10_000), 5);
+        assert_eq!(decide(&mut budget, 10_500), 3);
+    }
+}
+
+/// Guards against hosts of two builds that do not understand each other.
+#[test]
+fn values_are_encoded_like_vectors_of_bytes() {
+    let value = messages::Value::from(vec![0, 1, 250, 251, 255]);
+    let vector = vec![0_u8, 1, 250, 251, 255];
+    let encode = bincode::options();
+    let encoded = encode.serialize(&value).expect("bytes can be encoded");
+    assert_eq!(encoded, encode.serialize(&vector).expect("bytes can be encoded"));
+    let decoded: messages::Value = encode.deserialize(&encoded).expect("bytes can be decoded");
+    assert_eq!(decoded, value);
+}
+
 #[test]
 fn an_update_that_is_withheld_changes_nothing_at_a_host_that_does_not_know_it() {
     let item = |revision| Item { key: "key".to_owned(), value: vec![1].into(), revision };
