Close connections between hosts after large responses

Change: after a response of more than 128 KiB the asking host opens a new connection for its next request.

--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -56,6 +56,10 @@
 /// Maximum size of a message, in bytes. A configuration and the entries of all upstreams must fit.
 const MAX_FRAME_BYTES: usize = 16 << 20;
 
+/// Largest sync response after which a connection is used again, in bytes. The buffers of both ends stay as large as the
+/// largest message, so that a hub would keep a copy of a large configuration for each member.
+const MAX_KEPT_BYTES: u64 = 128 << 10;
+
 /// A sync request with the channel for its response.
 pub type Call = (messages::Request, oneshot::Sender<messages::Response>);
 
@@ -211,10 +215,15 @@
         request: messages::Request,
     ) -> Option<messages::Response> {
         let limits = (SYNC_TIMEOUT, LONGEST_SYNC);
-        self.exchange(address, limits, async move |client, context| {
-            client.sync(context, request).await.ok()
-        })
-        .await
+        let response = self
+            .exchange(address, limits, async move |client, context| {
+                client.sync(context, request).await.ok()
+            })
+            .await?;
+        if response.sizes().map(|it| it.1).sum::<u64>() > MAX_KEPT_BYTES {
+            self.close(address);
+        }
+        Some(response)
     }
 
     /// Asks a host for a permit. `None` if it failed or timed out; its connection is then closed.
--- a/tests/serving/peers.rs
+++ b/tests/serving/peers.rs
@@ -1,6 +1,6 @@
 //! Sync requests between hosts.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use almondrack::serving::{
     messages,
@@ -180,3 +180,54 @@
     assert_eq!(response, None);
     assert!(start.elapsed() < Duration::from_millis(1_800), "{:?}", start.elapsed());
 }
+
+/// Counts the connections over which two requests are sent to a host with this response.
+async fn connections(response: messages::Response) -> usize {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket is bound");
+    let host_listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let host = host_listener.local_addr().expect("the socket is bound");
+    let (calls, mut mailbox) = mpsc::channel::<peers::Call>(8);
+    tokio::spawn(peers::serve(
+        host_listener,
+        peers::Mailboxes {
+            calls,
+            permits: mpsc::channel(1).0,
+            evidence: mpsc::channel(1).0,
+            reports: mpsc::channel(1).0,
+        },
+    ));
+    tokio::spawn(async move {
+        while let Some((_, reply)) = mailbox.recv().await {
+            reply.send(response.clone()).expect("the request waits");
+        }
+    });
+    let count = Rc::new(Cell::new(0));
+    let counted = count.clone();
+    tokio::task::spawn_local(async move {
+        while let Ok((mut asking, _)) = listener.accept().await {
+            counted.set(counted.get() + 1);
+            tokio::task::spawn_local(async move {
+                let mut host = TcpStream::connect(host).await.expect("the host listens");
+                // Ends with the connection of either side.
+                let _ = tokio::io::copy_bidirectional(&mut asking, &mut host).await;
+            });
+        }
+    });
+    let peers = Peers::default();
+    for _ in 0..2 {
+        assert!(peers.sync(address, request()).await.is_some());
+    }
+    count.get()
+}
+
+/// Guards against hubs that keep buffers of the size of a large configuration for each of their members.
+#[tokio::test]
+async fn a_connection_that_carried_a_large_response_is_not_kept() {
+    let play = async {
+        let small = messages::Response { is_current: true, ..messages::Response::default() };
+        assert_eq!(connections(small).await, 1);
+        assert_eq!(connections(configuration()).await, 2);
+    };
+    LocalSet::new().run_until(play).await;
+}
