--- a/tests/serving/peers.rs
+++ b/tests/serving/peers.rs
@@ -40,11 +40,9 @@
     messages::Response { prefixes: vec![state], ..messages::Response::default() }
 }
 
-/// Starts a host that responds after a time.
-async fn spawn_host(time: Duration) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-    let address = listener.local_addr().expect("the socket is bound");
-    let (calls, mut mailbox) = mpsc::channel::<peers::Call>(8);
+/// Serves sync requests on a listener and returns the mailbox into which they come.
+fn serve(listener: TcpListener) -> mpsc::Receiver<peers::Call> {
+    let (calls, mailbox) = mpsc::channel(8);
     tokio::spawn(peers::serve(
         listener,
         peers::Mailboxes {
@@ -54,6 +52,14 @@
             reports: mpsc::channel(1).0,
         },
     ));
+    mailbox
+}
+
+/// Starts a host that responds after a time.
+async fn spawn_host(time: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket is bound");
+    let mut mailbox = serve(listener);
     tokio::spawn(async move {
         while let Some((_, reply)) = mailbox.recv().await {
             sleep(time).await;
@@ -92,16 +98,7 @@
     let play = async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let address = listener.local_addr().expect("the socket is bound");
-        let (calls, mut mailbox) = mpsc::channel::<peers::Call>(8);
-        tokio::spawn(peers::serve(
-            listener,
-            peers::Mailboxes {
-                calls,
-                permits: mpsc::channel(1).0,
-                evidence: mpsc::channel(1).0,
-                reports: mpsc::channel(1).0,
-            },
-        ));
+        let mut mailbox = serve(listener);
         tokio::spawn(async move {
             while let Some((request, reply)) = mailbox.recv().await {
                 tokio::spawn(async move {
@@ -187,16 +184,7 @@
     let address = listener.local_addr().expect("the socket is bound");
     let host_listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let host = host_listener.local_addr().expect("the socket is bound");
-    let (calls, mut mailbox) = mpsc::channel::<peers::Call>(8);
-    tokio::spawn(peers::serve(
-        host_listener,
-        peers::Mailboxes {
-            calls,
-            permits: mpsc::channel(1).0,
-            evidence: mpsc::channel(1).0,
-            reports: mpsc::channel(1).0,
-        },
-    ));
+    let mut mailbox = serve(host_listener);
     tokio::spawn(async move {
         while let Some((_, reply)) = mailbox.recv().await {
             reply.send(response.clone()).expect("the request waits");
